--- /dev/null
+++ b/components/client/src/http_client.rs
@@ -0,0 +1,128 @@
+//! HTTP client that tells calls that were not sent from calls whose answer was lost.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, header::CONTENT_TYPE};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::SendError;
+
+/// Longest whole response body, in bytes.
+pub const RESPONSE_MAX_BYTES: usize = 16 * 1024 * 1024;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// How a client uses connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Connections {
+    /// Keeps connections for later calls. The server may close one just as a call is
+    /// sent, whose outcome is then not known.
+    Kept,
+    /// Makes a connection for each call, so that a call was sent only if its own
+    /// connection was made. For calls that must not run twice.
+    OnePerCall,
+}
+
+/// HTTP client. Never repeats a call by itself.
+#[derive(Debug, Clone)]
+pub struct HttpClient {
+    /// The library's client.
+    inner: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpClient {
+    /// Creates a client.
+    pub fn new(connections: Connections) -> HttpClient {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let mut builder = Client::builder(TokioExecutor::new());
+        builder.retry_canceled_requests(false);
+        builder.pool_timer(TokioTimer::new());
+        builder.pool_idle_timeout(IDLE_TIMEOUT);
+        if connections == Connections::OnePerCall {
+            builder.pool_max_idle_per_host(0);
+        }
+        HttpClient { inner: builder.build(connector) }
+    }
+
+    /// Sends a call and returns the response's head and its body as a stream.
+    ///
+    /// # Errors
+    /// Where no response head arrived.
+    pub async fn send(
+        &self,
+        server: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, SendError> {
+        let mut req = Request::new(Full::new(body));
+        *req.method_mut() = method;
+        *req.uri_mut() = format!("http://{server}{path}")
+            .parse()
+            .map_err(|error| SendError::NotSent(format!("bad path: {error}")))?;
+        *req.headers_mut() = headers;
+        self.inner.request(req).await.map_err(|error| {
+            if error.is_connect() {
+                SendError::NotSent(error.to_string())
+            } else {
+                SendError::AnswerLost(error.to_string())
+            }
+        })
+    }
+
+    /// Sends a call and returns the whole response.
+    ///
+    /// # Errors
+    /// Where no whole response of at most [`RESPONSE_MAX_BYTES`] arrived in `timeout`.
+    pub async fn call(
+        &self,
+        server: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, SendError> {
+        let exchange = async {
+            let res = self.send(server, method, path, headers, body).await?;
+            let (head, body) = res.into_parts();
+            let body = Limited::new(body, RESPONSE_MAX_BYTES)
+                .collect()
+                .await
+                .map_err(|error| SendError::AnswerLost(error.to_string()))?;
+            Ok(Response::from_parts(head, body.to_bytes()))
+        };
+        tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(SendError::TimedOut))
+    }
+
+    /// Sends `body` as JSON and reads the response as JSON, whatever its status.
+    ///
+    /// # Errors
+    /// As [`call`](HttpClient::call); a response that is not JSON counts as lost.
+    pub async fn call_json<B: Serialize, R: DeserializeOwned>(
+        &self,
+        server: SocketAddr,
+        path: &str,
+        body: &B,
+        timeout: Duration,
+    ) -> Result<R, SendError> {
+        let body = serde_json::to_vec(body)
+            .map_err(|error| SendError::NotSent(format!("no JSON form: {error}")))?;
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
+        let res = self.call(server, Method::POST, path, headers, body.into(), timeout).await?;
+        serde_json::from_slice(res.body())
+            .map_err(|error| SendError::AnswerLost(format!("{}: {error}", res.status())))
+    }
+}
--- /dev/null
+++ b/components/client/src/lib.rs
@@ -0,0 +1,14 @@
+//! HTTP clients: of the platform's services, of endpoints and of routers.
+
+mod http_client;
+mod platform_client;
+mod send_error;
+
+pub use self::{
+    http_client::{Connections, HttpClient, RESPONSE_MAX_BYTES},
+    platform_client::{
+        CommitRequest, HostsResponse, LoadEstimate, PlatformClient, ReadRequest, ReadResponse,
+        ScanRequest, ScanResponse,
+    },
+    send_error::SendError,
+};
--- /dev/null
+++ b/components/client/src/platform_client.rs
@@ -0,0 +1,172 @@
+//! Client of the platform's services over HTTP with JSON.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+use platform::{
+    Commit, CommitOutcome, HostEntry, HostList, Key, ObjectStore, PlatformError, Row, Table,
+    WeightId, WeightStore,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{Connections, HttpClient, SendError};
+
+/// Body of `POST /table/read`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ReadRequest {
+    /// Keys to read.
+    pub keys: Vec<Key>,
+}
+
+/// Answer to [`ReadRequest`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ReadResponse {
+    /// Rows in the order of the keys.
+    pub result: Result<Vec<Option<Row>>, PlatformError>,
+}
+
+/// Body of `POST /table/scan`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ScanRequest {
+    /// Prefix of the keys.
+    pub prefix: String,
+    /// Key after which to start.
+    pub after: Option<Key>,
+}
+
+/// Answer to [`ScanRequest`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ScanResponse {
+    /// Rows in the order of their keys.
+    pub result: Result<Vec<Row>, PlatformError>,
+}
+
+/// Body of `POST /table/commit`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CommitRequest {
+    /// The commit.
+    pub commit: Commit,
+}
+
+/// Answer to `POST /hosts`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct HostsResponse {
+    /// The hosts.
+    pub result: Result<Vec<HostEntry>, PlatformError>,
+}
+
+/// Answer to `POST /weights/estimate`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LoadEstimate {
+    /// Duration of a load, in milliseconds; `None` where there are no such weights.
+    pub result: Result<Option<u64>, PlatformError>,
+}
+
+/// Client of the platform's services.
+#[derive(Debug, Clone)]
+pub struct PlatformClient {
+    /// HTTP client.
+    http: HttpClient,
+    /// Address of the platform.
+    server: SocketAddr,
+    /// Longest time of one call.
+    timeout: Duration,
+}
+
+impl PlatformClient {
+    /// Creates a client of the platform at `server`; a call takes at most `timeout`.
+    pub fn new(server: SocketAddr, timeout: Duration) -> PlatformClient {
+        PlatformClient { http: HttpClient::new(Connections::Kept), server, timeout }
+    }
+
+    async fn call<B: Serialize, R: for<'de> Deserialize<'de>>(
+        &self,
+        path: &str,
+        body: &B,
+    ) -> Result<R, SendError> {
+        self.http.call_json(self.server, path, body, self.timeout).await
+    }
+
+    async fn call_object(
+        &self,
+        method: Method,
+        key: &Key,
+        content: Bytes,
+    ) -> Result<http::Response<Bytes>, PlatformError> {
+        let path = format!("/objects/{key}");
+        self.http
+            .call(self.server, method, &path, HeaderMap::new(), content, self.timeout)
+            .await
+            .map_err(|_| PlatformError::Unavailable)
+    }
+}
+
+#[async_trait]
+impl Table for PlatformClient {
+    async fn read(&self, keys: &[Key]) -> Result<Vec<Option<Row>>, PlatformError> {
+        let req = ReadRequest { keys: keys.to_vec() };
+        let res: Result<ReadResponse, _> = self.call("/table/read", &req).await;
+        let rows = res.map_err(|_| PlatformError::Unavailable)?.result?;
+        if rows.len() == keys.len() {
+            Ok(rows)
+        } else {
+            Err(PlatformError::Malformed("wrong number of rows".to_owned()))
+        }
+    }
+
+    async fn scan(&self, prefix: &str, after: Option<&Key>) -> Result<Vec<Row>, PlatformError> {
+        let req = ScanRequest { prefix: prefix.to_owned(), after: after.cloned() };
+        let res: Result<ScanResponse, _> = self.call("/table/scan", &req).await;
+        res.map_err(|_| PlatformError::Unavailable)?.result
+    }
+
+    async fn commit(&self, commit: &Commit) -> CommitOutcome {
+        let req = CommitRequest { commit: commit.clone() };
+        match self.call("/table/commit", &req).await {
+            Ok(outcome) => outcome,
+            Err(SendError::NotSent(_)) => CommitOutcome::NotApplied(PlatformError::Unavailable),
+            Err(SendError::AnswerLost(_) | SendError::TimedOut) => CommitOutcome::Unknown,
+        }
+    }
+}
+
+#[async_trait]
+impl ObjectStore for PlatformClient {
+    async fn put(&self, key: &Key, content: Arc<[u8]>) -> Result<(), PlatformError> {
+        let res = self.call_object(Method::PUT, key, Bytes::from_owner(content)).await?;
+        if res.status().is_success() { Ok(()) } else { Err(PlatformError::Unavailable) }
+    }
+
+    async fn get(&self, key: &Key) -> Result<Option<Arc<[u8]>>, PlatformError> {
+        let res = self.call_object(Method::GET, key, Bytes::new()).await?;
+        match res.status() {
+            StatusCode::OK => Ok(Some(res.into_body().to_vec().into())),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(PlatformError::Unavailable),
+        }
+    }
+
+    async fn delete(&self, key: &Key) -> Result<(), PlatformError> {
+        let res = self.call_object(Method::DELETE, key, Bytes::new()).await?;
+        if res.status().is_success() { Ok(()) } else { Err(PlatformError::Unavailable) }
+    }
+}
+
+#[async_trait]
+impl HostList for PlatformClient {
+    async fn hosts(&self) -> Result<Vec<HostEntry>, PlatformError> {
+        let res: Result<HostsResponse, _> = self.call("/hosts", &()).await;
+        res.map_err(|_| PlatformError::Unavailable)?.result
+    }
+}
+
+#[async_trait]
+impl WeightStore for PlatformClient {
+    async fn estimate_load(&self, weights: &WeightId) -> Result<Option<Duration>, PlatformError> {
+        let res: Result<LoadEstimate, _> = self.call("/weights/estimate", weights).await;
+        let millis = res.map_err(|_| PlatformError::Unavailable)?.result?;
+        Ok(millis.map(Duration::from_millis))
+    }
+}
--- /dev/null
+++ b/components/config/src/access.rs
@@ -0,0 +1,20 @@
+//! Access of a client account to a model.
+
+use serde::{Deserialize, Serialize};
+use types::{AdapterName, ModelName, ModelVersion, Priority};
+
+/// What serves the requests that an account sends under one model name.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModelAccess {
+    /// Model that serves the requests.
+    pub model: ModelName,
+    /// Versions that may serve them, preferred first. Not empty.
+    pub versions: Vec<ModelVersion>,
+    /// Adapter to use, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub adapter: Option<AdapterName>,
+    /// How urgent the requests are.
+    #[serde(default)]
+    pub priority: Priority,
+}
--- /dev/null
+++ b/components/config/src/key_hash.rs
@@ -0,0 +1,36 @@
+//! Hashes of API keys.
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DisplayFromStr, serde_as};
+use subtle::ConstantTimeEq;
+use utils::Digest;
+
+/// Hash of an API key, compared in constant time.
+#[serde_as]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct KeyHash(#[serde_as(as = "DisplayFromStr")] Digest);
+
+impl KeyHash {
+    /// Creates the hash from the digest of a key.
+    pub fn from_digest(digest: Digest) -> KeyHash {
+        KeyHash(digest)
+    }
+
+    /// Compares two hashes in a time that does not depend on where they differ.
+    pub fn matches(&self, other: &KeyHash) -> bool {
+        self.0.as_bytes().ct_eq(other.0.as_bytes()).into()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::ApiKey;
+
+    #[test]
+    fn hash_matches_only_its_own_key() {
+        let hash = ApiKey::new("correct horse battery staple").hash();
+        assert!(hash.matches(&ApiKey::new("correct horse battery staple").hash()));
+        assert!(!hash.matches(&ApiKey::new("correct horse battery stapl").hash()));
+    }
+}
--- /dev/null
+++ b/components/engine_api/src/headers.rs
@@ -0,0 +1,19 @@
+//! Headers of calls to engines.
+
+/// Request id of a call: client account, request id and attempt.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// Priority of a call: `0` bulk, `1` normal, `2` urgent.
+pub const PRIORITY_HEADER: &str = "x-priority";
+
+/// Version of the model that is to serve a call.
+pub const MODEL_VERSION_HEADER: &str = "x-model-version";
+
+/// Adapter that is to serve a call.
+pub const ADAPTER_HEADER: &str = "x-adapter";
+
+/// Number of tokens that the router has already; the engine sends those after them.
+pub const RESUME_FROM_HEADER: &str = "x-resume-from";
+
+/// Fencing number of a call to a plain service that checks it.
+pub const FENCING_HEADER: &str = "x-fencing-number";
--- /dev/null
+++ b/components/engine_api/src/prompt.rs
@@ -0,0 +1,64 @@
+//! Size of prompts and the blocks by which engines cache their prefixes.
+
+use utils::stable_hash;
+
+use crate::ChatMessage;
+
+/// Bytes of prompt text in one cached block.
+pub const BLOCK_BYTES: usize = 256;
+
+/// Tokens that a conversation has beside those of its texts, for each message.
+const TOKENS_PER_MESSAGE: u64 = 8;
+
+/// Returns an upper bound of the tokens of a prompt.
+///
+/// A token stands for at least one byte of text, so that no tokenizer is needed and
+/// the bound holds for every model.
+pub fn prompt_tokens_bound(messages: &[ChatMessage]) -> u64 {
+    messages.iter().map(|message| TOKENS_PER_MESSAGE + content_bytes(message)).sum()
+}
+
+/// Returns a hash for each whole block of the prompt. Two prompts that share their
+/// first `n` blocks share their first `n` hashes.
+pub fn prompt_blocks(messages: &[ChatMessage]) -> Vec<u64> {
+    let mut text = Vec::new();
+    for message in messages {
+        text.extend_from_slice(message.role.as_bytes());
+        text.push(0);
+        text.extend_from_slice(content_text(message).as_bytes());
+        text.push(0);
+    }
+    let mut previous = 0;
+    text.chunks_exact(BLOCK_BYTES)
+        .map(|block| {
+            previous = stable_hash(&[&u64::to_le_bytes(previous), block]);
+            previous
+        })
+        .collect()
+}
+
+fn content_bytes(message: &ChatMessage) -> u64 {
+    content_text(message).len() as u64
+}
+
+fn content_text(message: &ChatMessage) -> std::borrow::Cow<'_, str> {
+    match message.content.as_str() {
+        Some(text) => text.into(),
+        None => message.content.to_string().into(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn shared_prefix_gives_shared_blocks() {
+        let start = "stave ".repeat(100);
+        let first = [ChatMessage::from_text("user", &format!("{start} first"))];
+        let second = [ChatMessage::from_text("user", &format!("{start} other ending here"))];
+        let (first, second) = (prompt_blocks(&first), prompt_blocks(&second));
+        assert_eq!(first.len(), 2);
+        assert_eq!(first, second);
+    }
+}
--- /dev/null
+++ b/components/errors/src/error.rs
@@ -0,0 +1,70 @@
+//! An error with its context.
+
+use std::{fmt, sync::Arc};
+
+use crate::{ErrorAnswer, ErrorKind};
+
+/// Result with the error of this project.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// An error: its kind, a message for people, and the context in which it arose.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub struct Error {
+    /// Kind, which decides the answer.
+    kind: ErrorKind,
+    /// What is wrong and, where it helps, what to do next.
+    message: Arc<str>,
+    /// What was being done, outermost last.
+    context: Vec<Arc<str>>,
+}
+
+impl Error {
+    /// Creates an error of `kind`.
+    pub fn new(kind: ErrorKind, message: impl Into<Arc<str>>) -> Error {
+        Error { kind, message: message.into(), context: Vec::new() }
+    }
+
+    /// Adds what was being done when the error arose.
+    pub fn with_context(mut self, context: impl Into<Arc<str>>) -> Error {
+        self.context.push(context.into());
+        self
+    }
+
+    /// Returns the kind.
+    pub fn kind(&self) -> ErrorKind {
+        self.kind
+    }
+
+    /// Returns the message without its context.
+    pub fn message(&self) -> &str {
+        &self.message
+    }
+
+    /// Returns what the caller gets to see.
+    pub fn answer(&self) -> ErrorAnswer {
+        ErrorAnswer::new(self.kind, self.message())
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for context in self.context.iter().rev() {
+            write!(f, "{context}: ")?;
+        }
+        f.write_str(&self.message)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn context_precedes_the_message() {
+        let error = Error::new(ErrorKind::NoEndpoint, "connection refused")
+            .with_context("calling engine-1")
+            .with_context("request a/1");
+        assert_eq!(error.to_string(), "request a/1: calling engine-1: connection refused");
+        assert_eq!(error.kind(), ErrorKind::NoEndpoint);
+    }
+}
--- /dev/null
+++ b/components/errors/src/lib.rs
@@ -0,0 +1,15 @@
+//! The closed list of error kinds and the one table from kind to answer.
+
+mod answer;
+mod error;
+mod kind;
+mod ran;
+mod table;
+
+pub use self::{
+    answer::{ErrorAnswer, ErrorDetail},
+    error::{Error, Result},
+    kind::ErrorKind,
+    ran::Ran,
+    table::{ErrorEntry, entry_of},
+};
--- /dev/null
+++ b/components/errors/src/table.rs
@@ -0,0 +1,165 @@
+//! The table from error kind to answer.
+
+use std::time::Duration;
+
+use crate::{ErrorKind, Ran};
+
+/// What callers and counters get to see of an error kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ErrorEntry {
+    /// HTTP status code.
+    pub status: u16,
+    /// Stable code for programs; also the label of the counters.
+    pub code: &'static str,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// Whether a request with the same id may be sent again.
+    pub may_retry_same_id: bool,
+    /// Mean delay before a retry; the answer carries it with jitter. Zero where a
+    /// retry cannot help.
+    pub retry_delay: Duration,
+}
+
+const NO_RETRY: Duration = Duration::ZERO;
+const RETRY_SOON: Duration = Duration::from_millis(200);
+const RETRY_LATER: Duration = Duration::from_secs(2);
+const RETRY_MUCH_LATER: Duration = Duration::from_secs(30);
+
+/// Returns the answer for errors of `kind`.
+pub const fn entry_of(kind: ErrorKind) -> ErrorEntry {
+    use ErrorKind::*;
+    use Ran::*;
+    match kind {
+        BadRequest => entry(400, "bad_request", Never, false, NO_RETRY),
+        BodyTooLarge => entry(413, "body_too_large", Never, false, NO_RETRY),
+        HeadersTooLarge => entry(431, "headers_too_large", Never, false, NO_RETRY),
+        UnsupportedMediaType => entry(415, "unsupported_media_type", Never, false, NO_RETRY),
+        SlowSender => entry(408, "slow_sender", Never, true, RETRY_SOON),
+        Unauthorized => entry(401, "unauthorized", Never, false, NO_RETRY),
+        RoleMissing => entry(403, "role_missing", Never, false, NO_RETRY),
+        NotFound => entry(404, "not_found", Never, false, NO_RETRY),
+        MethodNotAllowed => entry(405, "method_not_allowed", Never, false, NO_RETRY),
+        UnknownModel => entry(404, "unknown_model", Never, false, NO_RETRY),
+        UnknownAction => entry(404, "unknown_action", Never, false, NO_RETRY),
+        RequestIdReused => entry(409, "request_id_reused", Never, false, NO_RETRY),
+        BudgetExhausted => entry(402, "budget_exhausted", Never, true, RETRY_MUCH_LATER),
+        BudgetShort => entry(429, "budget_short", Never, true, RETRY_LATER),
+        Overloaded => entry(429, "overloaded", Never, true, RETRY_LATER),
+        QueueFull => entry(429, "queue_full", Never, true, RETRY_LATER),
+        DeadlineBeforeRun => entry(504, "deadline_before_run", Never, true, RETRY_LATER),
+        NoEndpoint => entry(503, "no_endpoint", Never, true, RETRY_LATER),
+        ModelLoading => entry(503, "model_loading", Never, true, RETRY_LATER),
+        RouterLeaving => entry(503, "router_leaving", Never, true, RETRY_SOON),
+        StoreUnavailable => entry(503, "store_unavailable", Never, true, RETRY_LATER),
+        Quarantined => entry(422, "quarantined", NoFurther, false, NO_RETRY),
+        EndpointRejected => entry(422, "endpoint_rejected", NoFurther, false, NO_RETRY),
+        AttemptsFailed => entry(502, "attempts_failed", Unknown, true, RETRY_SOON),
+        OutcomeUnknown => entry(502, "outcome_unknown", Unknown, true, RETRY_MUCH_LATER),
+        DeadlineWhileRunning => entry(504, "deadline_while_running", Unknown, true, RETRY_SOON),
+        BillNotDurable => entry(503, "bill_not_durable", Unknown, true, RETRY_LATER),
+        InvalidConfig => entry(422, "invalid_config", Never, false, NO_RETRY),
+        StalePlan => entry(409, "stale_plan", Never, false, NO_RETRY),
+        PlanExpired => entry(410, "plan_expired", Never, false, NO_RETRY),
+        Internal => entry(500, "internal", Unknown, true, RETRY_LATER),
+    }
+}
+
+const fn entry(
+    status: u16,
+    code: &'static str,
+    ran: Ran,
+    may_retry_same_id: bool,
+    retry_delay: Duration,
+) -> ErrorEntry {
+    ErrorEntry { status, code, ran, may_retry_same_id, retry_delay }
+}
+
+impl ErrorKind {
+    /// All kinds, in the order of the list.
+    pub const ALL: &'static [ErrorKind] = {
+        use ErrorKind::*;
+        &[
+            BadRequest,
+            BodyTooLarge,
+            HeadersTooLarge,
+            UnsupportedMediaType,
+            SlowSender,
+            Unauthorized,
+            RoleMissing,
+            NotFound,
+            MethodNotAllowed,
+            UnknownModel,
+            UnknownAction,
+            RequestIdReused,
+            BudgetExhausted,
+            BudgetShort,
+            Overloaded,
+            QueueFull,
+            DeadlineBeforeRun,
+            NoEndpoint,
+            ModelLoading,
+            RouterLeaving,
+            StoreUnavailable,
+            Quarantined,
+            EndpointRejected,
+            AttemptsFailed,
+            OutcomeUnknown,
+            DeadlineWhileRunning,
+            BillNotDurable,
+            InvalidConfig,
+            StalePlan,
+            PlanExpired,
+            Internal,
+        ]
+    };
+
+    /// Returns the answer for errors of this kind.
+    pub const fn entry(self) -> ErrorEntry {
+        entry_of(self)
+    }
+
+    /// Returns the stable code of this kind.
+    pub const fn code(self) -> &'static str {
+        entry_of(self).code
+    }
+
+    /// Returns the kind with this stable code.
+    pub fn from_code(code: &str) -> Option<ErrorKind> {
+        ErrorKind::ALL.iter().copied().find(|kind| kind.code() == code)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::collections::BTreeSet;
+
+    use super::*;
+
+    #[test]
+    fn list_of_kinds_is_complete_and_codes_differ() {
+        let codes: BTreeSet<_> = ErrorKind::ALL.iter().map(|kind| kind.code()).collect();
+        assert_eq!(codes.len(), ErrorKind::ALL.len());
+        assert_eq!(ErrorKind::ALL.len(), ErrorKind::Internal as usize + 1);
+    }
+
+    #[test]
+    fn kinds_that_allow_a_retry_after_not_running_give_a_delay() {
+        for kind in ErrorKind::ALL {
+            let entry = kind.entry();
+            assert_eq!(entry.may_retry_same_id, entry.retry_delay > NO_RETRY, "{kind:?}");
+        }
+    }
+
+    #[test]
+    fn table_of_answers() {
+        insta::assert_snapshot!(ErrorKind::ALL.iter().map(describe).collect::<String>());
+    }
+
+    fn describe(kind: &ErrorKind) -> String {
+        let entry = kind.entry();
+        format!(
+            "{:24} {} {:9?} retry={} delay={:?}\n",
+            entry.code, entry.status, entry.ran, entry.may_retry_same_id, entry.retry_delay
+        )
+    }
+}
--- /dev/null
+++ b/components/history/src/lib.rs
@@ -0,0 +1,1 @@
+//! history.
--- /dev/null
+++ b/components/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! membership.
--- /dev/null
+++ b/components/platform/src/key.rs
@@ -0,0 +1,65 @@
+//! Keys of table rows.
+
+use std::{fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Longest key, in bytes.
+pub const KEY_MAX_BYTES: usize = 512;
+
+/// Key of a table row: parts joined by `/`, such as `budget/school-12`.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Key(Arc<str>);
+
+/// Why a text is not a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("a key has 1 to {KEY_MAX_BYTES} visible ASCII characters")]
+pub struct KeyError;
+
+impl Key {
+    /// Creates a key, or says that `text` is not one.
+    pub fn new(text: &str) -> Result<Key, KeyError> {
+        let is_valid = !text.is_empty()
+            && text.len() <= KEY_MAX_BYTES
+            && text.bytes().all(|byte| byte.is_ascii_graphic());
+        if is_valid { Ok(Key(text.into())) } else { Err(KeyError) }
+    }
+
+    /// Creates a key from parts that are names or ids, and therefore checked already.
+    pub fn from_parts(parts: &[&str]) -> Key {
+        Key(parts.join("/").into())
+    }
+
+    /// Returns the key as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl fmt::Debug for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}", &*self.0)
+    }
+}
+
+impl TryFrom<String> for Key {
+    type Error = KeyError;
+
+    fn try_from(text: String) -> Result<Key, KeyError> {
+        Key::new(&text)
+    }
+}
+
+impl From<Key> for String {
+    fn from(key: Key) -> String {
+        key.0.to_string()
+    }
+}
--- /dev/null
+++ b/components/platform/src/lib.rs
@@ -0,0 +1,30 @@
+//! The platform's services behind traits: table, object store, host list, weight store.
+//!
+//! This crate has no network code. `client` implements the traits over HTTP and
+//! `standins` implements them in memory.
+
+mod commit;
+mod commit_outcome;
+mod error;
+mod host_list;
+mod key;
+mod object_store;
+mod precondition;
+mod row;
+mod table;
+mod weight_store;
+mod write;
+
+pub use self::{
+    commit::{COMMIT_MAX_WRITES, Commit},
+    commit_outcome::CommitOutcome,
+    error::PlatformError,
+    host_list::{HostEntry, HostList, HostState},
+    key::{KEY_MAX_BYTES, Key, KeyError},
+    object_store::ObjectStore,
+    precondition::Precondition,
+    row::{Revision, Row, RowError},
+    table::{SCAN_MAX_ROWS, Table},
+    weight_store::{WeightId, WeightStore},
+    write::Write,
+};
--- /dev/null
+++ b/components/platform/src/precondition.rs
@@ -0,0 +1,24 @@
+//! Preconditions of a commit.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Key, Revision};
+
+/// What must hold of one row for a commit to take effect.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Precondition {
+    /// There is no row with this key.
+    Absent(Key),
+    /// The row has this revision.
+    Revision(Key, Revision),
+}
+
+impl Precondition {
+    /// Returns the key of the row.
+    pub fn key(&self) -> &Key {
+        match self {
+            Precondition::Absent(key) | Precondition::Revision(key, _) => key,
+        }
+    }
+}
--- /dev/null
+++ b/components/platform/src/write.rs
@@ -0,0 +1,32 @@
+//! Writes of a commit.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Key;
+
+/// One write of a commit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Write {
+    /// Key of the row.
+    pub key: Key,
+    /// New value as JSON text, or `None` to delete the row.
+    pub value: Option<Arc<str>>,
+}
+
+impl Write {
+    /// Creates a write that stores `value` under `key`.
+    ///
+    /// # Panics
+    /// Where `value` has no JSON form; the row types of this project all have one.
+    pub fn put<T: Serialize>(key: Key, value: &T) -> Write {
+        let text = serde_json::to_string(value).expect("row types have a JSON form");
+        Write { key, value: Some(text.into()) }
+    }
+
+    /// Creates a write that deletes the row of `key`.
+    pub fn delete(key: Key) -> Write {
+        Write { key, value: None }
+    }
+}
--- /dev/null
+++ b/components/protocol/src/frame.rs
@@ -0,0 +1,98 @@
+//! Frames: a length and one encoded envelope.
+
+use std::io;
+
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use thiserror::Error;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use crate::Envelope;
+
+/// Longest frame, in bytes.
+pub const FRAME_MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// Codec of the frames between routers.
+#[derive(Debug)]
+pub struct FrameCodec {
+    /// Splits the stream into frames of at most [`FRAME_MAX_BYTES`].
+    lengths: LengthDelimitedCodec,
+}
+
+/// Error of a connection between routers; the connection is of no further use.
+#[derive(Debug, Error)]
+pub enum FrameError {
+    /// The connection failed, or a frame was too long.
+    #[error("connection failed: {0}")]
+    Io(#[from] io::Error),
+    /// A frame holds no envelope.
+    #[error("malformed frame: {0}")]
+    Malformed(#[from] prost::DecodeError),
+}
+
+impl FrameCodec {
+    /// Creates the codec of one connection.
+    pub fn new() -> FrameCodec {
+        let lengths = LengthDelimitedCodec::builder().max_frame_length(FRAME_MAX_BYTES).new_codec();
+        FrameCodec { lengths }
+    }
+}
+
+impl Default for FrameCodec {
+    fn default() -> FrameCodec {
+        FrameCodec::new()
+    }
+}
+
+impl Decoder for FrameCodec {
+    type Item = Envelope;
+    type Error = FrameError;
+
+    fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<Envelope>, FrameError> {
+        match self.lengths.decode(buf)? {
+            Some(frame) => Ok(Some(Envelope::decode(frame)?)),
+            None => Ok(None),
+        }
+    }
+}
+
+impl Encoder<Envelope> for FrameCodec {
+    type Error = FrameError;
+
+    fn encode(&mut self, envelope: Envelope, buf: &mut BytesMut) -> Result<(), FrameError> {
+        Ok(self.lengths.encode(Bytes::from(envelope.encode_to_vec()), buf)?)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use types::{Incarnation, RouterId, RouterName};
+
+    use super::*;
+    use crate::{MembershipMessage, PeerBody};
+
+    #[test]
+    fn frames_survive_a_split_anywhere() {
+        let from = RouterId::new(RouterName::new("zlin-1").unwrap(), Incarnation(7));
+        let envelope = Envelope::new(&from, PeerBody::Membership(MembershipMessage::default()));
+        let mut encoded = BytesMut::new();
+        FrameCodec::new().encode(envelope.clone(), &mut encoded).unwrap();
+        for cut in 0..encoded.len() {
+            let mut codec = FrameCodec::new();
+            let mut buf = BytesMut::from(&encoded[..cut]);
+            assert_eq!(codec.decode(&mut buf).unwrap(), None);
+            buf.extend_from_slice(&encoded[cut..]);
+            assert_eq!(codec.decode(&mut buf).unwrap(), Some(envelope.clone()));
+        }
+        assert_eq!(envelope.sender(), Ok(from));
+    }
+
+    #[test]
+    fn malformed_and_overlong_frames_are_errors() {
+        let mut malformed = BytesMut::from(&[0, 0, 0, 2, 0xff, 0xff][..]);
+        let result = FrameCodec::new().decode(&mut malformed);
+        assert!(matches!(result, Err(FrameError::Malformed(_))));
+        let mut overlong = BytesMut::from(&[0xff, 0xff, 0xff, 0xff][..]);
+        assert!(matches!(FrameCodec::new().decode(&mut overlong), Err(FrameError::Io(_))));
+    }
+}
--- /dev/null
+++ b/components/requests/src/lib.rs
@@ -0,0 +1,1 @@
+//! requests.
--- /dev/null
+++ b/components/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! routing.
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! settings.
--- /dev/null
+++ b/components/standins/src/engine/answer.rs
@@ -0,0 +1,86 @@
+//! Answers of the engine: a function of the prompt, so that checks can tell a whole
+//! answer to the right request from any other.
+
+use engine_api::ChatMessage;
+use utils::stable_hash;
+
+/// Text in a prompt that crashes the engine which processes it.
+const POISON_MARK: &str = "[poison]";
+
+/// Text in a prompt, followed by a number and `]`, that sets the answer's length.
+const LENGTH_MARK: &str = "[tokens=";
+
+/// Bytes of prompt text that stand for one token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Returns the number of tokens of a prompt.
+pub fn prompt_tokens(messages: &[ChatMessage]) -> u64 {
+    let bytes: usize = messages.iter().map(|message| text_of(message).len()).sum();
+    (bytes.div_ceil(BYTES_PER_TOKEN)).max(1) as u64
+}
+
+/// Tells whether the prompt crashes engines.
+pub fn is_poison(messages: &[ChatMessage]) -> bool {
+    messages.iter().any(|message| text_of(message).contains(POISON_MARK))
+}
+
+/// Returns the number of tokens of the whole answer.
+pub fn expected_tokens(messages: &[ChatMessage], max_tokens: u64) -> u64 {
+    let wanted = length_mark(messages).unwrap_or_else(|| {
+        let share = 20 + prompt_hash(messages) % 60;
+        max_tokens.saturating_mul(share) / 100
+    });
+    wanted.clamp(1, max_tokens.max(1))
+}
+
+/// Returns token `index` of the answer.
+pub fn token_text(messages: &[ChatMessage], index: u64) -> String {
+    let hash = stable_hash(&[&prompt_hash(messages).to_le_bytes(), &index.to_le_bytes()]);
+    format!("{:04x} ", hash & 0xffff)
+}
+
+/// Returns the whole answer.
+pub fn expected_answer(messages: &[ChatMessage], max_tokens: u64) -> String {
+    let tokens = expected_tokens(messages, max_tokens);
+    (0..tokens).map(|index| token_text(messages, index)).collect()
+}
+
+fn prompt_hash(messages: &[ChatMessage]) -> u64 {
+    let texts: Vec<String> = messages.iter().map(text_of).collect();
+    let parts: Vec<&[u8]> = texts.iter().map(|text| text.as_bytes()).collect();
+    stable_hash(&parts)
+}
+
+fn length_mark(messages: &[ChatMessage]) -> Option<u64> {
+    let text = text_of(messages.last()?);
+    let (_, rest) = text.split_once(LENGTH_MARK)?;
+    let (number, _) = rest.split_once(']')?;
+    number.parse().ok()
+}
+
+fn text_of(message: &ChatMessage) -> String {
+    match message.content.as_str() {
+        Some(text) => text.to_owned(),
+        None => message.content.to_string(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn length_mark_sets_the_length_within_the_limit() {
+        let messages = [ChatMessage::from_text("user", "hoops? [tokens=40]")];
+        assert_eq!(expected_tokens(&messages, 100), 40);
+        assert_eq!(expected_tokens(&messages, 10), 10);
+        assert_eq!(expected_answer(&messages, 10).len(), 50);
+    }
+
+    #[test]
+    fn answers_to_two_prompts_differ() {
+        let first = [ChatMessage::from_text("user", "first")];
+        let second = [ChatMessage::from_text("user", "second")];
+        assert_ne!(expected_answer(&first, 50), expected_answer(&second, 50));
+    }
+}
--- /dev/null
+++ b/components/standins/src/engine/core.rs
@@ -0,0 +1,218 @@
+//! Continuous batching: which job gets which share of each step.
+
+use std::{collections::VecDeque, time::Duration};
+
+use super::{EngineSettings, Job, JobId, PrefixCache};
+
+/// Tokens in one cached block.
+const TOKENS_PER_BLOCK: u64 = (engine_api::BLOCK_BYTES / 4) as u64;
+
+/// What happened to a job in a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineEvent {
+    /// The job's next token was generated.
+    Token(JobId),
+    /// The job's last token was generated.
+    Finished(JobId),
+    /// The job's prompt crashed the engine; nothing runs any more.
+    Crashed(JobId),
+}
+
+/// One step of the engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Step {
+    /// How long it takes; its events happen at its end.
+    pub duration: Duration,
+    /// What happens.
+    pub events: Vec<EngineEvent>,
+}
+
+/// The engine's batching. Time is not read: [`step`](EngineCore::step) returns it.
+#[derive(Debug)]
+pub struct EngineCore {
+    /// Settings.
+    settings: EngineSettings,
+    /// Jobs in the batch, at most `max_batch`.
+    running: Vec<Sequence>,
+    /// Jobs that wait, most urgent first and oldest first among equals.
+    waiting: VecDeque<Job>,
+    /// Cache of prompt prefixes.
+    cache: PrefixCache,
+    /// Prompt blocks seen so far.
+    blocks_seen: u64,
+    /// Prompt blocks found in the cache so far.
+    blocks_hit: u64,
+}
+
+/// A job in the batch.
+#[derive(Debug)]
+struct Sequence {
+    /// The job.
+    job: Job,
+    /// Prompt tokens that are still to be processed.
+    prompt_left: u64,
+    /// Tokens that are still to be generated.
+    output_left: u64,
+}
+
+impl EngineCore {
+    /// Creates an idle engine.
+    pub fn new(settings: EngineSettings) -> EngineCore {
+        EngineCore {
+            cache: PrefixCache::new(settings.cache_blocks),
+            settings,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            blocks_seen: 0,
+            blocks_hit: 0,
+        }
+    }
+
+    /// Adds a job.
+    pub fn submit(&mut self, job: Job) {
+        let place = self.waiting.iter().position(|other| other.priority < job.priority);
+        self.waiting.insert(place.unwrap_or(self.waiting.len()), job);
+    }
+
+    /// Removes a job, if it has not ended.
+    pub fn cancel(&mut self, id: JobId) {
+        self.waiting.retain(|job| job.id != id);
+        self.running.retain(|sequence| sequence.job.id != id);
+    }
+
+    /// Returns how many jobs are in the batch.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns how many jobs wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the prompt tokens that are still to be processed.
+    pub fn pending_prompt_tokens(&self) -> u64 {
+        let running: u64 = self.running.iter().map(|sequence| sequence.prompt_left).sum();
+        running + self.waiting.iter().map(|job| job.prompt_tokens).sum::<u64>()
+    }
+
+    /// Returns prompt blocks seen and found in the cache so far.
+    pub fn cache_counts(&self) -> (u64, u64) {
+        (self.blocks_seen, self.blocks_hit)
+    }
+
+    /// Returns the prefix cache.
+    pub fn cache(&self) -> &PrefixCache {
+        &self.cache
+    }
+
+    /// Performs one step; `None` where there is nothing to do.
+    pub fn step(&mut self) -> Option<Step> {
+        self.fill_batch();
+        if self.running.is_empty() {
+            return None;
+        }
+        if let Some(poison) = self.running.iter().find(|sequence| sequence.job.is_poison) {
+            let events = vec![EngineEvent::Crashed(poison.job.id)];
+            return Some(Step { duration: self.settings.step_base, events });
+        }
+        let processed = self.process_prompts();
+        let events = self.generate_tokens();
+        let batch = u32::try_from(events.len()).unwrap_or(u32::MAX);
+        let prompt_tokens = u32::try_from(processed).unwrap_or(u32::MAX);
+        let duration = self.settings.step_base
+            + self.settings.step_per_request * batch
+            + self.settings.step_per_prompt_token * prompt_tokens;
+        self.running.retain(|sequence| sequence.output_left > 0);
+        Some(Step { duration, events })
+    }
+
+    fn fill_batch(&mut self) {
+        let max_batch = self.settings.max_batch as usize;
+        while self.running.len() < max_batch {
+            let Some(job) = self.waiting.pop_front() else { break };
+            let hits = self.cache.use_blocks(&job.blocks);
+            self.blocks_seen += job.blocks.len() as u64;
+            self.blocks_hit += hits as u64;
+            let cached = hits as u64 * TOKENS_PER_BLOCK;
+            let prompt_left = job.prompt_tokens.saturating_sub(cached).max(1);
+            self.running.push(Sequence { output_left: job.output_tokens, prompt_left, job });
+        }
+    }
+
+    /// Processes prompts up to the limit of a step; returns the tokens processed.
+    fn process_prompts(&mut self) -> u64 {
+        let mut left = self.settings.prompt_tokens_per_step;
+        for sequence in &mut self.running {
+            let tokens = sequence.prompt_left.min(left);
+            sequence.prompt_left -= tokens;
+            left -= tokens;
+        }
+        self.settings.prompt_tokens_per_step - left
+    }
+
+    /// Generates a token for each job whose prompt is processed.
+    fn generate_tokens(&mut self) -> Vec<EngineEvent> {
+        let ready = self.running.iter_mut().filter(|sequence| sequence.prompt_left == 0);
+        ready
+            .map(|sequence| {
+                sequence.output_left = sequence.output_left.saturating_sub(1);
+                match sequence.output_left {
+                    0 => EngineEvent::Finished(sequence.job.id),
+                    _ => EngineEvent::Token(sequence.job.id),
+                }
+            })
+            .collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use types::Priority;
+
+    use super::*;
+
+    fn job(id: u64, priority: Priority) -> Job {
+        Job {
+            id: JobId(id),
+            priority,
+            prompt_tokens: 100,
+            blocks: vec![1],
+            output_tokens: 2,
+            is_poison: false,
+        }
+    }
+
+    fn one_at_a_time() -> EngineCore {
+        EngineCore::new(EngineSettings { max_batch: 1, ..EngineSettings::default() })
+    }
+
+    #[test]
+    fn urgent_job_enters_the_batch_before_older_ones() {
+        let mut engine = one_at_a_time();
+        engine.submit(job(1, Priority::Bulk));
+        engine.submit(job(2, Priority::Urgent));
+        assert_eq!(engine.step().unwrap().events, [EngineEvent::Token(JobId(2))]);
+        assert_eq!(engine.step().unwrap().events, [EngineEvent::Finished(JobId(2))]);
+        assert_eq!(engine.step().unwrap().events, [EngineEvent::Token(JobId(1))]);
+    }
+
+    #[test]
+    fn cached_prefix_shortens_the_step() {
+        let mut engine = one_at_a_time();
+        engine.submit(job(1, Priority::Normal));
+        let first = engine.step().unwrap().duration;
+        engine.cancel(JobId(1));
+        engine.submit(job(2, Priority::Normal));
+        let second = engine.step().unwrap().duration;
+        assert!(second < first);
+        assert_eq!(engine.cache_counts(), (2, 1));
+    }
+
+    #[test]
+    fn poison_crashes_the_engine() {
+        let mut engine = one_at_a_time();
+        engine.submit(Job { is_poison: true, ..job(1, Priority::Normal) });
+        assert_eq!(engine.step().unwrap().events, [EngineEvent::Crashed(JobId(1))]);
+    }
+}
--- /dev/null
+++ b/components/standins/src/engine/mod.rs
@@ -0,0 +1,20 @@
+//! Stand-in of a model engine.
+
+mod answer;
+mod core;
+mod job;
+mod log;
+mod prefix_cache;
+mod server;
+mod settings;
+mod stream;
+
+pub use self::{
+    answer::{expected_answer, expected_tokens, is_poison, prompt_tokens, token_text},
+    core::{EngineCore, EngineEvent, Step},
+    job::{Job, JobId},
+    log::{EngineLog, EngineRecord},
+    prefix_cache::PrefixCache,
+    server::{EngineServer, EngineState},
+    settings::EngineSettings,
+};
--- /dev/null
+++ b/components/standins/src/engine/prefix_cache.rs
@@ -0,0 +1,102 @@
+//! Cache of prompt prefixes, in blocks, of limited size.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use engine_api::CacheEvent;
+use utils::HashMap;
+
+/// Events that the cache keeps for readers; older ones are lost.
+const EVENTS_MAX: usize = 4_096;
+
+/// Cache of prompt blocks; the least recently used one is evicted first.
+#[derive(Debug)]
+pub struct PrefixCache {
+    /// Most blocks.
+    capacity: usize,
+    /// When each block was last used.
+    used: HashMap<u64, u64>,
+    /// Blocks by time of last use. Holds exactly the blocks of `used`.
+    order: BTreeMap<u64, u64>,
+    /// Counts uses; a block's time of use is its count.
+    clock: u64,
+    /// Recent events.
+    events: VecDeque<CacheEvent>,
+    /// Number of the first event in `events`.
+    first_event: u64,
+}
+
+impl PrefixCache {
+    /// Creates an empty cache of `capacity` blocks.
+    pub fn new(capacity: usize) -> PrefixCache {
+        PrefixCache {
+            capacity,
+            used: HashMap::default(),
+            order: BTreeMap::new(),
+            clock: 0,
+            events: VecDeque::new(),
+            first_event: 0,
+        }
+    }
+
+    /// Returns how many blocks at the start of `blocks` are cached, and caches all.
+    pub fn use_blocks(&mut self, blocks: &[u64]) -> usize {
+        let hits = blocks.iter().take_while(|block| self.used.contains_key(block)).count();
+        for &block in blocks {
+            self.touch(block);
+        }
+        while self.used.len() > self.capacity {
+            self.evict_oldest();
+        }
+        hits
+    }
+
+    /// Returns the events from number `from` on, with the number of the first.
+    pub fn events_from(&self, from: u64) -> (u64, Vec<CacheEvent>) {
+        let first = from.max(self.first_event);
+        let skipped = usize::try_from(first - self.first_event).unwrap_or(usize::MAX);
+        (first, self.events.iter().skip(skipped).copied().collect())
+    }
+
+    fn touch(&mut self, block: u64) {
+        self.clock += 1;
+        match self.used.insert(block, self.clock) {
+            Some(previous) => {
+                self.order.remove(&previous);
+            }
+            None => self.record(CacheEvent::Stored(block)),
+        }
+        self.order.insert(self.clock, block);
+    }
+
+    fn evict_oldest(&mut self) {
+        if let Some((_, block)) = self.order.pop_first() {
+            self.used.remove(&block);
+            self.record(CacheEvent::Evicted(block));
+        }
+    }
+
+    fn record(&mut self, event: CacheEvent) {
+        self.events.push_back(event);
+        if self.events.len() > EVENTS_MAX {
+            self.events.pop_front();
+            self.first_event += 1;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn least_recently_used_block_is_evicted() {
+        let mut cache = PrefixCache::new(2);
+        assert_eq!(cache.use_blocks(&[1, 2]), 0);
+        assert_eq!(cache.use_blocks(&[1]), 1);
+        assert_eq!(cache.use_blocks(&[3]), 0);
+        assert_eq!(cache.use_blocks(&[1, 2]), 1);
+        let (first, events) = cache.events_from(2);
+        assert_eq!(first, 2);
+        assert_eq!(events[..2], [CacheEvent::Stored(3), CacheEvent::Evicted(2)]);
+    }
+}
--- /dev/null
+++ b/components/standins/src/table/memory_table.rs
@@ -0,0 +1,195 @@
+//! The table stand-in as an implementation of the trait, in memory.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use async_trait::async_trait;
+use platform::{Commit, CommitOutcome, Key, PlatformError, Row, Table};
+use rand::Rng as _;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+use types::Timestamp;
+use utils::{Rng, seeded_rng};
+
+use crate::{CallLimits, TableFaults, TableState};
+
+/// Calls that the table has answered, refused calls not counted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableCounts {
+    /// Reads and scans.
+    pub reads: u64,
+    /// Commits.
+    pub commits: u64,
+}
+
+/// The table stand-in. Clones share their rows.
+#[derive(Debug, Clone)]
+pub struct MemoryTable {
+    /// State shared by the clones.
+    shared: Arc<Mutex<Shared>>,
+    /// Start of the table's clock.
+    start: Instant,
+}
+
+#[derive(Debug)]
+struct Shared {
+    /// Rows.
+    state: TableState,
+    /// Limits on the rate of calls.
+    limits: CallLimits,
+    /// Present faults.
+    faults: TableFaults,
+    /// Answered calls.
+    counts: TableCounts,
+    /// Decides which answers are lost.
+    rng: Rng,
+}
+
+/// How a call fares under the present faults.
+enum Admission {
+    Answered,
+    AnswerLost,
+    Refused(PlatformError),
+}
+
+impl MemoryTable {
+    /// Creates an empty table; `seed` decides which answers are lost.
+    pub fn new(limits: CallLimits, seed: u64) -> MemoryTable {
+        let shared = Shared {
+            state: TableState::default(),
+            limits,
+            faults: TableFaults::default(),
+            counts: TableCounts::default(),
+            rng: seeded_rng(seed),
+        };
+        MemoryTable { shared: Arc::new(Mutex::new(shared)), start: Instant::now() }
+    }
+
+    /// Sets the faults that the table has from now on.
+    pub fn set_faults(&self, faults: TableFaults) {
+        self.lock().faults = faults;
+    }
+
+    /// Returns the calls answered so far.
+    pub fn counts(&self) -> TableCounts {
+        self.lock().counts
+    }
+
+    /// Reads rows past all faults and limits, for checks.
+    pub fn inspect(&self, prefix: &str) -> Vec<Row> {
+        let shared = self.lock();
+        let mut rows = shared.state.scan(prefix, None);
+        while let Some(last) = rows.last().map(|row| row.key.clone()) {
+            let more = shared.state.scan(prefix, Some(&last));
+            if more.is_empty() {
+                break;
+            }
+            rows.extend(more);
+        }
+        rows
+    }
+
+    /// Commits past all faults and limits, to set a scene.
+    pub fn force(&self, commit: &Commit) -> CommitOutcome {
+        self.lock().state.commit(commit)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().expect("no holder of the lock panics")
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::ZERO + self.start.elapsed()
+    }
+
+    async fn delay(&self) {
+        let delay = self.lock().faults.delay;
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+    }
+
+    fn admit_read(&self) -> Result<(), PlatformError> {
+        let now = self.now();
+        let mut shared = self.lock();
+        if shared.faults.down {
+            return Err(PlatformError::Unavailable);
+        }
+        if !shared.limits.reads.take(now) {
+            return Err(PlatformError::RateLimited);
+        }
+        shared.counts.reads += 1;
+        Ok(())
+    }
+
+    fn admit_commit(&self) -> Admission {
+        let now = self.now();
+        let mut shared = self.lock();
+        if shared.faults.down {
+            return Admission::Refused(PlatformError::Unavailable);
+        }
+        if !shared.limits.writes.take(now) {
+            return Admission::Refused(PlatformError::RateLimited);
+        }
+        shared.counts.commits += 1;
+        let lost_answers = shared.faults.lost_answers.clamp(0.0, 1.0);
+        let is_lost = shared.rng.random_bool(lost_answers);
+        if is_lost { Admission::AnswerLost } else { Admission::Answered }
+    }
+}
+
+#[async_trait]
+impl Table for MemoryTable {
+    async fn read(&self, keys: &[Key]) -> Result<Vec<Option<Row>>, PlatformError> {
+        self.delay().await;
+        self.admit_read()?;
+        let shared = self.lock();
+        Ok(keys.iter().map(|key| shared.state.read(key)).collect())
+    }
+
+    async fn scan(&self, prefix: &str, after: Option<&Key>) -> Result<Vec<Row>, PlatformError> {
+        self.delay().await;
+        self.admit_read()?;
+        Ok(self.lock().state.scan(prefix, after))
+    }
+
+    async fn commit(&self, commit: &Commit) -> CommitOutcome {
+        self.delay().await;
+        match self.admit_commit() {
+            Admission::Refused(error) => CommitOutcome::NotApplied(error),
+            Admission::Answered => self.lock().state.commit(commit),
+            Admission::AnswerLost => {
+                self.lock().state.commit(commit);
+                CommitOutcome::Unknown
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use platform::Write;
+
+    use super::*;
+
+    #[tokio::test(start_paused = true)]
+    async fn lost_answer_still_takes_effect() {
+        let table = MemoryTable::new(CallLimits::new(10, 10), 1);
+        table.set_faults(TableFaults { lost_answers: 1.0, ..TableFaults::default() });
+        let key = Key::new("a").unwrap();
+        let commit = Commit { writes: vec![Write::put(key.clone(), &5)], ..Commit::default() };
+        assert_eq!(table.commit(&commit).await, CommitOutcome::Unknown);
+        let row = table.read(&[key]).await.unwrap().remove(0).unwrap();
+        assert_eq!(row.decode::<u32>(), Ok(5));
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn table_that_is_down_applies_nothing() {
+        let table = MemoryTable::new(CallLimits::new(10, 10), 1);
+        table.set_faults(TableFaults { down: true, ..TableFaults::default() });
+        let commit =
+            Commit { writes: vec![Write::put(Key::new("a").unwrap(), &5)], ..Commit::default() };
+        let expected = CommitOutcome::NotApplied(PlatformError::Unavailable);
+        assert_eq!(table.commit(&commit).await, expected);
+        assert!(table.inspect("").is_empty());
+    }
+}
--- /dev/null
+++ b/components/standins/src/table/mod.rs
@@ -0,0 +1,13 @@
+//! Stand-in of the transactional table service.
+
+mod faults;
+mod limits;
+mod memory_table;
+mod state;
+
+pub use self::{
+    faults::TableFaults,
+    limits::{Bucket, CallLimits},
+    memory_table::{MemoryTable, TableCounts},
+    state::TableState,
+};
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! telemetry.
--- /dev/null
+++ b/components/types/src/failure_domain.rs
@@ -0,0 +1,8 @@
+//! Name of a failure domain: hosts that can fail together.
+
+use crate::name::define_name;
+
+define_name! {
+    /// Name of a failure domain: hosts that can fail together.
+    FailureDomain
+}
--- /dev/null
+++ b/components/types/src/name.rs
@@ -0,0 +1,115 @@
+//! Checked names as shared immutable strings.
+
+use thiserror::Error;
+
+/// Longest name, in bytes.
+pub const NAME_MAX_BYTES: usize = 64;
+
+/// Why a text is not a name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum NameError {
+    /// The text is empty.
+    #[error("a name must not be empty")]
+    Empty,
+    /// The text has more than [`NAME_MAX_BYTES`] bytes.
+    #[error("a name has at most {NAME_MAX_BYTES} bytes")]
+    TooLong,
+    /// The text has a character outside of the allowed ones.
+    #[error("a name is made of a-z, A-Z, 0-9, '-', '_' and '.'; found {0:?}")]
+    BadCharacter(char),
+}
+
+/// Checks that `text` is a name.
+pub(crate) fn check_name(text: &str) -> Result<(), NameError> {
+    if text.is_empty() {
+        return Err(NameError::Empty);
+    }
+    if text.len() > NAME_MAX_BYTES {
+        return Err(NameError::TooLong);
+    }
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    match text.chars().find(|&c| !is_allowed(c)) {
+        Some(c) => Err(NameError::BadCharacter(c)),
+        None => Ok(()),
+    }
+}
+
+/// Defines a name type: a shared immutable string that was checked when it was made.
+macro_rules! define_name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(std::sync::Arc<str>);
+
+        impl $name {
+            /// Creates the name, or says why `text` is not one.
+            pub fn new(text: &str) -> Result<$name, $crate::NameError> {
+                $crate::name::check_name(text)?;
+                Ok($name(text.into()))
+            }
+
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.pad(&self.0)
+            }
+        }
+
+        impl std::fmt::Debug for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                write!(f, "{:?}", &*self.0)
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = $crate::NameError;
+
+            fn from_str(text: &str) -> Result<$name, $crate::NameError> {
+                $name::new(text)
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = $crate::NameError;
+
+            fn try_from(text: String) -> Result<$name, $crate::NameError> {
+                $name::new(&text)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.to_string()
+            }
+        }
+    };
+}
+
+pub(crate) use define_name;
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::AccountName;
+
+    #[test]
+    fn names_are_checked() {
+        assert_eq!(check_name(""), Err(NameError::Empty));
+        assert_eq!(check_name(&"x".repeat(65)), Err(NameError::TooLong));
+        assert_eq!(check_name("a/b"), Err(NameError::BadCharacter('/')));
+        assert_eq!(check_name("school-12.Tallinn_a"), Ok(()));
+    }
+
+    #[test]
+    fn names_are_checked_when_read_from_json() {
+        assert!(serde_json::from_str::<AccountName>("\"a b\"").is_err());
+        let name: AccountName = serde_json::from_str("\"school\"").unwrap();
+        assert_eq!(name.as_str(), "school");
+    }
+}
--- /dev/null
+++ b/components/utils/src/random.rs
@@ -0,0 +1,39 @@
+//! Random numbers; decision code gets its generator passed in.
+
+use std::time::Duration;
+
+use rand::{Rng as _, SeedableRng};
+
+/// Random number generator of this project: the same sequence for the same seed
+/// on every machine.
+pub type Rng = rand_chacha::ChaCha8Rng;
+
+/// Creates a generator that yields the same sequence for the same `seed`.
+pub fn seeded_rng(seed: u64) -> Rng {
+    Rng::seed_from_u64(seed)
+}
+
+/// Creates a generator seeded by the operating system.
+pub fn new_rng() -> Rng {
+    Rng::from_os_rng()
+}
+
+/// Returns a duration drawn evenly from 50% to 150% of `base`.
+pub fn jitter(base: Duration, rng: &mut Rng) -> Duration {
+    base.mul_f64(rng.random_range(0.5..1.5))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn jitter_stays_within_its_range() {
+        let mut rng = seeded_rng(7);
+        let base = Duration::from_millis(100);
+        for _ in 0..1000 {
+            let delay = jitter(base, &mut rng);
+            assert!(delay >= base / 2 && delay < base * 3 / 2);
+        }
+    }
+}
