--- /dev/null
+++ b/components/membership/src/view.rs
@@ -0,0 +1,36 @@
+//! Snapshots of the membership.
+
+use types::RouterName;
+
+use crate::{Member, MemberState};
+
+/// Immutable snapshot of the membership, without dead members.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MembershipView {
+    /// This router.
+    pub local: Member,
+    /// The other routers, in the order of their names.
+    pub others: Vec<Member>,
+}
+
+impl MembershipView {
+    /// Creates the view of a router that knows no other.
+    pub fn from_local(local: Member) -> MembershipView {
+        MembershipView { local, others: Vec::new() }
+    }
+
+    /// Returns all members, this router first.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        std::iter::once(&self.local).chain(&self.others)
+    }
+
+    /// Finds a member by name.
+    pub fn find(&self, name: &RouterName) -> Option<&Member> {
+        self.members().find(|member| member.id.name == *name)
+    }
+
+    /// Returns the members that take new requests.
+    pub fn serving(&self) -> impl Iterator<Item = &Member> {
+        self.members().filter(|it| matches!(it.state, MemberState::Alive | MemberState::Suspect))
+    }
+}
--- /dev/null
+++ b/components/router/src/answer/log.rs
@@ -0,0 +1,103 @@
+//! The log of an answer: written by one run, read by any number of callers.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use bytes::{Bytes, BytesMut};
+use errors::Error;
+use tokio::sync::watch;
+
+use super::{AnswerEnd, AnswerHead, AnswerReader, KeptAnswer};
+
+/// The log of an answer. Readers may join at any time and see it from its start.
+#[derive(Debug)]
+pub struct AnswerLog {
+    /// What was written so far.
+    state: Mutex<LogState>,
+    /// Number of writes; wakes readers.
+    writes: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct LogState {
+    /// Head, once known.
+    pub(super) head: Option<AnswerHead>,
+    /// Parts of the body. Empty for as long as there is no head.
+    pub(super) parts: Vec<Bytes>,
+    /// How the answer ended. Nothing is written after it.
+    pub(super) end: Option<Result<AnswerEnd, Error>>,
+}
+
+impl AnswerLog {
+    /// Creates an empty log.
+    pub fn new() -> Arc<AnswerLog> {
+        let (writes, _) = watch::channel(0);
+        Arc::new(AnswerLog { state: Mutex::default(), writes })
+    }
+
+    /// Creates the log of a kept answer.
+    pub fn from_kept(answer: &KeptAnswer) -> Arc<AnswerLog> {
+        let log = AnswerLog::new();
+        log.start(answer.head.clone());
+        log.push(answer.body.clone());
+        log.finish(answer.end.clone());
+        log
+    }
+
+    /// Writes the head; later heads are ignored.
+    pub fn start(&self, head: AnswerHead) {
+        self.write(|state| {
+            state.head.get_or_insert(head);
+        });
+    }
+
+    /// Writes a part of the body.
+    pub fn push(&self, part: Bytes) {
+        if !part.is_empty() {
+            self.write(|state| state.parts.push(part));
+        }
+    }
+
+    /// Ends the answer as whole.
+    pub fn finish(&self, end: AnswerEnd) {
+        self.write(|state| state.end = Some(Ok(end)));
+    }
+
+    /// Ends the answer as not whole.
+    pub fn fail(&self, error: Error) {
+        self.write(|state| state.end = Some(Err(error)));
+    }
+
+    /// Creates a reader that starts at the start of the answer.
+    pub fn reader(self: &Arc<AnswerLog>) -> AnswerReader {
+        AnswerReader::new(self.clone(), self.writes.subscribe())
+    }
+
+    /// Returns the body as written so far.
+    pub fn body(&self) -> Bytes {
+        let state = self.lock();
+        let mut body = BytesMut::with_capacity(state.parts.iter().map(Bytes::len).sum());
+        for part in &state.parts {
+            body.extend_from_slice(part);
+        }
+        body.freeze()
+    }
+
+    /// Returns the head, once known.
+    pub fn head(&self) -> Option<AnswerHead> {
+        self.lock().head.clone()
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, LogState> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    fn write(&self, change: impl FnOnce(&mut LogState)) {
+        let mut state = self.lock();
+        if state.end.is_some() {
+            return;
+        }
+        change(&mut state);
+        drop(state);
+        self.writes.send_modify(|writes| *writes += 1);
+    }
+}
--- /dev/null
+++ b/components/router/src/answer/reader.rs
@@ -0,0 +1,87 @@
+//! Readers of answers.
+
+use std::sync::Arc;
+
+use errors::{Error, ErrorKind};
+use tokio::sync::watch;
+
+use super::{AnswerEvent, AnswerLog};
+
+/// Reads one answer from its start to its end.
+#[derive(Debug)]
+pub struct AnswerReader {
+    /// The answer.
+    log: Arc<AnswerLog>,
+    /// Wakes the reader.
+    writes: watch::Receiver<u64>,
+    /// Whether the head was read.
+    has_head: bool,
+    /// Number of parts read.
+    parts: usize,
+    /// Whether the end was read.
+    has_ended: bool,
+}
+
+impl AnswerReader {
+    pub(super) fn new(log: Arc<AnswerLog>, writes: watch::Receiver<u64>) -> AnswerReader {
+        AnswerReader { log, writes, has_head: false, parts: 0, has_ended: false }
+    }
+
+    /// Waits for the next event; `None` after the end.
+    pub async fn next(&mut self) -> Option<AnswerEvent> {
+        while !self.has_ended {
+            if let Some(event) = self.poll_log() {
+                return Some(event);
+            }
+            if self.writes.changed().await.is_err() {
+                self.has_ended = true;
+                let error = Error::new(ErrorKind::Internal, "the run of the request was lost");
+                return Some(AnswerEvent::Failed(error));
+            }
+        }
+        None
+    }
+
+    fn poll_log(&mut self) -> Option<AnswerEvent> {
+        self.writes.mark_unchanged();
+        let state = self.log.lock();
+        if let Some(head) = state.head.as_ref().filter(|_| !self.has_head) {
+            self.has_head = true;
+            return Some(AnswerEvent::Head(head.clone()));
+        }
+        if let Some(part) = state.parts.get(self.parts) {
+            self.parts += 1;
+            return Some(AnswerEvent::Part(part.clone()));
+        }
+        let end = state.end.as_ref()?;
+        self.has_ended = true;
+        Some(match end {
+            Ok(end) => AnswerEvent::End(end.clone()),
+            Err(error) => AnswerEvent::Failed(error.clone()),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::answer::{AnswerEnd, AnswerHead};
+
+    #[tokio::test]
+    async fn late_reader_sees_the_whole_answer() {
+        let log = AnswerLog::new();
+        log.start(AnswerHead { status: 200, content_type: "text/plain".into() });
+        log.push("ab".into());
+        let mut reader = log.reader();
+        log.push("c".into());
+        log.finish(AnswerEnd::default());
+        log.push("never".into());
+        let mut body = Vec::new();
+        while let Some(event) = reader.next().await {
+            if let AnswerEvent::Part(part) = event {
+                body.extend_from_slice(&part);
+            }
+        }
+        assert_eq!(body, b"abc");
+    }
+}
--- /dev/null
+++ b/components/router/src/clock.rs
@@ -0,0 +1,41 @@
+//! The clock of a router.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+use types::Timestamp;
+
+/// The clock of a router: time since its process started.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    /// Start of the process.
+    start: Instant,
+}
+
+impl Clock {
+    /// Starts a clock at zero.
+    pub fn new() -> Clock {
+        Clock { start: Instant::now() }
+    }
+
+    /// Returns the present time.
+    pub fn now(&self) -> Timestamp {
+        Timestamp::ZERO + self.start.elapsed()
+    }
+
+    /// Waits until `deadline`.
+    pub async fn sleep_until(&self, deadline: Timestamp) {
+        tokio::time::sleep_until(self.start + Duration::from_micros(deadline.0)).await;
+    }
+
+    /// Returns the time left until `deadline`, zero where it has passed.
+    pub fn left_until(&self, deadline: Timestamp) -> Duration {
+        deadline.since(self.now())
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Clock {
+        Clock::new()
+    }
+}
--- /dev/null
+++ b/components/router/src/daemon/mod.rs
@@ -0,0 +1,12 @@
+//! The router as a process: its threads, its start and its end.
+
+mod control_thread;
+mod process;
+mod request_counter;
+mod settings;
+mod start_error;
+
+pub use self::{
+    process::RouterProcess, request_counter::RequestCounter, settings::RouterSettings,
+    start_error::StartError,
+};
--- /dev/null
+++ b/components/router/src/http/chat.rs
@@ -0,0 +1,221 @@
+//! Chat completions.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use engine_api::{ChatChunk, ChatCompletion, ChatRequest, DONE_MARK, encode_event};
+use errors::{Error, ErrorKind, Result};
+use futures::{Stream, StreamExt, stream};
+use http::{HeaderMap, HeaderValue, header::CONTENT_TYPE};
+use types::{ModelName, RequestId, RequestKey};
+use utils::Digest;
+use viz::{Request, Response, ResponseExt};
+
+use super::{
+    HttpContext,
+    auth::authenticate,
+    body::read_body,
+    request_head::{check_json, deadline, request_id},
+    respond::{insert_request_id, respond_error},
+};
+use crate::{
+    answer::{AnswerEnd, AnswerEvent, AnswerLog, AnswerReader},
+    registry::{Begin, BeginRequest},
+    traffic::ChatJob,
+};
+
+/// Most tokens of an answer whose request gives no limit.
+const DEFAULT_MAX_TOKENS: u64 = 1_024;
+
+/// Most messages of a conversation.
+const MESSAGES_MAX: usize = 4_096;
+
+/// Serves `POST /v1/chat/completions`.
+pub(super) async fn serve_chat(cx: HttpContext, mut req: Request) -> viz::Result<Response> {
+    metrics::counter!(telemetry::REQUESTS_TOTAL, "interface" => "chat").increment(1);
+    let headers = req.headers().clone();
+    let id = match request_id(&headers) {
+        Ok(id) => id,
+        Err(error) => return Ok(respond_error(&error, None)),
+    };
+    let result = answer_chat(&cx, &headers, &mut req, &id).await;
+    let mut res = result.unwrap_or_else(|error| respond_error(&error, Some(&id)));
+    insert_request_id(&mut res, Some(&id));
+    Ok(res)
+}
+
+async fn answer_chat(
+    cx: &HttpContext,
+    headers: &HeaderMap,
+    req: &mut Request,
+    id: &RequestId,
+) -> Result<Response> {
+    let cfg = cx.router.cfg.load_full();
+    let (account_name, account) = authenticate(&cfg, headers)?;
+    if cx.is_closed() {
+        return Err(Error::new(ErrorKind::RouterLeaving, "use another address"));
+    }
+    check_json(headers)?;
+    let deadline = deadline(headers, &cx.router.clock)?;
+    let body = read_body(req).await?;
+    let chat: ChatRequest = serde_json::from_slice(&body)
+        .map_err(|error| Error::new(ErrorKind::BadRequest, format!("body: {error}")))?;
+    let access = ModelName::new(&chat.model).ok().and_then(|name| account.models.get(&name));
+    let Some(access) = access else {
+        return Err(Error::new(ErrorKind::UnknownModel, "the account has no such model"));
+    };
+    let context_tokens = cfg.models.get(&access.model).map_or(0, |model| model.context_tokens);
+    let max_tokens = check_limits(&chat, context_tokens)?;
+    let job = ChatJob {
+        key: RequestKey::new(account_name.clone(), id.clone()),
+        fingerprint: fingerprint(&chat),
+        max_tokens,
+        account: account.clone(),
+        access: access.clone(),
+        deadline,
+        req: chat,
+    };
+    let format = AnswerFormat {
+        id: id.clone(),
+        model: job.req.model.clone(),
+        is_stream: job.req.stream,
+        has_usage: job.req.stream_options.is_none_or(|options| options.include_usage),
+    };
+    let log = begin_chat(cx, job).await?;
+    format.respond(log).await
+}
+
+/// Starts the run of a request, or finds its answer.
+async fn begin_chat(cx: &HttpContext, job: ChatJob) -> Result<Arc<AnswerLog>> {
+    let begin = BeginRequest {
+        key: job.key.clone(),
+        fingerprint: job.fingerprint,
+        idempotent: true,
+        deadline: job.deadline,
+    };
+    match cx.router.registry.begin(&begin).await? {
+        Begin::Run(log) => {
+            cx.runs.start_chat(job, log.clone());
+            Ok(log)
+        }
+        Begin::Join(log) => Ok(log),
+    }
+}
+
+/// Checks a request against the limits; returns the most tokens of its answer.
+fn check_limits(chat: &ChatRequest, context_tokens: u64) -> Result<u64> {
+    let refuse = |message: String| Err(Error::new(ErrorKind::BadRequest, message));
+    if chat.messages.is_empty() || chat.messages.len() > MESSAGES_MAX {
+        return refuse(format!("messages: expected 1 to {MESSAGES_MAX}"));
+    }
+    if chat.continue_final_message {
+        return refuse("continue_final_message is not supported".to_owned());
+    }
+    match chat.max_tokens {
+        Some(0) => refuse("max_tokens must be at least 1".to_owned()),
+        Some(tokens) if tokens > context_tokens => {
+            refuse(format!("max_tokens must be at most {context_tokens}"))
+        }
+        Some(tokens) => Ok(tokens),
+        None => Ok(DEFAULT_MAX_TOKENS.min(context_tokens)),
+    }
+}
+
+/// Returns the digest of what the request asks, however its answer is to be sent.
+fn fingerprint(chat: &ChatRequest) -> Digest {
+    let content = ChatRequest { stream: false, stream_options: None, ..chat.clone() };
+    let json = serde_json::to_vec(&content).expect("a chat request has a JSON form");
+    Digest::from_content(&json)
+}
+
+/// How an answer is sent.
+#[derive(Debug, Clone)]
+struct AnswerFormat {
+    /// Id of the request.
+    id: RequestId,
+    /// Model name as the caller wrote it.
+    model: String,
+    /// Whether it is streamed.
+    is_stream: bool,
+    /// Whether a stream ends with a usage record.
+    has_usage: bool,
+}
+
+impl AnswerFormat {
+    async fn respond(self, log: Arc<AnswerLog>) -> Result<Response> {
+        let mut reader = log.reader();
+        // A failure before the first token gets a status of its own.
+        if let Some(AnswerEvent::Failed(error)) = reader.next().await {
+            return Err(error);
+        }
+        if self.is_stream {
+            return Ok(self.respond_stream(reader));
+        }
+        self.respond_whole(&log, reader).await
+    }
+
+    async fn respond_whole(self, log: &AnswerLog, mut reader: AnswerReader) -> Result<Response> {
+        while let Some(event) = reader.next().await {
+            match event {
+                AnswerEvent::End(end) => return Ok(self.encode_whole(log, &end)),
+                AnswerEvent::Failed(error) => return Err(error),
+                AnswerEvent::Head(_) | AnswerEvent::Part(_) => {}
+            }
+        }
+        Err(Error::new(ErrorKind::Internal, "the answer has no end"))
+    }
+
+    fn encode_whole(&self, log: &AnswerLog, end: &AnswerEnd) -> Response {
+        let body = log.body();
+        let text = String::from_utf8_lossy(&body);
+        let reason = end.finish_reason.as_deref().unwrap_or("stop");
+        let completion =
+            ChatCompletion::new(self.id.as_str(), &self.model, &text, reason, end.usage);
+        let json = serde_json::to_vec(&completion).expect("a completion has a JSON form");
+        let mut res = Response::new(viz::Body::Full(json.into()));
+        res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        res
+    }
+
+    fn respond_stream(self, reader: AnswerReader) -> Response {
+        let mut res = Response::stream(self.encode_events(reader));
+        res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        res.headers_mut().insert(http::header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+        res
+    }
+
+    fn encode_events(
+        self,
+        reader: AnswerReader,
+    ) -> impl Stream<Item = std::io::Result<Bytes>> + Send + 'static {
+        stream::unfold((self, reader), |(format, mut reader)| async move {
+            let event = reader.next().await?;
+            Some((Ok(format.encode_event(event)), (format, reader)))
+        })
+        .boxed()
+    }
+
+    fn encode_event(&self, event: AnswerEvent) -> Bytes {
+        let (id, model) = (self.id.as_str(), self.model.as_str());
+        match event {
+            AnswerEvent::Head(_) => Bytes::new(),
+            AnswerEvent::Part(part) => {
+                encode_event(&ChatChunk::from_text(id, model, &String::from_utf8_lossy(&part)))
+            }
+            AnswerEvent::End(end) => self.encode_end(&end),
+            // Without the final mark, the caller knows that the answer is not whole.
+            AnswerEvent::Failed(error) => encode_event(&error.answer()),
+        }
+    }
+
+    fn encode_end(&self, end: &AnswerEnd) -> Bytes {
+        let (id, model) = (self.id.as_str(), self.model.as_str());
+        let reason = end.finish_reason.as_deref().unwrap_or("stop");
+        let mut bytes = encode_event(&ChatChunk::from_finish(id, model, reason)).to_vec();
+        if self.has_usage {
+            bytes.extend(encode_event(&ChatChunk::from_usage(id, model, end.usage)));
+        }
+        bytes.extend(format!("data: {DONE_MARK}\n\n").into_bytes());
+        bytes.into()
+    }
+}
--- /dev/null
+++ b/components/router/src/http/mod.rs
@@ -0,0 +1,14 @@
+//! The HTTP interface: callers, health and metrics.
+
+mod action;
+mod addresses;
+mod auth;
+mod body;
+mod chat;
+mod health;
+mod request_head;
+mod respond;
+mod routes;
+mod server;
+
+pub(crate) use self::{addresses::KEEP_ADDRESSES, routes::HttpContext, server::HttpServer};
--- /dev/null
+++ b/components/router/src/http/respond.rs
@@ -0,0 +1,48 @@
+//! Error answers.
+
+use errors::{Error, ErrorKind};
+use http::{
+    HeaderName, HeaderValue, StatusCode,
+    header::{CONTENT_TYPE, RETRY_AFTER},
+};
+use types::RequestId;
+use utils::{jitter, new_rng};
+use viz::{Body, Request, Response, Result};
+
+/// Header of the request id, in requests and answers.
+pub(super) const REQUEST_ID: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Creates the answer to an error, as the table of errors says, and counts it.
+pub(super) fn respond_error(error: &Error, id: Option<&RequestId>) -> Response {
+    let entry = error.kind().entry();
+    metrics::counter!(telemetry::REFUSALS_TOTAL, "code" => entry.code).increment(1);
+    let mut answer = error.answer();
+    let mut res = Response::new(Body::empty());
+    *res.status_mut() =
+        StatusCode::from_u16(entry.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    if !entry.retry_delay.is_zero() {
+        let delay = jitter(entry.retry_delay, &mut new_rng());
+        answer.error.retry_after_ms = u64::try_from(delay.as_millis()).ok();
+        let seconds = delay.as_secs() + 1;
+        res.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    insert_request_id(&mut res, id);
+    let json = serde_json::to_vec(&answer).expect("an error answer has a JSON form");
+    res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    *res.body_mut() = Body::Full(json.into());
+    res
+}
+
+/// Adds the request id to an answer.
+pub(super) fn insert_request_id(res: &mut Response, id: Option<&RequestId>) {
+    let value = id.and_then(|id| HeaderValue::from_str(id.as_str()).ok());
+    if let Some(value) = value {
+        res.headers_mut().insert(REQUEST_ID, value);
+    }
+}
+
+/// Answers requests for unknown resources.
+pub(super) async fn serve_unknown(_req: Request) -> Result<Response> {
+    let error = Error::new(ErrorKind::NotFound, "there is no such resource");
+    Ok(respond_error(&error, None))
+}
--- /dev/null
+++ b/components/router/src/http/server.rs
@@ -0,0 +1,78 @@
+//! The HTTP server: accepts connections and ends them gracefully.
+
+use std::{sync::Arc, time::Duration};
+
+use hyper::server::conn::http1;
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use tokio::{net::TcpListener, sync::watch};
+use viz::{Responder, Router, Tree};
+
+/// Longest time for the head of a request to arrive.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Most bytes of the head of a request.
+const HEAD_MAX_BYTES: usize = 64 * 1024;
+
+/// The HTTP server.
+pub(crate) struct HttpServer {
+    /// Set to true to stop accepting and to end idle connections.
+    stop: watch::Sender<bool>,
+    /// The accepting task; ends once all connections have ended.
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl HttpServer {
+    /// Starts serving `router` on `listener`.
+    pub(crate) fn start(listener: TcpListener, router: Router) -> HttpServer {
+        let (stop, stopped) = watch::channel(false);
+        let task = tokio::spawn(accept_connections(listener, router, stopped));
+        HttpServer { stop, task }
+    }
+
+    /// Stops accepting, and waits until every connection has ended its request.
+    pub(crate) async fn shut_down(self) {
+        self.stop.send_replace(true);
+        let _ = self.task.await;
+    }
+}
+
+async fn accept_connections(
+    listener: TcpListener,
+    router: Router,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let tree = Arc::new(Tree::from(router));
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stopped| *stopped) => break,
+        };
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!("connection not accepted: {error}");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        let service = Responder::new(tree.clone(), Some(peer));
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .max_buf_size(HEAD_MAX_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection ended: {error}");
+            }
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
--- /dev/null
+++ b/components/router/src/peers/mod.rs
@@ -0,0 +1,32 @@
+//! The other routers, as the subsystems see them.
+
+mod alone;
+
+use std::sync::Arc;
+
+use membership::MembershipView;
+use protocol::PeerBody;
+use types::{RouterId, RouterName};
+
+pub use self::alone::AloneRouter;
+
+/// The other routers.
+pub trait Peers: Send + Sync {
+    /// Returns the present membership.
+    fn view(&self) -> Arc<MembershipView>;
+
+    /// Sends a message. It may be lost, come late or come twice.
+    fn send(&self, to: &RouterName, body: PeerBody);
+
+    /// Registers a handler, which gets every message that arrives from now on.
+    fn subscribe(&self, handler: Arc<dyn PeerHandler>);
+
+    /// Tells the others that this router is leaving.
+    fn leave(&self);
+}
+
+/// Gets the messages of other routers. Called on the control thread; must not block.
+pub trait PeerHandler: Send + Sync {
+    /// Handles a message; ignores those of other subsystems.
+    fn on_message(&self, from: &RouterId, body: &PeerBody);
+}
--- /dev/null
+++ b/components/router/src/registry/intent_permit.rs
@@ -0,0 +1,15 @@
+//! Permits to send a non-idempotent call.
+
+use platform::Revision;
+use types::{FencingNumber, RequestKey};
+
+/// Permit to send one non-idempotent call.
+#[derive(Debug, PartialEq, Eq)]
+pub struct IntentPermit {
+    /// Key of the request.
+    pub key: RequestKey,
+    /// Revision of its row.
+    pub revision: Revision,
+    /// Fencing number for endpoints that check it.
+    pub fencing: FencingNumber,
+}
--- /dev/null
+++ b/components/router/src/traffic/chat_attempt.rs
@@ -0,0 +1,193 @@
+//! One attempt of a chat request on one endpoint.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use client::SendError;
+use engine_api::{
+    ADAPTER_HEADER, ChatChunk, ChatMessage, ChatRequest, DONE_MARK, MODEL_VERSION_HEADER,
+    PRIORITY_HEADER, REQUEST_ID_HEADER, SseDecoder, StreamOptions, Usage,
+};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header::CONTENT_TYPE};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use types::Priority;
+
+use super::{ChatJob, attempt_error::AttemptError};
+use crate::{
+    RouterContext,
+    answer::{AnswerHead, AnswerLog},
+    dispatch::{AttemptOutcome, EndpointLease},
+};
+
+/// Longest pause within a stream before the attempt counts as lost.
+const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What the attempts of a request have brought so far.
+#[derive(Debug, Default)]
+pub(super) struct ChatProgress {
+    /// Text of the answer so far.
+    pub(super) text: String,
+    /// Tokens of the prompt, once an engine has said so.
+    pub(super) prompt_tokens: Option<u64>,
+    /// Tokens of the answer so far.
+    pub(super) completion_tokens: u64,
+    /// Why the answer ended, once it has.
+    pub(super) finish_reason: Option<String>,
+}
+
+impl ChatProgress {
+    /// Returns the usage so far; the prompt counts with its bound where no engine has
+    /// said how many tokens it has.
+    pub(super) fn usage(&self, prompt_bound: u64) -> Usage {
+        Usage::new(self.prompt_tokens.unwrap_or(prompt_bound), self.completion_tokens)
+    }
+}
+
+/// Runs one attempt. Text goes to `log` as it arrives; `progress` is kept for a further
+/// attempt, which continues where this one broke off.
+pub(super) async fn attempt_chat(
+    cx: &RouterContext,
+    job: &ChatJob,
+    lease: &EndpointLease,
+    progress: &mut ChatProgress,
+    log: &AnswerLog,
+) -> Result<(), AttemptError> {
+    let sent = cx.clock.now();
+    let body = encode_request(job, progress);
+    let headers = request_headers(job, lease);
+    let path = "/v1/chat/completions";
+    let res = cx.pooled.send(lease.address, Method::POST, path, headers, body).await;
+    let res = res.map_err(|error| match error {
+        SendError::NotSent(message) => AttemptError::new(AttemptOutcome::NotSent, message),
+        error => AttemptError::new(AttemptOutcome::Lost, error.to_string()),
+    })?;
+    check_status(res.status())?;
+    let mut stream = EngineEvents::new(res.into_body());
+    let mut is_first = true;
+    let tokens_before = progress.completion_tokens;
+    while let Some(chunk) = stream.next().await? {
+        if std::mem::take(&mut is_first) {
+            let latency = cx.clock.now().since(sent);
+            cx.dispatcher.report_first_token(lease, latency);
+            metrics::histogram!(telemetry::FIRST_TOKEN_SECONDS).record(latency.as_secs_f64());
+            log.start(AnswerHead { status: 200, content_type: "text/plain".into() });
+        }
+        apply_chunk(&chunk, tokens_before, progress);
+        log.push(Bytes::copy_from_slice(chunk.text().as_bytes()));
+    }
+    if progress.finish_reason.is_some() {
+        Ok(())
+    } else {
+        Err(AttemptError::new(AttemptOutcome::Lost, "the stream ended without a finish reason"))
+    }
+}
+
+fn apply_chunk(chunk: &ChatChunk, tokens_before: u64, progress: &mut ChatProgress) {
+    progress.text.push_str(chunk.text());
+    match chunk.usage {
+        Some(usage) => {
+            progress.prompt_tokens.get_or_insert(usage.prompt_tokens);
+            let tokens = tokens_before.saturating_add(usage.completion_tokens);
+            progress.completion_tokens = progress.completion_tokens.max(tokens);
+        }
+        None if !chunk.text().is_empty() => progress.completion_tokens += 1,
+        None => {}
+    }
+    if let Some(reason) = chunk.finish_reason() {
+        progress.finish_reason = Some(reason.to_owned());
+    }
+}
+
+fn check_status(status: StatusCode) -> Result<(), AttemptError> {
+    let outcome = match status {
+        StatusCode::OK => return Ok(()),
+        StatusCode::NOT_FOUND | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+            AttemptOutcome::Refused
+        }
+        status if status.is_client_error() => AttemptOutcome::Rejected,
+        _ => AttemptOutcome::Lost,
+    };
+    Err(AttemptError::new(outcome, format!("the endpoint answered {status}")))
+}
+
+fn encode_request(job: &ChatJob, progress: &ChatProgress) -> Bytes {
+    let mut req = ChatRequest {
+        model: job.access.model.to_string(),
+        max_tokens: Some(job.max_tokens.saturating_sub(progress.completion_tokens).max(1)),
+        stream: true,
+        stream_options: Some(StreamOptions { include_usage: true }),
+        ..job.req.clone()
+    };
+    if !progress.text.is_empty() {
+        req.messages.push(ChatMessage::from_text("assistant", &progress.text));
+        req.continue_final_message = true;
+    }
+    serde_json::to_vec(&req).expect("a chat request has a JSON form").into()
+}
+
+fn request_headers(job: &ChatJob, lease: &EndpointLease) -> HeaderMap {
+    let priority = match job.access.priority {
+        Priority::Bulk => "0",
+        Priority::Normal => "1",
+        Priority::Urgent => "2",
+    };
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(PRIORITY_HEADER, HeaderValue::from_static(priority));
+    insert_header(&mut headers, REQUEST_ID_HEADER, &job.key.to_string());
+    if let Some(version) = &lease.version {
+        insert_header(&mut headers, MODEL_VERSION_HEADER, version.as_str());
+    }
+    if let Some(adapter) = &job.access.adapter {
+        insert_header(&mut headers, ADAPTER_HEADER, adapter.as_str());
+    }
+    headers
+}
+
+/// Inserts a header whose value is a name or an id, and therefore visible ASCII.
+pub(super) fn insert_header(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    let value = HeaderValue::from_str(value).expect("names and ids are visible ASCII");
+    headers.insert(name, value);
+}
+
+/// The chunks of an engine's answer.
+struct EngineEvents {
+    /// Body of the response.
+    body: Incoming,
+    /// Splits it into events.
+    decoder: SseDecoder,
+}
+
+impl EngineEvents {
+    fn new(body: Incoming) -> EngineEvents {
+        EngineEvents { body, decoder: SseDecoder::new() }
+    }
+
+    /// Returns the next chunk; `None` after the mark that ends the stream.
+    async fn next(&mut self) -> Result<Option<ChatChunk>, AttemptError> {
+        loop {
+            if let Some(data) = self.decoder.next_event() {
+                if data == DONE_MARK {
+                    return Ok(None);
+                }
+                let chunk = serde_json::from_str(&data);
+                return chunk.map(Some).map_err(|error| lost(format!("malformed chunk: {error}")));
+            }
+            let frame = tokio::time::timeout(STREAM_IDLE_TIMEOUT, self.body.frame()).await;
+            let frame = frame.map_err(|_| {
+                AttemptError::new(AttemptOutcome::TimedOut, "the stream stood still for too long")
+            })?;
+            let frame = frame.ok_or_else(|| lost("the stream broke off".to_owned()))?;
+            let frame = frame.map_err(|error| lost(error.to_string()))?;
+            let is_sound = frame.data_ref().is_none_or(|data| self.decoder.push(data));
+            if !is_sound {
+                return Err(lost("an event is too long".to_owned()));
+            }
+        }
+    }
+}
+
+fn lost(message: String) -> AttemptError {
+    AttemptError::new(AttemptOutcome::Lost, message)
+}
--- /dev/null
+++ b/components/router/src/traffic/chat_run.rs
@@ -0,0 +1,133 @@
+//! The run of a chat request.
+
+use budget::{Bill, SettleOutcome};
+use engine_api::prompt_tokens_bound;
+use errors::{Error, ErrorKind, Result};
+use platform::Commit;
+use types::Tokens;
+
+use super::{
+    ChatJob,
+    attempt_error::AttemptError,
+    chat_attempt::{ChatProgress, attempt_chat},
+};
+use crate::{
+    RouterContext,
+    accounting::{Reservation, ReserveRequest},
+    answer::{AnswerEnd, AnswerLog},
+    dispatch::AttemptOutcome,
+};
+
+/// Runs a chat request to its billed end.
+pub(super) async fn run_chat(
+    cx: &RouterContext,
+    job: &ChatJob,
+    log: &AnswerLog,
+) -> Result<AnswerEnd> {
+    let reservation = cx
+        .accounting
+        .reserve(&ReserveRequest {
+            account: job.key.account.clone(),
+            tokens: job.worst_case(),
+            shortage: job.account.shortage,
+            deadline: job.deadline,
+        })
+        .await?;
+    let mut progress = ChatProgress::default();
+    match run_attempts(cx, job, &mut progress, log).await {
+        Ok(()) => settle_chat(cx, job, reservation, progress).await,
+        Err(error) => {
+            cx.accounting.release(reservation);
+            Err(error)
+        }
+    }
+}
+
+/// Makes attempts until one brings the end of the answer.
+async fn run_attempts(
+    cx: &RouterContext,
+    job: &ChatJob,
+    progress: &mut ChatProgress,
+    log: &AnswerLog,
+) -> Result<()> {
+    let mut need = job.endpoint_need();
+    let mut was_sent = false;
+    loop {
+        let lease = match cx.dispatcher.acquire(&need).await {
+            Ok(lease) => lease,
+            Err(error) if was_sent => {
+                return Err(Error::new(ErrorKind::AttemptsFailed, error.to_string()));
+            }
+            Err(error) => return Err(error),
+        };
+        let endpoint = lease.endpoint.clone();
+        let attempt = attempt_chat(cx, job, &lease, progress, log);
+        let left = cx.clock.left_until(job.deadline);
+        let result = tokio::time::timeout(left, attempt).await.unwrap_or_else(|_| {
+            Err(AttemptError::new(AttemptOutcome::Cancelled, "the deadline passed"))
+        });
+        let Err(failed) = result else {
+            cx.dispatcher.finish(lease, &need, AttemptOutcome::Completed);
+            return Ok(());
+        };
+        cx.dispatcher.finish(lease, &need, failed.outcome);
+        let is_unsent = matches!(failed.outcome, AttemptOutcome::NotSent | AttemptOutcome::Refused);
+        was_sent |= !is_unsent;
+        need.avoid.push(endpoint);
+        if !cx.dispatcher.may_retry(&need, failed.outcome) {
+            return Err(final_error(&failed, was_sent));
+        }
+        metrics::counter!(telemetry::RETRIES_TOTAL, "reason" => failed.outcome.label())
+            .increment(1);
+        log::info!(request_id:% = job.key; "trying the next endpoint: {failed}");
+    }
+}
+
+fn final_error(failed: &AttemptError, was_sent: bool) -> Error {
+    let kind = match failed.outcome {
+        AttemptOutcome::Rejected => ErrorKind::EndpointRejected,
+        AttemptOutcome::Cancelled => ErrorKind::DeadlineWhileRunning,
+        _ if was_sent => ErrorKind::AttemptsFailed,
+        _ => ErrorKind::NoEndpoint,
+    };
+    Error::new(kind, failed.to_string())
+}
+
+async fn settle_chat(
+    cx: &RouterContext,
+    job: &ChatJob,
+    reservation: Reservation,
+    progress: ChatProgress,
+) -> Result<AnswerEnd> {
+    let usage = progress.usage(prompt_tokens_bound(&job.req.messages));
+    let tokens = cap_bill(job, &reservation, usage.billed_tokens());
+    let bill = Bill { request: job.key.clone(), tokens, router: cx.peers.view().local.id.clone() };
+    let settled = cx.accounting.settle(reservation, bill, Commit::default(), job.deadline).await?;
+    count_settled(settled, tokens);
+    Ok(AnswerEnd { finish_reason: progress.finish_reason.map(Into::into), usage })
+}
+
+/// Limits a bill to what was reserved, so that an engine that reports more tokens than
+/// it was asked for cannot overspend the budget.
+fn cap_bill(job: &ChatJob, reservation: &Reservation, tokens: Tokens) -> Tokens {
+    if tokens > reservation.tokens {
+        log::warn!(
+            request_id:% = job.key, used:% = tokens, reserved:% = reservation.tokens;
+            "the endpoint reports more tokens than were reserved"
+        );
+    }
+    tokens.min(reservation.tokens)
+}
+
+/// Counts a settled bill or the run that was not billed.
+pub(super) fn count_settled(outcome: SettleOutcome, tokens: Tokens) {
+    match outcome {
+        SettleOutcome::Billed => {
+            metrics::counter!(telemetry::BILLED_TOKENS_TOTAL).increment(tokens.0);
+        }
+        SettleOutcome::AlreadyBilled => {
+            metrics::counter!(telemetry::UNBILLED_RUNS_TOTAL, "reason" => "already_billed")
+                .increment(1);
+        }
+    }
+}
--- /dev/null
+++ b/components/router/src/traffic/mod.rs
@@ -0,0 +1,11 @@
+//! Runs of requests: reserve, choose an endpoint, send, bill, release the end.
+
+mod action_job;
+mod action_run;
+mod attempt_error;
+mod chat_attempt;
+mod chat_job;
+mod chat_run;
+mod runs;
+
+pub(crate) use self::{action_job::ActionJob, chat_job::ChatJob, runs::Runs};
--- /dev/null
+++ b/components/router/src/traffic/runs.rs
@@ -0,0 +1,88 @@
+//! The runs in progress.
+
+use std::{future::Future, sync::Arc};
+
+use errors::Error;
+use tokio_util::task::TaskTracker;
+use types::RequestKey;
+
+use super::{ActionJob, ChatJob, action_run::run_action, chat_run::run_chat};
+use crate::{
+    RouterContext,
+    answer::{AnswerEnd, AnswerLog, KeptAnswer},
+};
+
+/// Starts runs and knows those in progress. A run goes on when its caller leaves, so
+/// that the caller's retry finds it.
+#[derive(Clone)]
+pub(crate) struct Runs {
+    /// What every run needs.
+    cx: RouterContext,
+    /// The runs in progress.
+    tracker: TaskTracker,
+}
+
+impl Runs {
+    /// Creates the runs of a router.
+    pub(crate) fn new(cx: RouterContext) -> Runs {
+        Runs { cx, tracker: TaskTracker::new() }
+    }
+
+    /// Starts the run of a chat request, which writes its answer to `log`.
+    pub(crate) fn start_chat(&self, job: ChatJob, log: Arc<AnswerLog>) {
+        let (cx, key) = (self.cx.clone(), job.key.clone());
+        let run_log = log.clone();
+        self.start(key, log, async move { run_chat(&cx, &job, &run_log).await });
+    }
+
+    /// Starts the run of an action, which writes its answer to `log`.
+    pub(crate) fn start_action(&self, job: ActionJob, log: Arc<AnswerLog>) {
+        let (cx, key) = (self.cx.clone(), job.key.clone());
+        let run_log = log.clone();
+        self.start(key, log, async move { run_action(&cx, &job, &run_log).await });
+    }
+
+    /// Returns how many runs are in progress.
+    pub(crate) fn len(&self) -> usize {
+        self.tracker.len()
+    }
+
+    /// Waits until no run is in progress. No run must be started afterwards.
+    pub(crate) async fn wait(&self) {
+        self.tracker.close();
+        self.tracker.wait().await;
+    }
+
+    fn start(
+        &self,
+        key: RequestKey,
+        log: Arc<AnswerLog>,
+        run: impl Future<Output = Result<AnswerEnd, Error>> + Send + 'static,
+    ) {
+        let registry = self.cx.registry.clone();
+        let started = self.cx.clock.now();
+        let clock = self.cx.clock;
+        self.tracker.spawn(async move {
+            let result = run.await.map(|end| keep_answer(&log, end));
+            // The registry learns of the end first, so that no retry joins a dead run.
+            registry.end(&key, &result);
+            match result {
+                Ok(answer) => log.finish(answer.end.clone()),
+                Err(error) => {
+                    log::info!(
+                        account:% = key.account, request_id:% = key.id, code = error.kind().code();
+                        "request failed: {error}"
+                    );
+                    log.fail(error);
+                }
+            }
+            let seconds = clock.now().since(started).as_secs_f64();
+            metrics::histogram!(telemetry::REQUEST_SECONDS).record(seconds);
+        });
+    }
+}
+
+fn keep_answer(log: &AnswerLog, end: AnswerEnd) -> Arc<KeptAnswer> {
+    let head = log.head().expect("a whole answer has a head");
+    Arc::new(KeptAnswer { head, body: log.body(), end })
+}
--- /dev/null
+++ b/components/settings/src/parser.rs
@@ -0,0 +1,176 @@
+//! Parsing of command lines.
+
+use std::ffi::OsString;
+
+use lexopt::{Arg, Parser};
+use utils::HashMap;
+
+use crate::{ProgramSpec, SettingFaults, SettingValues};
+
+/// A parsed command line.
+#[derive(Debug)]
+pub struct ParsedArgs {
+    /// Settings.
+    pub values: SettingValues,
+    /// Arguments beside settings, in order.
+    pub arguments: Vec<String>,
+    /// Whether `--help` was given.
+    pub help: bool,
+    /// Whether `--check` was given.
+    pub check: bool,
+}
+
+/// Parses `args`, without the program's name; settings that are not among them come
+/// from the environment through `read_env`, or from their defaults.
+///
+/// # Errors
+/// All faults of the command line together.
+pub fn parse_args(
+    spec: &ProgramSpec,
+    args: impl IntoIterator<Item = OsString>,
+    read_env: impl Fn(&str) -> Option<String>,
+) -> Result<ParsedArgs, SettingFaults> {
+    let mut parsed = ParsedArgs {
+        values: SettingValues::new(spec),
+        arguments: Vec::new(),
+        help: false,
+        check: false,
+    };
+    let mut given = HashMap::default();
+    let mut faults = SettingFaults::default();
+    let mut parser = Parser::from_args(args);
+    loop {
+        match parser.next() {
+            Ok(None) => break,
+            Ok(Some(Arg::Long("help") | Arg::Short('h'))) => parsed.help = true,
+            Ok(Some(Arg::Long("check"))) => parsed.check = true,
+            Ok(Some(Arg::Long(flag))) => {
+                let flag = flag.to_owned();
+                read_flag(spec, &flag, &mut parser, &mut given, &mut faults);
+            }
+            Ok(Some(Arg::Short(flag))) => faults.push(&format!("-{flag}"), "unknown flag"),
+            Ok(Some(Arg::Value(value))) => match value.into_string() {
+                Ok(value) => parsed.arguments.push(value),
+                Err(value) => faults.push(&value.to_string_lossy(), "not valid UTF-8"),
+            },
+            Err(error) => {
+                faults.push("command line", error.to_string());
+                break;
+            }
+        }
+    }
+    for setting in spec.settings {
+        let value = given.remove(setting.flag).or_else(|| read_env(setting.env));
+        if let Some(value) = value {
+            parsed.values.set(setting.flag, value);
+        }
+    }
+    faults.into_result(parsed)
+}
+
+fn read_flag(
+    spec: &ProgramSpec,
+    flag: &str,
+    parser: &mut Parser,
+    given: &mut HashMap<&'static str, String>,
+    faults: &mut SettingFaults,
+) {
+    let name = format!("--{flag}");
+    let Some(setting) = spec.settings.iter().find(|setting| setting.flag == flag) else {
+        // Its value, if it has one, must not be taken for an argument.
+        let _ = parser.optional_value();
+        return faults.push(&name, "unknown flag; see --help");
+    };
+    let value = if setting.is_switch() {
+        Ok("true".to_owned())
+    } else {
+        parser.value().map(|value| value.to_string_lossy().into_owned())
+    };
+    match value {
+        Ok(value) => {
+            if given.insert(setting.flag, value).is_some() {
+                faults.push(&name, "given more than once");
+            }
+        }
+        Err(error) => faults.push(&name, error.to_string()),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use super::*;
+    use crate::SettingSpec;
+
+    const SPEC: ProgramSpec = ProgramSpec {
+        name: "cask",
+        about: "Counts casks.",
+        arguments: "",
+        details: "",
+        settings: &[
+            SettingSpec {
+                flag: "cellar",
+                env: "CASK_CELLAR",
+                value: "NAME",
+                default: None,
+                help: "Name of the cellar.",
+            },
+            SettingSpec {
+                flag: "timeout",
+                env: "CASK_TIMEOUT",
+                value: "DURATION",
+                default: Some("5s"),
+                help: "Longest count.",
+            },
+            SettingSpec {
+                flag: "quick",
+                env: "CASK_QUICK",
+                value: "",
+                default: None,
+                help: "Whether to skip empty casks.",
+            },
+        ],
+    };
+
+    fn parse(args: &[&str], env: &[(&str, &str)]) -> Result<ParsedArgs, SettingFaults> {
+        let read_env = |name: &str| {
+            env.iter().find(|(key, _)| *key == name).map(|(_, value)| (*value).to_owned())
+        };
+        parse_args(&SPEC, args.iter().map(OsString::from), read_env)
+    }
+
+    #[test]
+    fn flags_go_before_the_environment_and_that_before_defaults() {
+        let env = [("CASK_CELLAR", "south"), ("CASK_TIMEOUT", "9s")];
+        let parsed = parse(&["--cellar", "north", "--quick"], &env).unwrap();
+        let mut faults = SettingFaults::default();
+        assert_eq!(parsed.values.text("cellar", &mut faults), "north");
+        assert_eq!(parsed.values.duration("timeout", &mut faults), Duration::from_secs(9));
+        assert!(parsed.values.is_on("quick"));
+        assert_eq!(faults, SettingFaults::default());
+    }
+
+    #[test]
+    fn all_faults_are_reported_together() {
+        let faults = parse(&["--cellr=x", "-z", "--timeout"], &[]).unwrap_err();
+        insta::assert_snapshot!(faults, @r"
+        --cellr: unknown flag; see --help
+        -z: unknown flag
+        --timeout: missing argument for option '--timeout'
+        ");
+        let parsed = parse(&["--timeout", "soon"], &[]).unwrap();
+        let mut faults = SettingFaults::default();
+        parsed.values.text("cellar", &mut faults);
+        parsed.values.duration("timeout", &mut faults);
+        insta::assert_snapshot!(faults, @"
+        --cellar: missing; give it or set CASK_CELLAR
+        --timeout: 'soon' is not a duration such as 500ms or 5s: expected number at 0
+        ");
+    }
+
+    #[test]
+    fn help_names_every_setting() {
+        insta::assert_snapshot!(SPEC.help());
+    }
+}
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -1,1 +1,13 @@
-//! telemetry.
+//! Logs and metrics: set-up and the names of all metrics.
+
+mod log_format;
+mod logs;
+mod metric_names;
+mod metrics_recorder;
+
+pub use self::{
+    log_format::LogFormat,
+    logs::{LogSetupError, set_up_logs},
+    metric_names::*,
+    metrics_recorder::{MetricsHandle, set_up_metrics},
+};
--- /dev/null
+++ b/components/telemetry/src/logs.rs
@@ -0,0 +1,103 @@
+//! Set-up of logs.
+
+use std::{fmt::Write, io, time::SystemTime};
+
+use log::{
+    LevelFilter, Record,
+    kv::{self, VisitSource},
+};
+use thiserror::Error;
+
+use crate::LogFormat;
+
+/// Why logs were not set up.
+#[derive(Debug, Error)]
+#[error("logs are set up already")]
+pub struct LogSetupError;
+
+/// Sends log lines of `level` and above to the standard error stream.
+///
+/// # Errors
+/// Where logs were set up before in this process.
+pub fn set_up_logs(level: LevelFilter, format: LogFormat) -> Result<(), LogSetupError> {
+    fern::Dispatch::new()
+        .level(level)
+        .format(move |out, _, record| {
+            let line = match format {
+                LogFormat::Text => format_text(SystemTime::now(), record),
+                LogFormat::Json => format_json(SystemTime::now(), record),
+            };
+            out.finish(format_args!("{line}"));
+        })
+        .chain(io::stderr())
+        .apply()
+        .map_err(|_| LogSetupError)
+}
+
+fn format_text(now: SystemTime, record: &Record<'_>) -> String {
+    let time = humantime::format_rfc3339_millis(now);
+    let mut line = format!("{time} {:5} {}", record.level(), record.args());
+    for (name, value) in fields_of(record) {
+        let _ = write!(line, " {name}={value}");
+    }
+    line
+}
+
+fn format_json(now: SystemTime, record: &Record<'_>) -> String {
+    let mut object = serde_json::Map::new();
+    let time = humantime::format_rfc3339_millis(now).to_string();
+    object.insert("time".to_owned(), time.into());
+    object.insert("level".to_owned(), record.level().as_str().into());
+    object.insert("target".to_owned(), record.target().into());
+    object.insert("message".to_owned(), record.args().to_string().into());
+    for (name, value) in fields_of(record) {
+        object.insert(name, value.into());
+    }
+    serde_json::Value::Object(object).to_string()
+}
+
+fn fields_of(record: &Record<'_>) -> Vec<(String, String)> {
+    struct Fields(Vec<(String, String)>);
+
+    impl<'kvs> VisitSource<'kvs> for Fields {
+        fn visit_pair(
+            &mut self,
+            key: kv::Key<'kvs>,
+            value: kv::Value<'kvs>,
+        ) -> Result<(), kv::Error> {
+            self.0.push((key.to_string(), value.to_string()));
+            Ok(())
+        }
+    }
+
+    let mut fields = Fields(Vec::new());
+    let _ = record.key_values().visit(&mut fields);
+    fields.0
+}
+
+#[cfg(test)]
+mod tests {
+    use log::Level;
+
+    use super::*;
+
+    #[test]
+    fn both_formats_carry_the_fields() {
+        let fields: &[(&str, &str)] = &[("request_id", "order-7")];
+        let record = Record::builder()
+            .args(format_args!("request refused"))
+            .level(Level::Info)
+            .target("router")
+            .key_values(&fields)
+            .build();
+        let epoch = SystemTime::UNIX_EPOCH;
+        insta::assert_snapshot!(
+            format_text(epoch, &record),
+            @"1970-01-01T00:00:00.000Z INFO  request refused request_id=order-7"
+        );
+        insta::assert_snapshot!(
+            format_json(epoch, &record),
+            @r#"{"level":"INFO","message":"request refused","request_id":"order-7","target":"router","time":"1970-01-01T00:00:00.000Z"}"#
+        );
+    }
+}
--- /dev/null
+++ b/components/telemetry/src/metric_names.rs
@@ -0,0 +1,28 @@
+//! Names of all metrics.
+
+/// Counter of requests that arrived, by `interface`.
+pub const REQUESTS_TOTAL: &str = "auburncrank_requests_total";
+
+/// Counter of refused or failed requests, by `code` of the error table.
+pub const REFUSALS_TOTAL: &str = "auburncrank_refusals_total";
+
+/// Counter of retries inside the fleet, by `reason`.
+pub const RETRIES_TOTAL: &str = "auburncrank_retries_total";
+
+/// Counter of billed tokens.
+pub const BILLED_TOKENS_TOTAL: &str = "auburncrank_billed_tokens_total";
+
+/// Counter of runs that were not billed, by `reason`.
+pub const UNBILLED_RUNS_TOTAL: &str = "auburncrank_unbilled_runs_total";
+
+/// Histogram of the time to the first token, in seconds.
+pub const FIRST_TOKEN_SECONDS: &str = "auburncrank_first_token_seconds";
+
+/// Histogram of the time of whole requests, in seconds.
+pub const REQUEST_SECONDS: &str = "auburncrank_request_seconds";
+
+/// Gauge of requests in progress.
+pub const REQUESTS_IN_PROGRESS: &str = "auburncrank_requests_in_progress";
+
+/// Gauge of the configuration version in force.
+pub const CONFIG_VERSION: &str = "auburncrank_config_version";
--- a/programs/auburncrank-bench/src/main.rs
+++ b/programs/auburncrank-bench/src/main.rs
@@ -1,1 +1,3 @@
+//! `auburncrank-bench`.
+
 fn main() {}
--- a/programs/auburncrank-demo/src/main.rs
+++ b/programs/auburncrank-demo/src/main.rs
@@ -1,1 +1,3 @@
+//! `auburncrank-demo`.
+
 fn main() {}
--- a/programs/auburncrank/src/main.rs
+++ b/programs/auburncrank/src/main.rs
@@ -1,1 +1,3 @@
+//! `auburncrank`.
+
 fn main() {}
--- /dev/null
+++ b/programs/auburncrankd/src/cli.rs
@@ -0,0 +1,178 @@
+//! Command line of the daemon.
+
+use std::{env, process::ExitCode};
+
+use log::LevelFilter;
+use router::RouterSettings;
+use settings::{ProgramSpec, SettingFaults, SettingSpec, SettingValues, parse_args};
+use telemetry::LogFormat;
+use types::{FailureDomain, RouterName};
+
+/// Exit code for faults in the settings.
+const EXIT_BAD_SETTINGS: u8 = 2;
+
+const SPEC: ProgramSpec = ProgramSpec {
+    name: "auburncrankd",
+    about: "One router of an auburncrank fleet.",
+    arguments: "",
+    details: "Signals: SIGTERM or SIGINT ends the router gracefully; a second one at once.\n\n\
+        Exit codes:\n  0  ended gracefully\n  1  could not start, or requests were cut off\n  \
+        2  faults in the settings",
+    settings: &[
+        SettingSpec {
+            flag: "name",
+            env: "AUBURNCRANK_NAME",
+            value: "NAME",
+            default: None,
+            help: "Name of this router; keep it across restarts.",
+        },
+        SettingSpec {
+            flag: "failure-domain",
+            env: "AUBURNCRANK_FAILURE_DOMAIN",
+            value: "NAME",
+            default: None,
+            help: "Failure domain of this host.",
+        },
+        SettingSpec {
+            flag: "caller-address",
+            env: "AUBURNCRANK_CALLER_ADDRESS",
+            value: "IP:PORT",
+            default: Some("127.0.0.1:8080"),
+            help: "Address for callers and operators.",
+        },
+        SettingSpec {
+            flag: "peer-address",
+            env: "AUBURNCRANK_PEER_ADDRESS",
+            value: "IP:PORT",
+            default: Some("127.0.0.1:8081"),
+            help: "Address for the other routers.",
+        },
+        SettingSpec {
+            flag: "seeds",
+            env: "AUBURNCRANK_SEEDS",
+            value: "IP:PORT,...",
+            default: Some(""),
+            help: "Peer addresses of some other routers.",
+        },
+        SettingSpec {
+            flag: "platform",
+            env: "AUBURNCRANK_PLATFORM",
+            value: "IP:PORT",
+            default: None,
+            help: "Address of the platform's services.",
+        },
+        SettingSpec {
+            flag: "platform-timeout",
+            env: "AUBURNCRANK_PLATFORM_TIMEOUT",
+            value: "DURATION",
+            default: Some("2s"),
+            help: "Longest time of a call to the platform.",
+        },
+        SettingSpec {
+            flag: "drain-timeout",
+            env: "AUBURNCRANK_DRAIN_TIMEOUT",
+            value: "DURATION",
+            default: Some("10m"),
+            help: "Longest time of a graceful end.",
+        },
+        SettingSpec {
+            flag: "traffic-threads",
+            env: "AUBURNCRANK_TRAFFIC_THREADS",
+            value: "COUNT",
+            default: Some("2"),
+            help: "Threads that carry traffic.",
+        },
+        SettingSpec {
+            flag: "log-level",
+            env: "AUBURNCRANK_LOG_LEVEL",
+            value: "LEVEL",
+            default: Some("info"),
+            help: "Lowest level that is logged: error, warn, info, debug or trace.",
+        },
+        SettingSpec {
+            flag: "log-format",
+            env: "AUBURNCRANK_LOG_FORMAT",
+            value: "FORMAT",
+            default: Some("text"),
+            help: "Format of log lines: text or json.",
+        },
+    ],
+};
+
+/// What the command line asks for.
+pub(crate) enum Command {
+    /// Run the router.
+    Run(Box<DaemonSettings>),
+    /// Exit at once.
+    Exit(ExitCode),
+}
+
+/// Settings of the daemon.
+pub(crate) struct DaemonSettings {
+    /// Settings of the router.
+    pub(crate) router: RouterSettings,
+    /// Lowest level that is logged.
+    pub(crate) log_level: LevelFilter,
+    /// Format of log lines.
+    pub(crate) log_format: LogFormat,
+}
+
+/// Reads the command line and the environment; prints help and faults.
+pub(crate) fn read_command_line() -> Command {
+    let parsed = match parse_args(&SPEC, env::args_os().skip(1), |name| env::var(name).ok()) {
+        Ok(parsed) => parsed,
+        Err(faults) => return report_faults(&faults),
+    };
+    if parsed.help {
+        print!("{}", SPEC.help());
+        return Command::Exit(ExitCode::SUCCESS);
+    }
+    let mut faults = SettingFaults::default();
+    if let Some(argument) = parsed.arguments.first() {
+        faults.push(argument, "unexpected argument");
+    }
+    let settings = read_settings(&parsed.values, &mut faults);
+    match settings.filter(|_| faults.0.is_empty()) {
+        Some(_) if parsed.check => {
+            println!("The settings are sound.");
+            Command::Exit(ExitCode::SUCCESS)
+        }
+        Some(settings) => Command::Run(Box::new(settings)),
+        None => report_faults(&faults),
+    }
+}
+
+fn report_faults(faults: &SettingFaults) -> Command {
+    eprintln!("{faults}");
+    Command::Exit(ExitCode::from(EXIT_BAD_SETTINGS))
+}
+
+fn read_settings(values: &SettingValues, faults: &mut SettingFaults) -> Option<DaemonSettings> {
+    // Each setting is read before any is missed, so that all faults come together.
+    let name = values.parse::<RouterName>("name", faults);
+    let failure_domain = values.parse::<FailureDomain>("failure-domain", faults);
+    let caller_address = values.parse("caller-address", faults);
+    let peer_address = values.parse("peer-address", faults);
+    let seeds = values.list("seeds", faults);
+    let platform_address = values.parse("platform", faults);
+    let platform_timeout = values.duration("platform-timeout", faults);
+    let drain_timeout = values.duration("drain-timeout", faults);
+    let traffic_threads = values.parse::<usize>("traffic-threads", faults);
+    let log_level = values.parse("log-level", faults);
+    let log_format = values.parse("log-format", faults);
+    if traffic_threads == Some(0) {
+        faults.push("--traffic-threads", "expected at least 1");
+    }
+    let router = RouterSettings {
+        name: name?,
+        failure_domain: failure_domain?,
+        caller_address: caller_address?,
+        peer_address: peer_address?,
+        seeds,
+        platform_address: platform_address?,
+        platform_timeout,
+        drain_timeout,
+        traffic_threads: traffic_threads?,
+    };
+    Some(DaemonSettings { router, log_level: log_level?, log_format: log_format? })
+}
