Add the experiment tool with the study of the path

The cost of a router on the path is measured against the same engine directly in one run, so that each later change can be compared with this baseline.

--- a/components/router/tests/scene/mod.rs
+++ b/components/router/tests/scene/mod.rs
@@ -1,5 +1,7 @@
 //! A scene for tests: stand-ins and routers over loopback.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{net::SocketAddr, time::Duration};
 
 use budget::{BudgetRow, budget_key};
--- /dev/null
+++ b/programs/auburncrank-bench/src/cmd/mod.rs
@@ -0,0 +1,27 @@
+//! The studies, one module each.
+
+mod path;
+
+use crate::cli::StudyOptions;
+
+/// A study.
+pub(crate) struct Study {
+    /// Name of the subcommand.
+    pub(crate) name: &'static str,
+    /// What it measures, in one line.
+    pub(crate) about: &'static str,
+    /// Runs it and prints its rows.
+    pub(crate) run: fn(&StudyOptions) -> Result<(), StudyError>,
+}
+
+/// Why a study failed.
+#[derive(Debug, thiserror::Error)]
+#[error("{0}")]
+pub(crate) struct StudyError(pub(crate) String);
+
+/// All studies.
+pub(crate) const STUDIES: &[Study] = &[Study {
+    name: "path",
+    about: "Streams through a router against the same engine directly.",
+    run: path::run,
+}];
--- a/programs/auburncrank-bench/src/main.rs
+++ b/programs/auburncrank-bench/src/main.rs
@@ -1,3 +1,11 @@
-//! `auburncrank-bench`.
+//! `auburncrank-bench`: the experiment tool. One subcommand a study, one line a run.
 
-fn main() {}
+mod cli;
+mod cmd;
+mod output;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::run()
+}
