--- /dev/null
+++ b/components/scene/src/running_scene.rs
@@ -0,0 +1,197 @@
+//! Running scenes.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use budget::{BudgetRow, budget_key};
+use client::Caller;
+use config::{CONFIG_KEY, Config};
+use platform::{Commit, Key, Write};
+use standins::{
+    PlatformServer, PlatformState, ServiceServer, ServiceState,
+    engine::{EngineServer, EngineState},
+};
+use types::{AccountName, EndpointName, FailureDomain, ServiceName};
+
+use crate::{RouterSet, SceneError, SceneSpec, Tally, account_key, scene_spec::first_version};
+
+/// A running scene. Dropping it kills everything in it.
+pub struct Scene {
+    /// What it is made of.
+    spec: SceneSpec,
+    /// The platform.
+    platform: PlatformServer,
+    /// Model engines by name.
+    engines: BTreeMap<EndpointName, EngineServer>,
+    /// States of the plain services.
+    services: BTreeMap<ServiceName, ServiceState>,
+    /// Endpoints of the plain services.
+    service_endpoints: BTreeMap<EndpointName, ServiceServer>,
+    /// Configuration that the scene started with.
+    cfg: Config,
+    /// Routers.
+    pub routers: RouterSet,
+}
+
+impl Scene {
+    /// Starts the stand-ins, accepts the configuration and the deposits, and starts the
+    /// routers.
+    ///
+    /// # Errors
+    /// Where a part of it does not start.
+    pub async fn start(spec: SceneSpec) -> Result<Scene, SceneError> {
+        let mut scene = Scene::start_without_routers(spec).await?;
+        scene.routers.start_all().await?;
+        Ok(scene)
+    }
+
+    /// Starts the scene without its routers.
+    ///
+    /// # Errors
+    /// Where a stand-in does not start.
+    pub async fn start_without_routers(spec: SceneSpec) -> Result<Scene, SceneError> {
+        let state = PlatformState::new(spec.limits.clone(), spec.seed);
+        let platform = PlatformServer::start(SocketAddr::from(([127, 0, 0, 1], 0)), state).await?;
+        let engines = start_engines(&spec).await?;
+        let (services, service_endpoints) = start_services(&spec).await?;
+        let engine_addresses = engines.iter().map(|(name, it)| (name.clone(), it.address()));
+        let service_addresses =
+            service_endpoints.iter().map(|(name, it)| (name.clone(), it.address()));
+        let cfg = spec.config(&engine_addresses.chain(service_addresses).collect());
+        write_rows(platform.state(), &spec, &cfg);
+        let routers = RouterSet::new(spec.clone(), platform.address());
+        Ok(Scene { spec, platform, engines, services, service_endpoints, cfg, routers })
+    }
+
+    /// Returns the platform's state.
+    pub fn platform(&self) -> &PlatformState {
+        self.platform.state()
+    }
+
+    /// Returns the address of the platform.
+    pub fn platform_address(&self) -> SocketAddr {
+        self.platform.address()
+    }
+
+    /// Returns the configuration that the scene started with.
+    pub fn config(&self) -> &Config {
+        &self.cfg
+    }
+
+    /// Returns the state of an engine.
+    ///
+    /// # Panics
+    /// Where the scene has no such engine.
+    pub fn engine(&self, name: &EndpointName) -> &EngineState {
+        self.engines[name].state()
+    }
+
+    /// Kills an engine; its log outlives it.
+    ///
+    /// # Panics
+    /// Where the scene has no such engine.
+    pub fn kill_engine(&self, name: &EndpointName) {
+        self.engines[name].kill();
+    }
+
+    /// Starts an engine anew that was killed or has crashed.
+    ///
+    /// # Errors
+    /// Where its address cannot be listened on.
+    ///
+    /// # Panics
+    /// Where the scene has no such engine.
+    pub async fn restart_engine(&mut self, name: &EndpointName) -> Result<(), SceneError> {
+        let old = &self.engines[name];
+        old.kill();
+        let address = old.address();
+        let state = old.state().clone();
+        // The port is free once the old server's task has ended.
+        let mut restarted = EngineServer::restart(address, &state).await;
+        for _ in 0..RESTART_TRIES {
+            if restarted.is_ok() {
+                break;
+            }
+            tokio::time::sleep(RESTART_PAUSE).await;
+            restarted = EngineServer::restart(address, &state).await;
+        }
+        self.engines.insert(name.clone(), restarted?);
+        Ok(())
+    }
+
+    /// Returns the state of a plain service.
+    ///
+    /// # Panics
+    /// Where the scene has no such service.
+    pub fn service(&self, name: &ServiceName) -> &ServiceState {
+        &self.services[name]
+    }
+
+    /// Kills an endpoint of a plain service.
+    ///
+    /// # Panics
+    /// Where the scene has no such endpoint.
+    pub fn kill_service_endpoint(&self, name: &EndpointName) {
+        self.service_endpoints[name].kill();
+    }
+
+    /// Creates a caller of `account` in `failure_domain`.
+    pub fn caller(&self, account: &AccountName, failure_domain: &FailureDomain) -> Caller {
+        let key = account_key(account.as_str());
+        Caller::new(self.routers.caller_addresses(), key, Some(failure_domain.as_str()))
+    }
+
+    /// Reads the budget row of a client account.
+    pub fn budget(&self, account: &AccountName) -> Option<BudgetRow> {
+        let key = budget_key(account);
+        let rows = self.platform().table().inspect(key.as_str());
+        rows.iter().find(|row| row.key == key)?.decode().ok()
+    }
+
+    /// Counts what the endpoints' logs and the table say.
+    pub fn tally(&self) -> Tally {
+        let engines = self.engines.values().map(|engine| engine.state().log());
+        let services = self.services.values().map(ServiceState::runs);
+        Tally::new(&self.spec, self.platform().table(), engines, services)
+    }
+}
+
+const RESTART_TRIES: u32 = 50;
+const RESTART_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
+
+async fn start_engines(
+    spec: &SceneSpec,
+) -> Result<BTreeMap<EndpointName, EngineServer>, SceneError> {
+    let mut engines = BTreeMap::new();
+    for engine in &spec.engines {
+        let address = spec.address_of(&engine.failure_domain);
+        let models = [(engine.model.clone(), first_version())];
+        let server = EngineServer::start(address, engine.settings.clone(), &models).await?;
+        engines.insert(engine.name.clone(), server);
+    }
+    Ok(engines)
+}
+
+type StartedServices = (BTreeMap<ServiceName, ServiceState>, BTreeMap<EndpointName, ServiceServer>);
+
+async fn start_services(spec: &SceneSpec) -> Result<StartedServices, SceneError> {
+    let (mut states, mut endpoints) = (BTreeMap::new(), BTreeMap::new());
+    for service in &spec.services {
+        let state = ServiceState::default();
+        for (name, failure_domain) in &service.endpoints {
+            let address = spec.address_of(failure_domain);
+            let server = ServiceServer::start(address, state.clone()).await?;
+            endpoints.insert(name.clone(), server);
+        }
+        states.insert(service.name.clone(), state);
+    }
+    Ok((states, endpoints))
+}
+
+fn write_rows(platform: &PlatformState, spec: &SceneSpec, cfg: &Config) {
+    let mut writes = vec![Write::put(Key::from_parts(&[CONFIG_KEY]), cfg)];
+    for account in &spec.accounts {
+        let row = BudgetRow { deposited: account.deposit, ..BudgetRow::default() };
+        writes.push(Write::put(budget_key(&account.name), &row));
+    }
+    platform.table().force(&Commit { writes, ..Commit::default() });
+}
--- /dev/null
+++ b/programs/auburncrank-demo/src/load.rs
@@ -0,0 +1,78 @@
+//! The callers of the demo.
+
+use std::{sync::Arc, time::Duration};
+
+use client::{Caller, CallerError};
+use rand::Rng as _;
+use scene::Scene;
+use tokio::task::JoinSet;
+use types::{AccountName, FailureDomain};
+use utils::seeded_rng;
+
+use crate::{
+    demo_request::{COOPERATIVE_KINDS, DemoRequest, RequestKind, UNIFORM_MAKER_KINDS},
+    report::CallerCounts,
+};
+
+/// Callers for each account and failure domain.
+const CALLERS_PER_DOMAIN: usize = 8;
+
+/// Requests of each caller.
+const REQUESTS_PER_CALLER: usize = 12;
+
+/// Longest pause of a caller between two requests.
+const PAUSE_MAX: Duration = Duration::from_millis(1_500);
+
+const FAILURE_DOMAINS: [&str; 3] = ["zlin", "kromeriz", "vsetin"];
+
+/// Starts the callers; the set yields the counts of each.
+pub(crate) fn start_callers(scene: &Scene, seed: u64) -> JoinSet<CallerCounts> {
+    let accounts = [("cooperative", COOPERATIVE_KINDS), ("uniform-maker", UNIFORM_MAKER_KINDS)];
+    let mut callers = JoinSet::new();
+    for (account, kinds) in accounts {
+        for domain in FAILURE_DOMAINS {
+            let account_name = AccountName::new(account).expect("a name");
+            let failure_domain = FailureDomain::new(domain).expect("a name");
+            let caller = Arc::new(scene.caller(&account_name, &failure_domain));
+            for number in 0..CALLERS_PER_DOMAIN {
+                let label = format!("{account}-{domain}-{number}");
+                let seed = utils::stable_hash(&[&seed.to_le_bytes(), label.as_bytes()]);
+                callers.spawn(run_caller(caller.clone(), account, kinds, label, seed));
+            }
+        }
+    }
+    callers
+}
+
+async fn run_caller(
+    caller: Arc<Caller>,
+    account: &'static str,
+    kinds: &'static [RequestKind],
+    label: String,
+    seed: u64,
+) -> CallerCounts {
+    let mut rng = seeded_rng(seed);
+    let mut counts = CallerCounts::default();
+    for number in 0..REQUESTS_PER_CALLER {
+        tokio::time::sleep(PAUSE_MAX.mul_f64(rng.random())).await;
+        let kind = kinds[rng.random_range(0..kinds.len())];
+        let req = DemoRequest::new(account, &format!("{label}-{number}"), kind, &mut rng);
+        counts.requests += 1;
+        match caller.send(&req.call, |_| {}).await {
+            Ok(answer) => {
+                counts.answered += 1;
+                counts.retries += u64::from(answer.tries - 1);
+                counts.incomplete_answers += u64::from(!req.is_whole_answer(&answer.body));
+            }
+            Err(CallerError::Refused(detail)) => {
+                counts.refused += 1;
+                log::warn!(request_id:% = req.call.id, code = detail.code.as_str(); "refused");
+            }
+            Err(error) => {
+                counts.unanswered += 1;
+                log::warn!(request_id:% = req.call.id; "unanswered: {error}");
+            }
+        }
+    }
+    counts
+}
--- a/programs/auburncrank-demo/src/main.rs
+++ b/programs/auburncrank-demo/src/main.rs
@@ -1,3 +1,19 @@
-//! `auburncrank-demo`.
+//! `auburncrank-demo`: stand-ins, three routers in three failure domains and callers of
+//! both users, in one process over loopback.
 
-fn main() {}
+mod cli;
+mod demo_request;
+mod fault_script;
+mod load;
+mod report;
+mod run;
+mod serve;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match cli::read_command_line() {
+        cli::Command::Run(settings) => run::run_demo(&settings),
+        cli::Command::Exit(code) => code,
+    }
+}
