--- a/components/scene/src/running_scene.rs
+++ b/components/scene/src/running_scene.rs
@@ -1,11 +1,17 @@
 //! Running scenes.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use budget::{BudgetRow, budget_key};
-use client::Caller;
+use bytes::Bytes;
+use client::{Caller, Connections, HttpClient, SendError};
 use config::{CONFIG_KEY, Config};
+use http::{
+    HeaderMap, HeaderValue, Method, Response,
+    header::{AUTHORIZATION, CONTENT_TYPE},
+};
 use platform::{Commit, Key, Write};
+use serde_json::Value;
 use standins::{
     PlatformServer, PlatformState, ServiceServer, ServiceState,
     engine::{EngineServer, EngineState},
@@ -14,6 +20,15 @@
 
 use crate::{RouterSet, SceneError, SceneSpec, Tally, account_key, scene_spec::first_version};
 
+/// Longest time of a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Tries to listen on the address of an endpoint that has just ended.
+const RESTART_TRIES: u32 = 50;
+
+/// Pause between two of them.
+const RESTART_PAUSE: Duration = Duration::from_millis(20);
+
 /// A running scene. Dropping it kills everything in it.
 pub struct Scene {
     /// What it is made of.
@@ -85,6 +100,14 @@
         self.engines[name].state()
     }
 
+    /// Returns the address of an engine.
+    ///
+    /// # Panics
+    /// Where the scene has no such engine.
+    pub fn engine_address(&self, name: &EndpointName) -> SocketAddr {
+        self.engines[name].address()
+    }
+
     /// Kills an engine; its log outlives it.
     ///
     /// # Panics
@@ -140,6 +163,29 @@
         Caller::new(self.routers.caller_addresses(), key, Some(failure_domain.as_str()))
     }
 
+    /// Sends one call of `account` to one router, without any retry.
+    ///
+    /// # Errors
+    /// Where no whole response arrived.
+    pub async fn call(
+        &self,
+        router: SocketAddr,
+        account: &str,
+        path: &str,
+        id: &str,
+        body: &Value,
+    ) -> Result<Response<Bytes>, SendError> {
+        let value = |text: &str| HeaderValue::from_str(text).expect("visible ASCII");
+        let key = account_key(account);
+        let mut headers = HeaderMap::new();
+        headers.insert(AUTHORIZATION, value(&format!("Bearer {}", key.expose())));
+        headers.insert(CONTENT_TYPE, value("application/json"));
+        headers.insert("idempotency-key", value(id));
+        let body = body.to_string().into();
+        let http = HttpClient::new(Connections::Kept);
+        http.call(router, Method::POST, path, headers, body, CALL_TIMEOUT).await
+    }
+
     /// Reads the budget row of a client account.
     pub fn budget(&self, account: &AccountName) -> Option<BudgetRow> {
         let key = budget_key(account);
@@ -155,9 +201,6 @@
     }
 }
 
-const RESTART_TRIES: u32 = 50;
-const RESTART_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
-
 async fn start_engines(
     spec: &SceneSpec,
 ) -> Result<BTreeMap<EndpointName, EngineServer>, SceneError> {
--- a/programs/auburncrank-bench/src/cmd/path.rs
+++ b/programs/auburncrank-bench/src/cmd/path.rs
@@ -6,23 +6,20 @@
     time::{Duration, Instant},
 };
 
-use budget::{BudgetRow, budget_key};
-use bytes::Bytes;
 use client::{Connections, HttpClient};
-use config::{ApiKey, CONFIG_KEY, Config};
+use config::ShortagePolicy;
 use engine_api::{ChatMessage, SseDecoder};
 use hdrhistogram::Histogram;
 use http::{HeaderMap, HeaderValue, Method};
 use http_body_util::BodyExt;
-use platform::{Commit, Key, Write};
-use router::{RouterProcess, RouterSettings};
+use scene::{AccountSpec, EngineSpec, RouterSpec, Scene, SceneSpec, account_key};
 use serde::Serialize;
 use serde_json::json;
 use standins::{
-    CallLimits, PlatformServer, PlatformState,
-    engine::{EngineServer, EngineSettings, expected_answer},
+    CallLimits,
+    engine::{EngineSettings, expected_answer},
 };
-use types::{AccountName, FailureDomain, ModelName, ModelVersion, RouterName, Tokens};
+use types::{AccountName, EndpointName, FailureDomain, ModelName, Priority, RouterName, Tokens};
 
 use super::StudyError;
 use crate::{cli::StudyOptions, output::print_row};
@@ -36,10 +33,9 @@
 /// Tokens of each answer.
 const ANSWER_TOKENS: u64 = 50;
 
-/// Longest time for the router to become ready.
-const READY_TIMEOUT: Duration = Duration::from_secs(10);
-
-const API_KEY: &str = "key-of-the-bench-account-0123456789";
+const ACCOUNT: &str = "bench";
+const ENGINE: &str = "engine-1";
+const MODEL: &str = "barrel-7b";
 
 /// Result of one run.
 #[derive(Debug, Serialize)]
@@ -79,9 +75,12 @@
 }
 
 async fn measure(streams: usize, seed: u64) -> Result<PathRow, StudyError> {
-    let scene = Scene::start(seed).await?;
-    let direct = run_streams(streams, scene.engine.address(), "direct").await;
-    let router = run_streams(streams, scene.router.caller_address(), "router").await;
+    let scene = Scene::start(one_engine(seed)).await;
+    let scene = scene.map_err(|error| StudyError(error.to_string()))?;
+    let engine = scene.engine_address(&name(EndpointName::new, ENGINE));
+    let router = scene.routers.caller_addresses()[0];
+    let direct = run_streams(streams, engine, "direct").await;
+    let router = run_streams(streams, router, "router").await;
     Ok(PathRow {
         streams,
         router_ttft_p50_ms: router.ttft_p50_ms(),
@@ -94,84 +93,39 @@
     })
 }
 
-/// Stand-ins and one router.
-struct Scene {
-    /// Kept so that it goes on serving.
-    _platform: PlatformServer,
-    engine: EngineServer,
-    router: RouterProcess,
-}
-
-impl Scene {
-    async fn start(seed: u64) -> Result<Scene, StudyError> {
-        let fail = |error: std::io::Error| StudyError(error.to_string());
-        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-        let state = PlatformState::new(CallLimits::new(1_000_000, 1_000_000), seed);
-        let platform = PlatformServer::start(any_port, state).await.map_err(fail)?;
-        let settings = EngineSettings {
-            max_batch: 2_000,
-            step_per_request: Duration::ZERO,
-            ..EngineSettings::default()
-        };
-        let model = ModelName::new("barrel-7b").expect("a name");
-        let version = ModelVersion::new("v1").expect("a name");
-        let models = [(model, version)];
-        let engine = EngineServer::start(any_port, settings, &models);
-        let engine = engine.await.map_err(fail)?;
-        write_rows(&platform, engine.address());
-        let settings = RouterSettings {
-            name: RouterName::new("router-1").expect("a name"),
-            failure_domain: FailureDomain::new("zlin").expect("a name"),
-            caller_address: any_port,
-            peer_address: any_port,
-            seeds: Vec::new(),
-            platform_address: platform.address(),
-            platform_timeout: Duration::from_secs(2),
-            drain_timeout: Duration::from_secs(1),
-            traffic_threads: 2,
-        };
-        let router =
-            RouterProcess::start(settings).map_err(|error| StudyError(error.to_string()))?;
-        wait_until_ready(router.caller_address()).await?;
-        Ok(Scene { _platform: platform, engine, router })
+/// Returns a scene of one engine with a large batch, one account and one router.
+fn one_engine(seed: u64) -> SceneSpec {
+    let failure_domain = name(FailureDomain::new, "zlin");
+    let model = name(ModelName::new, MODEL);
+    SceneSpec {
+        seed,
+        limits: CallLimits::new(1_000_000, 1_000_000),
+        accounts: vec![AccountSpec {
+            name: name(AccountName::new, ACCOUNT),
+            deposit: Tokens(1_000_000_000),
+            shortage: ShortagePolicy::default(),
+            models: vec![(model.clone(), model.clone(), Priority::Normal)],
+            actions: Vec::new(),
+        }],
+        engines: vec![EngineSpec {
+            name: name(EndpointName::new, ENGINE),
+            failure_domain: failure_domain.clone(),
+            model,
+            settings: EngineSettings {
+                max_batch: 2_000,
+                step_per_request: Duration::ZERO,
+                ..EngineSettings::default()
+            },
+        }],
+        services: Vec::new(),
+        actions: Vec::new(),
+        routers: vec![RouterSpec { name: name(RouterName::new, "router-1"), failure_domain }],
+        drain_timeout: Duration::from_secs(1),
     }
 }
 
-fn write_rows(platform: &PlatformServer, engine: SocketAddr) {
-    let cfg: Config = serde_json::from_value(json!({
-        "version": 1,
-        "accounts": { "bench": {
-            "keys": [ApiKey::new(API_KEY).hash()],
-            "models": { "barrel-7b": { "model": "barrel-7b", "versions": ["v1"] } },
-        } },
-        "models": { "barrel-7b": {
-            "versions": ["v1"], "endpoints": ["engine-1"], "context_tokens": 8192,
-        } },
-        "endpoints": { "engine-1": { "address": engine, "failure_domain": "zlin" } },
-    }))
-    .expect("the configuration is sound");
-    let account = AccountName::new("bench").expect("a name");
-    let budget = BudgetRow { deposited: Tokens(1_000_000_000), ..BudgetRow::default() };
-    let writes = vec![
-        Write::put(Key::from_parts(&[CONFIG_KEY]), &cfg),
-        Write::put(budget_key(&account), &budget),
-    ];
-    platform.state().table().force(&Commit { writes, ..Commit::default() });
-}
-
-async fn wait_until_ready(router: SocketAddr) -> Result<(), StudyError> {
-    let http = HttpClient::new(Connections::OnePerCall);
-    let started = Instant::now();
-    while started.elapsed() < READY_TIMEOUT {
-        let timeout = Duration::from_secs(1);
-        let (headers, body) = (HeaderMap::new(), Bytes::new());
-        let res = http.call(router, Method::GET, "/ready", headers, body, timeout).await;
-        if res.is_ok_and(|res| res.status().is_success()) {
-            return Ok(());
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    Err(StudyError("the router is not ready".to_owned()))
+fn name<T, E: std::fmt::Debug>(new: impl Fn(&str) -> Result<T, E>, text: &str) -> T {
+    new(text).expect("the names of the scene are sound")
 }
 
 /// Result of all streams to one server.
@@ -230,7 +184,7 @@
 async fn run_stream(http: &HttpClient, server: SocketAddr, id: &str) -> Option<Duration> {
     let text = format!("{id} [tokens={ANSWER_TOKENS}]");
     let body = json!({
-        "model": "barrel-7b", "stream": true, "max_tokens": ANSWER_TOKENS,
+        "model": MODEL, "stream": true, "max_tokens": ANSWER_TOKENS,
         "messages": [{ "role": "user", "content": text }],
     });
     let started = Instant::now();
@@ -260,7 +214,7 @@
 fn headers(id: &str) -> HeaderMap {
     let value = |text: &str| HeaderValue::from_str(text).expect("visible ASCII");
     let mut headers = HeaderMap::new();
-    headers.insert("authorization", value(&format!("Bearer {API_KEY}")));
+    headers.insert("authorization", value(&format!("Bearer {}", account_key(ACCOUNT).expose())));
     headers.insert("content-type", value("application/json"));
     headers.insert("idempotency-key", value(id));
     headers.insert(engine_api::REQUEST_ID_HEADER, value(id));
