Decide the life of request ids and of intent rows

Request ids were known to one router only, and an unknown commit of an intent row was not read back. The crate `requests` now decides claims at a home router per hash slot, intent writes with read-back, admission by the row, withdrawal and an operator's resolution, all without network or clock.

--- /dev/null
+++ b/components/requests/src/home_directory.rs
@@ -0,0 +1,317 @@
+//! What a home router knows of the request ids of its slots.
+
+use std::{collections::VecDeque, time::Duration};
+
+use types::{RequestKey, RouterId, Timestamp};
+use utils::{Digest, HashMap};
+
+use crate::{Attempt, Claim, ClaimVerdict, EndState, HeldEntry};
+
+/// Time for which a home router remembers an id after its last event. For as long after a
+/// router was lost, an id that is new here may have been sent by that router.
+pub const EARLIER_ATTEMPT_WINDOW: Duration = Duration::from_secs(15 * 60);
+
+/// Most ids that a home router remembers.
+const ENTRIES_MAX: usize = 100_000;
+
+/// What a home router knows of the request ids of its slots.
+///
+/// It is a hint for idempotent requests, which may run twice and are billed once, and
+/// never decides who may send a non-idempotent call: the intent row does.
+#[derive(Debug, Clone, Default)]
+pub struct HomeDirectory {
+    /// Known ids.
+    entries: HashMap<RequestKey, HomeEntry>,
+    /// Ids by the time of their last event, oldest first; may hold outdated pairs.
+    by_age: VecDeque<(Timestamp, RequestKey)>,
+    /// Since when no knowledge was lost.
+    complete_since: Timestamp,
+}
+
+#[derive(Debug, Clone)]
+struct HomeEntry {
+    /// Digest of the content.
+    fingerprint: Digest,
+    /// Attempt that runs the request or keeps its answer.
+    attempt: Option<Attempt>,
+    /// Object that holds the answer, once it is stored.
+    object: Option<String>,
+    /// Whether an attempt other than `attempt` may have been sent.
+    has_earlier: bool,
+    /// Whether `attempt` runs.
+    is_running: bool,
+    /// Time of the last event.
+    changed: Timestamp,
+}
+
+impl HomeDirectory {
+    /// Creates an empty directory. It cannot know what was sent before `now`.
+    pub fn new(now: Timestamp) -> HomeDirectory {
+        HomeDirectory { complete_since: now, ..HomeDirectory::default() }
+    }
+
+    /// Notes that knowledge was lost: a router died, which may have sent requests that
+    /// only it and its own directory knew.
+    pub fn on_loss(&mut self, now: Timestamp) {
+        self.complete_since = now;
+    }
+
+    /// Decides a claim. `is_alive` tells whether a router process is a live member.
+    pub fn claim(
+        &mut self,
+        now: Timestamp,
+        claim: &Claim,
+        is_alive: impl Fn(&RouterId) -> bool,
+    ) -> ClaimVerdict {
+        self.forget_old(now);
+        let is_complete = now.since(self.complete_since) >= EARLIER_ATTEMPT_WINDOW;
+        let Some(entry) = self.entries.get_mut(&claim.key) else {
+            let entry = HomeEntry::new(now, claim, !is_complete);
+            self.by_age.push_back((now, claim.key.clone()));
+            self.entries.insert(claim.key.clone(), entry);
+            return ClaimVerdict::Granted { is_first: is_complete };
+        };
+        if entry.fingerprint != claim.fingerprint {
+            return ClaimVerdict::Reused;
+        }
+        let verdict = entry.decide(claim, is_alive);
+        if matches!(verdict, ClaimVerdict::Granted { .. }) {
+            entry.attempt = Some(claim.attempt.clone());
+            entry.object = None;
+            entry.is_running = true;
+        }
+        self.touch(now, &claim.key);
+        verdict
+    }
+
+    /// Notes how `attempt` ended. Ends of other attempts than the known one are ignored.
+    pub fn end(&mut self, now: Timestamp, key: &RequestKey, attempt: &Attempt, state: EndState) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        if entry.attempt.as_ref() != Some(attempt) {
+            return;
+        }
+        entry.is_running = false;
+        match state {
+            EndState::Kept { object } => entry.object = object,
+            EndState::MayHaveRun => {
+                entry.attempt = None;
+                entry.has_earlier = true;
+            }
+            EndState::NotRun => entry.attempt = None,
+        }
+        self.touch(now, key);
+    }
+
+    /// Takes what another router knows of an id whose home is here now.
+    pub fn hold(&mut self, now: Timestamp, held: HeldEntry) {
+        let new = HomeEntry {
+            fingerprint: held.fingerprint,
+            is_running: held.attempt.is_some() && held.object.is_none(),
+            attempt: held.attempt,
+            object: held.object,
+            has_earlier: held.has_earlier,
+            changed: now,
+        };
+        match self.entries.get_mut(&held.key) {
+            Some(known) => known.merge(new),
+            None => {
+                self.entries.insert(held.key.clone(), new);
+            }
+        }
+        self.touch(now, &held.key);
+    }
+
+    /// Takes out the entries whose home is elsewhere now.
+    pub fn take_moved(&mut self, is_home: impl Fn(&RequestKey) -> bool) -> Vec<HeldEntry> {
+        let moved: Vec<_> = self.entries.keys().filter(|key| !is_home(key)).cloned().collect();
+        let take = |key: RequestKey| {
+            let entry = self.entries.remove(&key)?;
+            Some(HeldEntry {
+                key,
+                fingerprint: entry.fingerprint,
+                attempt: entry.attempt,
+                object: entry.object,
+                has_earlier: entry.has_earlier,
+            })
+        };
+        moved.into_iter().filter_map(take).collect()
+    }
+
+    /// Returns how many ids are known.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether no id is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn touch(&mut self, now: Timestamp, key: &RequestKey) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.changed = now;
+            self.by_age.push_back((now, key.clone()));
+        }
+    }
+
+    /// Forgets ids without a recent event, and the oldest where there are too many.
+    fn forget_old(&mut self, now: Timestamp) {
+        while let Some((at, key)) = self.by_age.front() {
+            let is_old = now.since(*at) >= EARLIER_ATTEMPT_WINDOW;
+            if !is_old && self.by_age.len() <= 2 * ENTRIES_MAX && self.entries.len() <= ENTRIES_MAX
+            {
+                return;
+            }
+            let is_current = self
+                .entries
+                .get(key)
+                .is_some_and(|entry| entry.changed == *at && !entry.is_running);
+            if is_current {
+                self.entries.remove(key);
+                if !is_old {
+                    self.complete_since = now;
+                }
+            }
+            self.by_age.pop_front();
+        }
+    }
+}
+
+impl HomeEntry {
+    fn new(now: Timestamp, claim: &Claim, has_earlier: bool) -> HomeEntry {
+        HomeEntry {
+            fingerprint: claim.fingerprint,
+            attempt: Some(claim.attempt.clone()),
+            object: None,
+            has_earlier,
+            is_running: true,
+            changed: now,
+        }
+    }
+
+    fn decide(&mut self, claim: &Claim, is_alive: impl Fn(&RouterId) -> bool) -> ClaimVerdict {
+        let Some(known) = self.attempt.clone() else {
+            return ClaimVerdict::Granted { is_first: !self.has_earlier };
+        };
+        if known == claim.attempt {
+            return ClaimVerdict::Granted { is_first: !self.has_earlier };
+        }
+        let is_given_up = claim.given_up.as_ref() == Some(&known);
+        if !is_given_up && is_alive(&known.router) {
+            return ClaimVerdict::RunsAt(known);
+        }
+        if let Some(object) = self.object.clone().filter(|_| !is_given_up) {
+            return ClaimVerdict::Kept { attempt: known, object };
+        }
+        self.has_earlier = true;
+        ClaimVerdict::Granted { is_first: false }
+    }
+
+    /// Merges what two routers know. Of two attempts the known one stays.
+    fn merge(&mut self, other: HomeEntry) {
+        self.has_earlier |= other.has_earlier;
+        match (&self.attempt, &other.attempt) {
+            (None, Some(_)) => {
+                self.attempt = other.attempt;
+                self.object = other.object;
+                self.is_running = other.is_running;
+            }
+            (Some(known), Some(second)) if known == second => {
+                self.object = self.object.take().or(other.object);
+            }
+            (Some(_), Some(_)) => self.has_earlier = true,
+            (_, None) => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use types::{AccountName, Incarnation, RequestId, RouterName};
+
+    use super::*;
+
+    fn attempt(router: &str, number: u64) -> Attempt {
+        Attempt::new(RouterId::new(RouterName::new(router).unwrap(), Incarnation(1)), number)
+    }
+
+    fn claim(router: &str, number: u64) -> Claim {
+        let key =
+            RequestKey::new(AccountName::new("a").unwrap(), RequestId::new("order-1").unwrap());
+        let fingerprint = Digest::from_content(b"order");
+        Claim { key, fingerprint, attempt: attempt(router, number), given_up: None }
+    }
+
+    const LATER: Timestamp = Timestamp::from_millis(3_600_000);
+
+    #[test]
+    fn second_router_is_sent_to_the_first_until_that_ends() {
+        let mut home = HomeDirectory::default();
+        let first = claim("r1", 1);
+        assert_eq!(home.claim(LATER, &first, |_| true), ClaimVerdict::Granted { is_first: true });
+        let runs = ClaimVerdict::RunsAt(attempt("r1", 1));
+        assert_eq!(home.claim(LATER, &claim("r2", 1), |_| true), runs);
+        home.end(LATER, &first.key, &attempt("r1", 1), EndState::NotRun);
+        assert_eq!(
+            home.claim(LATER, &claim("r2", 2), |_| true),
+            ClaimVerdict::Granted { is_first: true }
+        );
+    }
+
+    #[test]
+    fn attempt_after_a_dead_router_is_not_the_first() {
+        let mut home = HomeDirectory::default();
+        home.claim(LATER, &claim("r1", 1), |_| true);
+        let verdict = home.claim(LATER, &claim("r2", 1), |_| false);
+        assert_eq!(verdict, ClaimVerdict::Granted { is_first: false });
+        let late = attempt("r1", 1);
+        home.end(LATER, &claim("r1", 1).key, &late, EndState::NotRun);
+        assert_eq!(
+            home.claim(LATER, &claim("r3", 1), |_| true),
+            ClaimVerdict::RunsAt(attempt("r2", 1))
+        );
+    }
+
+    #[test]
+    fn answer_of_a_dead_router_comes_from_the_object_store() {
+        let mut home = HomeDirectory::default();
+        let first = claim("r1", 1);
+        home.claim(LATER, &first, |_| true);
+        let object = Some("kept/r1/7".to_owned());
+        home.end(LATER, &first.key, &first.attempt, EndState::Kept { object });
+        let kept = ClaimVerdict::Kept { attempt: attempt("r1", 1), object: "kept/r1/7".to_owned() };
+        assert_eq!(home.claim(LATER, &claim("r2", 1), |_| false), kept);
+        let mut failed = claim("r2", 1);
+        failed.given_up = Some(attempt("r1", 1));
+        assert_eq!(
+            home.claim(LATER, &failed, |_| false),
+            ClaimVerdict::Granted { is_first: false }
+        );
+    }
+
+    #[test]
+    fn home_that_lost_knowledge_does_not_say_first() {
+        let mut home = HomeDirectory::new(LATER);
+        let not_first = ClaimVerdict::Granted { is_first: false };
+        assert_eq!(home.claim(LATER, &claim("r1", 1), |_| true), not_first);
+        let mut other = claim("r2", 1);
+        other.fingerprint = Digest::from_content(b"other");
+        assert_eq!(home.claim(LATER, &other, |_| true), ClaimVerdict::Reused);
+    }
+
+    #[test]
+    fn moved_entries_are_handed_over_and_merged() {
+        let mut old = HomeDirectory::default();
+        let mut new = HomeDirectory::default();
+        old.claim(LATER, &claim("r1", 1), |_| true);
+        new.claim(LATER, &claim("r2", 1), |_| true);
+        for held in old.take_moved(|_| false) {
+            new.hold(LATER, held);
+        }
+        assert!(old.is_empty());
+        assert_eq!(
+            new.claim(LATER, &claim("r3", 1), |_| true),
+            ClaimVerdict::RunsAt(attempt("r2", 1))
+        );
+    }
+}
--- a/components/requests/src/lib.rs
+++ b/components/requests/src/lib.rs
@@ -1,1 +1,28 @@
-//! requests.
+//! Request ids: who runs a request, kept answers, and intent rows for calls that must not
+//! run twice.
+//!
+//! This crate decides only; it has no network code and reads no clock.
+
+mod attempt;
+mod claim;
+mod home_directory;
+mod home_router;
+mod intent_admission;
+mod intent_row;
+mod intent_write;
+mod resolution;
+mod stored_answer;
+mod take_over;
+
+pub use self::{
+    attempt::Attempt,
+    claim::{Claim, ClaimVerdict, EndState, HeldEntry},
+    home_directory::{EARLIER_ATTEMPT_WINDOW, HomeDirectory},
+    home_router::find_home,
+    intent_admission::{IntentAdmission, IntentBase, admit},
+    intent_row::{INTENT_PREFIX, IntentRow, IntentState, WriteNumber, intent_key},
+    intent_write::{GiveUp, IntentWrite, WriteStep},
+    resolution::{Holder, OpenIntent, Resolution, ResolutionError, list_open, resolve},
+    stored_answer::{AnswerBody, StoredAnswer},
+    take_over::{EndpointCheck, may_take_over},
+};
