Add intents, plans and the administration API

Operators had no way to change the configuration but to write its row by hand. An intent is now validated as a whole, becomes a plan with its changes in words and as data, and takes effect in one commit when it is confirmed.

--- /dev/null
+++ b/components/config/src/fault.rs
@@ -0,0 +1,28 @@
+//! Faults of a configuration or intent.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// One fault, with the path of the value that is at fault.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// Path of the value, such as `accounts.school.models.fitting`.
+    pub path: String,
+    /// What is wrong, and where it helps what to do.
+    pub message: String,
+}
+
+impl Fault {
+    /// Creates a fault of the value at `path`.
+    pub fn new(path: impl Into<String>, message: impl Into<String>) -> Fault {
+        Fault { path: path.into(), message: message.into() }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.path, self.message)
+    }
+}
--- a/components/config/src/key_hash.rs
+++ b/components/config/src/key_hash.rs
@@ -7,7 +7,7 @@
 
 /// Hash of an API key, compared in constant time.
 #[serde_as]
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct KeyHash(#[serde_as(as = "DisplayFromStr")] Digest);
 
--- /dev/null
+++ b/components/router/src/admin/accept.rs
@@ -0,0 +1,266 @@
+//! Confirms plans.
+//!
+//! One commit writes the changes, the version, the deposits, the audit record and the
+//! state of the plan. Its preconditions are that no other version was accepted in
+//! between and that the plan is still open; so a plan takes effect at most once, and a
+//! lost answer is settled by reading the plan's row back.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use budget::{BudgetRow, budget_key};
+use config::{
+    AUDIT_PREFIX, AuditRow, CONFIG_HEAD_KEY, CONFIG_KEY, Config, ConfigHead, Deposit, DepositRow,
+    Plan, PlanRow, PlanState, SNAPSHOT_INTERVAL, StalePlan, VersionRow,
+};
+use errors::{Error, ErrorKind};
+use platform::{Commit, CommitOutcome, Key, PlatformError, Precondition, Table, Write};
+use types::{AccountName, ConfigVersion, OperatorName, PlanId, UnixMillis};
+use utils::{jitter, new_rng};
+
+use super::{
+    AdminError, Resolver,
+    budget_rows::{ReadRow, deposit_key, read_budget, read_deposit},
+    plan_rows::{plan_key, read_plan},
+};
+use crate::configuration::{StoredConfig, read_config, store_error, version_key};
+
+/// Most commits that one confirmation tries. Others change the rows of a busy budget
+/// many times a second.
+const ATTEMPTS_MAX: u32 = 40;
+
+/// Mean delay between two attempts.
+const ATTEMPT_DELAY: Duration = Duration::from_millis(25);
+
+/// A confirmed plan and the configuration with it.
+#[derive(Debug, Clone)]
+pub struct Accepted {
+    /// Version in force with the plan.
+    pub version: ConfigVersion,
+    /// Operator who confirmed it first.
+    pub by: OperatorName,
+    /// When it was confirmed first.
+    pub at: UnixMillis,
+    /// The accepted configuration, at that version or a later one.
+    pub cfg: Arc<Config>,
+}
+
+/// Confirms the plan `id`. Confirming again gives the same result.
+///
+/// # Errors
+/// `NotFound`, `PlanExpired`, `StalePlan` with the differences, or `StoreUnavailable`:
+/// nothing was changed then. `OutcomeUnknown`: the plan may have taken effect, and
+/// confirming again tells.
+pub async fn confirm_plan(
+    table: &dyn Table,
+    resolver: &dyn Resolver,
+    known: &Arc<Config>,
+    id: &PlanId,
+    operator: &OperatorName,
+) -> Result<Accepted, AdminError> {
+    let mut known = known.clone();
+    // An answer was lost, so that errors of later attempts do not mean "not changed".
+    let mut is_unknown = false;
+    for _ in 0..ATTEMPTS_MAX {
+        match try_confirm(table, resolver, &mut known, id, operator).await {
+            Ok(Attempt::Accepted(accepted)) => return Ok(accepted),
+            Ok(Attempt::Conflict) => {}
+            Ok(Attempt::AnswerLost) => is_unknown = true,
+            Err(error) if is_retriable(&error, is_unknown) => {}
+            Err(error) => return Err(error),
+        }
+        tokio::time::sleep(jitter(ATTEMPT_DELAY, &mut new_rng())).await;
+    }
+    if is_unknown {
+        let message = "the table does not say whether the plan took effect; confirm it again";
+        return Err(AdminError::new(ErrorKind::OutcomeUnknown, message));
+    }
+    let message = "the rows of the plan are busy; nothing was changed; confirm it again";
+    Err(AdminError::new(ErrorKind::StoreUnavailable, message))
+}
+
+/// What became of one attempt.
+enum Attempt {
+    Accepted(Accepted),
+    Conflict,
+    AnswerLost,
+}
+
+fn is_retriable(error: &AdminError, is_unknown: bool) -> bool {
+    let is_limited = error.error.message() == PlatformError::RateLimited.to_string();
+    error.error.kind() == ErrorKind::StoreUnavailable && (is_limited || is_unknown)
+}
+
+async fn try_confirm(
+    table: &dyn Table,
+    resolver: &dyn Resolver,
+    known: &mut Arc<Config>,
+    id: &PlanId,
+    operator: &OperatorName,
+) -> Result<Attempt, AdminError> {
+    // The configuration is read before the plan: a plan that is open then is not in it.
+    let stored = read_config(table, known).await?;
+    known.clone_from(&stored.cfg);
+    let (row, unchanged_plan) = read_plan(table, id).await?;
+    if let PlanState::Confirmed { version, by, at } = row.state {
+        let cfg = stored.cfg;
+        return Ok(Attempt::Accepted(Accepted { version, by, at, cfg }));
+    }
+    let now = UnixMillis::now();
+    if row.plan.is_expired(now) {
+        let message = "the plan was not confirmed in time; nothing was changed; make it anew";
+        return Err(AdminError::new(ErrorKind::PlanExpired, message));
+    }
+    let after = Arc::new(row.plan.rebase(&stored.cfg)?);
+    let by = operator.clone();
+    let mut commit = Commit::default();
+    commit.preconditions.push(stored.unchanged.clone());
+    commit.preconditions.push(unchanged_plan);
+    add_version(&mut commit, &stored, &row.plan, &after, operator, now);
+    add_deposits(&mut commit, table, &row.plan, &stored.cfg, now).await?;
+    for resolution in &row.plan.resolutions {
+        let writes = resolver.prepare(resolution).await?;
+        commit.preconditions.extend(writes.preconditions);
+        commit.writes.extend(writes.writes);
+    }
+    add_records(&mut commit, row.plan, after.version, operator, now);
+    match table.commit(&commit).await {
+        CommitOutcome::Committed(_) => {
+            let version = after.version;
+            Ok(Attempt::Accepted(Accepted { version, by, at: now, cfg: after }))
+        }
+        CommitOutcome::Conflict(_) => Ok(Attempt::Conflict),
+        CommitOutcome::Unknown => Ok(Attempt::AnswerLost),
+        CommitOutcome::NotApplied(error) => Err(store_error(error).into()),
+    }
+}
+
+/// Adds the rows of the new version, if the plan changes the configuration.
+fn add_version(
+    commit: &mut Commit,
+    stored: &StoredConfig,
+    plan: &Plan,
+    after: &Config,
+    operator: &OperatorName,
+    now: UnixMillis,
+) {
+    if plan.changes.is_empty() {
+        return;
+    }
+    // A snapshot that was written by hand has no rows of changes before it.
+    let snapshot = stored.head.map_or(stored.cfg.version, |head| head.snapshot);
+    let is_due = after.version.0 >= snapshot.0 + SNAPSHOT_INTERVAL;
+    let snapshot = if is_due { after.version } else { snapshot };
+    if is_due {
+        commit.writes.push(Write::put(Key::from_parts(&[CONFIG_KEY]), after));
+    }
+    let head = ConfigHead { version: after.version, snapshot };
+    commit.writes.push(Write::put(Key::from_parts(&[CONFIG_HEAD_KEY]), &head));
+    let key = version_key(after.version);
+    commit.preconditions.push(Precondition::Absent(key.clone()));
+    let row = VersionRow {
+        version: after.version,
+        plan: plan.id.clone(),
+        confirmed_by: operator.clone(),
+        confirmed_at: now,
+        changes: plan.changes.clone(),
+    };
+    commit.writes.push(Write::put(key, &row));
+}
+
+/// Adds the deposits that were not made before.
+async fn add_deposits(
+    commit: &mut Commit,
+    table: &dyn Table,
+    plan: &Plan,
+    cfg: &Config,
+    now: UnixMillis,
+) -> Result<(), AdminError> {
+    let mut budgets: BTreeMap<AccountName, ReadRow<BudgetRow>> = BTreeMap::new();
+    for deposit in &plan.deposits {
+        let is_new_account = plan
+            .changes
+            .iter()
+            .any(|change| change.kind() == "account" && change.name() == deposit.account.as_str());
+        if !cfg.accounts.contains_key(&deposit.account) && !is_new_account {
+            let line = format!("account {} has been removed", deposit.account);
+            return Err(StalePlan { version: cfg.version, differences: vec![line] }.into());
+        }
+        let row = read_deposit(table, &deposit.id).await?;
+        if let Some(earlier) = row.value {
+            check_earlier_deposit(deposit, &earlier, cfg.version)?;
+            continue;
+        }
+        commit.preconditions.push(row.unchanged);
+        commit.writes.push(Write::put(deposit_key(&deposit.id), &deposit_row(deposit, plan, now)));
+        let mut budget = match budgets.remove(&deposit.account) {
+            Some(budget) => budget,
+            None => read_budget(table, &deposit.account).await?,
+        };
+        raise_budget(&mut budget, deposit)?;
+        budgets.insert(deposit.account.clone(), budget);
+    }
+    for (account, budget) in budgets {
+        commit.preconditions.push(budget.unchanged);
+        commit.writes.push(Write::put(budget_key(&account), &budget.value.unwrap_or_default()));
+    }
+    Ok(())
+}
+
+fn raise_budget(budget: &mut ReadRow<BudgetRow>, deposit: &Deposit) -> Result<(), AdminError> {
+    let row = budget.value.get_or_insert_default();
+    let deposited = row.deposited.checked_add(deposit.tokens);
+    row.deposited = deposited.ok_or_else(|| {
+        let message = format!("deposit {}: the budget would be larger than 2^64", deposit.id);
+        Error::new(ErrorKind::InvalidConfig, message)
+    })?;
+    Ok(())
+}
+
+fn check_earlier_deposit(
+    deposit: &Deposit,
+    earlier: &DepositRow,
+    version: ConfigVersion,
+) -> Result<(), StalePlan> {
+    if earlier.account == deposit.account && earlier.tokens == deposit.tokens {
+        return Ok(());
+    }
+    let line = format!(
+        "deposit {} was made with {} tokens to account {} in the meantime",
+        earlier.id, earlier.tokens, earlier.account
+    );
+    Err(StalePlan { version, differences: vec![line] })
+}
+
+fn deposit_row(deposit: &Deposit, plan: &Plan, now: UnixMillis) -> DepositRow {
+    DepositRow {
+        id: deposit.id.clone(),
+        account: deposit.account.clone(),
+        tokens: deposit.tokens,
+        plan: plan.id.clone(),
+        at: now,
+    }
+}
+
+/// Adds the audit record and the state of the plan.
+fn add_records(
+    commit: &mut Commit,
+    plan: Plan,
+    version: ConfigVersion,
+    operator: &OperatorName,
+    now: UnixMillis,
+) {
+    let audit = AuditRow {
+        at: now,
+        operator: operator.clone(),
+        made_by: plan.made_by.clone(),
+        plan: plan.id.clone(),
+        version,
+        words: plan.words.clone(),
+    };
+    // Thirteen digits hold the milliseconds until the year 2286, so that the order of
+    // keys is that of time.
+    let key = Key::from_parts(&[&format!("{AUDIT_PREFIX}{:013}-{}", now.0, plan.id)]);
+    commit.writes.push(Write::put(key, &audit));
+    let state = PlanState::Confirmed { version, by: operator.clone(), at: now };
+    commit.writes.push(Write::put(plan_key(&plan.id), &PlanRow { state, plan }));
+}
--- /dev/null
+++ b/components/router/src/admin/handlers/audit.rs
@@ -0,0 +1,25 @@
+//! The audit record.
+
+use admin_api::AuditList;
+use config::AUDIT_PREFIX;
+use viz::Request;
+
+use super::page::read_page;
+use crate::{
+    admin::{
+        AdminError,
+        context::{AdminCall, AdminContext},
+    },
+    configuration::store_corrupt,
+};
+
+/// Serves `GET /admin/v1/audit`.
+pub(in crate::admin) async fn get_audit(
+    cx: AdminContext,
+    _call: AdminCall,
+    req: Request,
+) -> Result<AuditList, AdminError> {
+    let page = read_page(&*cx.router.table, AUDIT_PREFIX, &req).await?;
+    let entries: Result<_, _> = page.rows.iter().map(platform::Row::decode).collect();
+    Ok(AuditList { entries: entries.map_err(store_corrupt)?, next: page.next })
+}
--- /dev/null
+++ b/components/router/src/admin/handlers/plans.rs
@@ -0,0 +1,118 @@
+//! Plans.
+
+use admin_api::{Confirmation, PlanStatus, PlanView};
+use config::{INTENT_MAX_BYTES, Intent, Plan, PlanState, redact_key_hashes};
+use errors::{Error, ErrorKind};
+use types::{ConfigVersion, PlanId, UnixMillis};
+use viz::Request;
+
+use super::params::path_param;
+use crate::{
+    admin::{
+        AdminError, confirm_plan,
+        context::{AdminCall, AdminContext},
+        make_plan, make_undo_plan,
+        plan_rows::read_plan,
+    },
+    http::read_body,
+};
+
+/// Serves `POST /admin/v1/plans`.
+pub(in crate::admin) async fn post_plan(
+    cx: AdminContext,
+    call: AdminCall,
+    mut req: Request,
+) -> Result<PlanView, AdminError> {
+    let body = read_body(&mut req).await?;
+    if body.len() > INTENT_MAX_BYTES {
+        let message = format!("the intent has more than {INTENT_MAX_BYTES} bytes; split it");
+        return Err(AdminError::new(ErrorKind::BodyTooLarge, message));
+    }
+    let intent = Intent::from_json(&body).map_err(|fault| vec![fault])?;
+    call.caller.check_intent(&intent)?;
+    call.store?;
+    let router = &cx.router;
+    let name = &call.caller.name;
+    let plan = make_plan(&*router.table, &router.pooled, &call.cfg, &intent, name).await?;
+    Ok(view_plan(&plan, &PlanState::Open))
+}
+
+/// Serves `POST /admin/v1/versions/VERSION/undo`.
+pub(in crate::admin) async fn post_undo(
+    cx: AdminContext,
+    call: AdminCall,
+    req: Request,
+) -> Result<PlanView, AdminError> {
+    call.caller.check_admin()?;
+    call.store?;
+    let version = ConfigVersion(path_param(&req, "version")?);
+    let router = &cx.router;
+    let name = &call.caller.name;
+    let plan = make_undo_plan(&*router.table, &router.pooled, &call.cfg, version, name).await?;
+    Ok(view_plan(&plan, &PlanState::Open))
+}
+
+/// Serves `GET /admin/v1/plans/PLAN`.
+pub(in crate::admin) async fn get_plan(
+    cx: AdminContext,
+    _call: AdminCall,
+    req: Request,
+) -> Result<PlanView, AdminError> {
+    let id: PlanId = path_param(&req, "plan")?;
+    let (row, _) = read_plan(&*cx.router.table, &id).await?;
+    Ok(view_plan(&row.plan, &row.state))
+}
+
+/// Serves `POST /admin/v1/plans/PLAN/confirm`.
+pub(in crate::admin) async fn post_confirm(
+    cx: AdminContext,
+    call: AdminCall,
+    req: Request,
+) -> Result<Confirmation, AdminError> {
+    let id: PlanId = path_param(&req, "plan")?;
+    call.store?;
+    let (row, _) = read_plan(&*cx.router.table, &id).await?;
+    call.caller.check_plan(&row.plan)?;
+    // The call may be dropped with its connection; the confirmation goes on.
+    let name = call.caller.name.clone();
+    let (router, resolver, cfg) = (cx.router, cx.resolver, call.cfg);
+    let confirmed = tokio::spawn(async move {
+        let accepted = confirm_plan(&*router.table, &*resolver, &cfg, &id, &name).await?;
+        router.cfg.advance(accepted.cfg.clone());
+        log::info!(plan:% = id, operator:% = name, version:% = accepted.version; "plan confirmed");
+        Ok(Confirmation {
+            plan: id,
+            version: accepted.version,
+            confirmed_by: accepted.by,
+            confirmed_at: accepted.at,
+        })
+    });
+    confirmed.await.unwrap_or_else(|_| {
+        let message = "the confirmation broke off; confirm the plan again";
+        Err(Error::new(ErrorKind::Internal, message).into())
+    })
+}
+
+fn view_plan(plan: &Plan, state: &PlanState) -> PlanView {
+    let (status, version) = match state {
+        PlanState::Confirmed { version, .. } => (PlanStatus::Confirmed, Some(*version)),
+        PlanState::Open if plan.is_expired(UnixMillis::now()) => (PlanStatus::Expired, None),
+        PlanState::Open => (PlanStatus::Open, None),
+    };
+    let mut changes = serde_json::to_value(&plan.changes).unwrap_or_default();
+    redact_key_hashes(&mut changes);
+    PlanView {
+        plan: plan.id.clone(),
+        status,
+        base: plan.base,
+        version,
+        made_by: plan.made_by.clone(),
+        made_at: plan.made_at,
+        expires_at: plan.expires_at,
+        words: plan.words.clone(),
+        cautions: plan.cautions.clone(),
+        changes,
+        deposits: plan.deposits.clone(),
+        resolutions: plan.resolutions.clone(),
+    }
+}
--- /dev/null
+++ b/components/router/src/admin/handlers/state.rs
@@ -0,0 +1,128 @@
+//! State of the fleet.
+
+use std::time::Duration;
+
+use admin_api::{
+    BudgetList, BudgetView, EndpointView, LocalState, RequestList, RouterView, StateView,
+};
+use budget::BudgetRow;
+use config::Config;
+use membership::{Member, MemberState};
+use platform::Row;
+use types::{AccountName, EndpointName};
+use viz::Request;
+
+use super::page::read_page;
+use crate::{
+    admin::{
+        AdminError,
+        context::{AdminCall, AdminContext},
+    },
+    configuration::store_corrupt,
+};
+
+/// Prefix of the keys of budget rows.
+const BUDGET_PREFIX: &str = "budget/";
+
+/// Longest time since the table confirmed the version for which a router says that its
+/// version is the accepted one.
+const CONFIRMED_AGE_MAX: Duration = Duration::from_secs(18);
+
+/// Serves `GET /admin/v1/state`.
+pub(in crate::admin) async fn get_state(
+    cx: AdminContext,
+    call: AdminCall,
+    _req: Request,
+) -> Result<StateView, AdminError> {
+    let in_force = cx.router.cfg.load_full();
+    let view = cx.router.peers.view();
+    let accepted_version = call.store.is_ok().then_some(call.cfg.version);
+    let age = cx.router.cfg.confirmed_age();
+    let local = LocalState {
+        name: view.local.id.name.clone(),
+        config_version: in_force.version,
+        accepted_version,
+        config_confirmed_age_ms: age.and_then(|age| u64::try_from(age.as_millis()).ok()),
+        config_is_confirmed: age.is_some_and(|age| age <= CONFIRMED_AGE_MAX),
+    };
+    let mut routers: Vec<_> = view.members().map(view_router).collect();
+    // The view of this router is as old as its last heartbeat.
+    routers[0].config_version = in_force.version;
+    let names = call.cfg.endpoints.keys();
+    Ok(StateView {
+        local,
+        routers,
+        endpoints: names.filter_map(|name| view_endpoint(&call.cfg, name)).collect(),
+        quarantine: call.cfg.quarantine.iter().cloned().collect(),
+    })
+}
+
+/// Serves `GET /admin/v1/budgets`.
+pub(in crate::admin) async fn get_budgets(
+    cx: AdminContext,
+    _call: AdminCall,
+    req: Request,
+) -> Result<BudgetList, AdminError> {
+    let page = read_page(&*cx.router.table, BUDGET_PREFIX, &req).await?;
+    let budgets = page.rows.iter().filter_map(view_budget).collect::<Result<_, _>>()?;
+    Ok(BudgetList { budgets, next: page.next })
+}
+
+/// Serves `GET /admin/v1/requests`.
+pub(in crate::admin) async fn get_requests(
+    cx: AdminContext,
+    _call: AdminCall,
+    _req: Request,
+) -> Result<RequestList, AdminError> {
+    let router = cx.router.peers.view().local.id.name.clone();
+    Ok(RequestList { router, in_progress: cx.runs.len() })
+}
+
+fn view_router(member: &Member) -> RouterView {
+    let state = match member.state {
+        MemberState::Alive => "alive",
+        MemberState::Suspect => "suspect",
+        MemberState::Leaving => "leaving",
+        MemberState::Dead => "dead",
+    };
+    RouterView {
+        name: member.id.name.clone(),
+        failure_domain: member.failure_domain.clone(),
+        address: member.caller_address,
+        state: state.to_owned(),
+        load: member.load,
+        config_version: member.config_version,
+    }
+}
+
+fn view_endpoint(cfg: &Config, name: &EndpointName) -> Option<EndpointView> {
+    let endpoint = cfg.endpoints.get(name)?;
+    let models = cfg.models.iter().filter(|(_, model)| model.endpoints.contains(name));
+    let services = cfg.services.iter().filter(|(_, service)| service.endpoints.contains(name));
+    let models = models.map(|(model, _)| model.to_string());
+    let serves = models.chain(services.map(|(service, _)| service.to_string())).collect();
+    Some(EndpointView {
+        name: name.clone(),
+        address: endpoint.address,
+        failure_domain: endpoint.failure_domain.clone(),
+        leaving: endpoint.leaving,
+        checks_fencing: endpoint.checks_fencing,
+        serves,
+    })
+}
+
+/// Returns the view of a budget row; `None` where the row is not one of an account.
+fn view_budget(row: &Row) -> Option<Result<BudgetView, AdminError>> {
+    let account = AccountName::new(row.key.as_str().strip_prefix(BUDGET_PREFIX)?).ok()?;
+    let budget: BudgetRow = match row.decode() {
+        Ok(budget) => budget,
+        Err(error) => return Some(Err(store_corrupt(error).into())),
+    };
+    Some(Ok(BudgetView {
+        account,
+        deposited: budget.deposited,
+        settled: budget.settled,
+        granted: budget.granted,
+        available: budget.available(),
+    }))
+}
--- /dev/null
+++ b/components/router/src/admin/make_plan.rs
@@ -0,0 +1,83 @@
+//! Makes plans of intents.
+
+use std::sync::Arc;
+
+use client::HttpClient;
+use config::{Config, Fault, Intent, Plan, PlanRow, PlanState};
+use errors::ErrorKind;
+use platform::{Commit, CommitOutcome, PlatformError, Precondition, Table, Write};
+use rand::Rng as _;
+use types::{ConfigVersion, OperatorName, PlanId, UnixMillis};
+
+use super::{AdminError, plan_facts::gather_facts, plan_rows::plan_key};
+use crate::configuration::{read_versions, store_error};
+
+/// Makes the plan of `intent` against `base` and keeps it in the table.
+///
+/// # Errors
+/// `InvalidConfig` with all faults, `StoreUnavailable`, or `OutcomeUnknown` where the
+/// table's answer was lost; nothing takes effect in any case.
+pub async fn make_plan(
+    table: &dyn Table,
+    http: &HttpClient,
+    base: &Arc<Config>,
+    intent: &Intent,
+    operator: &OperatorName,
+) -> Result<Plan, AdminError> {
+    let facts = gather_facts(table, http, base, intent).await?;
+    let now = UnixMillis::now();
+    let plan = Plan::new(new_plan_id(), base, intent, &facts, operator.clone(), now)?;
+    keep_plan(table, plan).await
+}
+
+/// Makes the plan that takes back what `version` changed.
+///
+/// # Errors
+/// As [`make_plan`]; `NotFound` where there is no such version.
+pub async fn make_undo_plan(
+    table: &dyn Table,
+    http: &HttpClient,
+    base: &Arc<Config>,
+    version: ConfigVersion,
+    operator: &OperatorName,
+) -> Result<Plan, AdminError> {
+    let versions = read_versions(table, version, version).await?;
+    let Some(row) = versions.into_iter().find(|row| row.version == version) else {
+        return Err(AdminError::new(ErrorKind::NotFound, "there is no such version"));
+    };
+    let moved = row.changes.iter().filter(|change| !change.is_applied(base));
+    let faults: Vec<_> = moved
+        .map(|change| {
+            let path = format!("{}.{}", change.kind(), change.name());
+            Fault::new(path, "a later version changed it too; undo that one first")
+        })
+        .collect();
+    if !faults.is_empty() {
+        return Err(faults.into());
+    }
+    let intent = Intent::from_undone(&row.changes);
+    make_plan(table, http, base, &intent, operator).await
+}
+
+async fn keep_plan(table: &dyn Table, plan: Plan) -> Result<Plan, AdminError> {
+    let key = plan_key(&plan.id);
+    let row = PlanRow { state: PlanState::Open, plan };
+    let commit = Commit {
+        preconditions: vec![Precondition::Absent(key.clone())],
+        writes: vec![Write::put(key, &row)],
+    };
+    match table.commit(&commit).await {
+        CommitOutcome::Committed(_) => Ok(row.plan),
+        CommitOutcome::NotApplied(error) => Err(store_error(error).into()),
+        CommitOutcome::Conflict(_) => Err(store_error(PlatformError::Unavailable).into()),
+        CommitOutcome::Unknown => {
+            let message = "the plan may not have been kept; make it again (nothing has changed)";
+            Err(AdminError::new(ErrorKind::StoreUnavailable, message))
+        }
+    }
+}
+
+fn new_plan_id() -> PlanId {
+    let number: u64 = utils::new_rng().random();
+    PlanId::new(&format!("plan-{number:016x}")).expect("hexadecimal digits make a name")
+}
--- a/components/router/src/configuration/handle.rs
+++ b/components/router/src/configuration/handle.rs
@@ -1,9 +1,13 @@
 //! Handle of the configuration in force.
 
-use std::sync::Arc;
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use arc_swap::{ArcSwap, Guard};
 use config::Config;
+use tokio::time::Instant;
 use types::ConfigVersion;
 
 /// Handle of the configuration in force; clones share it.
@@ -11,6 +15,8 @@
 pub struct ConfigHandle {
     /// Present configuration. Its version never shrinks.
     current: Arc<ArcSwap<Config>>,
+    /// When the table last confirmed that no later version is accepted.
+    confirmed: Arc<Mutex<Option<Instant>>>,
 }
 
 impl ConfigHandle {
@@ -36,12 +42,29 @@
 
     /// Brings `cfg` into force if its version is higher than the present one; tells
     /// whether it did.
-    pub fn advance(&self, cfg: Config) -> bool {
-        let cfg = Arc::new(cfg);
+    pub fn advance(&self, cfg: impl Into<Arc<Config>>) -> bool {
+        let cfg = cfg.into();
         let previous = self.current.rcu(|current| {
             if cfg.version > current.version { cfg.clone() } else { current.clone() }
         });
-        cfg.version > previous.version
+        let is_newer = cfg.version > previous.version;
+        if is_newer {
+            log::info!(version:% = cfg.version; "configuration is in force");
+            metrics::gauge!(telemetry::CONFIG_VERSION).set(cfg.version.0 as f64);
+        }
+        is_newer
+    }
+
+    /// Records that the table has just confirmed that no later version is accepted.
+    pub fn mark_confirmed(&self) {
+        *self.confirmed.lock().expect("no holder of the lock panics") = Some(Instant::now());
+    }
+
+    /// Returns the time since the table confirmed that no later version is accepted;
+    /// `None` where it never did.
+    pub fn confirmed_age(&self) -> Option<Duration> {
+        let confirmed = self.confirmed.lock().expect("no holder of the lock panics");
+        confirmed.map(|at| at.elapsed())
     }
 }
 
--- a/components/router/src/configuration/poller.rs
+++ b/components/router/src/configuration/poller.rs
@@ -2,33 +2,49 @@
 
 use std::{sync::Arc, time::Duration};
 
-use config::{CONFIG_KEY, Config};
-use platform::{Key, Table};
+use platform::Table;
 
-use super::ConfigHandle;
+use super::{ConfigHandle, read_config};
+use crate::peers::Peers;
 
-/// Time between two polls.
-const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest time between two polls.
+const POLL_INTERVAL_MIN: Duration = Duration::from_millis(500);
+
+/// Polls a second that the whole fleet makes at most.
+const FLEET_POLLS_PER_SECOND: u32 = 100;
 
 /// Polls the table for as long as the router lives.
-pub async fn run_config_poller(cfg: ConfigHandle, table: Arc<dyn Table>) {
+pub async fn run_config_poller(cfg: ConfigHandle, table: Arc<dyn Table>, peers: Arc<dyn Peers>) {
     loop {
-        if let Err(message) = poll_once(&cfg, &*table).await {
-            log::warn!("configuration not read: {message}");
+        if let Err(error) = poll_once(&cfg, &*table).await {
+            log::warn!("configuration not read: {error}");
         }
-        tokio::time::sleep(POLL_INTERVAL).await;
+        let age = cfg.confirmed_age().map_or(f64::INFINITY, |age| age.as_secs_f64());
+        metrics::gauge!(telemetry::CONFIG_CONFIRMED_AGE_SECONDS).set(age);
+        let routers = u32::try_from(peers.view().members().count()).unwrap_or(u32::MAX);
+        tokio::time::sleep(poll_interval(routers)).await;
     }
 }
 
-async fn poll_once(cfg: &ConfigHandle, table: &dyn Table) -> Result<(), String> {
-    let rows = table.read(&[Key::from_parts(&[CONFIG_KEY])]).await;
-    let rows = rows.map_err(|error| error.to_string())?;
-    let Some(row) = rows.into_iter().next().flatten() else { return Ok(()) };
-    let read: Config = row.decode().map_err(|error| error.to_string())?;
-    let version = read.version;
-    if cfg.advance(read) {
-        log::info!(version:% = version; "configuration is in force");
-        metrics::gauge!(telemetry::CONFIG_VERSION).set(version.0 as f64);
-    }
+/// Returns the time between two polls of one of `routers` routers.
+pub fn poll_interval(routers: u32) -> Duration {
+    POLL_INTERVAL_MIN.max(Duration::from_secs(1) * routers / FLEET_POLLS_PER_SECOND)
+}
+
+async fn poll_once(cfg: &ConfigHandle, table: &dyn Table) -> errors::Result<()> {
+    let stored = read_config(table, &cfg.load_full()).await?;
+    cfg.advance(stored.cfg);
+    cfg.mark_confirmed();
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn polls_of_a_large_fleet_stay_within_the_tables_rate() {
+        assert_eq!(poll_interval(8), Duration::from_millis(500));
+        assert_eq!(poll_interval(1_700), Duration::from_secs(17));
+    }
+}
--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -21,10 +21,11 @@
 use crate::{
     Clock, RouterContext,
     accounting::PerRequestAccounting,
+    admin::{AdminContext, NoResolver},
     configuration::{ConfigHandle, run_config_poller},
     dispatch::LeastRequests,
     http::{HttpContext, HttpServer, KEEP_ADDRESSES},
-    peers::AloneRouter,
+    peers::{AloneRouter, Peers},
     registry::LocalRegistry,
     traffic::Runs,
 };
@@ -159,20 +160,29 @@
         load: 0,
         config_version: cfg.version(),
     };
-    control.handle().spawn(run_config_poller(cfg.clone(), table.clone()));
+    let peers: Arc<dyn Peers> = Arc::new(AloneRouter::new(local));
+    control.handle().spawn(run_config_poller(cfg.clone(), table.clone(), peers.clone()));
     let router = RouterContext {
         clock,
         accounting: Arc::new(PerRequestAccounting::new(table.clone(), clock)),
         registry: Arc::new(LocalRegistry::new(id, table.clone())),
         dispatcher: Arc::new(LeastRequests::new(cfg.clone())),
-        peers: Arc::new(AloneRouter::new(local)),
+        peers,
         cfg,
         table,
         pooled: HttpClient::new(Connections::Kept),
         unpooled: HttpClient::new(Connections::OnePerCall),
     };
+    let runs = Runs::new(router.clone());
+    let admin = AdminContext {
+        router: router.clone(),
+        runs: runs.clone(),
+        bootstrap: settings.bootstrap_operator_key,
+        resolver: Arc::new(NoResolver),
+    };
     HttpContext {
-        runs: Runs::new(router.clone()),
+        admin,
+        runs,
         router,
         metrics: set_up_metrics(),
         is_closed: Arc::new(AtomicBool::new(false)),
--- a/components/router/src/daemon/settings.rs
+++ b/components/router/src/daemon/settings.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use config::KeyHash;
 use types::{FailureDomain, RouterName};
 
 /// Settings of a router, checked.
@@ -25,4 +26,6 @@
     pub drain_timeout: Duration,
     /// Threads that carry traffic.
     pub traffic_threads: usize,
+    /// Hash of the key that counts as an admin's while the configuration has no operator.
+    pub bootstrap_operator_key: Option<KeyHash>,
 }
--- a/components/router/src/http/auth.rs
+++ b/components/router/src/http/auth.rs
@@ -19,7 +19,7 @@
 }
 
 /// Returns the API key of an `Authorization: Bearer` header.
-pub(super) fn bearer_key(headers: &HeaderMap) -> Option<ApiKey> {
+pub(crate) fn bearer_key(headers: &HeaderMap) -> Option<ApiKey> {
     let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
     value.strip_prefix("Bearer ").map(ApiKey::new)
 }
--- a/components/router/src/http/body.rs
+++ b/components/router/src/http/body.rs
@@ -17,7 +17,7 @@
 ///
 /// # Errors
 /// `BodyTooLarge`, `SlowSender`, or `BadRequest` where the connection broke.
-pub(super) async fn read_body(req: &mut Request) -> Result<Bytes> {
+pub(crate) async fn read_body(req: &mut Request) -> Result<Bytes> {
     let body = Limited::new(std::mem::take(req.body_mut()), BODY_MAX_BYTES);
     let collected = tokio::time::timeout(BODY_TIMEOUT, body.collect()).await.map_err(|_| {
         let message = format!("the body did not arrive within {} s", BODY_TIMEOUT.as_secs());
--- a/components/router/src/http/mod.rs
+++ b/components/router/src/http/mod.rs
@@ -11,4 +11,7 @@
 mod routes;
 mod server;
 
-pub(crate) use self::{addresses::KEEP_ADDRESSES, routes::HttpContext, server::HttpServer};
+pub(crate) use self::{
+    addresses::KEEP_ADDRESSES, auth::bearer_key, body::read_body, routes::HttpContext,
+    server::HttpServer,
+};
--- a/components/router/src/http/routes.rs
+++ b/components/router/src/http/routes.rs
@@ -15,7 +15,11 @@
     health::{serve_health, serve_metrics, serve_readiness},
     respond::serve_unknown,
 };
-use crate::{RouterContext, traffic::Runs};
+use crate::{
+    RouterContext,
+    admin::{AdminContext, admin_routes},
+    traffic::Runs,
+};
 
 /// What the handlers of the HTTP interface need.
 #[derive(Clone)]
@@ -28,6 +32,8 @@
     pub(crate) metrics: MetricsHandle,
     /// Whether new requests are refused because the router is leaving.
     pub(crate) is_closed: Arc<AtomicBool>,
+    /// What the handlers of the administration API need.
+    pub(crate) admin: AdminContext,
 }
 
 impl HttpContext {
@@ -40,7 +46,7 @@
     pub(crate) fn routes(&self) -> Router {
         let (chat, action, addresses) = (self.clone(), self.clone(), self.clone());
         let (ready, metrics) = (self.clone(), self.clone());
-        Router::new()
+        admin_routes(Router::new(), &self.admin)
             .post("/v1/chat/completions", move |req| serve_chat(chat.clone(), req))
             .post("/v1/actions/:name", move |req| serve_action(action.clone(), req))
             .get("/v1/addresses", move |req| serve_addresses(addresses.clone(), req))
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -6,6 +6,7 @@
 //! (endpoints) and [`peers`] (other routers).
 
 pub mod accounting;
+pub mod admin;
 pub mod answer;
 mod clock;
 pub mod configuration;
--- a/components/router/tests/scene/mod.rs
+++ b/components/router/tests/scene/mod.rs
@@ -121,6 +121,7 @@
         platform_timeout: Duration::from_secs(2),
         drain_timeout: Duration::from_secs(10),
         traffic_threads: 2,
+        bootstrap_operator_key: None,
     }
 }
 
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -26,3 +26,17 @@
 
 /// Gauge of the configuration version in force.
 pub const CONFIG_VERSION: &str = "auburncrank_config_version";
+
+/// Gauge of the time since the table confirmed that no later configuration is accepted,
+/// in seconds; infinite where it never did.
+pub const CONFIG_CONFIRMED_AGE_SECONDS: &str = "auburncrank_config_confirmed_age_seconds";
+
+/// Counter of administration calls, by `result`: `ok` or the code of the error table.
+pub const ADMIN_CALLS_TOTAL: &str = "auburncrank_admin_calls_total";
+
+/// Counter of orders to engines, by `kind` and `outcome`.
+pub const ENGINE_ORDERS_TOTAL: &str = "auburncrank_engine_orders_total";
+
+/// Gauge of the fencing number of the controller lease where this router holds it, else
+/// zero.
+pub const CONTROLLER_FENCING_NUMBER: &str = "auburncrank_controller_fencing_number";
--- /dev/null
+++ b/components/types/src/unix_millis.rs
@@ -0,0 +1,47 @@
+//! Points in time of the calendar.
+
+use std::{
+    ops::Add,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use serde::{Deserialize, Serialize};
+
+/// Point in time, in milliseconds after 1970-01-01 UTC.
+///
+/// Taken from the clock of one host: for people, for records and for long expiry times
+/// only. No decision that must be safe depends on it.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct UnixMillis(pub u64);
+
+impl UnixMillis {
+    /// Returns the present time of this host's clock.
+    pub fn now() -> UnixMillis {
+        UnixMillis::from(SystemTime::now())
+    }
+}
+
+impl From<SystemTime> for UnixMillis {
+    fn from(time: SystemTime) -> UnixMillis {
+        let elapsed = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+        UnixMillis(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
+impl From<UnixMillis> for SystemTime {
+    fn from(time: UnixMillis) -> SystemTime {
+        UNIX_EPOCH + Duration::from_millis(time.0)
+    }
+}
+
+impl Add<Duration> for UnixMillis {
+    type Output = UnixMillis;
+
+    fn add(self, span: Duration) -> UnixMillis {
+        let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        UnixMillis(self.0.saturating_add(millis))
+    }
+}
--- a/programs/auburncrank-bench/src/cmd/path.rs
+++ b/programs/auburncrank-bench/src/cmd/path.rs
@@ -129,6 +129,7 @@
             platform_timeout: Duration::from_secs(2),
             drain_timeout: Duration::from_secs(1),
             traffic_threads: 2,
+            bootstrap_operator_key: None,
         };
         let router =
             RouterProcess::start(settings).map_err(|error| StudyError(error.to_string()))?;
--- a/programs/auburncrankd/src/cli.rs
+++ b/programs/auburncrankd/src/cli.rs
@@ -2,11 +2,13 @@
 
 use std::{env, process::ExitCode};
 
+use config::KeyHash;
 use log::LevelFilter;
 use router::RouterSettings;
 use settings::{ProgramSpec, SettingFaults, SettingSpec, SettingValues, parse_args};
 use telemetry::LogFormat;
 use types::{FailureDomain, RouterName};
+use utils::Digest;
 
 /// Exit code for faults in the settings.
 const EXIT_BAD_SETTINGS: u8 = 2;
@@ -82,6 +84,13 @@
             default: Some("2"),
             help: "Threads that carry traffic.",
         },
+        SettingSpec {
+            flag: "bootstrap-operator-key-hash",
+            env: "AUBURNCRANK_BOOTSTRAP_OPERATOR_KEY_HASH",
+            value: "SHA256",
+            default: Some(""),
+            help: "Hash of the key that may do everything while there is no operator; make both with 'auburncrank key'.",
+        },
         SettingSpec {
             flag: "log-level",
             env: "AUBURNCRANK_LOG_LEVEL",
@@ -158,6 +167,12 @@
     let platform_timeout = values.duration("platform-timeout", faults);
     let drain_timeout = values.duration("drain-timeout", faults);
     let traffic_threads = values.parse::<usize>("traffic-threads", faults);
+    let bootstrap = values.optional("bootstrap-operator-key-hash").unwrap_or_default();
+    let bootstrap_operator_key = if bootstrap.is_empty() {
+        None
+    } else {
+        values.parse::<Digest>("bootstrap-operator-key-hash", faults).map(KeyHash::from_digest)
+    };
     let log_level = values.parse("log-level", faults);
     let log_format = values.parse("log-format", faults);
     if traffic_threads == Some(0) {
@@ -173,6 +188,7 @@
         platform_timeout,
         drain_timeout,
         traffic_threads: traffic_threads?,
+        bootstrap_operator_key,
     };
     Some(DaemonSettings { router, log_level: log_level?, log_format: log_format? })
 }
