--- a/components/scene/src/router_set.rs
+++ b/components/scene/src/router_set.rs
@@ -114,6 +114,7 @@
             caller_address: address,
             peer_address: address,
             seeds: seeds.collect(),
+            bootstrap_operator_key: None,
             platform_address: self.platform,
             platform_timeout: Duration::from_secs(2),
             drain_timeout: self.spec.drain_timeout,
