Share request ids between routers

A retry at another router ran the request a second time, since each router knew only its own ids. Now a home router for each hash slot of the id says which attempt runs; another router relays that attempt's answer part by part, reads it from the object store when its router is gone, or from the intent row for a non-idempotent request. A refusal says "not run" only where nothing was sent under the id: a withdrawn intent row makes attempts fail that were admitted earlier, and the error loses its "not run" where that is not certain. A run that panics ends its answer, and a call is not sent once its deadline has passed.

--- a/components/errors/src/error.rs
+++ b/components/errors/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, sync::Arc};
 
-use crate::{ErrorAnswer, ErrorKind};
+use crate::{ErrorAnswer, ErrorKind, Ran};
 
 /// Result with the error of this project.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -16,12 +16,15 @@
     message: Arc<str>,
     /// What was being done, outermost last.
     context: Vec<Arc<str>>,
+    /// Whether an earlier attempt of the request may have run, so that the answer must
+    /// not say "not run", whatever the kind says.
+    may_have_run: bool,
 }
 
 impl Error {
     /// Creates an error of `kind`.
     pub fn new(kind: ErrorKind, message: impl Into<Arc<str>>) -> Error {
-        Error { kind, message: message.into(), context: Vec::new() }
+        Error { kind, message: message.into(), context: Vec::new(), may_have_run: false }
     }
 
     /// Adds what was being done when the error arose.
@@ -30,6 +33,20 @@
         self
     }
 
+    /// Notes that an earlier attempt of the request may have run.
+    pub fn after_earlier_attempt(mut self) -> Error {
+        self.may_have_run = true;
+        self
+    }
+
+    /// Returns what the error says about the execution of the request.
+    pub fn ran(&self) -> Ran {
+        match self.kind.entry().ran {
+            Ran::Never if self.may_have_run => Ran::Unknown,
+            ran => ran,
+        }
+    }
+
     /// Returns the kind.
     pub fn kind(&self) -> ErrorKind {
         self.kind
@@ -42,7 +59,9 @@
 
     /// Returns what the caller gets to see.
     pub fn answer(&self) -> ErrorAnswer {
-        ErrorAnswer::new(self.kind, self.message())
+        let mut answer = ErrorAnswer::new(self.kind, self.message());
+        answer.error.ran = self.ran();
+        answer
     }
 }
 
@@ -67,4 +86,13 @@
         assert_eq!(error.to_string(), "request a/1: calling engine-1: connection refused");
         assert_eq!(error.kind(), ErrorKind::NoEndpoint);
     }
+
+    #[test]
+    fn refusal_after_an_earlier_attempt_does_not_say_not_run() {
+        let refusal = Error::new(ErrorKind::BudgetExhausted, "the budget is spent");
+        assert_eq!(refusal.answer().error.ran, Ran::Never);
+        assert_eq!(refusal.after_earlier_attempt().answer().error.ran, Ran::Unknown);
+        let lost = Error::new(ErrorKind::EndpointRejected, "rejected");
+        assert_eq!(lost.after_earlier_attempt().ran(), Ran::NoFurther);
+    }
 }
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -15,5 +15,9 @@
     envelope::{Envelope, PeerBody},
     frame::{FRAME_MAX_BYTES, FrameCodec, FrameError},
     membership::MembershipMessage,
-    requests::RequestsMessage,
+    requests::{
+        AnswerEndRef, AnswerHeadRef, AttemptRef, ClaimMessage, EndKind, EndedMessage, FailedEnd,
+        FetchMessage, HeldMessage, HeldRef, KeptRef, PartMessage, RequestRef, RequestsBody,
+        RequestsMessage, VerdictBody, VerdictMessage, WholeEnd,
+    },
 };
--- a/components/requests/src/claim.rs
+++ b/components/requests/src/claim.rs
@@ -51,6 +51,8 @@
     NotRun,
     /// Something may have been sent.
     MayHaveRun,
+    /// The claim was void: the id belongs to other content.
+    Forgotten,
 }
 
 /// What a router tells a new home router of one id.
--- a/components/requests/src/home_directory.rs
+++ b/components/requests/src/home_directory.rs
@@ -90,6 +90,12 @@
         if entry.attempt.as_ref() != Some(attempt) {
             return;
         }
+        let is_forgotten =
+            state == EndState::Forgotten || (state == EndState::NotRun && !entry.has_earlier);
+        if is_forgotten {
+            self.entries.remove(key);
+            return;
+        }
         entry.is_running = false;
         match state {
             EndState::Kept { object } => entry.object = object,
@@ -97,7 +103,7 @@
                 entry.attempt = None;
                 entry.has_earlier = true;
             }
-            EndState::NotRun => entry.attempt = None,
+            EndState::NotRun | EndState::Forgotten => entry.attempt = None,
         }
         self.touch(now, key);
     }
--- a/components/router/src/answer/log.rs
+++ b/components/router/src/answer/log.rs
@@ -8,6 +8,20 @@
 
 use super::{AnswerEnd, AnswerHead, AnswerReader, KeptAnswer};
 
+/// Most bytes of a UTF-8 character after its first.
+const UTF8_MAX_CONTINUATION: usize = 3;
+
+/// Part of an answer.
+#[derive(Debug, Clone)]
+pub struct AnswerSlice {
+    /// Head, once known.
+    pub head: Option<AnswerHead>,
+    /// Bytes of the body.
+    pub data: Bytes,
+    /// How the answer ended, where `data` reaches its end.
+    pub end: Option<Result<AnswerEnd, Error>>,
+}
+
 /// The log of an answer. Readers may join at any time and see it from its start.
 #[derive(Debug)]
 pub struct AnswerLog {
@@ -82,6 +96,32 @@
         body.freeze()
     }
 
+    /// Returns at most `max` bytes of the body from `offset` on, cut between characters
+    /// where it is text.
+    pub fn slice(&self, offset: usize, max: usize) -> AnswerSlice {
+        let body = self.body();
+        let state = self.lock();
+        let start = offset.min(body.len());
+        let mut end = start.saturating_add(max).min(body.len());
+        let is_within_char = |at: usize| body.get(at).is_some_and(|byte| byte & 0xc0 == 0x80);
+        for _ in 0..UTF8_MAX_CONTINUATION {
+            if end > start + 1 && is_within_char(end) {
+                end -= 1;
+            }
+        }
+        let total: usize = state.parts.iter().map(Bytes::len).sum();
+        AnswerSlice {
+            head: state.head.clone(),
+            data: body.slice(start..end),
+            end: state.end.clone().filter(|_| end == total),
+        }
+    }
+
+    /// Returns a receiver that is woken by each write.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.writes.subscribe()
+    }
+
     /// Returns the head, once known.
     pub fn head(&self) -> Option<AnswerHead> {
         self.lock().head.clone()
--- a/components/router/src/answer/mod.rs
+++ b/components/router/src/answer/mod.rs
@@ -8,6 +8,10 @@
 mod reader;
 
 pub use self::{
-    end::AnswerEnd, event::AnswerEvent, head::AnswerHead, kept_answer::KeptAnswer, log::AnswerLog,
+    end::AnswerEnd,
+    event::AnswerEvent,
+    head::AnswerHead,
+    kept_answer::KeptAnswer,
+    log::{AnswerLog, AnswerSlice},
     reader::AnswerReader,
 };
--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -11,7 +11,7 @@
 use client::{Connections, HttpClient, PlatformClient};
 use errors::{Error, ErrorKind, Result};
 use membership::{Member, MemberState};
-use platform::Table;
+use platform::{ObjectStore, Table};
 use rand::Rng as _;
 use telemetry::set_up_metrics;
 use tokio::runtime::{Builder, Runtime};
@@ -24,8 +24,8 @@
     configuration::{ConfigHandle, run_config_poller},
     dispatch::LeastRequests,
     http::{HttpContext, HttpServer, KEEP_ADDRESSES},
-    peers::AloneRouter,
-    registry::LocalRegistry,
+    peers::{AloneRouter, Peers},
+    registry::{FleetRegistry, RegistryParts},
     traffic::Runs,
 };
 
@@ -148,6 +148,7 @@
     let clock = Clock::new();
     let id = RouterId::new(settings.name.clone(), Incarnation(utils::new_rng().random()));
     let platform = PlatformClient::new(settings.platform_address, settings.platform_timeout);
+    let objects: Arc<dyn ObjectStore> = Arc::new(platform.clone());
     let table: Arc<dyn Table> = Arc::new(platform);
     let cfg = ConfigHandle::new();
     let local = Member {
@@ -160,12 +161,20 @@
         config_version: cfg.version(),
     };
     control.handle().spawn(run_config_poller(cfg.clone(), table.clone()));
+    let peers: Arc<dyn Peers> = Arc::new(AloneRouter::new(local));
+    let registry = FleetRegistry::start(RegistryParts {
+        router: id,
+        clock,
+        table: table.clone(),
+        objects,
+        peers: peers.clone(),
+    });
     let router = RouterContext {
         clock,
         accounting: Arc::new(PerRequestAccounting::new(table.clone(), clock)),
-        registry: Arc::new(LocalRegistry::new(id, table.clone())),
+        registry,
         dispatcher: Arc::new(LeastRequests::new(cfg.clone())),
-        peers: Arc::new(AloneRouter::new(local)),
+        peers,
         cfg,
         table,
         pooled: HttpClient::new(Connections::Kept),
--- /dev/null
+++ b/components/router/src/registry/home_link.rs
@@ -0,0 +1,197 @@
+//! The way to the home routers of request ids.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use membership::{MemberState, MembershipView};
+use protocol::{ClaimMessage, EndedMessage, HeldMessage, RequestsBody, VerdictMessage};
+use requests::{Attempt, Claim, ClaimVerdict, EndState, HeldEntry, HomeDirectory, find_home};
+use types::{RequestKey, RouterId, RouterName};
+use utils::{Digest, HashMap};
+
+use super::{pending_calls::PendingCalls, wire};
+use crate::{Clock, peers::Peers};
+
+/// Time for a home router to answer one claim.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Claims sent before the home router counts as out of reach.
+const CLAIM_TRIES: usize = 3;
+
+/// Most ids in one message to a new home router.
+const HELD_MAX: usize = 1_000;
+
+/// The way to the home routers of request ids, and the directory of this router.
+pub(super) struct HomeLink {
+    /// Identity of this router.
+    local: RouterId,
+    /// The other routers.
+    peers: Arc<dyn Peers>,
+    /// Clock.
+    clock: Clock,
+    /// What this router knows as a home router.
+    directory: Mutex<HomeDirectory>,
+    /// Claims that wait for an answer.
+    claims: PendingCalls<ClaimVerdict>,
+    /// Serving members by name, and whether they were leaving, as of the last check.
+    known: Mutex<Vec<KnownMember>>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct KnownMember {
+    /// Identity.
+    id: RouterId,
+    /// Whether it was leaving.
+    is_leaving: bool,
+}
+
+impl HomeLink {
+    /// Creates the link of router `local`.
+    pub(super) fn new(local: RouterId, peers: Arc<dyn Peers>, clock: Clock) -> HomeLink {
+        let known = Mutex::new(known_members(&peers.view()));
+        let directory = Mutex::new(HomeDirectory::new(clock.now()));
+        HomeLink { local, peers, clock, directory, claims: PendingCalls::new(), known }
+    }
+
+    /// Asks the home router; `None` where it is out of reach.
+    pub(super) async fn claim(&self, claim: &Claim) -> Option<ClaimVerdict> {
+        for _ in 0..CLAIM_TRIES {
+            let home = self.home_of(&claim.key);
+            if home == self.local.name {
+                return Some(self.decide(claim));
+            }
+            let send = |call| {
+                let message = wire::encode_claim(call, claim);
+                self.peers.send(&home, wire::wrap(RequestsBody::Claim(message)));
+            };
+            if let Some(verdict) = self.claims.call(CLAIM_TIMEOUT, send).await {
+                return Some(verdict);
+            }
+        }
+        None
+    }
+
+    /// Tells the home router how an attempt ended. The message may be lost: then the next
+    /// router that is sent here learns it from this router.
+    pub(super) fn end(
+        &self,
+        key: &RequestKey,
+        fingerprint: &Digest,
+        attempt: &Attempt,
+        state: EndState,
+    ) {
+        let home = self.home_of(key);
+        if home == self.local.name {
+            self.lock().end(self.clock.now(), key, attempt, state);
+            return;
+        }
+        let message = wire::encode_ended(key, fingerprint, attempt, &state);
+        self.peers.send(&home, wire::wrap(RequestsBody::Ended(message)));
+    }
+
+    /// Tells new home routers what this router knows, where the members have changed.
+    /// `own` returns the attempts of this router.
+    pub(super) fn follow_members(&self, own: impl FnOnce() -> Vec<HeldEntry>) {
+        let members = known_members(&self.peers.view());
+        let before = std::mem::replace(&mut *self.lock_known(), members.clone());
+        if members == before {
+            return;
+        }
+        let is_lost = |old: &KnownMember| {
+            !old.is_leaving && !members.iter().any(|member| member.id == old.id)
+        };
+        if before.iter().any(is_lost) {
+            self.lock().on_loss(self.clock.now());
+        }
+        let is_home = |key: &RequestKey| self.home_of(key) == self.local.name;
+        let mut held = self.lock().take_moved(is_home);
+        held.extend(own());
+        self.hand_over(held);
+    }
+
+    fn hand_over(&self, held: Vec<HeldEntry>) {
+        let mut by_home: HashMap<RouterName, Vec<HeldEntry>> = HashMap::default();
+        for entry in held {
+            by_home.entry(self.home_of(&entry.key)).or_default().push(entry);
+        }
+        for (home, entries) in by_home {
+            if home == self.local.name {
+                let now = self.clock.now();
+                let mut directory = self.lock();
+                entries.into_iter().for_each(|entry| directory.hold(now, entry));
+                continue;
+            }
+            for chunk in entries.chunks(HELD_MAX) {
+                let entries = chunk.iter().map(wire::encode_held).collect();
+                let message = HeldMessage { entries };
+                self.peers.send(&home, wire::wrap(RequestsBody::Held(message)));
+            }
+        }
+    }
+
+    /// Answers the claim of another router.
+    pub(super) fn on_claim(&self, from: &RouterId, message: &ClaimMessage) {
+        let Some(claim) = wire::decode_claim(message) else { return };
+        let verdict = Some(wire::encode_verdict(&self.decide(&claim)));
+        let message = VerdictMessage { call: message.call, verdict };
+        self.peers.send(&from.name, wire::wrap(RequestsBody::Verdict(message)));
+    }
+
+    /// Takes the answer to a claim of this router.
+    pub(super) fn on_verdict(&self, message: &VerdictMessage) {
+        if let Some(verdict) = wire::decode_verdict(message.verdict.as_ref()) {
+            self.claims.answer(message.call, verdict);
+        }
+    }
+
+    /// Notes the end of an attempt of another router.
+    pub(super) fn on_ended(&self, message: &EndedMessage) {
+        let request = wire::decode_request(message.request.as_ref());
+        let attempt = wire::decode_attempt(message.attempt.as_ref());
+        if let (Some((key, _)), Some(attempt)) = (request, attempt) {
+            let state = wire::decode_end_state(message);
+            self.lock().end(self.clock.now(), &key, &attempt, state);
+        }
+    }
+
+    /// Takes what another router knows of ids whose home is here now.
+    pub(super) fn on_held(&self, message: &HeldMessage) {
+        let now = self.clock.now();
+        let mut directory = self.lock();
+        for held in message.entries.iter().filter_map(wire::decode_held) {
+            directory.hold(now, held);
+        }
+    }
+
+    fn decide(&self, claim: &Claim) -> ClaimVerdict {
+        let view = self.peers.view();
+        let is_alive = |id: &RouterId| view.find(&id.name).is_some_and(|member| member.id == *id);
+        self.lock().claim(self.clock.now(), claim, is_alive)
+    }
+
+    fn home_of(&self, key: &RequestKey) -> RouterName {
+        let view = self.peers.view();
+        let serving = view.serving().map(|member| &member.id.name);
+        find_home(key, serving).unwrap_or(&self.local.name).clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HomeDirectory> {
+        self.directory.lock().expect("no holder of the lock panics")
+    }
+
+    fn lock_known(&self) -> MutexGuard<'_, Vec<KnownMember>> {
+        self.known.lock().expect("no holder of the lock panics")
+    }
+}
+
+fn known_members(view: &MembershipView) -> Vec<KnownMember> {
+    let known = |member: &membership::Member| KnownMember {
+        id: member.id.clone(),
+        is_leaving: member.state == MemberState::Leaving,
+    };
+    let mut members: Vec<_> = view.members().map(known).collect();
+    members.sort_by(|a, b| a.id.cmp(&b.id));
+    members
+}
--- a/components/router/src/registry/intent_permit.rs
+++ b/components/router/src/registry/intent_permit.rs
@@ -1,6 +1,7 @@
 //! Permits to send a non-idempotent call.
 
 use platform::Revision;
+use requests::IntentRow;
 use types::{FencingNumber, RequestKey};
 
 /// Permit to send one non-idempotent call.
@@ -12,4 +13,6 @@
     pub revision: Revision,
     /// Fencing number for endpoints that check it.
     pub fencing: FencingNumber,
+    /// The row as it was recorded.
+    pub row: IntentRow,
 }
--- a/components/router/src/registry/mod.rs
+++ b/components/router/src/registry/mod.rs
@@ -2,8 +2,15 @@
 //! must not run twice leave a row in the table before they are sent.
 
 mod begin;
+mod entries;
+mod fleet;
+mod home_link;
 mod intent_permit;
-mod local;
+mod intents;
+mod kept_store;
+mod pending_calls;
+mod relay;
+mod wire;
 
 use std::sync::Arc;
 
@@ -15,8 +22,8 @@
 
 pub use self::{
     begin::{Begin, BeginRequest},
+    fleet::{FleetRegistry, RegistryParts},
     intent_permit::IntentPermit,
-    local::LocalRegistry,
 };
 use crate::answer::{AnswerLog, KeptAnswer};
 
@@ -33,7 +40,15 @@
 
     /// Ends the run that [`begin`](RequestRegistry::begin) started. A whole answer is
     /// kept for retries; after an error the next retry runs anew.
-    fn end(&self, key: &RequestKey, result: &std::result::Result<Arc<KeptAnswer>, Error>);
+    ///
+    /// # Errors
+    /// The error of the run. It no longer says "not run" where an earlier attempt of the
+    /// id may have been sent, or where another one still can be.
+    async fn end(
+        &self,
+        key: &RequestKey,
+        result: std::result::Result<Arc<KeptAnswer>, Error>,
+    ) -> Result<Arc<KeptAnswer>>;
 
     /// Records in the table that a non-idempotent call is about to be sent. Only the
     /// holder of the permit may send it.
--- /dev/null
+++ b/components/router/src/registry/relay.rs
@@ -0,0 +1,165 @@
+//! Answers that another router produces, part by part.
+
+use std::{sync::Arc, time::Duration};
+
+use errors::{Error, ErrorKind, Result};
+use protocol::{FetchMessage, PartMessage, RequestsBody};
+use requests::Attempt;
+use tokio::runtime::Handle;
+use types::{RequestKey, RouterId};
+use utils::Digest;
+
+use super::{entries::Entries, pending_calls::PendingCalls, wire};
+use crate::{
+    answer::{AnswerEnd, AnswerLog},
+    peers::Peers,
+};
+
+/// Time for the other router to answer one fetch.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Fetches sent before the other router counts as out of reach.
+const FETCH_TRIES: usize = 3;
+
+/// Longest time that a fetch waits for something new.
+const FETCH_WAIT: Duration = Duration::from_millis(200);
+
+/// Most bytes of the body in one part.
+const PART_MAX_BYTES: usize = 256 * 1024;
+
+/// Passes answers between routers. A part belongs to one attempt and one offset; late,
+/// doubled and crossed parts are dropped.
+pub(super) struct Relay {
+    /// The other routers.
+    peers: Arc<dyn Peers>,
+    /// Runtime of the traffic.
+    runtime: Handle,
+    /// Fetches that wait for an answer.
+    fetches: PendingCalls<PartMessage>,
+}
+
+/// An answer that is being fetched.
+pub(super) struct Fetch {
+    /// Key of the request.
+    pub(super) key: RequestKey,
+    /// Digest of its content.
+    pub(super) fingerprint: Digest,
+    /// Attempt that produces the answer.
+    pub(super) attempt: Attempt,
+}
+
+impl Relay {
+    /// Creates the relay; the calling thread must be in the runtime of the traffic.
+    pub(super) fn new(peers: Arc<dyn Peers>) -> Relay {
+        Relay { peers, runtime: Handle::current(), fetches: PendingCalls::new() }
+    }
+
+    /// Fetches the part at `offset`; `None` where the router is out of reach or does not
+    /// know the attempt.
+    pub(super) async fn fetch(
+        &self,
+        fetch: &Fetch,
+        offset: u64,
+        has_head: bool,
+    ) -> Option<PartMessage> {
+        for _ in 0..FETCH_TRIES {
+            let send = |call| {
+                let message = FetchMessage {
+                    call,
+                    request: Some(wire::encode_request(&fetch.key, &fetch.fingerprint)),
+                    attempt: Some(wire::encode_attempt(&fetch.attempt)),
+                    offset,
+                    has_head,
+                };
+                let to = &fetch.attempt.router.name;
+                self.peers.send(to, wire::wrap(RequestsBody::Fetch(message)));
+            };
+            let Some(part) = self.fetches.call(FETCH_TIMEOUT, send).await else { continue };
+            let is_own =
+                wire::decode_attempt(part.attempt.as_ref()).as_ref() == Some(&fetch.attempt);
+            return Some(part).filter(|part| is_own && part.is_known && part.offset == offset);
+        }
+        None
+    }
+
+    /// Copies the rest of the answer to `log`, after its `first` part. The end is
+    /// returned, not written.
+    ///
+    /// # Errors
+    /// The error that the answer ended with, or `AttemptsFailed` where the other router
+    /// was lost in the midst of it.
+    pub(super) async fn copy(
+        &self,
+        fetch: &Fetch,
+        first: PartMessage,
+        log: &AnswerLog,
+    ) -> Result<AnswerEnd> {
+        let mut part = first;
+        let mut offset = 0;
+        loop {
+            if let Some(head) = &part.head {
+                log.start(wire::decode_head(head));
+            }
+            offset += part.data.len() as u64;
+            log.push(part.data);
+            if let Some(end) = &part.end {
+                return wire::decode_end(end);
+            }
+            let has_head = log.head().is_some();
+            part = self.fetch(fetch, offset, has_head).await.ok_or_else(|| {
+                let message = "the router that runs the request was lost";
+                Error::new(ErrorKind::AttemptsFailed, message)
+            })?;
+        }
+    }
+
+    /// Answers the fetch of another router.
+    pub(super) fn on_fetch(&self, entries: &Entries, from: &RouterId, message: &FetchMessage) {
+        let request = wire::decode_request(message.request.as_ref());
+        let attempt = wire::decode_attempt(message.attempt.as_ref());
+        let (Some((key, _)), Some(attempt)) = (request, attempt) else { return };
+        let mut part = PartMessage {
+            call: message.call,
+            attempt: message.attempt.clone(),
+            offset: message.offset,
+            ..PartMessage::default()
+        };
+        let (peers, to) = (self.peers.clone(), from.name.clone());
+        let Some(entry) = entries.find_attempt(&key, &attempt) else {
+            peers.send(&to, wire::wrap(RequestsBody::Part(part)));
+            return;
+        };
+        let has_head = message.has_head;
+        self.runtime.spawn(async move {
+            part.is_known = true;
+            fill_part(&mut part, &entry.log, has_head).await;
+            peers.send(&to, wire::wrap(RequestsBody::Part(part)));
+        });
+    }
+
+    /// Takes the answer to a fetch of this router.
+    pub(super) fn on_part(&self, message: &PartMessage) {
+        self.fetches.answer(message.call, message.clone());
+    }
+}
+
+/// Fills `part` with what the answer has from its offset on; waits a while for more.
+async fn fill_part(part: &mut PartMessage, log: &Arc<AnswerLog>, has_head: bool) {
+    let mut writes = log.subscribe();
+    let offset = usize::try_from(part.offset).unwrap_or(usize::MAX);
+    let wait = async {
+        loop {
+            writes.mark_unchanged();
+            let slice = log.slice(offset, PART_MAX_BYTES);
+            let is_new = !slice.data.is_empty() || slice.end.is_some();
+            if is_new || (slice.head.is_some() && !has_head) || writes.changed().await.is_err() {
+                return;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(FETCH_WAIT, wait).await;
+    let slice = log.slice(offset, PART_MAX_BYTES);
+    part.head = slice.head.as_ref().map(wire::encode_head);
+    part.data = slice.data;
+    part.end = slice.end.as_ref().map(wire::encode_end);
+}
--- /dev/null
+++ b/components/router/src/registry/wire.rs
@@ -0,0 +1,181 @@
+//! Conversion between the registry's types and the messages between routers.
+
+use engine_api::Usage;
+use errors::{Error, ErrorKind, Ran};
+use protocol::{
+    AnswerEndRef, AnswerHeadRef, AttemptRef, ClaimMessage, EndKind, EndedMessage, FailedEnd,
+    HeldRef, KeptRef, PeerBody, RequestRef, RequestsBody, RequestsMessage, VerdictBody, WholeEnd,
+};
+use requests::{Attempt, Claim, ClaimVerdict, EndState, HeldEntry};
+use types::{Incarnation, RequestKey, RouterId};
+use utils::Digest;
+
+use crate::answer::{AnswerEnd, AnswerHead};
+
+/// Wraps a message for [`Peers::send`](crate::peers::Peers::send).
+pub(super) fn wrap(body: RequestsBody) -> PeerBody {
+    PeerBody::Requests(RequestsMessage { body: Some(body) })
+}
+
+pub(super) fn encode_request(key: &RequestKey, fingerprint: &Digest) -> RequestRef {
+    RequestRef {
+        account: key.account.to_string(),
+        id: key.id.to_string(),
+        fingerprint: fingerprint.to_string(),
+    }
+}
+
+pub(super) fn decode_request(req: Option<&RequestRef>) -> Option<(RequestKey, Digest)> {
+    let req = req?;
+    let key = RequestKey::new(req.account.parse().ok()?, req.id.parse().ok()?);
+    Some((key, Digest::from_hex(&req.fingerprint)?))
+}
+
+pub(super) fn encode_attempt(attempt: &Attempt) -> AttemptRef {
+    AttemptRef {
+        router: attempt.router.name.to_string(),
+        incarnation: attempt.router.incarnation.0,
+        number: attempt.number,
+    }
+}
+
+pub(super) fn decode_attempt(attempt: Option<&AttemptRef>) -> Option<Attempt> {
+    let attempt = attempt?;
+    let router = RouterId::new(attempt.router.parse().ok()?, Incarnation(attempt.incarnation));
+    Some(Attempt::new(router, attempt.number))
+}
+
+pub(super) fn encode_claim(call: u64, claim: &Claim) -> ClaimMessage {
+    ClaimMessage {
+        call,
+        request: Some(encode_request(&claim.key, &claim.fingerprint)),
+        attempt: Some(encode_attempt(&claim.attempt)),
+        given_up: claim.given_up.as_ref().map(encode_attempt),
+    }
+}
+
+pub(super) fn decode_claim(message: &ClaimMessage) -> Option<Claim> {
+    let (key, fingerprint) = decode_request(message.request.as_ref())?;
+    let attempt = decode_attempt(message.attempt.as_ref())?;
+    let given_up = decode_attempt(message.given_up.as_ref());
+    Some(Claim { key, fingerprint, attempt, given_up })
+}
+
+pub(super) fn encode_verdict(verdict: &ClaimVerdict) -> VerdictBody {
+    match verdict {
+        ClaimVerdict::Granted { is_first } => VerdictBody::Granted(*is_first),
+        ClaimVerdict::RunsAt(attempt) => VerdictBody::RunsAt(encode_attempt(attempt)),
+        ClaimVerdict::Kept { attempt, object } => VerdictBody::Kept(KeptRef {
+            attempt: Some(encode_attempt(attempt)),
+            object: object.clone(),
+        }),
+        ClaimVerdict::Reused => VerdictBody::Reused(true),
+    }
+}
+
+pub(super) fn decode_verdict(verdict: Option<&VerdictBody>) -> Option<ClaimVerdict> {
+    Some(match verdict? {
+        VerdictBody::Granted(is_first) => ClaimVerdict::Granted { is_first: *is_first },
+        VerdictBody::RunsAt(attempt) => ClaimVerdict::RunsAt(decode_attempt(Some(attempt))?),
+        VerdictBody::Kept(kept) => ClaimVerdict::Kept {
+            attempt: decode_attempt(kept.attempt.as_ref())?,
+            object: kept.object.clone(),
+        },
+        VerdictBody::Reused(_) => ClaimVerdict::Reused,
+    })
+}
+
+pub(super) fn encode_ended(
+    key: &RequestKey,
+    fingerprint: &Digest,
+    attempt: &Attempt,
+    state: &EndState,
+) -> EndedMessage {
+    let (kind, object) = match state {
+        EndState::Kept { object } => (EndKind::Kept, object.clone()),
+        EndState::NotRun => (EndKind::NotRun, None),
+        EndState::MayHaveRun => (EndKind::MayHaveRun, None),
+        EndState::Forgotten => (EndKind::Forgotten, None),
+    };
+    EndedMessage {
+        request: Some(encode_request(key, fingerprint)),
+        attempt: Some(encode_attempt(attempt)),
+        kind: kind.into(),
+        object: object.unwrap_or_default(),
+    }
+}
+
+/// Returns how the attempt of `message` ended; a kind of a newer version is read as "may
+/// have run".
+pub(super) fn decode_end_state(message: &EndedMessage) -> EndState {
+    match message.kind() {
+        EndKind::Kept => EndState::Kept { object: non_empty(&message.object) },
+        EndKind::NotRun => EndState::NotRun,
+        EndKind::MayHaveRun | EndKind::Unspecified => EndState::MayHaveRun,
+        EndKind::Forgotten => EndState::Forgotten,
+    }
+}
+
+pub(super) fn encode_held(held: &HeldEntry) -> HeldRef {
+    HeldRef {
+        request: Some(encode_request(&held.key, &held.fingerprint)),
+        attempt: held.attempt.as_ref().map(encode_attempt),
+        object: held.object.clone().unwrap_or_default(),
+        has_earlier: held.has_earlier,
+    }
+}
+
+pub(super) fn decode_held(held: &HeldRef) -> Option<HeldEntry> {
+    let (key, fingerprint) = decode_request(held.request.as_ref())?;
+    Some(HeldEntry {
+        key,
+        fingerprint,
+        attempt: decode_attempt(held.attempt.as_ref()),
+        object: non_empty(&held.object),
+        has_earlier: held.has_earlier,
+    })
+}
+
+pub(super) fn encode_head(head: &AnswerHead) -> AnswerHeadRef {
+    AnswerHeadRef { status: head.status.into(), content_type: head.content_type.to_string() }
+}
+
+pub(super) fn decode_head(head: &AnswerHeadRef) -> AnswerHead {
+    AnswerHead {
+        status: u16::try_from(head.status).unwrap_or(502),
+        content_type: head.content_type.as_str().into(),
+    }
+}
+
+pub(super) fn encode_end(end: &Result<AnswerEnd, Error>) -> AnswerEndRef {
+    match end {
+        Ok(end) => AnswerEndRef::Whole(WholeEnd {
+            finish_reason: end.finish_reason.as_ref().map(ToString::to_string),
+            prompt_tokens: end.usage.prompt_tokens,
+            completion_tokens: end.usage.completion_tokens,
+        }),
+        Err(error) => AnswerEndRef::Failed(FailedEnd {
+            code: error.kind().code().to_owned(),
+            message: error.message().to_owned(),
+            is_certain: error.ran() == Ran::Never,
+        }),
+    }
+}
+
+pub(super) fn decode_end(end: &AnswerEndRef) -> Result<AnswerEnd, Error> {
+    match end {
+        AnswerEndRef::Whole(end) => Ok(AnswerEnd {
+            finish_reason: end.finish_reason.as_deref().map(Into::into),
+            usage: Usage::new(end.prompt_tokens, end.completion_tokens),
+        }),
+        AnswerEndRef::Failed(failed) => {
+            let kind = ErrorKind::from_code(&failed.code).unwrap_or(ErrorKind::AttemptsFailed);
+            let error = Error::new(kind, failed.message.as_str());
+            Err(if failed.is_certain { error } else { error.after_earlier_attempt() })
+        }
+    }
+}
+
+fn non_empty(text: &str) -> Option<String> {
+    (!text.is_empty()).then(|| text.to_owned())
+}
--- a/components/router/src/traffic/action_run.rs
+++ b/components/router/src/traffic/action_run.rs
@@ -47,7 +47,7 @@
 /// Withdraws the intent of a call that was not sent, so that "not run" stays true.
 async fn end_unanswered(cx: &RouterContext, permit: Option<IntentPermit>, error: Error) -> Error {
     match permit {
-        Some(permit) if error.kind().entry().ran == errors::Ran::Never => {
+        Some(permit) if error.ran() == errors::Ran::Never => {
             cx.registry.withdraw_intent(permit).await.err().unwrap_or(error)
         }
         _ => error,
@@ -75,6 +75,10 @@
             cx.dispatcher.finish(lease, &need, AttemptOutcome::Cancelled);
             return Err(error);
         }
+        if cx.clock.left_until(job.deadline).is_zero() {
+            cx.dispatcher.finish(lease, &need, AttemptOutcome::Cancelled);
+            return Err(deadline_error(was_sent));
+        }
         let result = attempt_action(cx, job, &lease, permit.as_ref()).await;
         let Err(failed) = result else {
             cx.dispatcher.finish(lease, &need, AttemptOutcome::Completed);
@@ -94,6 +98,12 @@
     }
 }
 
+fn deadline_error(was_sent: bool) -> Error {
+    let kind =
+        if was_sent { ErrorKind::DeadlineWhileRunning } else { ErrorKind::DeadlineBeforeRun };
+    Error::new(kind, "the deadline passed before the call was sent")
+}
+
 fn end_attempt(
     cx: &RouterContext,
     need: &mut EndpointNeed,
--- a/components/router/src/traffic/runs.rs
+++ b/components/router/src/traffic/runs.rs
@@ -1,8 +1,9 @@
 //! The runs in progress.
 
-use std::{future::Future, sync::Arc};
+use std::{future::Future, panic::AssertUnwindSafe, sync::Arc};
 
-use errors::Error;
+use errors::{Error, ErrorKind};
+use futures::FutureExt;
 use tokio_util::task::TaskTracker;
 use types::RequestKey;
 
@@ -63,10 +64,13 @@
         let started = self.cx.clock.now();
         let clock = self.cx.clock;
         self.tracker.spawn(async move {
-            let result = run.await.map(|end| keep_answer(&log, end));
+            let run = AssertUnwindSafe(run).catch_unwind().await;
+            let result = run.unwrap_or_else(|_| {
+                Err(Error::new(ErrorKind::Internal, "the run of the request panicked"))
+            });
+            let result = result.map(|end| keep_answer(&log, end));
             // The registry learns of the end first, so that no retry joins a dead run.
-            registry.end(&key, &result);
-            match result {
+            match registry.end(&key, result).await {
                 Ok(answer) => log.finish(answer.end.clone()),
                 Err(error) => {
                     log::info!(
--- a/components/standins/src/service/server.rs
+++ b/components/standins/src/service/server.rs
@@ -9,6 +9,7 @@
 
 use engine_api::{FENCING_HEADER, REQUEST_ID_HEADER};
 use types::FencingNumber;
+use utils::HashMap;
 use viz::{IntoResponse, Request, RequestExt, Response, ResponseExt, Result, Router, StatusCode};
 
 use super::RunRecord;
@@ -31,8 +32,8 @@
     loses_answers: bool,
     /// Whether calls with an old fencing number are refused.
     checks_fencing: bool,
-    /// Highest fencing number seen.
-    fencing: FencingNumber,
+    /// Highest fencing number seen of each request id.
+    fencing: HashMap<String, FencingNumber>,
 }
 
 /// A running plain service. Dropping it kills the process.
@@ -97,14 +98,16 @@
         self.shared.lock().expect("no holder of the lock panics")
     }
 
-    /// Admits a call by its fencing number.
-    fn admit(&self, fencing: Option<FencingNumber>) -> bool {
+    /// Admits a call by the fencing numbers seen of its request id.
+    fn admit(&self, request_id: &str, fencing: Option<FencingNumber>) -> bool {
         let mut shared = self.lock();
         let Some(fencing) = fencing else { return true };
-        if shared.checks_fencing && fencing < shared.fencing {
+        let checks_fencing = shared.checks_fencing;
+        let highest = shared.fencing.entry(request_id.to_owned()).or_default();
+        if checks_fencing && fencing < *highest {
             return false;
         }
-        shared.fencing = shared.fencing.max(fencing);
+        *highest = fencing.max(*highest);
         true
     }
 }
@@ -115,7 +118,7 @@
     let fencing = header(FENCING_HEADER).and_then(|text| text.parse().ok()).map(FencingNumber);
     let path = req.path().to_owned();
     let body = req.bytes().await?.to_vec();
-    if !state.admit(fencing) {
+    if !state.admit(&request_id, fencing) {
         return Ok((StatusCode::PRECONDITION_FAILED, "old fencing number").into_response());
     }
     let record = RunRecord { request_id: request_id.clone(), path, body };
