--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -11,7 +11,7 @@
 use client::{Connections, HttpClient, PlatformClient};
 use errors::{Error, ErrorKind, Result};
 use membership::{Member, MemberState};
-use platform::Table;
+use platform::{ObjectStore, Table};
 use rand::Rng as _;
 use telemetry::set_up_metrics;
 use tokio::runtime::{Builder, Runtime};
@@ -26,7 +26,7 @@
     dispatch::LeastRequests,
     http::{HttpContext, HttpServer, KEEP_ADDRESSES},
     peers::{AloneRouter, Peers},
-    registry::LocalRegistry,
+    registry::{FleetRegistry, RegistryParts},
     traffic::Runs,
 };
 
@@ -149,6 +149,7 @@
     let clock = Clock::new();
     let id = RouterId::new(settings.name.clone(), Incarnation(utils::new_rng().random()));
     let platform = PlatformClient::new(settings.platform_address, settings.platform_timeout);
+    let objects: Arc<dyn ObjectStore> = Arc::new(platform.clone());
     let table: Arc<dyn Table> = Arc::new(platform);
     let cfg = ConfigHandle::new();
     let local = Member {
@@ -162,10 +163,17 @@
     };
     let peers: Arc<dyn Peers> = Arc::new(AloneRouter::new(local));
     control.handle().spawn(run_config_poller(cfg.clone(), table.clone(), peers.clone()));
+    let registry = FleetRegistry::start(RegistryParts {
+        router: id,
+        clock,
+        table: table.clone(),
+        objects,
+        peers: peers.clone(),
+    });
     let router = RouterContext {
         clock,
         accounting: Arc::new(PerRequestAccounting::new(table.clone(), clock)),
-        registry: Arc::new(LocalRegistry::new(id, table.clone())),
+        registry,
         dispatcher: Arc::new(LeastRequests::new(cfg.clone())),
         peers,
         cfg,
