Choose endpoints by estimated wait, with a fair queue, limits and a quarantine

The baseline chose the endpoint with the fewest requests of this router: it saw no load of other routers, no cached prefix and no failure, and had no queue. The routing crate now decides from lagging load reports corrected by own work, learnt prefixes, priorities, limits and failures, and quarantines content that crashes endpoints. The scheduler lives on the control thread; the dispatcher reaches it by a channel. Refusals may carry their own retry delay.

--- a/components/config/src/config.rs
+++ b/components/config/src/config.rs
@@ -32,6 +32,9 @@
     pub operators: BTreeMap<OperatorName, Operator>,
     /// Content fingerprints, as hexadecimal digits, that operators have quarantined.
     pub quarantine: BTreeSet<String>,
+    /// Content fingerprints, as hexadecimal digits, that routers are not to quarantine
+    /// for what they saw, because operators have released them.
+    pub quarantine_released: BTreeSet<String>,
 }
 
 impl Config {
--- a/components/errors/src/error.rs
+++ b/components/errors/src/error.rs
@@ -1,6 +1,6 @@
 //! An error with its context.
 
-use std::{fmt, sync::Arc};
+use std::{fmt, sync::Arc, time::Duration};
 
 use crate::{ErrorAnswer, ErrorKind};
 
@@ -16,12 +16,14 @@
     message: Arc<str>,
     /// What was being done, outermost last.
     context: Vec<Arc<str>>,
+    /// Delay before a retry, where it is known better than by the kind.
+    retry_delay: Option<Duration>,
 }
 
 impl Error {
     /// Creates an error of `kind`.
     pub fn new(kind: ErrorKind, message: impl Into<Arc<str>>) -> Error {
-        Error { kind, message: message.into(), context: Vec::new() }
+        Error { kind, message: message.into(), context: Vec::new(), retry_delay: None }
     }
 
     /// Adds what was being done when the error arose.
@@ -30,6 +32,17 @@
         self
     }
 
+    /// Sets the delay before a retry, jitter included.
+    pub fn with_retry_delay(mut self, delay: Duration) -> Error {
+        self.retry_delay = Some(delay);
+        self
+    }
+
+    /// Returns the delay before a retry, where it is known better than by the kind.
+    pub fn retry_delay(&self) -> Option<Duration> {
+        self.retry_delay
+    }
+
     /// Returns the kind.
     pub fn kind(&self) -> ErrorKind {
         self.kind
--- a/components/protocol/src/envelope.rs
+++ b/components/protocol/src/envelope.rs
@@ -3,7 +3,7 @@
 use prost::{Message, Oneof};
 use types::{Incarnation, NameError, RouterId, RouterName};
 
-use crate::{BudgetMessage, ConfigMessage, MembershipMessage, RequestsMessage};
+use crate::{BudgetMessage, ConfigMessage, MembershipMessage, RequestsMessage, RoutingMessage};
 
 /// One message between routers, with the identity of its sender.
 #[derive(Clone, PartialEq, Message)]
@@ -15,7 +15,7 @@
     #[prost(uint64, tag = "2")]
     pub from_incarnation: u64,
     /// Message of one of the subsystems; absent where a newer version sent another.
-    #[prost(oneof = "PeerBody", tags = "3, 4, 5, 6")]
+    #[prost(oneof = "PeerBody", tags = "3, 4, 5, 6, 7")]
     pub body: Option<PeerBody>,
 }
 
@@ -34,6 +34,9 @@
     /// Configuration.
     #[prost(message, tag = "6")]
     Config(ConfigMessage),
+    /// Choice of endpoints.
+    #[prost(message, tag = "7")]
+    Routing(RoutingMessage),
 }
 
 impl Envelope {
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -8,6 +8,7 @@
 mod frame;
 mod membership;
 mod requests;
+mod routing;
 
 pub use self::{
     budget::BudgetMessage,
@@ -16,4 +17,5 @@
     frame::{FRAME_MAX_BYTES, FrameCodec, FrameError},
     membership::MembershipMessage,
     requests::RequestsMessage,
+    routing::{CrashRecordMessage, RoutingMessage},
 };
--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -22,7 +22,7 @@
     Clock, RouterContext,
     accounting::PerRequestAccounting,
     configuration::{ConfigHandle, run_config_poller},
-    dispatch::LeastRequests,
+    dispatch::PolicyDispatcher,
     http::{HttpContext, HttpServer, KEEP_ADDRESSES},
     peers::AloneRouter,
     registry::LocalRegistry,
@@ -148,7 +148,7 @@
     let clock = Clock::new();
     let id = RouterId::new(settings.name.clone(), Incarnation(utils::new_rng().random()));
     let platform = PlatformClient::new(settings.platform_address, settings.platform_timeout);
-    let table: Arc<dyn Table> = Arc::new(platform);
+    let table: Arc<dyn Table> = Arc::new(platform.clone());
     let cfg = ConfigHandle::new();
     let local = Member {
         id: id.clone(),
@@ -160,12 +160,20 @@
         config_version: cfg.version(),
     };
     control.handle().spawn(run_config_poller(cfg.clone(), table.clone()));
+    let peers = Arc::new(AloneRouter::new(local));
+    let dispatcher = PolicyDispatcher::start(
+        control.handle(),
+        clock,
+        cfg.clone(),
+        peers.clone(),
+        Arc::new(platform),
+    );
     let router = RouterContext {
         clock,
         accounting: Arc::new(PerRequestAccounting::new(table.clone(), clock)),
         registry: Arc::new(LocalRegistry::new(id, table.clone())),
-        dispatcher: Arc::new(LeastRequests::new(cfg.clone())),
-        peers: Arc::new(AloneRouter::new(local)),
+        dispatcher: Arc::new(dispatcher),
+        peers,
         cfg,
         table,
         pooled: HttpClient::new(Connections::Kept),
--- a/components/router/src/dispatch/mod.rs
+++ b/components/router/src/dispatch/mod.rs
@@ -1,21 +1,24 @@
 //! Choice of endpoints, as requests see it.
+//!
+//! [`PolicyDispatcher`] carries the decisions of the `routing` crate: its scheduler
+//! lives in a task on the control thread and is reached by a channel.
 
-mod attempt_outcome;
-mod endpoint_lease;
-mod endpoint_need;
-mod least_requests;
+mod command;
+mod crash_messages;
+mod dispatch_status;
+mod granted_lease;
+mod host_poller;
+mod load_poller;
+mod policy_dispatcher;
+mod scheduler_task;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use async_trait::async_trait;
 use errors::Result;
 
-pub use self::{
-    attempt_outcome::AttemptOutcome,
-    endpoint_lease::EndpointLease,
-    endpoint_need::{EndpointNeed, Target},
-    least_requests::LeastRequests,
-};
+pub use self::{dispatch_status::DispatchStatus, policy_dispatcher::PolicyDispatcher};
+pub use routing::{AttemptOutcome, EndpointLease, EndpointNeed, Target};
 
 /// Choice of endpoints, with its queue and its limits.
 #[async_trait]
@@ -36,4 +39,7 @@
     /// Tells whether a further attempt may be made after one that ended with `outcome`,
     /// and takes it from the retry budget.
     fn may_retry(&self, need: &EndpointNeed, outcome: AttemptOutcome) -> bool;
+
+    /// Returns the endpoints, the queue and the quarantine, for operators.
+    fn status(&self) -> Arc<DispatchStatus>;
 }
--- /dev/null
+++ b/components/router/src/dispatch/scheduler_task.rs
@@ -0,0 +1,238 @@
+//! The task on the control thread that owns the scheduler.
+
+use std::{sync::Arc, time::Duration};
+
+use arc_swap::ArcSwap;
+use errors::Result;
+use rand::Rng as _;
+use routing::{
+    AttemptOutcome, CrashRecord, Decision, EndpointNeed, EndpointState, Resolved, Scheduler,
+    WaiterId,
+};
+use tokio::{
+    sync::{
+        mpsc::{UnboundedReceiver, UnboundedSender},
+        oneshot,
+    },
+    time::{Instant, MissedTickBehavior},
+};
+use types::ConfigVersion;
+use utils::{HashMap, Rng, jitter, new_rng};
+
+use super::{
+    DispatchStatus, command::Command, crash_messages::encode_crashes, granted_lease::GrantedLease,
+};
+use crate::{Clock, configuration::ConfigHandle, peers::Peers};
+
+/// Time between two sweeps of the queue.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Mean time between two messages that repeat the verdicts to one other router.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Verdicts in one repeated message.
+const REPEATED_MAX: usize = 64;
+
+type Reply = oneshot::Sender<Result<GrantedLease>>;
+
+/// Owns the scheduler.
+pub(super) struct SchedulerTask {
+    /// Scheduler.
+    scheduler: Scheduler,
+    /// Clock.
+    clock: Clock,
+    /// Configuration in force.
+    cfg: ConfigHandle,
+    /// Version that the scheduler has.
+    applied: Option<ConfigVersion>,
+    /// Other routers.
+    peers: Arc<dyn Peers>,
+    /// Gives leases back whose request has gone.
+    commands: UnboundedSender<Command>,
+    /// Status for operators.
+    status: Arc<ArcSwap<DispatchStatus>>,
+    /// Requests that wait.
+    waiting: HashMap<WaiterId, Reply>,
+    /// Random numbers.
+    rng: Rng,
+    /// When the verdicts are repeated next.
+    repeat_at: Instant,
+}
+
+impl SchedulerTask {
+    pub(super) fn new(
+        scheduler: Scheduler,
+        clock: Clock,
+        cfg: ConfigHandle,
+        peers: Arc<dyn Peers>,
+        commands: UnboundedSender<Command>,
+        status: Arc<ArcSwap<DispatchStatus>>,
+    ) -> SchedulerTask {
+        SchedulerTask {
+            scheduler,
+            clock,
+            cfg,
+            applied: None,
+            peers,
+            commands,
+            status,
+            waiting: HashMap::default(),
+            rng: new_rng(),
+            repeat_at: Instant::now() + REPEAT_INTERVAL,
+        }
+    }
+
+    /// Handles commands for as long as the router lives.
+    pub(super) async fn run(mut self, mut received: UnboundedReceiver<Command>) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.tick(),
+                command = received.recv() => match command {
+                    Some(command) => self.handle(command),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn handle(&mut self, command: Command) {
+        self.apply_config();
+        let now = self.clock.now();
+        match command {
+            Command::Acquire { need, reply } => return self.acquire(&need, reply),
+            Command::FirstToken { lease, latency } => {
+                self.scheduler.on_first_token(lease, latency, now);
+            }
+            Command::Finish { lease, outcome } => self.finish(lease, outcome),
+            Command::Report { endpoint, report: Some(report) } => {
+                self.scheduler.on_report(&endpoint, &report, now);
+            }
+            Command::Report { endpoint, report: None } => {
+                self.scheduler.on_report_failed(&endpoint, now);
+            }
+            Command::CacheEvents { endpoint, events, has_gap } => {
+                self.scheduler.on_cache_events(&endpoint, &events, has_gap);
+            }
+            Command::LeavingHosts(leaving) => self.scheduler.apply_leaving_hosts(&leaving),
+            Command::Crashes(records) => {
+                for record in &records {
+                    self.scheduler.quarantine_mut().merge(record, now);
+                }
+            }
+        }
+        self.resolve_waiting();
+    }
+
+    fn tick(&mut self) {
+        self.apply_config();
+        self.drop_gone_requests();
+        let late = self.scheduler.sweep(self.clock.now());
+        late.into_iter().for_each(|it| self.reply(it));
+        self.resolve_waiting();
+        self.publish_status();
+        if Instant::now() >= self.repeat_at {
+            self.repeat_at = Instant::now() + jitter(REPEAT_INTERVAL, &mut self.rng);
+            self.repeat_verdicts();
+        }
+    }
+
+    fn apply_config(&mut self) {
+        let version = self.cfg.version();
+        if self.applied != Some(version) {
+            self.scheduler.apply_config(&self.cfg.load());
+            self.applied = Some(version);
+        }
+    }
+
+    fn acquire(&mut self, need: &EndpointNeed, reply: Reply) {
+        let decision = self.scheduler.submit(need, self.clock.now(), &mut self.rng);
+        match decision {
+            Decision::Place(lease) => {
+                // A lease that the request does not take comes back by itself.
+                let _ = reply.send(Ok(GrantedLease::new(lease, self.commands.clone())));
+            }
+            Decision::Wait(id) => {
+                self.waiting.insert(id, reply);
+                self.resolve_waiting();
+            }
+            Decision::Refuse(error) => {
+                let _ = reply.send(Err(error));
+            }
+        }
+    }
+
+    fn finish(&mut self, lease: u64, outcome: AttemptOutcome) {
+        let now = self.clock.now();
+        let changed = self.scheduler.finish(lease, outcome, now, &mut self.rng);
+        if let Some(record) = changed {
+            self.tell_others(&record);
+        }
+    }
+
+    fn tell_others(&self, record: &CrashRecord) {
+        let alone = if record.was_alone { "yes" } else { "no" };
+        metrics::counter!(telemetry::ENDPOINT_LOSSES_TOTAL, "alone" => alone).increment(1);
+        log::warn!(
+            fingerprint:% = record.fingerprint, verdict:? = record.verdict(),
+            endpoints:? = record.endpoints;
+            "an endpoint was lost while a content ran"
+        );
+        for other in &self.peers.view().others {
+            self.peers.send(&other.id.name, encode_crashes([record]));
+        }
+    }
+
+    /// Sends verdicts to one other router, so that one that missed them or started
+    /// later learns them.
+    fn repeat_verdicts(&mut self) {
+        let records = self.scheduler.quarantine().quarantined();
+        let view = self.peers.view();
+        if records.is_empty() || view.others.is_empty() {
+            return;
+        }
+        let other = &view.others[self.rng.random_range(0..view.others.len())];
+        let start = self.rng.random_range(0..records.len());
+        let some = records.iter().cycle().skip(start).take(records.len().min(REPEATED_MAX));
+        self.peers.send(&other.id.name, encode_crashes(some));
+    }
+
+    fn resolve_waiting(&mut self) {
+        let resolved = self.scheduler.poll(self.clock.now(), &mut self.rng);
+        resolved.into_iter().for_each(|it| self.reply(it));
+    }
+
+    fn reply(&mut self, resolved: Resolved) {
+        let commands = &self.commands;
+        let result = resolved.result.map(|lease| GrantedLease::new(lease, commands.clone()));
+        if let Some(reply) = self.waiting.remove(&resolved.waiter) {
+            let _ = reply.send(result);
+        }
+    }
+
+    fn drop_gone_requests(&mut self) {
+        let gone: Vec<WaiterId> =
+            self.waiting.iter().filter(|(_, it)| it.is_closed()).map(|(id, _)| *id).collect();
+        for id in gone {
+            self.waiting.remove(&id);
+            self.scheduler.cancel(id);
+        }
+    }
+
+    fn publish_status(&self) {
+        let status = DispatchStatus {
+            endpoints: self.scheduler.status(self.clock.now()),
+            waiting: self.scheduler.waiting(),
+            quarantined: self.scheduler.quarantine().quarantined(),
+        };
+        use EndpointState::{Ejected, Leaving, Serving, Suspect};
+        for state in [Serving, Suspect, Ejected, Leaving] {
+            let count = status.endpoints.iter().filter(|it| it.state == state).count();
+            metrics::gauge!(telemetry::ENDPOINTS, "state" => state.label()).set(count as f64);
+        }
+        metrics::gauge!(telemetry::QUEUED_REQUESTS).set(status.waiting as f64);
+        metrics::gauge!(telemetry::QUARANTINED_CONTENTS).set(status.quarantined.len() as f64);
+        self.status.store(Arc::new(status));
+    }
+}
--- a/components/router/src/http/respond.rs
+++ b/components/router/src/http/respond.rs
@@ -21,7 +21,8 @@
     *res.status_mut() =
         StatusCode::from_u16(entry.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     if !entry.retry_delay.is_zero() {
-        let delay = jitter(entry.retry_delay, &mut new_rng());
+        let by_kind = || jitter(entry.retry_delay, &mut new_rng());
+        let delay = error.retry_delay().unwrap_or_else(by_kind);
         answer.error.retry_after_ms = u64::try_from(delay.as_millis()).ok();
         let seconds = delay.as_secs() + 1;
         res.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
--- a/components/router/src/dispatch/endpoint_lease.rs
+++ b/components/routing/src/endpoint_lease.rs
@@ -5,7 +5,7 @@
 use types::{EndpointName, FailureDomain, ModelVersion};
 
 /// A place on an endpoint for one attempt. To be given back with
-/// [`finish`](super::Dispatcher::finish), exactly once.
+/// the dispatcher, exactly once.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[must_use = "a lease is to be given back"]
 pub struct EndpointLease {
--- /dev/null
+++ b/components/routing/src/endpoint_table.rs
@@ -0,0 +1,138 @@
+//! All endpoints and pools, built from the configuration.
+
+use std::collections::BTreeSet;
+
+use config::Config;
+use types::{EndpointName, RouterName};
+use utils::{HashMap, stable_hash};
+
+use crate::{
+    endpoint::Endpoint,
+    endpoint_id::EndpointId,
+    pool::{Pool, PoolId, PoolName},
+};
+
+/// All endpoints and pools. Numbers are never used again for another one.
+#[derive(Debug)]
+pub(crate) struct EndpointTable {
+    /// This router, which decides the endpoints it uses of a large pool.
+    router: RouterName,
+    /// Endpoints by number.
+    pub(crate) endpoints: Vec<Endpoint>,
+    /// Numbers by name.
+    ids: HashMap<EndpointName, EndpointId>,
+    /// Pools by number.
+    pub(crate) pools: Vec<Pool>,
+    /// Numbers of pools by name.
+    pool_ids: HashMap<PoolName, PoolId>,
+}
+
+impl EndpointTable {
+    /// Creates an empty table.
+    pub(crate) fn new(router: RouterName) -> EndpointTable {
+        EndpointTable {
+            router,
+            endpoints: Vec::new(),
+            ids: HashMap::default(),
+            pools: Vec::new(),
+            pool_ids: HashMap::default(),
+        }
+    }
+
+    /// Takes over a configuration; what was learnt of endpoints that stay is kept.
+    pub(crate) fn apply(&mut self, cfg: &Config, pool_endpoints_max: usize) {
+        self.endpoints.iter_mut().for_each(|it| it.is_configured = false);
+        for (name, entry) in &cfg.endpoints {
+            self.upsert(name, entry);
+        }
+        for pool in &mut self.pools {
+            pool.members.clear();
+            pool.member_set.clear();
+        }
+        for (name, model) in &cfg.models {
+            self.set_members(PoolName::Model(name.clone()), &model.endpoints, pool_endpoints_max);
+        }
+        for (name, service) in &cfg.services {
+            let name = PoolName::Service(name.clone());
+            self.set_members(name, &service.endpoints, pool_endpoints_max);
+        }
+    }
+
+    /// Returns the number of an endpoint.
+    pub(crate) fn id(&self, name: &EndpointName) -> Option<EndpointId> {
+        self.ids.get(name).copied()
+    }
+
+    /// Returns the number of a pool.
+    pub(crate) fn pool_id(&self, name: &PoolName) -> Option<PoolId> {
+        self.pool_ids.get(name).copied()
+    }
+
+    /// Returns the pools with their names.
+    pub(crate) fn pool_names(&self) -> impl Iterator<Item = (&PoolName, PoolId)> {
+        self.pool_ids.iter().map(|(name, id)| (name, *id))
+    }
+
+    /// Returns the pools of models that the endpoint belongs to.
+    pub(crate) fn model_pools_of(&self, id: EndpointId) -> impl Iterator<Item = PoolId> {
+        let models = self.pool_names().filter(|(name, _)| matches!(name, PoolName::Model(_)));
+        models.map(|(_, pool)| pool).filter(move |&pool| self.pool(pool).member_set.contains(&id))
+    }
+
+    pub(crate) fn get(&self, id: EndpointId) -> &Endpoint {
+        &self.endpoints[id.index()]
+    }
+
+    pub(crate) fn get_mut(&mut self, id: EndpointId) -> &mut Endpoint {
+        &mut self.endpoints[id.index()]
+    }
+
+    pub(crate) fn pool(&self, id: PoolId) -> &Pool {
+        &self.pools[id.0 as usize]
+    }
+
+    pub(crate) fn pool_mut(&mut self, id: PoolId) -> &mut Pool {
+        &mut self.pools[id.0 as usize]
+    }
+
+    fn upsert(&mut self, name: &EndpointName, entry: &config::Endpoint) {
+        let known = self.ids.get(name).map(|id| &mut self.endpoints[id.index()]);
+        match known {
+            Some(endpoint) if endpoint.address == entry.address => {
+                endpoint.is_configured = true;
+                endpoint.failure_domain = entry.failure_domain.clone();
+                endpoint.leaves_by_config = entry.leaving;
+            }
+            // Another process took the name; nothing that was learnt holds for it, and
+            // leases of the old one keep its number.
+            _ => {
+                let id = EndpointId(u32::try_from(self.endpoints.len()).expect("few endpoints"));
+                self.endpoints.push(Endpoint::new(name.clone(), entry));
+                self.ids.insert(name.clone(), id);
+            }
+        }
+    }
+
+    fn set_members(&mut self, name: PoolName, names: &BTreeSet<EndpointName>, max: usize) {
+        let mut members: Vec<EndpointId> = names.iter().filter_map(|it| self.id(it)).collect();
+        if members.len() > max {
+            members.sort_by_cached_key(|&id| self.rendezvous_hash(id));
+            members.truncate(max);
+        }
+        let pools = &mut self.pools;
+        let id = *self.pool_ids.entry(name).or_insert_with(|| {
+            pools.push(Pool::default());
+            PoolId(u32::try_from(pools.len() - 1).expect("few pools"))
+        });
+        let pool = &mut self.pools[id.0 as usize];
+        pool.member_set = members.iter().copied().collect();
+        pool.members = members;
+    }
+
+    /// Returns the order in which this router prefers endpoints of a large pool; each
+    /// router has another, so that all endpoints are used.
+    fn rendezvous_hash(&self, id: EndpointId) -> u64 {
+        let name = &self.get(id).name;
+        stable_hash(&[self.router.as_str().as_bytes(), name.as_str().as_bytes()])
+    }
+}
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -1,1 +1,35 @@
-//! routing.
+//! Choice of endpoints: estimates, limits, the fair queue, retries, ejection and the
+//! quarantine of content that crashes endpoints.
+//!
+//! This crate decides only; it has no network code and reads no clock. [`Scheduler`]
+//! joins the parts.
+
+mod attempt_outcome;
+mod concurrency_limit;
+mod endpoint;
+mod endpoint_id;
+mod endpoint_lease;
+mod endpoint_need;
+mod endpoint_state;
+mod endpoint_table;
+mod estimate;
+mod fair_queue;
+mod health;
+mod load_view;
+mod pool;
+mod prefix_index;
+mod quarantine;
+mod retry_budget;
+mod scheduler;
+mod settings;
+
+pub use self::{
+    attempt_outcome::AttemptOutcome,
+    endpoint_lease::EndpointLease,
+    endpoint_need::{EndpointNeed, Target},
+    endpoint_state::EndpointState,
+    quarantine::{CrashRecord, Quarantine, Verdict},
+    retry_budget::RetryBudget,
+    scheduler::{Decision, EndpointStatus, Resolved, Scheduler, WaiterId},
+    settings::SchedulerSettings,
+};
--- /dev/null
+++ b/components/routing/src/quarantine.rs
@@ -0,0 +1,263 @@
+//! Quarantine of content that crashes endpoints.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use types::{EndpointName, Timestamp};
+use utils::{Digest, HashMap, HashSet};
+
+/// Lost endpoints after which content that was once lost alone is quarantined.
+const LOSSES_TO_VERDICT: usize = 2;
+
+/// Lost endpoints after which content is quarantined even if it never ran alone.
+const LOSSES_MAX: usize = 4;
+
+/// Time after which a suspicion without a further loss is dropped.
+const SUSPICION_TIME: Duration = Duration::from_secs(600);
+
+/// Records kept; the oldest is dropped first.
+const RECORDS_MAX: usize = 4_096;
+
+/// What is known about a content.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Verdict {
+    /// Nothing speaks against it.
+    Clear,
+    /// An endpoint was lost while it ran; it is to run alone.
+    Suspect,
+    /// It is not run any more.
+    Quarantined,
+}
+
+/// Endpoints that were lost while a content ran.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashRecord {
+    /// Digest of the content.
+    pub fingerprint: Digest,
+    /// Endpoints lost; at most [`LOSSES_MAX`].
+    pub endpoints: BTreeSet<EndpointName>,
+    /// Whether it ran alone at one of the losses.
+    pub was_alone: bool,
+    /// Whether it is to run alone.
+    pub needs_trial: bool,
+}
+
+impl CrashRecord {
+    /// Returns the verdict that follows from the record.
+    pub fn verdict(&self) -> Verdict {
+        let losses = self.endpoints.len();
+        if losses >= LOSSES_MAX || (losses >= LOSSES_TO_VERDICT && self.was_alone) {
+            Verdict::Quarantined
+        } else if self.needs_trial || losses >= LOSSES_TO_VERDICT {
+            Verdict::Suspect
+        } else {
+            Verdict::Clear
+        }
+    }
+
+    fn new(fingerprint: Digest) -> CrashRecord {
+        CrashRecord {
+            fingerprint,
+            endpoints: BTreeSet::new(),
+            was_alone: false,
+            needs_trial: false,
+        }
+    }
+
+    /// Adds what `other` knows. The order and the number of merges make no difference.
+    fn merge(&mut self, other: &CrashRecord) {
+        self.endpoints.extend(other.endpoints.iter().cloned());
+        while self.endpoints.len() > LOSSES_MAX {
+            self.endpoints.pop_last();
+        }
+        self.was_alone |= other.was_alone;
+        self.needs_trial |= other.needs_trial;
+    }
+}
+
+/// Contents that crashed endpoints, as this router and its peers have seen it.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    /// Records with the time of their last change.
+    records: HashMap<Digest, (CrashRecord, Timestamp)>,
+    /// Contents that operators have quarantined.
+    listed: HashSet<Digest>,
+    /// Contents that operators have released.
+    released: HashSet<Digest>,
+}
+
+impl Quarantine {
+    /// Takes over the operators' lists. A released content is not quarantined again by
+    /// what was seen before.
+    pub fn set_lists(&mut self, listed: HashSet<Digest>, released: HashSet<Digest>) {
+        self.records.retain(|fingerprint, _| !released.contains(fingerprint));
+        self.listed = listed;
+        self.released = released;
+    }
+
+    /// Returns the verdict on a content.
+    pub fn verdict(&self, fingerprint: &Digest) -> Verdict {
+        if self.listed.contains(fingerprint) {
+            return Verdict::Quarantined;
+        }
+        if self.released.contains(fingerprint) {
+            return Verdict::Clear;
+        }
+        self.records.get(fingerprint).map_or(Verdict::Clear, |(record, _)| record.verdict())
+    }
+
+    /// Notes that `endpoint` was lost while the content ran. `had_first_token` says
+    /// that the endpoint had survived its prompt. Returns the record, to be sent to
+    /// the other routers, if it changed.
+    pub fn on_loss(
+        &mut self,
+        fingerprint: Digest,
+        endpoint: &EndpointName,
+        had_first_token: bool,
+        was_alone: bool,
+        now: Timestamp,
+    ) -> Option<CrashRecord> {
+        let mut loss = CrashRecord::new(fingerprint);
+        loss.endpoints.insert(endpoint.clone());
+        loss.was_alone = was_alone;
+        loss.needs_trial = !had_first_token;
+        self.merge(&loss, now).then(|| self.records[&fingerprint].0.clone())
+    }
+
+    /// Notes that the content ran to its end or, alone, past its prompt.
+    pub fn on_survived(&mut self, fingerprint: &Digest) {
+        if self.verdict(fingerprint) != Verdict::Quarantined {
+            self.records.remove(fingerprint);
+        }
+    }
+
+    /// Takes a record of another router; true where it said something new.
+    pub fn merge(&mut self, record: &CrashRecord, now: Timestamp) -> bool {
+        if self.released.contains(&record.fingerprint) {
+            return false;
+        }
+        let fresh = || (CrashRecord::new(record.fingerprint), now);
+        let entry = self.records.entry(record.fingerprint).or_insert_with(fresh);
+        let before = entry.0.clone();
+        entry.0.merge(record);
+        let changed = entry.0 != before;
+        if changed {
+            entry.1 = now;
+        }
+        self.limit_records(now);
+        changed && self.records.contains_key(&record.fingerprint)
+    }
+
+    /// Returns the quarantined contents that the routers found, in their order.
+    pub fn quarantined(&self) -> Vec<CrashRecord> {
+        let records = self.records.values().map(|(record, _)| record);
+        let mut found: Vec<CrashRecord> =
+            records.filter(|it| it.verdict() == Verdict::Quarantined).cloned().collect();
+        found.sort_by_key(|it| it.fingerprint);
+        found
+    }
+
+    /// Drops suspicions that are old.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.records.retain(|_, (record, changed_at)| {
+            record.verdict() == Verdict::Quarantined || now.since(*changed_at) < SUSPICION_TIME
+        });
+    }
+
+    fn limit_records(&mut self, now: Timestamp) {
+        if self.records.len() <= RECORDS_MAX {
+            return;
+        }
+        self.expire(now);
+        // Suspicions go before verdicts, old ones before new ones.
+        let order = |(record, at): &(CrashRecord, Timestamp)| (record.verdict(), *at);
+        let oldest = self.records.iter().min_by_key(|(_, entry)| order(entry));
+        if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint)
+            && self.records.len() > RECORDS_MAX
+        {
+            self.records.remove(&fingerprint);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn endpoint(number: u32) -> EndpointName {
+        EndpointName::new(&format!("engine-{number}")).unwrap()
+    }
+
+    const NOW: Timestamp = Timestamp::ZERO;
+
+    #[test]
+    fn two_losses_one_of_them_alone_give_the_verdict() {
+        let mut quarantine = Quarantine::default();
+        let poison = Digest::from_content(b"poison");
+        quarantine.on_loss(poison, &endpoint(1), false, false, NOW);
+        assert_eq!(quarantine.verdict(&poison), Verdict::Suspect);
+        quarantine.on_loss(poison, &endpoint(2), false, true, NOW);
+        assert_eq!(quarantine.verdict(&poison), Verdict::Quarantined);
+        quarantine.on_survived(&poison);
+        assert_eq!(quarantine.verdict(&poison), Verdict::Quarantined);
+    }
+
+    #[test]
+    fn bystander_that_runs_alone_is_cleared() {
+        let mut quarantine = Quarantine::default();
+        let bystander = Digest::from_content(b"bystander");
+        quarantine.on_loss(bystander, &endpoint(1), false, false, NOW);
+        quarantine.on_loss(bystander, &endpoint(2), false, false, NOW);
+        assert_eq!(quarantine.verdict(&bystander), Verdict::Suspect);
+        quarantine.on_survived(&bystander);
+        assert_eq!(quarantine.verdict(&bystander), Verdict::Clear);
+    }
+
+    #[test]
+    fn one_endpoint_lost_twice_is_one_loss() {
+        let mut quarantine = Quarantine::default();
+        let content = Digest::from_content(b"content");
+        quarantine.on_loss(content, &endpoint(1), false, true, NOW);
+        quarantine.on_loss(content, &endpoint(1), false, true, NOW);
+        assert_eq!(quarantine.verdict(&content), Verdict::Suspect);
+    }
+
+    #[test]
+    fn records_merge_to_the_same_verdict_in_any_order() {
+        let poison = Digest::from_content(b"poison");
+        let mut sources = [Quarantine::default(), Quarantine::default()];
+        let first = sources[0].on_loss(poison, &endpoint(1), false, false, NOW).unwrap();
+        let second = sources[1].on_loss(poison, &endpoint(2), true, true, NOW).unwrap();
+        for order in [[&first, &second, &first], [&second, &first, &second]] {
+            let mut quarantine = Quarantine::default();
+            let changes = order.map(|record| quarantine.merge(record, NOW));
+            assert_eq!(changes, [true, true, false]);
+            assert_eq!(quarantine.verdict(&poison), Verdict::Quarantined);
+        }
+    }
+
+    #[test]
+    fn operators_list_and_release() {
+        let mut quarantine = Quarantine::default();
+        let poison = Digest::from_content(b"poison");
+        let record = quarantine.on_loss(poison, &endpoint(1), false, true, NOW).unwrap();
+        quarantine.on_loss(poison, &endpoint(2), false, true, NOW);
+        assert_eq!(quarantine.quarantined().len(), 1);
+        quarantine.set_lists(HashSet::default(), HashSet::from_iter([poison]));
+        assert_eq!(quarantine.verdict(&poison), Verdict::Clear);
+        assert!(!quarantine.merge(&record, NOW));
+        quarantine.set_lists(HashSet::from_iter([poison]), HashSet::default());
+        assert_eq!(quarantine.verdict(&poison), Verdict::Quarantined);
+    }
+
+    #[test]
+    fn suspicion_expires_and_the_verdict_stays() {
+        let mut quarantine = Quarantine::default();
+        let (poison, other) = (Digest::from_content(b"poison"), Digest::from_content(b"other"));
+        quarantine.on_loss(poison, &endpoint(1), false, true, NOW);
+        quarantine.on_loss(poison, &endpoint(2), false, true, NOW);
+        quarantine.on_loss(other, &endpoint(1), false, false, NOW);
+        quarantine.expire(NOW + SUSPICION_TIME);
+        assert_eq!(quarantine.verdict(&poison), Verdict::Quarantined);
+        assert_eq!(quarantine.verdict(&other), Verdict::Clear);
+    }
+}
--- /dev/null
+++ b/components/routing/src/settings.rs
@@ -0,0 +1,60 @@
+//! Settings of the scheduler.
+
+use std::time::Duration;
+
+/// Settings of the scheduler.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SchedulerSettings {
+    /// Age of the load that reports give.
+    pub report_lag: Duration,
+    /// Endpoints of a pool that one choice looks at, beside those with a cached prefix.
+    pub sampled_endpoints: usize,
+    /// Endpoints of a pool that one router uses at most.
+    pub pool_endpoints_max: usize,
+    /// Blocks of prompts whose endpoints are remembered.
+    pub prefix_blocks: usize,
+    /// Prompt tokens that an engine processes in one step.
+    pub prompt_tokens_per_step: u64,
+    /// Requests of one client account that wait at most.
+    pub account_queue_max: usize,
+    /// Requests that wait at most.
+    pub queue_max: usize,
+    /// Places of an endpoint that bulk requests leave free.
+    pub places_kept_from_bulk: u32,
+    /// Places of an endpoint that only urgent requests take.
+    pub places_kept_for_urgent: u32,
+    /// Prompt tokens waiting on an endpoint above which it gets no further bulk request.
+    pub bulk_prompt_tokens_max: u64,
+    /// Consecutive failures after which an endpoint is ejected.
+    pub ejection_failures: u32,
+    /// Time of the first ejection; doubles with each ejection in a row.
+    pub ejection_time: Duration,
+    /// Largest share of a pool that is ejected at a time, in percent.
+    pub ejected_percent_max: usize,
+    /// Time over which an endpoint that returns gets back its full limit.
+    pub slow_start: Duration,
+    /// Time for which an endpoint that refused gets no work.
+    pub refusal_pause: Duration,
+}
+
+impl Default for SchedulerSettings {
+    fn default() -> SchedulerSettings {
+        SchedulerSettings {
+            report_lag: Duration::from_millis(500),
+            sampled_endpoints: 8,
+            pool_endpoints_max: 64,
+            prefix_blocks: 32_768,
+            prompt_tokens_per_step: 512,
+            account_queue_max: 512,
+            queue_max: 4_096,
+            places_kept_from_bulk: 2,
+            places_kept_for_urgent: 1,
+            bulk_prompt_tokens_max: 2_048,
+            ejection_failures: 3,
+            ejection_time: Duration::from_secs(1),
+            ejected_percent_max: 50,
+            slow_start: Duration::from_secs(5),
+            refusal_pause: Duration::from_secs(1),
+        }
+    }
+}
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -26,3 +26,27 @@
 
 /// Gauge of the configuration version in force.
 pub const CONFIG_VERSION: &str = "auburncrank_config_version";
+
+/// Counter of retries that the retry budget denied, by `reason`.
+pub const RETRIES_DENIED_TOTAL: &str = "auburncrank_retries_denied_total";
+
+/// Counter of ended attempts on endpoints, by `outcome`.
+pub const ATTEMPTS_TOTAL: &str = "auburncrank_attempts_total";
+
+/// Gauge of endpoints that this router uses, by `state`.
+pub const ENDPOINTS: &str = "auburncrank_endpoints";
+
+/// Gauge of requests that wait for an endpoint.
+pub const QUEUED_REQUESTS: &str = "auburncrank_queued_requests";
+
+/// Histogram of the wait for an endpoint, in seconds.
+pub const QUEUE_SECONDS: &str = "auburncrank_queue_seconds";
+
+/// Gauge of contents that are quarantined because they crashed endpoints.
+pub const QUARANTINED_CONTENTS: &str = "auburncrank_quarantined_contents";
+
+/// Counter of endpoints lost while content ran, by `alone`.
+pub const ENDPOINT_LOSSES_TOTAL: &str = "auburncrank_endpoint_losses_total";
+
+/// Counter of polls of endpoints and of the host list, by `source` and `result`.
+pub const POLLS_TOTAL: &str = "auburncrank_polls_total";
--- a/components/utils/src/digest.rs
+++ b/components/utils/src/digest.rs
@@ -21,6 +21,11 @@
         Some(Digest(buf))
     }
 
+    /// Creates the digest that `bytes` hold; `None` unless they are 32.
+    pub fn from_bytes(bytes: &[u8]) -> Option<Digest> {
+        bytes.try_into().ok().map(Digest)
+    }
+
     /// Returns the digest's bytes.
     pub fn as_bytes(&self) -> &[u8; 32] {
         &self.0
