--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -11,7 +11,7 @@
 use client::{Connections, HttpClient, PlatformClient};
 use errors::{Error, ErrorKind, Result};
 use membership::{Member, MemberState};
-use platform::{ObjectStore, Table};
+use platform::{HostList, ObjectStore, Table};
 use rand::Rng as _;
 use telemetry::set_up_metrics;
 use tokio::runtime::{Builder, Runtime};
@@ -23,7 +23,7 @@
     accounting::PerRequestAccounting,
     admin::{AdminContext, NoResolver},
     configuration::{ConfigHandle, run_config_poller},
-    dispatch::LeastRequests,
+    dispatch::PolicyDispatcher,
     http::{HttpContext, HttpServer, KEEP_ADDRESSES},
     peers::{AloneRouter, Peers},
     registry::{FleetRegistry, RegistryParts},
@@ -150,6 +150,7 @@
     let id = RouterId::new(settings.name.clone(), Incarnation(utils::new_rng().random()));
     let platform = PlatformClient::new(settings.platform_address, settings.platform_timeout);
     let objects: Arc<dyn ObjectStore> = Arc::new(platform.clone());
+    let hosts: Arc<dyn HostList> = Arc::new(platform.clone());
     let table: Arc<dyn Table> = Arc::new(platform);
     let cfg = ConfigHandle::new();
     let local = Member {
@@ -170,11 +171,13 @@
         objects,
         peers: peers.clone(),
     });
+    let dispatcher =
+        PolicyDispatcher::start(control.handle(), clock, cfg.clone(), peers.clone(), hosts);
     let router = RouterContext {
         clock,
         accounting: Arc::new(PerRequestAccounting::new(table.clone(), clock)),
         registry,
-        dispatcher: Arc::new(LeastRequests::new(cfg.clone())),
+        dispatcher: Arc::new(dispatcher),
         peers,
         cfg,
         table,
