Connect the routers: failure detector over TCP

Routers knew no others: every subsystem that needs peers ran against a router that is alone.

`membership::Detector` decides, in the manner of SWIM: periodic and indirect probes, suspicion, refutation, leaving, changes passed on in the messages that are sent anyway. `router::peers::PeerNetwork` carries it on the control thread: one outbound connection a peer with a bounded queue that drops heartbeats first, jittered reconnects, an inbound listener, timeouts. The incarnation of a start is now the wall clock in microseconds, so that later starts of a name have higher ones; a refutation raises a number of its own.

--- /dev/null
+++ b/components/membership/src/detector/merge.rs
@@ -0,0 +1,148 @@
+//! Merges of records that others passed on.
+
+use std::{cmp::Ordering, net::SocketAddr};
+
+use types::{RouterName, Timestamp};
+use utils::Rng;
+
+use super::roster::Entry;
+use crate::{Action, Detector, MemberRecord, MemberStatus, MessageKind};
+
+/// What a record of a known member means to this router.
+enum Verdict {
+    /// It says nothing new.
+    Ignore,
+    /// It replaces what is known.
+    Accept,
+    /// It contradicts what this router knows better; the member is told of it.
+    TellMember,
+}
+
+impl Detector {
+    /// Merges a record that another router passed on.
+    pub(super) fn merge(
+        &mut self,
+        record: MemberRecord,
+        now: Timestamp,
+        rng: &mut Rng,
+        actions: &mut Vec<Action>,
+    ) {
+        if record.id.name == self.local.id.name {
+            self.refute(&record);
+            return;
+        }
+        let Some(known) = self.roster.get(&record.id.name) else {
+            self.merge_unknown(record, now, rng);
+            return;
+        };
+        match record.id.incarnation.cmp(&known.record.id.incarnation) {
+            Ordering::Less => {}
+            Ordering::Greater => self.accept(record, now, rng),
+            Ordering::Equal => self.merge_same_process(record, now, rng, actions),
+        }
+    }
+
+    fn merge_unknown(&mut self, record: MemberRecord, now: Timestamp, rng: &mut Rng) {
+        if record.status != MemberStatus::Dead {
+            self.accept(record, now, rng);
+        } else if record.dead_for < self.settings.keep_dead {
+            // Remembered, so that an older record does not bring it back.
+            self.roster.put(record, now, rng);
+        }
+    }
+
+    fn merge_same_process(
+        &mut self,
+        mut record: MemberRecord,
+        now: Timestamp,
+        rng: &mut Rng,
+        actions: &mut Vec<Action>,
+    ) {
+        self.merge_figures(&record);
+        let name = record.id.name.clone();
+        let Some(known) = self.roster.get(&name) else { return };
+        let verdict = self.judge(known, &record, now);
+        record.is_leaving |= known.record.is_leaving;
+        if record.heartbeat < known.record.heartbeat {
+            record.heartbeat = known.record.heartbeat;
+            record.load = known.record.load;
+            record.config_version = known.record.config_version;
+        }
+        match verdict {
+            Verdict::Ignore => {}
+            Verdict::Accept => self.accept(record, now, rng),
+            Verdict::TellMember => self.tell_member(record, now, actions),
+        }
+    }
+
+    /// Takes over what does not depend on whether the member is alive.
+    fn merge_figures(&mut self, record: &MemberRecord) {
+        let name = record.id.name.clone();
+        let Some(known) = self.roster.get_mut(&name) else { return };
+        let known = &mut known.record;
+        if record.heartbeat > known.heartbeat {
+            known.heartbeat = record.heartbeat;
+            let figures = (record.load, record.config_version);
+            self.is_changed |= (known.load, known.config_version) != figures;
+            (known.load, known.config_version) = figures;
+        }
+        if record.is_leaving && !known.is_leaving {
+            known.is_leaving = true;
+            self.is_changed = true;
+            self.gossip.push(&name);
+        }
+    }
+
+    /// Judges a record of the process that is known under its name.
+    fn judge(&self, known: &Entry, record: &MemberRecord, now: Timestamp) -> Verdict {
+        if record.precedence() <= known.record.precedence() {
+            return Verdict::Ignore;
+        }
+        let evidence_span = self.settings.suspicion_timeout;
+        match record.status {
+            MemberStatus::Alive => Verdict::Accept,
+            MemberStatus::Suspect | MemberStatus::Dead
+                if known.answered_within(evidence_span, now) && known.died.is_none() =>
+            {
+                Verdict::Ignore
+            }
+            MemberStatus::Suspect => Verdict::Accept,
+            // An old death of a member that is known as alive comes from beyond a
+            // partition that has healed.
+            MemberStatus::Dead
+                if record.dead_for >= self.settings.fresh_death && known.died.is_none() =>
+            {
+                Verdict::TellMember
+            }
+            MemberStatus::Dead => Verdict::Accept,
+        }
+    }
+
+    fn accept(&mut self, record: MemberRecord, now: Timestamp, rng: &mut Rng) {
+        let name = record.id.name.clone();
+        if record.status != MemberStatus::Suspect {
+            self.suspicions.remove(&name);
+        }
+        self.roster.put(record, now, rng);
+        self.gossip.push(&name);
+        self.is_changed = true;
+    }
+
+    fn tell_member(&mut self, record: MemberRecord, now: Timestamp, actions: &mut Vec<Action>) {
+        let Some(to) = self.note_told(&record.id.name, now) else { return };
+        let number = self.take_number();
+        let message = self.message(MessageKind::Ping { probe: number }, vec![record]);
+        actions.push(Action::Send { to, message });
+    }
+
+    /// Notes that a member is told of its death, unless it was just now.
+    fn note_told(&mut self, name: &RouterName, now: Timestamp) -> Option<SocketAddr> {
+        let period = self.settings.contact_period;
+        let entry = self.roster.get_mut(name)?;
+        if entry.told.is_some_and(|told| now.since(told) < period) {
+            return None;
+        }
+        entry.told = Some(now);
+        Some(entry.record.peer_address)
+    }
+}
--- /dev/null
+++ b/components/membership/src/detector/suspicion.rs
@@ -0,0 +1,186 @@
+//! Probes and suspicions: from a ping without answer to a dead member.
+
+use types::{RouterName, Timestamp};
+use utils::Rng;
+
+use super::probe::Probe;
+use crate::{Action, Detector, DetectorSettings, MemberStatus, MessageKind};
+
+/// Most suspected members that are probed anew in one wakeup.
+const MAX_SUSPECTS_PROBED: usize = 4;
+
+/// Failed probes in a row, without any answer, from which on this router takes itself to
+/// be the one that is cut off, and accuses nobody before others.
+const ISOLATED_AFTER: usize = 3;
+
+/// Suspicion of a member by this router itself.
+#[derive(Debug)]
+pub(super) struct Suspicion {
+    /// When the member is dead.
+    ends_at: Timestamp,
+    /// When the member is probed anew.
+    retry_at: Timestamp,
+}
+
+impl Suspicion {
+    fn new(settings: &DetectorSettings, now: Timestamp) -> Suspicion {
+        Suspicion { ends_at: now + settings.suspicion_timeout, retry_at: now }
+    }
+
+    /// Gives the member the whole time anew.
+    pub(super) fn extend(&mut self, settings: &DetectorSettings, now: Timestamp) {
+        self.ends_at = now + settings.suspicion_timeout;
+    }
+
+    /// Returns when there is something to do.
+    pub(super) fn next_wakeup(&self) -> Timestamp {
+        self.ends_at.min(self.retry_at)
+    }
+}
+
+impl Detector {
+    /// Probes member `name`.
+    pub(super) fn start_probe(
+        &mut self,
+        name: &RouterName,
+        now: Timestamp,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(record) = self.roster.get(name).map(|it| it.record.clone()) else { return };
+        let number = self.take_number();
+        self.probes.push(Probe {
+            number,
+            target: record.id,
+            indirect_at: Some(now + self.settings.direct_timeout),
+            fails_at: now + self.settings.probe_timeout,
+        });
+        let kind = MessageKind::Ping { probe: number };
+        self.send_to(name, record.peer_address, kind, now, actions);
+    }
+
+    /// Asks others to ping where the direct answer is missing, and suspects members
+    /// whose probes have failed.
+    pub(super) fn check_probes(
+        &mut self,
+        now: Timestamp,
+        rng: &mut Rng,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_due = |at: &mut Timestamp| *at <= now;
+        let mut indirect = Vec::new();
+        for probe in &mut self.probes {
+            if probe.indirect_at.take_if(is_due).is_some() {
+                indirect.push((probe.number, probe.target.name.clone()));
+            }
+        }
+        for (number, target) in indirect {
+            self.probe_through_others(number, &target, now, rng, actions);
+        }
+        let (failed, pending) =
+            std::mem::take(&mut self.probes).into_iter().partition(|it| it.fails_at <= now);
+        self.probes = pending;
+        let failed: Vec<Probe> = failed;
+        for probe in failed {
+            self.failed_in_a_row += 1;
+            self.suspect(&probe, now);
+        }
+    }
+
+    /// Probes suspected members anew, and declares dead those whose time has run out.
+    pub(super) fn check_suspicions(
+        &mut self,
+        now: Timestamp,
+        rng: &mut Rng,
+        actions: &mut Vec<Action>,
+    ) {
+        let due = self.suspicions.iter().filter(|(_, it)| it.ends_at <= now);
+        let mut ended: Vec<_> = due.map(|(name, _)| name.clone()).collect();
+        ended.sort();
+        for name in ended {
+            self.suspicions.remove(&name);
+            self.declare_dead(&name, now, rng);
+        }
+        let due = self.suspicions.iter().filter(|(_, it)| it.retry_at <= now);
+        let mut due: Vec<_> = due.map(|(name, it)| (it.retry_at, name.clone())).collect();
+        due.sort();
+        for (place, (_, name)) in due.into_iter().enumerate() {
+            if let Some(suspicion) = self.suspicions.get_mut(&name) {
+                suspicion.retry_at = now + self.settings.suspect_retry;
+            }
+            if place < MAX_SUSPECTS_PROBED {
+                self.probe_suspect(&name, now, rng, actions);
+            }
+        }
+    }
+
+    /// Tells whether this router seems to be cut off from all others.
+    pub(super) fn is_isolated(&self) -> bool {
+        self.failed_in_a_row >= ISOLATED_AFTER
+    }
+
+    fn probe_through_others(
+        &mut self,
+        number: u64,
+        target: &RouterName,
+        now: Timestamp,
+        rng: &mut Rng,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(entry) = self.roster.get(target) else { return };
+        let target_address = entry.record.peer_address;
+        let count = self.settings.indirect_probes;
+        for helper in self.roster.draw_live(count, Some(target), rng) {
+            let Some(to) = self.roster.get(&helper).map(|it| it.record.peer_address) else {
+                continue;
+            };
+            let kind =
+                MessageKind::PingRequest { probe: number, target: target.clone(), target_address };
+            // The helper passes the accusation on to the target.
+            let accusation = self.roster.get(target).map(|it| it.record_at(now));
+            let message = self.message(kind, accusation.into_iter().collect());
+            actions.push(Action::Send { to, message });
+        }
+    }
+
+    fn probe_suspect(
+        &mut self,
+        name: &RouterName,
+        now: Timestamp,
+        rng: &mut Rng,
+        actions: &mut Vec<Action>,
+    ) {
+        self.start_probe(name, now, actions);
+        let Some(probe) = self.probes.last_mut() else { return };
+        probe.indirect_at = None;
+        let number = probe.number;
+        self.probe_through_others(number, name, now, rng, actions);
+    }
+
+    fn suspect(&mut self, probe: &Probe, now: Timestamp) {
+        let name = &probe.target.name;
+        let Some(entry) = self.roster.get_mut(name) else { return };
+        let is_same = entry.record.id == probe.target;
+        if !is_same || entry.died.is_some() || self.suspicions.contains_key(name) {
+            return;
+        }
+        if entry.record.status == MemberStatus::Alive {
+            entry.record.status = MemberStatus::Suspect;
+            self.is_changed = true;
+            if !self.is_isolated() {
+                self.gossip.push(name);
+            }
+        }
+        self.suspicions.insert(name.clone(), Suspicion::new(&self.settings, now));
+    }
+
+    fn declare_dead(&mut self, name: &RouterName, now: Timestamp, rng: &mut Rng) {
+        let Some(mut record) = self.roster.get(name).map(|it| it.record.clone()) else { return };
+        record.status = MemberStatus::Dead;
+        record.dead_for = std::time::Duration::ZERO;
+        self.roster.put(record, now, rng);
+        self.is_changed = true;
+        if !self.is_isolated() {
+            self.gossip.push(name);
+        }
+    }
+}
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -2,8 +2,16 @@
 //!
 //! This crate decides only; it has no network code.
 
+mod detector;
 mod member;
 mod member_state;
 mod view;
 
-pub use self::{member::Member, member_state::MemberState, view::MembershipView};
+pub use self::{
+    detector::{
+        Action, Detector, DetectorSettings, MemberRecord, MemberStatus, Message, MessageKind,
+    },
+    member::Member,
+    member_state::MemberState,
+    view::MembershipView,
+};
--- a/components/membership/src/view.rs
+++ b/components/membership/src/view.rs
@@ -26,7 +26,11 @@
 
     /// Finds a member by name.
     pub fn find(&self, name: &RouterName) -> Option<&Member> {
-        self.members().find(|member| member.id.name == *name)
+        if self.local.id.name == *name {
+            return Some(&self.local);
+        }
+        let place = self.others.binary_search_by(|it| it.id.name.cmp(name)).ok()?;
+        self.others.get(place)
     }
 
     /// Returns the members that take new requests.
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -8,12 +8,17 @@
 mod frame;
 mod membership;
 mod requests;
+mod socket_address;
 
 pub use self::{
     budget::BudgetMessage,
     config::ConfigMessage,
     envelope::{Envelope, PeerBody},
     frame::{FRAME_MAX_BYTES, FrameCodec, FrameError},
-    membership::MembershipMessage,
+    membership::{
+        MemberRecordMessage, MembershipError, MembershipKind, MembershipMessage,
+        PingRequestMessage, StatusMessage,
+    },
     requests::RequestsMessage,
+    socket_address::AddressError,
 };
--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -1,18 +1,19 @@
 //! A router process.
 
 use std::{
+    io,
     net::{SocketAddr, TcpListener},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
     },
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use client::{Connections, HttpClient, PlatformClient};
 use errors::{Error, ErrorKind, Result};
-use membership::{Member, MemberState};
+use membership::{DetectorSettings, Member, MemberState};
 use platform::Table;
-use rand::Rng as _;
 use telemetry::set_up_metrics;
 use tokio::runtime::{Builder, Runtime};
 use types::{Incarnation, RouterId};
@@ -24,11 +25,14 @@
     configuration::{ConfigHandle, run_config_poller},
     dispatch::LeastRequests,
     http::{HttpContext, HttpServer, KEEP_ADDRESSES},
-    peers::AloneRouter,
+    peers::{PeerNetwork, PeerNetworkSettings, run_host_hints},
     registry::LocalRegistry,
     traffic::Runs,
 };
 
+/// Time between two updates of the load that the other routers are told.
+const LOAD_PERIOD: Duration = Duration::from_millis(100);
+
 /// A router process. Dropping it without [`shut_down`](RouterProcess::shut_down) cuts
 /// off everything, as a crash does.
 pub struct RouterProcess {
@@ -36,6 +40,8 @@
     settings: RouterSettings,
     /// Address for callers.
     caller_address: SocketAddr,
+    /// Address for the other routers.
+    peer_address: SocketAddr,
     /// Runtime that carries traffic; `None` once it is shut down.
     traffic: Option<Runtime>,
     /// Thread that owns control state.
@@ -54,6 +60,8 @@
     pub fn start(settings: RouterSettings) -> std::result::Result<RouterProcess, StartError> {
         let listener = listen(settings.caller_address)?;
         let caller_address = listener.local_addr()?;
+        let peer_listener = listen(settings.peer_address)?;
+        let peer_address = peer_listener.local_addr()?;
         let control = ControlThread::start()?;
         let traffic = Builder::new_multi_thread()
             .worker_threads(settings.traffic_threads)
@@ -62,18 +70,26 @@
             .build()?;
         let cx = {
             let _guard = traffic.enter();
-            assemble(&settings, caller_address, &control)
+            assemble(&settings, caller_address, peer_listener, &control)?
         };
         let http = {
             let _guard = traffic.enter();
             HttpServer::start(tokio::net::TcpListener::from_std(listener)?, cx.routes())
         };
         log::info!(
-            router:% = settings.name, address:% = caller_address;
+            router:% = settings.name, address:% = caller_address, peer_address:% = peer_address;
             "router serves callers"
         );
         let (traffic, http) = (Some(traffic), Some(http));
-        Ok(RouterProcess { settings, caller_address, traffic, _control: control, http, cx })
+        Ok(RouterProcess {
+            settings,
+            caller_address,
+            peer_address,
+            traffic,
+            _control: control,
+            http,
+            cx,
+        })
     }
 
     /// Returns the address for callers.
@@ -81,6 +97,11 @@
         self.caller_address
     }
 
+    /// Returns the address for the other routers.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
     /// Returns what every request needs, for checks and administration.
     pub fn context(&self) -> &RouterContext {
         &self.cx.router
@@ -143,38 +164,71 @@
 fn assemble(
     settings: &RouterSettings,
     caller_address: SocketAddr,
+    peer_listener: TcpListener,
     control: &ControlThread,
-) -> HttpContext {
+) -> io::Result<HttpContext> {
     let clock = Clock::new();
-    let id = RouterId::new(settings.name.clone(), Incarnation(utils::new_rng().random()));
+    let id = RouterId::new(settings.name.clone(), new_incarnation());
     let platform = PlatformClient::new(settings.platform_address, settings.platform_timeout);
-    let table: Arc<dyn Table> = Arc::new(platform);
+    let table: Arc<dyn Table> = Arc::new(platform.clone());
     let cfg = ConfigHandle::new();
     let local = Member {
         id: id.clone(),
         failure_domain: settings.failure_domain.clone(),
         caller_address,
-        peer_address: settings.peer_address,
+        peer_address: peer_listener.local_addr()?,
         state: MemberState::Alive,
         load: 0,
         config_version: cfg.version(),
     };
+    let peer_port = local.peer_address.port();
+    let peers = PeerNetwork::start(
+        PeerNetworkSettings {
+            local,
+            seeds: settings.seeds.clone(),
+            detector: DetectorSettings::default(),
+            listener: peer_listener,
+            clock,
+            cfg: cfg.clone(),
+        },
+        control.handle(),
+    )?;
+    let peers = Arc::new(peers);
+    let hosts = Arc::new(platform);
+    control.handle().spawn(run_host_hints(hosts, peer_port, peers.clone()));
     control.handle().spawn(run_config_poller(cfg.clone(), table.clone()));
     let router = RouterContext {
         clock,
         accounting: Arc::new(PerRequestAccounting::new(table.clone(), clock)),
         registry: Arc::new(LocalRegistry::new(id, table.clone())),
         dispatcher: Arc::new(LeastRequests::new(cfg.clone())),
-        peers: Arc::new(AloneRouter::new(local)),
+        peers: peers.clone(),
         cfg,
         table,
         pooled: HttpClient::new(Connections::Kept),
         unpooled: HttpClient::new(Connections::OnePerCall),
     };
-    HttpContext {
-        runs: Runs::new(router.clone()),
+    let runs = Runs::new(router.clone());
+    control.handle().spawn(report_load(runs.clone(), peers));
+    Ok(HttpContext {
+        runs,
         router,
         metrics: set_up_metrics(),
         is_closed: Arc::new(AtomicBool::new(false)),
+    })
+}
+
+/// Returns the incarnation of this start: microseconds of the wall clock, so that a later
+/// start of the same name has a higher one.
+fn new_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
+}
+
+/// Tells the other routers the number of requests in progress.
+async fn report_load(runs: Runs, peers: Arc<PeerNetwork>) {
+    loop {
+        peers.set_load(runs.len());
+        tokio::time::sleep(LOAD_PERIOD).await;
     }
 }
--- a/components/router/src/peers/mod.rs
+++ b/components/router/src/peers/mod.rs
@@ -1,6 +1,16 @@
 //! The other routers, as the subsystems see them.
-
-mod alone;
+//!
+//! [`PeerNetwork`] carries the messages over TCP and runs the failure detector of
+//! `membership` on the control thread.
+
+mod hints;
+mod inbound;
+mod limits;
+mod link;
+mod links;
+mod network;
+mod send_queue;
+mod service;
 
 use std::sync::Arc;
 
@@ -8,7 +18,10 @@
 use protocol::PeerBody;
 use types::{RouterId, RouterName};
 
-pub use self::alone::AloneRouter;
+pub(crate) use self::{
+    hints::run_host_hints,
+    network::{PeerNetwork, PeerNetworkSettings},
+};
 
 /// The other routers.
 pub trait Peers: Send + Sync {
--- /dev/null
+++ b/components/router/src/peers/send_queue.rs
@@ -0,0 +1,102 @@
+//! Messages that wait for one peer.
+
+use std::{
+    collections::VecDeque,
+    sync::{Mutex, PoisonError},
+};
+
+use protocol::{Envelope, PeerBody};
+use tokio::sync::Notify;
+
+use super::limits::QUEUE_MAX_MESSAGES;
+
+/// Messages that wait for one peer, at most [`QUEUE_MAX_MESSAGES`].
+#[derive(Debug, Default)]
+pub(super) struct SendQueue {
+    /// The messages, the oldest first.
+    messages: Mutex<VecDeque<Envelope>>,
+    /// Wakes the task that sends.
+    pushed: Notify,
+}
+
+impl SendQueue {
+    /// Adds a message. A full queue drops its oldest heartbeat, which a later one
+    /// replaces, or else the new message.
+    pub(super) fn push(&self, envelope: Envelope) {
+        let mut messages = self.messages.lock().unwrap_or_else(PoisonError::into_inner);
+        if messages.len() >= QUEUE_MAX_MESSAGES {
+            count_dropped("queue_full", 1);
+            match messages.iter().position(is_heartbeat) {
+                Some(oldest) => _ = messages.remove(oldest),
+                None => return,
+            }
+        }
+        messages.push_back(envelope);
+        self.pushed.notify_one();
+    }
+
+    /// Waits for a message.
+    pub(super) async fn wait(&self) {
+        while self.is_empty() {
+            self.pushed.notified().await;
+        }
+    }
+
+    /// Waits for the oldest message and takes it.
+    pub(super) async fn pop(&self) -> Envelope {
+        loop {
+            if let Some(envelope) = self.try_pop() {
+                return envelope;
+            }
+            self.pushed.notified().await;
+        }
+    }
+
+    /// Drops the heartbeats, which are of no use late.
+    pub(super) fn drop_heartbeats(&self) {
+        let mut messages = self.messages.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = messages.len();
+        messages.retain(|it| !is_heartbeat(it));
+        count_dropped("unreachable", before - messages.len());
+    }
+
+    fn is_empty(&self) -> bool {
+        self.messages.lock().unwrap_or_else(PoisonError::into_inner).is_empty()
+    }
+
+    fn try_pop(&self) -> Option<Envelope> {
+        self.messages.lock().unwrap_or_else(PoisonError::into_inner).pop_front()
+    }
+}
+
+/// Counts messages to peers that were dropped.
+pub(super) fn count_dropped(reason: &'static str, count: usize) {
+    let counter = metrics::counter!(telemetry::PEER_MESSAGES_DROPPED_TOTAL, "reason" => reason);
+    counter.increment(count as u64);
+}
+
+fn is_heartbeat(envelope: &Envelope) -> bool {
+    matches!(envelope.body, Some(PeerBody::Membership(_)))
+}
+
+#[cfg(test)]
+mod tests {
+    use protocol::{BudgetMessage, MembershipMessage};
+    use types::{Incarnation, RouterId, RouterName};
+
+    use super::*;
+
+    #[test]
+    fn full_queue_drops_heartbeats_first() {
+        let from = RouterId::new(RouterName::new("zlin-1").unwrap(), Incarnation(7));
+        let heartbeat = || PeerBody::Membership(MembershipMessage::default());
+        let other = || PeerBody::Budget(BudgetMessage::default());
+        let queue = SendQueue::default();
+        queue.push(Envelope::new(&from, heartbeat()));
+        for _ in 0..QUEUE_MAX_MESSAGES {
+            queue.push(Envelope::new(&from, other()));
+        }
+        let mut bodies = std::iter::from_fn(|| queue.try_pop()).map(|it| it.body);
+        assert!(bodies.all(|body| body == Some(other())));
+    }
+}
--- /dev/null
+++ b/components/router/src/peers/service.rs
@@ -0,0 +1,187 @@
+//! The task that runs the failure detector and passes messages on.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, PoisonError, atomic::Ordering},
+    time::Duration,
+};
+
+use membership::{Action, Detector, MemberState, MembershipView, Message};
+use protocol::{Envelope, MembershipMessage, PeerBody};
+use tokio::sync::mpsc;
+use types::{RouterId, Timestamp};
+use utils::Rng;
+
+use super::{
+    links::Links,
+    network::{OutboxMessage, PeersShared},
+    send_queue::count_dropped,
+};
+use crate::{Clock, configuration::ConfigHandle};
+
+/// Shortest time between two publications of the view.
+const PUBLISH_PERIOD: Duration = Duration::from_millis(100);
+
+/// The task that runs the failure detector and passes messages on.
+pub(super) struct PeerService {
+    /// Identity of this router.
+    id: RouterId,
+    /// Peer addresses from the settings.
+    seeds: Vec<SocketAddr>,
+    /// Failure detector.
+    detector: Detector,
+    /// Outbound connections.
+    links: Links,
+    /// What is shared with the other threads.
+    shared: Arc<PeersShared>,
+    /// Configuration in force.
+    cfg: ConfigHandle,
+    /// Clock.
+    clock: Clock,
+    /// Random numbers.
+    rng: Rng,
+    /// When the view may be published again.
+    next_publish: Timestamp,
+    /// Hints that the detector has.
+    hints: Arc<Vec<SocketAddr>>,
+}
+
+impl PeerService {
+    /// Creates the task's state.
+    pub(super) fn new(
+        id: RouterId,
+        seeds: Vec<SocketAddr>,
+        detector: Detector,
+        shared: Arc<PeersShared>,
+        cfg: ConfigHandle,
+        clock: Clock,
+    ) -> PeerService {
+        PeerService {
+            id,
+            seeds,
+            detector,
+            links: Links::default(),
+            hints: shared.hints.load_full(),
+            shared,
+            cfg,
+            clock,
+            rng: utils::new_rng(),
+            next_publish: Timestamp::ZERO,
+        }
+    }
+
+    /// Runs for as long as the router lives.
+    pub(super) async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<Envelope>,
+        mut outbox: mpsc::Receiver<OutboxMessage>,
+    ) {
+        let shared = self.shared.clone();
+        loop {
+            let clock = self.clock;
+            let wakeup = self.detector.next_wakeup();
+            tokio::select! {
+                Some(envelope) = inbox.recv() => self.receive(&envelope),
+                Some(message) = outbox.recv() => self.send(message),
+                () = shared.left.notified() => self.leave(),
+                () = clock.sleep_until(wakeup) => self.wake_up(),
+            }
+            self.publish();
+        }
+    }
+
+    fn wake_up(&mut self) {
+        let load = self.shared.load.load(Ordering::Relaxed);
+        self.detector.set_figures(load, self.cfg.version());
+        self.take_hints();
+        let actions = self.detector.on_wakeup(self.clock.now(), &mut self.rng);
+        self.carry_out(actions);
+    }
+
+    fn leave(&mut self) {
+        let actions = self.detector.leave(&mut self.rng, self.clock.now());
+        self.carry_out(actions);
+    }
+
+    fn receive(&mut self, envelope: &Envelope) {
+        let (Ok(from), Some(body)) = (envelope.sender(), &envelope.body) else {
+            metrics::counter!(telemetry::PEER_MESSAGES_MALFORMED_TOTAL).increment(1);
+            return;
+        };
+        if from == self.id {
+            return;
+        }
+        if let PeerBody::Membership(message) = body {
+            self.receive_membership(message);
+        }
+        let handlers = self.shared.handlers.read().unwrap_or_else(PoisonError::into_inner).clone();
+        for handler in handlers {
+            handler.on_message(&from, body);
+        }
+    }
+
+    fn receive_membership(&mut self, message: &MembershipMessage) {
+        match Message::try_from(message) {
+            Ok(message) => {
+                let now = self.clock.now();
+                let actions = self.detector.on_message(message, now, &mut self.rng);
+                self.carry_out(actions);
+            }
+            Err(error) => {
+                metrics::counter!(telemetry::PEER_MESSAGES_MALFORMED_TOTAL).increment(1);
+                log::warn!("message of another router not read: {error}");
+            }
+        }
+    }
+
+    fn send(&mut self, message: OutboxMessage) {
+        let view = self.shared.view.load();
+        let Some(member) = view.find(&message.to) else {
+            count_dropped("unknown_member", 1);
+            return;
+        };
+        self.links.send(member.peer_address, Envelope::new(&self.id, message.body));
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            let Action::Send { to, message } = action;
+            let body = PeerBody::Membership(MembershipMessage::from(&message));
+            self.links.send(to, Envelope::new(&self.id, body));
+        }
+    }
+
+    fn take_hints(&mut self) {
+        let hints = self.shared.hints.load_full();
+        if Arc::ptr_eq(&hints, &self.hints) {
+            return;
+        }
+        self.detector.set_contacts(self.seeds.iter().chain(hints.iter()).copied().collect());
+        self.hints = hints;
+    }
+
+    fn publish(&mut self) {
+        let now = self.clock.now();
+        if now < self.next_publish || !self.detector.take_changed() {
+            return;
+        }
+        self.next_publish = now + PUBLISH_PERIOD;
+        let view = self.detector.view();
+        report_members(&view);
+        let is_superseded = if self.detector.is_superseded() { 1.0 } else { 0.0 };
+        metrics::gauge!(telemetry::ROUTER_SUPERSEDED).set(is_superseded);
+        self.shared.publish(view);
+    }
+}
+
+fn report_members(view: &MembershipView) {
+    let states = [
+        ("alive", MemberState::Alive),
+        ("suspect", MemberState::Suspect),
+        ("leaving", MemberState::Leaving),
+    ];
+    for (label, state) in states {
+        let count = view.members().filter(|it| it.state == state).count();
+        metrics::gauge!(telemetry::MEMBERS, "state" => label).set(count as f64);
+    }
+}
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -26,3 +26,18 @@
 
 /// Gauge of the configuration version in force.
 pub const CONFIG_VERSION: &str = "auburncrank_config_version";
+
+/// Counter of messages to other routers that were dropped, by `reason`.
+pub const PEER_MESSAGES_DROPPED_TOTAL: &str = "auburncrank_peer_messages_dropped_total";
+
+/// Counter of messages that were handed to connections to other routers, by `kind`.
+pub const PEER_MESSAGES_SENT_TOTAL: &str = "auburncrank_peer_messages_sent_total";
+
+/// Counter of messages from other routers that could not be read.
+pub const PEER_MESSAGES_MALFORMED_TOTAL: &str = "auburncrank_peer_messages_malformed_total";
+
+/// Gauge of the routers known to this one, itself included, by `state`.
+pub const MEMBERS: &str = "auburncrank_members";
+
+/// Gauge that is 1 where another process with a higher incarnation uses this router's name.
+pub const ROUTER_SUPERSEDED: &str = "auburncrank_router_superseded";
