--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -63,3 +63,17 @@
 
 /// Counter of polls of endpoints and of the host list, by `source` and `result`.
 pub const POLLS_TOTAL: &str = "auburncrank_polls_total";
+/// Counter of messages to other routers that were dropped, by `reason`.
+pub const PEER_MESSAGES_DROPPED_TOTAL: &str = "auburncrank_peer_messages_dropped_total";
+
+/// Counter of messages that were handed to connections to other routers, by `kind`.
+pub const PEER_MESSAGES_SENT_TOTAL: &str = "auburncrank_peer_messages_sent_total";
+
+/// Counter of messages from other routers that could not be read.
+pub const PEER_MESSAGES_MALFORMED_TOTAL: &str = "auburncrank_peer_messages_malformed_total";
+
+/// Gauge of the routers known to this one, itself included, by `state`.
+pub const MEMBERS: &str = "auburncrank_members";
+
+/// Gauge that is 1 where another process with a higher incarnation uses this router's name.
+pub const ROUTER_SUPERSEDED: &str = "auburncrank_router_superseded";
