--- /dev/null
+++ b/components/budget/src/account/ceiling.rs
@@ -0,0 +1,144 @@
+//! Ceilings: what a router may spend under the eyes of its witness.
+
+use protocol::{BudgetBody, CeilingRaised, RaiseCeiling};
+use types::{RouterId, Tokens};
+
+use super::Account;
+use crate::{DeathPolicy, GrantRow, ledger::LedgerContext};
+
+/// Ceiling that this router keeps, as the witness, for another one.
+///
+/// Once closed, an epoch stays closed: no ceiling of it is acknowledged any more.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Witnessed {
+    /// Epoch of the owner's grant row.
+    pub(super) epoch: u64,
+    /// Highest ceiling that was asked for.
+    pub(super) ceiling: Tokens,
+    /// Whether the epoch is closed.
+    pub(super) is_closed: bool,
+    /// Whether the closing is in the table, or is not needed.
+    pub(super) is_done: bool,
+}
+
+impl Witnessed {
+    /// Closes the present epoch, or the later one that `row` names, for good.
+    pub(super) fn close(&mut self, row: &GrantRow) {
+        if row.epoch > self.epoch {
+            *self = Witnessed { epoch: row.epoch, ..Witnessed::default() };
+        }
+        self.is_closed = true;
+        self.ceiling = self.ceiling.max(row.ceiling);
+    }
+}
+
+impl Account {
+    /// Answers an owner that asks this router, its witness, for a higher ceiling.
+    pub(crate) fn on_raise(
+        &mut self,
+        cx: &mut LedgerContext,
+        owner: &RouterId,
+        message: &RaiseCeiling,
+    ) {
+        if message.witness_incarnation != cx.local.id.incarnation.0 {
+            return;
+        }
+        let kept = self.witnessed.entry(owner.clone()).or_default();
+        if message.epoch < kept.epoch {
+            return;
+        }
+        if message.epoch > kept.epoch {
+            *kept = Witnessed { epoch: message.epoch, ..Witnessed::default() };
+        }
+        if !kept.is_closed {
+            kept.ceiling = kept.ceiling.max(Tokens(message.ceiling));
+        }
+        let answer = CeilingRaised {
+            account: self.name.to_string(),
+            owner_incarnation: owner.incarnation.0,
+            epoch: kept.epoch,
+            ceiling: kept.ceiling.0,
+            is_closed: kept.is_closed,
+        };
+        cx.send(&owner.name, BudgetBody::Raised(answer));
+    }
+
+    /// Takes note of the witness's answer.
+    pub(crate) fn on_raised(&mut self, witness: &RouterId, message: &CeilingRaised) {
+        if self.row.witness.as_ref() != Some(witness) || message.epoch != self.row.epoch {
+            return;
+        }
+        if message.is_closed {
+            self.refused_epoch = Some(message.epoch);
+            self.must_read_back = true;
+            return;
+        }
+        self.ceiling = self.ceiling.max(Tokens(message.ceiling));
+    }
+
+    /// Asks the witness for a higher ceiling before the present one is reached.
+    pub(super) fn raise_ceiling(&mut self, cx: &mut LedgerContext) {
+        let Some(witness) = self.row.witness.clone() else { return };
+        let used = self.row.spent.saturating_add(self.claims());
+        let slack = self.ceiling.saturating_sub(used);
+        let wanted = self.wanted_ceiling(cx);
+        let needed = self.waiting_total().saturating_add(self.asked_total());
+        let low = Tokens(self.headroom(cx).0 / 2).saturating_add(needed).min(self.free());
+        if slack >= low || wanted <= self.ceiling {
+            return;
+        }
+        let is_open =
+            self.ceiling_asked.is_some_and(|asked| cx.now.since(asked) < cx.settings.resend_after);
+        if is_open {
+            return;
+        }
+        self.ceiling_asked = Some(cx.now);
+        let message = RaiseCeiling {
+            account: self.name.to_string(),
+            witness_incarnation: witness.incarnation.0,
+            epoch: self.row.epoch,
+            ceiling: wanted.0,
+        };
+        cx.send(&witness.name, BudgetBody::Raise(message));
+    }
+
+    /// Returns the ceiling that covers what is claimed, what waits, and the headroom.
+    pub(super) fn wanted_ceiling(&self, cx: &LedgerContext) -> Tokens {
+        self.wanted_ceiling_over(cx, self.free())
+    }
+
+    /// Returns the wanted ceiling of a row with `free` tokens beyond the claims.
+    pub(super) fn wanted_ceiling_over(&self, cx: &LedgerContext, free: Tokens) -> Tokens {
+        let needed = self.waiting_total().saturating_add(self.asked_total());
+        let more = free.min(needed.saturating_add(self.headroom(cx)));
+        self.row.spent.saturating_add(self.claims()).saturating_add(more)
+    }
+
+    /// Returns how far the ceiling reaches beyond what is claimed and what waits. While
+    /// the table is away no new witness can be named, so that it reaches further.
+    fn headroom(&self, cx: &LedgerContext) -> Tokens {
+        let usual = self.rate.tokens_in(cx.settings.ceiling_cover, cx.now);
+        if self.is_table_away(cx) { usual.max(Tokens(self.free().0 / 2)) } else { usual }
+    }
+
+    /// Returns the witness that the grant row should name: the present one as long as it
+    /// stays.
+    pub(super) fn choose_witness(&self, cx: &LedgerContext) -> Option<RouterId> {
+        if cx.settings.policy == DeathPolicy::SmallGrants {
+            return None;
+        }
+        let present = self.row.witness.as_ref().filter(|it| cx.peers.is_staying(it));
+        if present.is_some() {
+            return present.cloned();
+        }
+        cx.peers.candidates(&cx.local, &self.name).first().map(|peer| peer.id.clone())
+    }
+
+    /// Tells whether the grant row should name another witness, or is to be opened again.
+    pub(super) fn needs_new_epoch(&self, cx: &LedgerContext) -> bool {
+        self.revision.is_some()
+            && (self.row.is_closed()
+                || self.refused_epoch == Some(self.row.epoch)
+                || self.choose_witness(cx) != self.row.witness)
+    }
+}
--- /dev/null
+++ b/components/budget/src/account/cycle.rs
@@ -0,0 +1,386 @@
+//! Cycles: read the rows, work out a commit from them, commit it.
+//!
+//! One call to the table is open for each account at a time. Everything is derived from
+//! the rows that were read, so that a commit of unknown outcome needs no other care than
+//! the next read.
+
+use std::time::Duration;
+
+use platform::{CommitOutcome, Key, PlatformError, Revision, Row};
+use types::{RequestKey, RouterId, Tokens};
+use utils::jitter;
+
+use super::{
+    Account,
+    foreign_plan::ForeignPlan,
+    own_plan::OwnPlan,
+    own_row::{Uncertain, decode_grant},
+};
+use crate::{
+    Action, Bill, BudgetRow, CallId, GrantRow, bill_key, budget_key, grant_key,
+    ledger::LedgerContext,
+};
+
+/// Most bills in one commit.
+const BILL_BATCH: usize = 120;
+
+/// Most donors whose loans one commit moves.
+const DONOR_BATCH: usize = 16;
+
+/// Delay after a conflict.
+const CONFLICT_DELAY: Duration = Duration::from_millis(10);
+
+/// Delay after the table was not reached or refused a call.
+const FAILURE_DELAY: Duration = Duration::from_millis(400);
+
+/// Time without an answer after which the table counts as away.
+const AWAY_AFTER: Duration = Duration::from_secs(1);
+
+/// Time for which an unused account keeps its grant.
+const KEEP_UNUSED: Duration = Duration::from_secs(60);
+
+/// An open call to the table.
+pub(super) struct Call {
+    /// Its number.
+    id: CallId,
+    /// What it is for.
+    stage: Stage,
+}
+
+enum Stage {
+    /// Reads the own row, those of donors and those of bills.
+    ReadOwn { donors: Vec<RouterId>, places: Vec<u64> },
+    /// Commits the own row.
+    CommitOwn(Box<OwnPlan>),
+    /// Reads the row of a dead router and those of bills held for it.
+    ReadForeign { owner: RouterId, requests: Vec<RequestKey> },
+    /// Commits the row of a dead router.
+    CommitForeign(Box<ForeignPlan>),
+}
+
+/// The budget row as read, with its revision.
+pub(super) type BudgetAt = (BudgetRow, Revision);
+
+impl Account {
+    /// Tells whether the table has not answered for a while.
+    pub(super) fn is_table_away(&self, cx: &LedgerContext) -> bool {
+        self.failing_since.is_some_and(|since| cx.now.since(since) >= AWAY_AFTER)
+    }
+
+    /// Starts a call to the table, where one is due.
+    pub(super) fn start_cycle(&mut self, cx: &mut LedgerContext) {
+        if self.call.is_some() {
+            return;
+        }
+        let is_idle_due = cx.now >= self.next_idle;
+        if cx.now >= self.next_urgent && self.has_urgent_work(cx) {
+            self.read_own(cx);
+        } else if is_idle_due && let Some(owner) = self.foreign_work(cx) {
+            self.next_idle = cx.now + cx.settings.commit_gap;
+            self.read_foreign(cx, owner);
+        } else if is_idle_due && self.has_idle_work(cx) {
+            self.next_idle = cx.now + jitter(cx.settings.idle_gap, &mut cx.rng);
+            self.read_own(cx);
+        }
+    }
+
+    fn has_urgent_work(&self, cx: &LedgerContext) -> bool {
+        let is_short = self.waiting.front().is_some_and(|first| first.tokens > self.free());
+        is_short
+            || self.must_read_back
+            || !self.uncertain.is_empty()
+            || !self.bills.is_empty()
+            || self.needs_new_epoch(cx)
+            || (cx.is_draining && !self.is_drained())
+    }
+
+    fn has_idle_work(&self, cx: &LedgerContext) -> bool {
+        let is_low = self.is_used(cx) && self.free().0 < self.wanted_free(cx).0 / 2;
+        is_low || self.borrowed_total() > Tokens::ZERO || self.excess(cx) > Tokens::ZERO
+    }
+
+    fn is_used(&self, cx: &LedgerContext) -> bool {
+        !self.waiting.is_empty()
+            || self.claims() > Tokens::ZERO
+            || cx.now.since(self.last_used) < KEEP_UNUSED
+    }
+
+    /// Returns the free tokens that this router wants to have.
+    pub(super) fn wanted_free(&self, cx: &LedgerContext) -> Tokens {
+        if cx.is_draining || !self.is_used(cx) {
+            return Tokens::ZERO;
+        }
+        let has_witness = self.choose_witness(cx).is_some();
+        let size = if has_witness { cx.settings.witnessed_grant } else { cx.settings.small_grant };
+        self.rate.tokens_in(size.cover, cx.now).max(size.min)
+    }
+
+    /// Returns the free tokens that should go back to the account.
+    pub(super) fn excess(&self, cx: &LedgerContext) -> Tokens {
+        let wanted = self.wanted_free(cx);
+        let free = self.free();
+        let is_much = free.0 / 2 > wanted.0 || wanted == Tokens::ZERO;
+        if is_much && self.waiting.is_empty() {
+            free.saturating_sub(wanted).min(self.row.unspent.saturating_sub(self.claims()))
+        } else {
+            Tokens::ZERO
+        }
+    }
+
+    fn read_own(&mut self, cx: &mut LedgerContext) {
+        let donors: Vec<RouterId> = self
+            .borrowed
+            .keys()
+            .filter(|donor| self.borrowed_from(donor) > Tokens::ZERO)
+            .take(DONOR_BATCH)
+            .cloned()
+            .collect();
+        let places: Vec<u64> = self.bills.keys().take(BILL_BATCH).copied().collect();
+        let mut keys = vec![budget_key(&self.name), grant_key(&self.name, &cx.local.id)];
+        keys.extend(donors.iter().map(|donor| grant_key(&self.name, donor)));
+        let requests = places.iter().filter_map(|place| self.bills.get(place));
+        keys.extend(requests.map(|pending| bill_key(&pending.held.bill.request)));
+        self.read(cx, keys, Stage::ReadOwn { donors, places });
+    }
+
+    fn read_foreign(&mut self, cx: &mut LedgerContext, owner: RouterId) {
+        let held = self.held.get(&owner);
+        let requests: Vec<RequestKey> =
+            held.into_iter().flat_map(|bills| bills.keys()).take(BILL_BATCH).cloned().collect();
+        let mut keys = vec![
+            budget_key(&self.name),
+            grant_key(&self.name, &cx.local.id),
+            grant_key(&self.name, &owner),
+        ];
+        keys.extend(requests.iter().map(bill_key));
+        self.read(cx, keys, Stage::ReadForeign { owner, requests });
+    }
+
+    fn read(&mut self, cx: &mut LedgerContext, keys: Vec<Key>, stage: Stage) {
+        let id = cx.new_call(&self.name);
+        self.call = Some(Call { id, stage });
+        cx.actions.push(Action::Read { call: id, keys });
+    }
+
+    /// Goes on after a read.
+    pub(crate) fn on_rows(
+        &mut self,
+        cx: &mut LedgerContext,
+        call: CallId,
+        rows: Result<Vec<Option<Row>>, PlatformError>,
+    ) {
+        let Some(open) = self.call.take_if(|open| open.id == call) else { return };
+        let rows = match rows {
+            Ok(rows) => rows,
+            Err(_) => return self.note_failure(cx),
+        };
+        self.failing_since = None;
+        self.next_urgent = cx.now + self.commit_gap(cx);
+        let result = match open.stage {
+            Stage::ReadOwn { donors, places } => self.plan_own_cycle(cx, &rows, &donors, &places),
+            Stage::ReadForeign { owner, requests } => {
+                self.plan_foreign_cycle(cx, &rows, &owner, &requests)
+            }
+            Stage::CommitOwn(_) | Stage::CommitForeign(_) => return,
+        };
+        self.budget_read = Some(cx.now);
+        self.row_fault = result.err();
+        if let Some(message) = &self.row_fault {
+            log::error!(account:% = self.name; "budget cannot be used: {message}");
+        }
+    }
+
+    fn plan_own_cycle(
+        &mut self,
+        cx: &mut LedgerContext,
+        rows: &[Option<Row>],
+        donors: &[RouterId],
+        places: &[u64],
+    ) -> Result<(), String> {
+        let mut rows = rows.iter().map(Option::as_ref);
+        let budget = decode_budget(rows.next().flatten())?;
+        let own = decode_grant(rows.next().flatten(), &cx.local.id)?;
+        let mut donor_rows = Vec::new();
+        for donor in donors {
+            donor_rows.extend(decode_grant(rows.next().flatten(), donor)?);
+        }
+        let mut billed = Vec::new();
+        for place in places {
+            if let Some(row) = rows.next().flatten() {
+                billed.push((*place, row.decode::<Bill>().map_err(|error| error.to_string())?));
+            }
+        }
+        self.must_read_back = false;
+        self.write_off_loans(cx, donors, &donor_rows);
+        self.budget = budget.map(|(row, _)| row);
+        self.adopt_row(own);
+        for (place, bill) in &billed {
+            self.finish_bill(cx, *place, bill);
+        }
+        let Some(budget) = budget else { return Ok(()) };
+        let plan = self.plan_own(cx, budget, donor_rows, places)?;
+        if let Some(plan) = plan {
+            self.commit_own(cx, plan);
+        }
+        Ok(())
+    }
+
+    fn commit_own(&mut self, cx: &mut LedgerContext, plan: OwnPlan) {
+        let id = cx.new_call(&self.name);
+        self.uncertain.push(plan.uncertain.clone());
+        cx.actions.push(Action::Commit { call: id, commit: plan.commit.clone() });
+        self.call = Some(Call { id, stage: Stage::CommitOwn(Box::new(plan)) });
+    }
+
+    fn plan_foreign_cycle(
+        &mut self,
+        cx: &mut LedgerContext,
+        rows: &[Option<Row>],
+        owner: &RouterId,
+        requests: &[RequestKey],
+    ) -> Result<(), String> {
+        let mut rows = rows.iter().map(Option::as_ref);
+        let budget = decode_budget(rows.next().flatten())?;
+        let own = decode_grant(rows.next().flatten(), &cx.local.id)?;
+        let foreign = decode_grant(rows.next().flatten(), owner)?;
+        for request in requests {
+            if rows.next().flatten().is_some() {
+                self.forget_held(owner, request);
+            }
+        }
+        self.budget = budget.map(|(row, _)| row);
+        self.adopt_row(own);
+        let Some(budget) = budget else { return Ok(()) };
+        let Some(plan) = self.plan_foreign(cx, budget, foreign, owner, requests)? else {
+            return Ok(());
+        };
+        let id = cx.new_call(&self.name);
+        if plan.own.is_some() {
+            let base = self.revision;
+            self.uncertain.push(Uncertain { base, returning: Tokens::ZERO, ceiling: None });
+        }
+        cx.actions.push(Action::Commit { call: id, commit: plan.commit.clone() });
+        self.call = Some(Call { id, stage: Stage::CommitForeign(Box::new(plan)) });
+        Ok(())
+    }
+
+    /// Goes on after a commit.
+    pub(crate) fn on_committed(
+        &mut self,
+        cx: &mut LedgerContext,
+        call: CallId,
+        outcome: CommitOutcome,
+    ) {
+        let Some(open) = self.call.take_if(|open| open.id == call) else { return };
+        if let CommitOutcome::Unknown = outcome {
+            self.must_read_back = true;
+            self.next_urgent = cx.now + jitter(CONFLICT_DELAY, &mut cx.rng);
+            return;
+        }
+        match open.stage {
+            Stage::CommitOwn(plan) => self.end_own(cx, *plan, outcome),
+            Stage::CommitForeign(plan) => self.end_foreign(cx, *plan, outcome),
+            Stage::ReadOwn { .. } | Stage::ReadForeign { .. } => {}
+        }
+    }
+
+    fn end_own(&mut self, cx: &mut LedgerContext, plan: OwnPlan, outcome: CommitOutcome) {
+        match outcome {
+            CommitOutcome::Committed(revision) => {
+                self.failing_since = None;
+                self.budget = Some(plan.budget);
+                self.next_urgent = cx.now + self.commit_gap(cx);
+                let revision = Some(revision).filter(|_| !plan.is_deleted);
+                self.adopt_committed(plan.row, revision);
+                for place in plan.places {
+                    let bill = self.bills.get(&place).map(|pending| pending.held.bill.clone());
+                    if let Some(bill) = bill {
+                        self.finish_bill(cx, place, &bill);
+                    }
+                }
+            }
+            CommitOutcome::Conflict(key) => {
+                self.uncertain.pop();
+                self.count_with_conflict(&key, &plan.places);
+                self.retry_soon(cx);
+            }
+            CommitOutcome::NotApplied(_) | CommitOutcome::Unknown => {
+                self.uncertain.pop();
+                self.note_failure(cx);
+            }
+        }
+    }
+
+    fn end_foreign(&mut self, cx: &mut LedgerContext, plan: ForeignPlan, outcome: CommitOutcome) {
+        match outcome {
+            CommitOutcome::Committed(revision) => {
+                self.failing_since = None;
+                self.budget = Some(plan.budget);
+                if let Some(own) = plan.own {
+                    self.adopt_committed(own, Some(revision));
+                }
+                for request in &plan.requests {
+                    self.forget_held(&plan.owner, request);
+                }
+                if plan.closes
+                    && let Some(kept) = self.witnessed.get_mut(&plan.owner)
+                {
+                    kept.is_done = true;
+                }
+            }
+            CommitOutcome::Conflict(_) => {
+                if plan.own.is_some() {
+                    self.uncertain.pop();
+                }
+                self.retry_soon(cx);
+            }
+            CommitOutcome::NotApplied(_) | CommitOutcome::Unknown => {
+                if plan.own.is_some() {
+                    self.uncertain.pop();
+                }
+                self.note_failure(cx);
+            }
+        }
+    }
+
+    fn retry_soon(&mut self, cx: &mut LedgerContext) {
+        let due = cx.now + jitter(CONFLICT_DELAY, &mut cx.rng);
+        self.next_urgent = due;
+        self.next_idle = self.next_idle.min(due);
+    }
+
+    fn note_failure(&mut self, cx: &mut LedgerContext) {
+        self.failing_since.get_or_insert(cx.now);
+        let due = cx.now + jitter(FAILURE_DELAY, &mut cx.rng);
+        self.next_urgent = due;
+        self.next_idle = self.next_idle.max(due);
+    }
+
+    /// Returns the least time between two commits, so that all routers together stay far
+    /// below the write limit of the table.
+    fn commit_gap(&self, cx: &LedgerContext) -> Duration {
+        cx.settings.commit_gap.max(cx.busy_gap)
+    }
+}
+
+/// Reads the budget row.
+pub(super) fn decode_budget(row: Option<&Row>) -> Result<Option<BudgetAt>, String> {
+    let Some(row) = row else { return Ok(None) };
+    let budget: BudgetRow = row.decode().map_err(|error| error.to_string())?;
+    let used = budget.settled.checked_add(budget.granted);
+    if used.is_none_or(|used| used > budget.deposited) {
+        return Err(format!("row {} breaks settled + granted <= deposited", row.key));
+    }
+    Ok(Some((budget, row.revision)))
+}
+
+/// Returns a grant row that a plan starts from.
+pub(super) fn row_or_new(
+    read: Option<(GrantRow, Revision)>,
+    router: &RouterId,
+) -> (GrantRow, Option<Revision>) {
+    match read {
+        Some((row, revision)) => (row, Some(revision)),
+        None => (GrantRow::new(router.clone()), None),
+    }
+}
--- /dev/null
+++ b/components/budget/src/account/foreign_plan.rs
@@ -0,0 +1,165 @@
+//! The next commit of a dead router's grant row: as its witness, as a holder of its
+//! bills, or as a donor of loans to it.
+
+use platform::{Commit, Precondition, Revision, Write};
+use types::{RequestKey, RouterId, Tokens};
+
+use super::{
+    Account,
+    cycle::{BudgetAt, row_or_new},
+    own_plan::{WRITES_MAX, add_bill_writes, bill_budget},
+};
+use crate::{BudgetRow, GrantRow, budget_key, grant_key, ledger::LedgerContext};
+
+/// A commit of a dead router's grant row, and what holds after it.
+pub(super) struct ForeignPlan {
+    /// The commit.
+    pub(super) commit: Commit,
+    /// The dead router.
+    pub(super) owner: RouterId,
+    /// Own grant row after it, where it changes.
+    pub(super) own: Option<GrantRow>,
+    /// Budget row after it.
+    pub(super) budget: BudgetRow,
+    /// Requests whose bills it inserts.
+    pub(super) requests: Vec<RequestKey>,
+    /// Whether it closes the row.
+    pub(super) closes: bool,
+}
+
+impl Account {
+    /// Finds a dead router for which something is left to do.
+    pub(super) fn foreign_work(&self, cx: &LedgerContext) -> Option<RouterId> {
+        let open = self.witnessed.iter().filter(|(_, kept)| !kept.is_done).map(|(id, _)| id);
+        let dead = open.chain(self.held.keys()).find(|id| cx.peers.is_dead(id));
+        let borrowers = self.lent.keys().filter(|id| self.lent_to(id) > Tokens::ZERO);
+        let borrower = || borrowers.into_iter().find(|id| cx.is_draining || cx.peers.is_dead(id));
+        dead.or_else(borrower).cloned()
+    }
+
+    /// Works out the next commit; `None` where there is nothing to change.
+    pub(super) fn plan_foreign(
+        &mut self,
+        cx: &LedgerContext,
+        budget: BudgetAt,
+        foreign: Option<(GrantRow, Revision)>,
+        owner: &RouterId,
+        requests: &[RequestKey],
+    ) -> Result<Option<ForeignPlan>, String> {
+        let (read_budget, budget_revision) = budget;
+        let (read, revision) = row_or_new(foreign, owner);
+        let mut row = read.clone();
+        let mut own = self.row.clone();
+        let mut plan = ForeignPlan {
+            commit: Commit::default(),
+            owner: owner.clone(),
+            own: None,
+            budget: read_budget,
+            requests: Vec::new(),
+            closes: false,
+        };
+        let total = self.lent.get(owner).map_or(Tokens::ZERO, |lent| lent.total);
+        if own.move_loan(&mut row, total) > Tokens::ZERO {
+            own.write += 1;
+            plan.own = Some(own);
+        }
+        if cx.peers.is_dead(owner) {
+            self.add_held_bills(&mut plan, &mut row, requests)?;
+            if revision.is_some() {
+                self.add_closing(cx, &mut plan, &mut row)?;
+            } else if let Some(kept) = self.witnessed.get_mut(owner) {
+                kept.is_done = true;
+            }
+        }
+        if row == read && plan.requests.is_empty() {
+            return Ok(None);
+        }
+        self.add_row_writes(cx, &mut plan, &row, revision);
+        if plan.budget != read_budget {
+            let key = budget_key(&self.name);
+            plan.commit.preconditions.push(Precondition::Revision(key.clone(), budget_revision));
+            plan.commit.writes.push(Write::put(key, &plan.budget));
+        }
+        Ok(Some(plan))
+    }
+
+    /// Inserts the bills that this router holds: from the row that backs them or, where
+    /// an operator has emptied it, from what the account has available.
+    fn add_held_bills(
+        &self,
+        plan: &mut ForeignPlan,
+        row: &mut GrantRow,
+        requests: &[RequestKey],
+    ) -> Result<(), String> {
+        let Some(bills) = self.held.get(&plan.owner) else { return Ok(()) };
+        for held in requests.iter().filter_map(|request| bills.get(request)) {
+            if plan.commit.writes.len() + held.with.writes.len() + 1 > WRITES_MAX {
+                break;
+            }
+            let tokens = held.bill.tokens;
+            if row.spend(tokens) {
+                bill_budget(&mut plan.budget, tokens)?;
+            } else if plan.budget.available() >= tokens {
+                let settled = plan.budget.settled.checked_add(tokens);
+                plan.budget.settled = settled.ok_or("settled overflows")?;
+            } else {
+                log::error!(request_id:% = held.bill.request; "no tokens back a held bill");
+                continue;
+            }
+            add_bill_writes(&mut plan.commit, held);
+            plan.requests.push(held.bill.request.clone());
+        }
+        Ok(())
+    }
+
+    /// Closes the row, as its witness, and returns what is above the ceiling.
+    fn add_closing(
+        &mut self,
+        cx: &LedgerContext,
+        plan: &mut ForeignPlan,
+        row: &mut GrantRow,
+    ) -> Result<(), String> {
+        let Some(kept) = self.witnessed.get_mut(&plan.owner) else { return Ok(()) };
+        if row.epoch < kept.epoch {
+            return Ok(());
+        }
+        if row.witness.as_ref() != Some(&cx.local.id) {
+            kept.is_done = true;
+            return Ok(());
+        }
+        kept.close(row);
+        let in_doubt = kept.ceiling.saturating_sub(row.spent).min(row.unspent);
+        let returned = row.unspent.saturating_sub(in_doubt);
+        row.unspent = in_doubt;
+        plan.budget.granted =
+            plan.budget.granted.checked_sub(returned).ok_or("granted is less than a grant row")?;
+        if !row.is_closed() {
+            let now_ms = cx.settings.start_unix_ms.saturating_add(cx.now.as_millis());
+            row.closed_unix_ms = Some(now_ms);
+        }
+        plan.closes = true;
+        Ok(())
+    }
+
+    fn add_row_writes(
+        &self,
+        cx: &LedgerContext,
+        plan: &mut ForeignPlan,
+        row: &GrantRow,
+        revision: Option<Revision>,
+    ) {
+        let key = grant_key(&self.name, &plan.owner);
+        plan.commit.preconditions.push(match revision {
+            Some(revision) => Precondition::Revision(key.clone(), revision),
+            None => Precondition::Absent(key.clone()),
+        });
+        if revision.is_some() || *row != GrantRow::new(plan.owner.clone()) {
+            plan.commit.writes.push(Write::put(key, row));
+        }
+        if let (Some(own), Some(revision)) = (&plan.own, self.revision) {
+            let key = grant_key(&self.name, &cx.local.id);
+            plan.commit.preconditions.push(Precondition::Revision(key.clone(), revision));
+            plan.commit.writes.push(Write::put(key, own));
+        }
+    }
+}
--- /dev/null
+++ b/components/budget/src/account/own_plan.rs
@@ -0,0 +1,224 @@
+//! The next commit of this router's own grant row.
+
+use platform::{Commit, Precondition, Revision, Write};
+use types::Tokens;
+
+use super::{Account, cycle::BudgetAt, own_row::Uncertain};
+use crate::{BudgetRow, GrantRow, bill_key, budget_key, grant_key, ledger::LedgerContext};
+
+/// Most writes in one commit, below the table's limit.
+pub(super) const WRITES_MAX: usize = 400;
+
+/// A commit of the own grant row, and what holds after it.
+pub(super) struct OwnPlan {
+    /// The commit.
+    pub(super) commit: Commit,
+    /// Grant row after it.
+    pub(super) row: GrantRow,
+    /// Whether the row is deleted by it.
+    pub(super) is_deleted: bool,
+    /// Budget row after it.
+    pub(super) budget: BudgetRow,
+    /// Places of the bills that it inserts.
+    pub(super) places: Vec<u64>,
+    /// What is uncertain until its outcome is known.
+    pub(super) uncertain: Uncertain,
+}
+
+/// A commit in the making.
+struct Draft {
+    /// The commit so far.
+    commit: Commit,
+    /// Grant row so far.
+    row: GrantRow,
+    /// Budget row so far.
+    budget: BudgetRow,
+    /// Places of the bills so far.
+    places: Vec<u64>,
+    /// Tokens taken of the account.
+    taken: Tokens,
+    /// Tokens given back to the account.
+    returning: Tokens,
+    /// Ceiling in the row, where the epoch is new.
+    ceiling: Option<Tokens>,
+}
+
+impl Account {
+    /// Works out the next commit from the rows as they were read; `None` where there is
+    /// nothing to change.
+    pub(super) fn plan_own(
+        &self,
+        cx: &LedgerContext,
+        budget: BudgetAt,
+        donors: Vec<(GrantRow, Revision)>,
+        places: &[u64],
+    ) -> Result<Option<OwnPlan>, String> {
+        let (budget, budget_revision) = budget;
+        let mut draft = Draft {
+            commit: Commit::default(),
+            row: self.row.clone(),
+            budget,
+            places: Vec::new(),
+            taken: Tokens::ZERO,
+            returning: Tokens::ZERO,
+            ceiling: None,
+        };
+        self.add_moves(&mut draft, donors);
+        self.add_grant(cx, &mut draft)?;
+        self.add_bills(&mut draft, places)?;
+        self.add_return(cx, &mut draft)?;
+        self.add_epoch(cx, &mut draft);
+        let is_deleted = cx.is_draining
+            && self.revision.is_some()
+            && self.claims() == Tokens::ZERO
+            && draft.row.unspent == Tokens::ZERO
+            && self.borrowed.keys().all(|it| self.is_moved(&draft.row, it));
+        if draft.row == self.row && self.uncertain.is_empty() && !is_deleted {
+            return Ok(None);
+        }
+        Ok(Some(self.finish_plan(cx, draft, (budget, budget_revision), is_deleted)))
+    }
+
+    fn is_moved(&self, row: &GrantRow, donor: &types::RouterId) -> bool {
+        self.borrowed.get(donor).is_none_or(|total| row.received_from(donor) >= *total)
+    }
+
+    /// Moves loans from the rows of their donors.
+    fn add_moves(&self, draft: &mut Draft, donors: Vec<(GrantRow, Revision)>) {
+        for (mut donor, revision) in donors {
+            let total = self.borrowed.get(&donor.router).copied().unwrap_or_default();
+            if donor.move_loan(&mut draft.row, total) > Tokens::ZERO {
+                let key = grant_key(&self.name, &donor.router);
+                draft.commit.preconditions.push(Precondition::Revision(key.clone(), revision));
+                draft.commit.writes.push(Write::put(key, &donor));
+            }
+        }
+    }
+
+    /// Takes tokens of the account: what is lacking, and beyond it a share of what is
+    /// available, so that the end of a budget is not taken by one router.
+    fn add_grant(&self, cx: &LedgerContext, draft: &mut Draft) -> Result<(), String> {
+        let available = draft.budget.available();
+        let needed = self.claims().saturating_add(self.waiting_total());
+        let lacking = needed.saturating_sub(self.backing());
+        let wanted = self.wanted_free(cx);
+        let free = self.free();
+        let is_low = free.0 < wanted.0 / 2;
+        let routers = cx.peers.live().len() as u64 + 1;
+        let share = Tokens(available.0 / (2 * routers));
+        let stock = if is_low { wanted.saturating_sub(free).min(share) } else { Tokens::ZERO };
+        let tokens = lacking.max(stock).min(available);
+        let sum =
+            draft.row.unspent.checked_add(tokens).zip(draft.budget.granted.checked_add(tokens));
+        let (unspent, granted) = sum.ok_or("the grant overflows")?;
+        draft.row.unspent = unspent;
+        draft.budget.granted = granted;
+        draft.taken = tokens;
+        Ok(())
+    }
+
+    /// Inserts the bills that are pending, as far as the row backs them.
+    fn add_bills(&self, draft: &mut Draft, places: &[u64]) -> Result<(), String> {
+        for place in places {
+            let Some(pending) = self.bills.get(place) else { continue };
+            let held = &pending.held;
+            let writes = draft.commit.writes.len() + held.with.writes.len() + 1;
+            if writes > WRITES_MAX {
+                break;
+            }
+            if !draft.row.spend(held.bill.tokens) {
+                continue;
+            }
+            bill_budget(&mut draft.budget, held.bill.tokens)?;
+            add_bill_writes(&mut draft.commit, held);
+            draft.places.push(*place);
+        }
+        Ok(())
+    }
+
+    /// Gives back what is not needed.
+    fn add_return(&self, cx: &LedgerContext, draft: &mut Draft) -> Result<(), String> {
+        let tokens = self.excess(cx).min(draft.row.unspent);
+        if tokens == Tokens::ZERO {
+            return Ok(());
+        }
+        draft.row.unspent = draft.row.unspent.saturating_sub(tokens);
+        draft.budget.granted =
+            draft.budget.granted.checked_sub(tokens).ok_or("granted is less than a grant row")?;
+        draft.returning = tokens;
+        Ok(())
+    }
+
+    /// Names a witness, opens a closed row again, and lifts the ceiling in the row.
+    fn add_epoch(&self, cx: &LedgerContext, draft: &mut Draft) {
+        let witness = self.choose_witness(cx);
+        let is_new = draft.row.is_closed()
+            || witness != draft.row.witness
+            || self.refused_epoch == Some(draft.row.epoch);
+        if is_new {
+            draft.row.epoch += 1;
+            draft.row.witness = witness;
+            draft.row.closed_unix_ms = None;
+            let free = self.free().saturating_add(draft.taken).saturating_sub(draft.returning);
+            draft.row.ceiling = self.wanted_ceiling_over(cx, free);
+            draft.ceiling = Some(draft.row.ceiling);
+        } else if draft.row != self.row {
+            draft.row.ceiling = draft.row.ceiling.max(self.ceiling);
+        }
+    }
+
+    fn finish_plan(
+        &self,
+        cx: &LedgerContext,
+        mut draft: Draft,
+        read: BudgetAt,
+        is_deleted: bool,
+    ) -> OwnPlan {
+        let (budget, budget_revision) = read;
+        draft.row.write += 1;
+        let key = grant_key(&self.name, &cx.local.id);
+        draft.commit.preconditions.push(match self.revision {
+            Some(revision) => Precondition::Revision(key.clone(), revision),
+            None => Precondition::Absent(key.clone()),
+        });
+        draft.commit.writes.push(if is_deleted {
+            Write::delete(key)
+        } else {
+            Write::put(key, &draft.row)
+        });
+        if draft.budget != budget {
+            let key = budget_key(&self.name);
+            draft.commit.preconditions.push(Precondition::Revision(key.clone(), budget_revision));
+            draft.commit.writes.push(Write::put(key, &draft.budget));
+        }
+        OwnPlan {
+            commit: draft.commit,
+            row: draft.row,
+            is_deleted,
+            budget: draft.budget,
+            places: draft.places,
+            uncertain: Uncertain {
+                base: self.revision,
+                returning: draft.returning,
+                ceiling: draft.ceiling,
+            },
+        }
+    }
+}
+
+/// Moves the tokens of a bill from granted to settled.
+pub(super) fn bill_budget(budget: &mut BudgetRow, tokens: Tokens) -> Result<(), String> {
+    budget.granted =
+        budget.granted.checked_sub(tokens).ok_or("granted is less than a grant row")?;
+    budget.settled = budget.settled.checked_add(tokens).ok_or("settled overflows")?;
+    Ok(())
+}
+
+/// Adds the row of a bill, and those that go with it, to a commit.
+pub(super) fn add_bill_writes(commit: &mut Commit, held: &crate::HeldBill) {
+    let key = bill_key(&held.bill.request);
+    commit.preconditions.push(Precondition::Absent(key.clone()));
+    commit.writes.push(Write::put(key, &held.bill));
+    commit.preconditions.extend(held.with.preconditions.iter().cloned());
+    commit.writes.extend(held.with.writes.iter().cloned());
+}
--- /dev/null
+++ b/components/budget/src/account/reservations.rs
@@ -0,0 +1,132 @@
+//! Reservations and the requests that wait for them.
+
+use errors::{Error, ErrorKind};
+use types::{Timestamp, Tokens};
+
+use super::Account;
+use crate::{Answer, ReservationId, Ticket, ledger::LedgerContext};
+
+/// A request that waits for tokens.
+#[derive(Debug)]
+pub(super) struct Waiter {
+    /// For the answer.
+    pub(super) ticket: Ticket,
+    /// Tokens that it wants to reserve.
+    pub(super) tokens: Tokens,
+    /// Since when it waits.
+    pub(super) since: Timestamp,
+    /// How long it waits at most.
+    until: Timestamp,
+}
+
+impl Account {
+    /// Lets a request wait for its turn.
+    pub(crate) fn reserve(
+        &mut self,
+        cx: &LedgerContext,
+        ticket: Ticket,
+        tokens: Tokens,
+        until: Timestamp,
+    ) {
+        self.last_used = cx.now;
+        self.waiting.push_back(Waiter { ticket, tokens, since: cx.now, until });
+    }
+
+    /// Takes a request out of the queue.
+    pub(crate) fn cancel(&mut self, ticket: Ticket) {
+        self.waiting.retain(|waiter| waiter.ticket != ticket);
+    }
+
+    /// Lowers a reservation; a higher amount changes nothing.
+    pub(crate) fn shrink(&mut self, reservation: ReservationId, tokens: Tokens) {
+        if let Some(reserved) = self.reserved.get_mut(&reservation)
+            && tokens < *reserved
+        {
+            self.reserved_total =
+                self.reserved_total.saturating_sub(reserved.saturating_sub(tokens));
+            *reserved = tokens;
+        }
+    }
+
+    /// Ends a reservation and returns its amount; `None` where there is no such.
+    pub(crate) fn release(
+        &mut self,
+        cx: &LedgerContext,
+        reservation: ReservationId,
+    ) -> Option<Tokens> {
+        let tokens = self.reserved.remove(&reservation)?;
+        self.reserved_total = self.reserved_total.saturating_sub(tokens);
+        self.last_used = cx.now;
+        Some(tokens)
+    }
+
+    /// Admits waiting requests in their order, and refuses those that wait in vain.
+    pub(super) fn serve_waiting(&mut self, cx: &mut LedgerContext) {
+        loop {
+            self.refuse_waiting(cx);
+            let Some(first) = self.waiting.front() else { return };
+            if first.tokens > self.claimable() {
+                return;
+            }
+            let (ticket, tokens) = (first.ticket, first.tokens);
+            self.waiting.pop_front();
+            let reservation = cx.new_reservation();
+            self.reserved.insert(reservation, tokens);
+            self.reserved_total = self.reserved_total.saturating_add(tokens);
+            cx.answer(ticket, Answer::Reserved(Ok(reservation)));
+        }
+    }
+
+    /// Refuses the requests that waited long enough or can never be admitted.
+    fn refuse_waiting(&mut self, cx: &mut LedgerContext) {
+        let mut index = 0;
+        while let Some(waiter) = self.waiting.get(index) {
+            match self.refusal_of(cx, waiter) {
+                Some(error) => {
+                    cx.answer(waiter.ticket, Answer::Reserved(Err(error)));
+                    self.waiting.remove(index);
+                }
+                None => index += 1,
+            }
+        }
+    }
+
+    /// Tells why a waiting request is to be refused now, if it is.
+    fn refusal_of(&self, cx: &LedgerContext, waiter: &Waiter) -> Option<Error> {
+        if cx.is_draining {
+            return Some(Error::new(ErrorKind::RouterLeaving, "the router is leaving"));
+        }
+        if waiter.tokens <= self.claimable() {
+            return None;
+        }
+        let is_read = self.budget_read.is_some_and(|read| read >= waiter.since);
+        if is_read && let Some(message) = &self.row_fault {
+            return Some(Error::new(ErrorKind::StoreUnavailable, message.as_str()));
+        }
+        if (is_read || self.is_table_away(cx)) && self.budget_read.is_some() {
+            let left = self.unbilled();
+            if left < waiter.tokens {
+                let message =
+                    format!("{left} tokens are left of the budget, {} are needed", waiter.tokens);
+                return Some(Error::new(ErrorKind::BudgetExhausted, message));
+            }
+        }
+        if cx.now < waiter.until {
+            return None;
+        }
+        Some(match self.budget_read {
+            None => Error::new(ErrorKind::StoreUnavailable, "the budget was not read in time"),
+            Some(_) => Error::new(
+                ErrorKind::BudgetShort,
+                "the rest of the budget is reserved or held elsewhere for now",
+            ),
+        })
+    }
+
+    /// Returns the tokens of the account that are not billed, as last known: no release
+    /// makes more of them free.
+    fn unbilled(&self) -> Tokens {
+        let budget = self.budget.unwrap_or_default();
+        budget.deposited.saturating_sub(budget.settled).saturating_sub(self.bills_total)
+    }
+}
--- /dev/null
+++ b/components/budget/src/in_doubt.rs
@@ -0,0 +1,108 @@
+//! Amounts in doubt: what is left in the grant rows of dead routers.
+
+use platform::{Commit, Precondition, Row, Write};
+use serde::Serialize;
+use thiserror::Error;
+use types::{AccountName, RouterId, Tokens};
+
+use crate::{BudgetRow, GrantRow, budget_key, grant_key};
+
+/// Tokens of an account of which nobody can tell whether they are spent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct InDoubt {
+    /// Account.
+    pub account: AccountName,
+    /// Router process that may have spent them, and may still bill them if it wakes.
+    pub router: RouterId,
+    /// Tokens.
+    pub tokens: Tokens,
+    /// Wall clock since when, in milliseconds of Unix time; `None` where no witness has
+    /// closed the row.
+    pub since_unix_ms: Option<u64>,
+}
+
+/// Why an amount in doubt cannot be resolved.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum ResolveError {
+    /// One of the rows is missing.
+    #[error("there is no row {0}")]
+    Missing(String),
+    /// One of the rows cannot be read.
+    #[error(transparent)]
+    Unreadable(#[from] platform::RowError),
+    /// The router is alive and spends from the row.
+    #[error("router {0} is alive")]
+    Alive(RouterId),
+    /// More tokens were to be resolved than are in doubt.
+    #[error("{wanted} tokens were to be released, {in_doubt} are in doubt")]
+    TooMany {
+        /// Tokens to be released.
+        wanted: Tokens,
+        /// Tokens in doubt.
+        in_doubt: Tokens,
+    },
+    /// The rows contradict each other.
+    #[error("the budget row has fewer granted tokens than the grant row")]
+    Inconsistent,
+}
+
+/// Lists what is in doubt among the grant rows of `account`: the rows that are closed or
+/// whose router is not among `live`. Rows that cannot be read are returned as errors.
+pub fn list_in_doubt(
+    account: &AccountName,
+    rows: &[Row],
+    live: &[RouterId],
+) -> Vec<Result<InDoubt, platform::RowError>> {
+    rows.iter()
+        .map(Row::decode::<GrantRow>)
+        .filter(|row| row.as_ref().map_or(true, |row| is_in_doubt(row, live)))
+        .map(|row| {
+            row.map(|row| InDoubt {
+                account: account.clone(),
+                tokens: row.unspent,
+                since_unix_ms: row.closed_unix_ms,
+                router: row.router,
+            })
+        })
+        .collect()
+}
+
+/// Returns the commit that gives `tokens` in doubt back to the account, by an operator's
+/// decision. The grant row stays, closed, so that its counters are never used twice.
+///
+/// # Errors
+/// Where the rows are missing or unreadable, the router is alive, or fewer tokens are in
+/// doubt.
+pub fn resolve_in_doubt(
+    account: &AccountName,
+    router: &RouterId,
+    tokens: Tokens,
+    rows: (Option<&Row>, Option<&Row>),
+    live: &[RouterId],
+    now_unix_ms: u64,
+) -> Result<Commit, ResolveError> {
+    let (budget_row, grant_row) = rows;
+    let (budget_key, grant_key) = (budget_key(account), grant_key(account, router));
+    let budget_row = budget_row.ok_or_else(|| ResolveError::Missing(budget_key.to_string()))?;
+    let grant_row = grant_row.ok_or_else(|| ResolveError::Missing(grant_key.to_string()))?;
+    let mut budget: BudgetRow = budget_row.decode()?;
+    let mut grant: GrantRow = grant_row.decode()?;
+    if !is_in_doubt(&grant, live) {
+        return Err(ResolveError::Alive(router.clone()));
+    }
+    let too_many = ResolveError::TooMany { wanted: tokens, in_doubt: grant.unspent };
+    grant.unspent = grant.unspent.checked_sub(tokens).ok_or(too_many)?;
+    budget.granted = budget.granted.checked_sub(tokens).ok_or(ResolveError::Inconsistent)?;
+    grant.closed_unix_ms.get_or_insert(now_unix_ms);
+    Ok(Commit {
+        preconditions: vec![
+            Precondition::Revision(budget_key.clone(), budget_row.revision),
+            Precondition::Revision(grant_key.clone(), grant_row.revision),
+        ],
+        writes: vec![Write::put(budget_key, &budget), Write::put(grant_key, &grant)],
+    })
+}
+
+fn is_in_doubt(row: &GrantRow, live: &[RouterId]) -> bool {
+    row.unspent > Tokens::ZERO && (row.is_closed() || !live.contains(&row.router))
+}
--- /dev/null
+++ b/components/budget/src/ledger/peer_set.rs
@@ -0,0 +1,59 @@
+//! The peers that a ledger knows.
+
+use types::{AccountName, RouterId, RouterName};
+use utils::{HashSet, stable_hash};
+
+use crate::BudgetPeer;
+
+/// The live peers, and those that were seen alive before.
+#[derive(Debug, Default)]
+pub(crate) struct PeerSet {
+    /// Live peers, in the order of their names.
+    live: Vec<BudgetPeer>,
+    /// Every peer that was ever seen alive.
+    seen: HashSet<RouterId>,
+}
+
+impl PeerSet {
+    /// Takes over the live peers.
+    pub(crate) fn update(&mut self, live: Vec<BudgetPeer>) {
+        self.seen.extend(live.iter().map(|peer| peer.id.clone()));
+        self.live = live;
+    }
+
+    /// Returns the live peers.
+    pub(crate) fn live(&self) -> &[BudgetPeer] {
+        &self.live
+    }
+
+    /// Finds a live peer.
+    pub(crate) fn find(&self, id: &RouterId) -> Option<&BudgetPeer> {
+        self.live.iter().find(|peer| peer.id == *id)
+    }
+
+    /// Tells whether a peer is alive and not leaving.
+    pub(crate) fn is_staying(&self, id: &RouterId) -> bool {
+        self.find(id).is_some_and(|peer| !peer.is_leaving)
+    }
+
+    /// Tells whether a peer was alive and is not any more, or was restarted.
+    pub(crate) fn is_dead(&self, id: &RouterId) -> bool {
+        self.find(id).is_none() && (self.seen.contains(id) || self.has_name(&id.name))
+    }
+
+    /// Returns the peers that stay, those outside of the failure domain of `local` first,
+    /// in an order that differs between accounts.
+    pub(crate) fn candidates(&self, local: &BudgetPeer, account: &AccountName) -> Vec<&BudgetPeer> {
+        let mut candidates: Vec<_> = self.live.iter().filter(|peer| !peer.is_leaving).collect();
+        candidates.sort_by_cached_key(|peer| {
+            let names = [account.as_str(), local.id.name.as_str(), peer.id.name.as_str()];
+            let rank = stable_hash(&names.map(str::as_bytes));
+            (peer.failure_domain == local.failure_domain, rank)
+        });
+        candidates
+    }
+
+    fn has_name(&self, name: &RouterName) -> bool {
+        self.live.iter().any(|peer| peer.id.name == *name)
+    }
+}
--- /dev/null
+++ b/components/budget/src/snapshot.rs
@@ -0,0 +1,18 @@
+//! Amounts of an account for metrics.
+
+use types::{AccountName, Tokens};
+
+/// Amounts of an account on one router, for metrics.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AccountSnapshot {
+    /// Account.
+    pub account: AccountName,
+    /// Unspent tokens of the router's grant, as last known.
+    pub unspent: Tokens,
+    /// Tokens reserved by requests.
+    pub reserved: Tokens,
+    /// Tokens of bills that are not known to be in the table.
+    pub unsettled: Tokens,
+    /// Requests that wait for tokens.
+    pub waiting: usize,
+}
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -10,7 +10,10 @@
 mod requests;
 
 pub use self::{
-    budget::BudgetMessage,
+    budget::{
+        AskLoan, BilledRequest, BillsHeld, BudgetBody, BudgetMessage, CeilingRaised, ForgetBills,
+        HoldBills, LoanCredited, LoanTotal, RaiseCeiling,
+    },
     config::ConfigMessage,
     envelope::{Envelope, PeerBody},
     frame::{FRAME_MAX_BYTES, FrameCodec, FrameError},
--- /dev/null
+++ b/components/router/src/accounting/ledger_task.rs
@@ -0,0 +1,282 @@
+//! The task on the control thread that owns the ledger and carries out its actions.
+
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+
+use budget::{
+    AccountSnapshot, Action, Answer, Bill, BudgetPeer, BudgetSettings, CallId, DeathPolicy, Event,
+    Ledger, ReservationId, SettleOutcome, Ticket,
+};
+use errors::{ErrorKind, Result};
+use membership::{Member, MemberState};
+use platform::{Commit, CommitOutcome, Key, Table};
+use protocol::PeerBody;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::MissedTickBehavior,
+};
+use types::{AccountName, Timestamp};
+use utils::{HashMap, new_rng};
+
+use super::{ReserveRequest, in_doubt_gauge::InDoubtGauge};
+use crate::{Clock, peers::Peers};
+
+/// Time between two looks at the clock and the membership.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Time between two updates of the gauges.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What the ledger task is told.
+pub(super) enum Command {
+    /// Reserve tokens.
+    Reserve { req: ReserveRequest, answer: oneshot::Sender<Result<ReservationId>> },
+    /// Settle a bill.
+    Settle {
+        account: AccountName,
+        reservation: ReservationId,
+        bill: Bill,
+        with: Commit,
+        deadline: Timestamp,
+        answer: oneshot::Sender<Result<SettleOutcome>>,
+    },
+    /// Return everything.
+    Drain(oneshot::Sender<()>),
+    /// Anything that needs no answer.
+    Event(Event),
+}
+
+/// Who waits for an answer of the ledger.
+enum Waiting {
+    Reserve(AccountName, oneshot::Sender<Result<ReservationId>>),
+    Settle(oneshot::Sender<Result<SettleOutcome>>),
+}
+
+/// The task that owns the ledger.
+pub(super) struct LedgerTask {
+    /// The decisions.
+    ledger: Ledger,
+    /// Clock.
+    clock: Clock,
+    /// The platform's table.
+    table: Arc<dyn Table>,
+    /// The other routers.
+    peers: Arc<dyn Peers>,
+    /// For results of calls to the table.
+    tx: mpsc::UnboundedSender<Command>,
+    /// Who waits for an answer.
+    waiting: HashMap<Ticket, Waiting>,
+    /// Last ticket given out.
+    last_ticket: Ticket,
+    /// Who waits for the end of the drain.
+    draining: Vec<oneshot::Sender<()>>,
+    /// Whether everything is returned.
+    is_drained: bool,
+    /// Peers as the ledger was last told.
+    known_peers: Vec<BudgetPeer>,
+    /// When the gauges are updated next.
+    next_gauges: Timestamp,
+    /// Gauge of the tokens in doubt.
+    in_doubt: InDoubtGauge,
+}
+
+impl LedgerTask {
+    /// Creates the task; its commands come from the other end of `tx`.
+    pub(super) fn new(
+        clock: Clock,
+        table: Arc<dyn Table>,
+        peers: Arc<dyn Peers>,
+        tx: mpsc::UnboundedSender<Command>,
+    ) -> LedgerTask {
+        let mut settings = BudgetSettings::new(DeathPolicy::WitnessedCeilings);
+        settings.start_unix_ms = unix_ms().saturating_sub(clock.now().as_millis());
+        let local = budget_peer(&peers.view().local);
+        LedgerTask {
+            ledger: Ledger::new(settings, local, new_rng()),
+            clock,
+            in_doubt: InDoubtGauge::new(table.clone(), peers.clone()),
+            table,
+            peers,
+            tx,
+            waiting: HashMap::default(),
+            last_ticket: 0,
+            draining: Vec::new(),
+            is_drained: false,
+            known_peers: Vec::new(),
+            next_gauges: Timestamp::ZERO,
+        }
+    }
+
+    /// Runs until the last sender of commands is gone.
+    pub(super) async fn run(mut self, mut rx: mpsc::UnboundedReceiver<Command>) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        loop {
+            tokio::select! {
+                command = rx.recv() => match command {
+                    Some(command) => self.on_command(command),
+                    None => return,
+                },
+                _ = ticks.tick() => self.on_tick(),
+            }
+        }
+    }
+
+    fn on_command(&mut self, command: Command) {
+        match command {
+            Command::Reserve { req, answer } => {
+                let account = req.account.clone();
+                let ticket = self.wait(Waiting::Reserve(account.clone(), answer));
+                let wait_until = req.deadline.min(self.clock.now() + req.shortage.max_wait);
+                self.handle(Event::Reserve { ticket, account, tokens: req.tokens, wait_until });
+            }
+            Command::Settle { account, reservation, bill, with, deadline, answer } => {
+                let ticket = self.wait(Waiting::Settle(answer));
+                let event = Event::Settle { ticket, account, reservation, bill, with, deadline };
+                self.handle(event);
+            }
+            Command::Drain(answer) if self.is_drained => {
+                // The receiver may have given up.
+                let _ = answer.send(());
+            }
+            Command::Drain(answer) => {
+                self.draining.push(answer);
+                self.handle(Event::Drain);
+            }
+            Command::Event(event) => self.handle(event),
+        }
+    }
+
+    fn on_tick(&mut self) {
+        let peers: Vec<BudgetPeer> = self.peers.view().others.iter().map(budget_peer).collect();
+        if peers == self.known_peers {
+            self.handle(Event::Tick);
+        } else {
+            self.known_peers.clone_from(&peers);
+            self.handle(Event::Peers(peers));
+        }
+        let now = self.clock.now();
+        if now >= self.next_gauges {
+            self.next_gauges = now + GAUGE_INTERVAL;
+            let snapshot = self.ledger.snapshot();
+            update_gauges(&snapshot);
+            self.in_doubt.update(now, &snapshot);
+        }
+    }
+
+    fn wait(&mut self, waiting: Waiting) -> Ticket {
+        self.last_ticket += 1;
+        self.waiting.insert(self.last_ticket, waiting);
+        self.last_ticket
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for action in self.ledger.handle(self.clock.now(), event) {
+                events.extend(self.carry_out(action));
+            }
+        }
+    }
+
+    /// Carries out an action; returns an event that follows at once, if any.
+    fn carry_out(&mut self, action: Action) -> Option<Event> {
+        match action {
+            Action::Read { call, keys } => self.read(call, keys),
+            Action::Commit { call, commit } => self.commit(call, commit),
+            Action::Send { to, message } => self.peers.send(&to, PeerBody::Budget(message)),
+            Action::Answer { ticket, answer } => return self.answer(ticket, answer),
+            Action::Drained => {
+                self.is_drained = true;
+                for answer in self.draining.drain(..) {
+                    // The receiver may have given up.
+                    let _ = answer.send(());
+                }
+            }
+        }
+        None
+    }
+
+    /// Answers a request; gives back the reservation of one that has gone.
+    fn answer(&mut self, ticket: Ticket, answer: Answer) -> Option<Event> {
+        match (self.waiting.remove(&ticket)?, answer) {
+            (Waiting::Reserve(account, tx), Answer::Reserved(result)) => {
+                count_refusal(&result);
+                match tx.send(result) {
+                    Err(Ok(reservation)) => Some(Event::Release { account, reservation }),
+                    Ok(()) | Err(Err(_)) => None,
+                }
+            }
+            (Waiting::Settle(tx), Answer::Settled(result)) => {
+                // A run that has gone needs no answer; its bill stands.
+                let _ = tx.send(result);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn read(&self, call: CallId, keys: Vec<Key>) {
+        let (table, tx) = (self.table.clone(), self.tx.clone());
+        tokio::spawn(async move {
+            let rows = table.read(&keys).await;
+            // The task may have ended.
+            let _ = tx.send(Command::Event(Event::RowsRead { call, rows }));
+        });
+    }
+
+    fn commit(&self, call: CallId, commit: Commit) {
+        let (table, tx) = (self.table.clone(), self.tx.clone());
+        tokio::spawn(async move {
+            let outcome = table.commit(&commit).await;
+            count_commit(&outcome);
+            // The task may have ended.
+            let _ = tx.send(Command::Event(Event::Committed { call, outcome }));
+        });
+    }
+}
+
+fn budget_peer(member: &Member) -> BudgetPeer {
+    BudgetPeer {
+        id: member.id.clone(),
+        failure_domain: member.failure_domain.clone(),
+        is_leaving: member.state == MemberState::Leaving,
+    }
+}
+
+fn count_refusal(result: &Result<ReservationId>) {
+    if let Err(error) = result {
+        let reason = ErrorKind::code(error.kind());
+        metrics::counter!(telemetry::BUDGET_REFUSALS_TOTAL, "reason" => reason).increment(1);
+    }
+}
+
+fn count_commit(outcome: &CommitOutcome) {
+    let label = match outcome {
+        CommitOutcome::Committed(_) => "committed",
+        CommitOutcome::Conflict(_) => "conflict",
+        CommitOutcome::NotApplied(_) => "not_applied",
+        CommitOutcome::Unknown => "unknown",
+    };
+    metrics::counter!(telemetry::BUDGET_COMMITS_TOTAL, "outcome" => label).increment(1);
+}
+
+fn update_gauges(snapshot: &[AccountSnapshot]) {
+    for it in snapshot {
+        let account = it.account.to_string();
+        let set = |name: &'static str, value: u64| {
+            metrics::gauge!(name, "account" => account.clone()).set(value as f64);
+        };
+        set(telemetry::GRANTED_TOKENS, it.unspent.0);
+        set(telemetry::RESERVED_TOKENS, it.reserved.0);
+        set(telemetry::UNSETTLED_TOKENS, it.unsettled.0);
+        set(telemetry::BUDGET_WAITING_REQUESTS, it.waiting as u64);
+    }
+}
+
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
--- a/components/router/src/accounting/mod.rs
+++ b/components/router/src/accounting/mod.rs
@@ -1,6 +1,8 @@
 //! Budgets and bills as requests see them.
 
-mod per_request;
+mod grant;
+mod in_doubt_gauge;
+mod ledger_task;
 mod reservation;
 
 use async_trait::async_trait;
@@ -10,7 +12,8 @@
 use types::{Timestamp, Tokens};
 
 pub use self::{
-    per_request::PerRequestAccounting,
+    grant::GrantAccounting,
+    in_doubt_gauge::read_in_doubt,
     reservation::{Reservation, ReserveRequest},
 };
 
--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -20,11 +20,11 @@
 use super::{RequestCounter, RouterSettings, StartError, control_thread::ControlThread};
 use crate::{
     Clock, RouterContext,
-    accounting::PerRequestAccounting,
+    accounting::GrantAccounting,
     configuration::{ConfigHandle, run_config_poller},
     dispatch::LeastRequests,
     http::{HttpContext, HttpServer, KEEP_ADDRESSES},
-    peers::AloneRouter,
+    peers::{AloneRouter, Peers},
     registry::LocalRegistry,
     traffic::Runs,
 };
@@ -160,12 +160,14 @@
         config_version: cfg.version(),
     };
     control.handle().spawn(run_config_poller(cfg.clone(), table.clone()));
+    let peers: Arc<dyn Peers> = Arc::new(AloneRouter::new(local));
+    let accounting = GrantAccounting::start(control.handle(), clock, table.clone(), peers.clone());
     let router = RouterContext {
         clock,
-        accounting: Arc::new(PerRequestAccounting::new(table.clone(), clock)),
+        accounting: Arc::new(accounting),
         registry: Arc::new(LocalRegistry::new(id, table.clone())),
         dispatcher: Arc::new(LeastRequests::new(cfg.clone())),
-        peers: Arc::new(AloneRouter::new(local)),
+        peers,
         cfg,
         table,
         pooled: HttpClient::new(Connections::Kept),
--- a/components/router/tests/whole_path.rs
+++ b/components/router/tests/whole_path.rs
@@ -60,7 +60,7 @@
     let scene = Scene::start(5).await;
     let body = json!({ "barrel": 17 });
     let res = scene.call("/v1/actions/order-repair", "order-18", &body).await.unwrap();
-    assert_eq!(res.status(), 402);
+    assert_eq!(res.status(), 402, "{:?}", res.body());
     let text = String::from_utf8_lossy(res.body()).into_owned();
     assert!(text.contains("\"code\":\"budget_exhausted\""), "{text}");
     assert!(text.contains("\"ran\":\"never\""), "{text}");
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -26,3 +26,24 @@
 
 /// Gauge of the configuration version in force.
 pub const CONFIG_VERSION: &str = "auburncrank_config_version";
+
+/// Counter of requests refused for their budget, by `reason`.
+pub const BUDGET_REFUSALS_TOTAL: &str = "auburncrank_budget_refusals_total";
+
+/// Counter of commits of grants and bills, by `outcome`.
+pub const BUDGET_COMMITS_TOTAL: &str = "auburncrank_budget_commits_total";
+
+/// Gauge of the unspent tokens of this router's grant, by `account`.
+pub const GRANTED_TOKENS: &str = "auburncrank_granted_tokens";
+
+/// Gauge of tokens reserved by requests on this router, by `account`.
+pub const RESERVED_TOKENS: &str = "auburncrank_reserved_tokens";
+
+/// Gauge of billed tokens that are not yet in the table, by `account`.
+pub const UNSETTLED_TOKENS: &str = "auburncrank_unsettled_tokens";
+
+/// Gauge of requests that wait for tokens on this router, by `account`.
+pub const BUDGET_WAITING_REQUESTS: &str = "auburncrank_budget_waiting_requests";
+
+/// Gauge of tokens in the grants of dead routers, by `account`.
+pub const IN_DOUBT_TOKENS: &str = "auburncrank_in_doubt_tokens";
