--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -11,7 +11,7 @@
 use client::{Connections, HttpClient, PlatformClient};
 use errors::{Error, ErrorKind, Result};
 use membership::{Member, MemberState};
-use platform::Table;
+use platform::{ObjectStore, Table};
 use rand::Rng as _;
 use telemetry::set_up_metrics;
 use tokio::runtime::{Builder, Runtime};
@@ -21,11 +21,12 @@
 use crate::{
     Clock, RouterContext,
     accounting::GrantAccounting,
+    admin::{AdminContext, NoResolver},
     configuration::{ConfigHandle, run_config_poller},
     dispatch::LeastRequests,
     http::{HttpContext, HttpServer, KEEP_ADDRESSES},
     peers::{AloneRouter, Peers},
-    registry::LocalRegistry,
+    registry::{FleetRegistry, RegistryParts},
     traffic::Runs,
 };
 
@@ -148,6 +149,7 @@
     let clock = Clock::new();
     let id = RouterId::new(settings.name.clone(), Incarnation(utils::new_rng().random()));
     let platform = PlatformClient::new(settings.platform_address, settings.platform_timeout);
+    let objects: Arc<dyn ObjectStore> = Arc::new(platform.clone());
     let table: Arc<dyn Table> = Arc::new(platform);
     let cfg = ConfigHandle::new();
     let local = Member {
@@ -159,13 +161,20 @@
         load: 0,
         config_version: cfg.version(),
     };
-    control.handle().spawn(run_config_poller(cfg.clone(), table.clone()));
     let peers: Arc<dyn Peers> = Arc::new(AloneRouter::new(local));
+    control.handle().spawn(run_config_poller(cfg.clone(), table.clone(), peers.clone()));
+    let registry = FleetRegistry::start(RegistryParts {
+        router: id,
+        clock,
+        table: table.clone(),
+        objects,
+        peers: peers.clone(),
+    });
     let accounting = GrantAccounting::start(control.handle(), clock, table.clone(), peers.clone());
     let router = RouterContext {
         clock,
         accounting: Arc::new(accounting),
-        registry: Arc::new(LocalRegistry::new(id, table.clone())),
+        registry,
         dispatcher: Arc::new(LeastRequests::new(cfg.clone())),
         peers,
         cfg,
@@ -173,8 +182,16 @@
         pooled: HttpClient::new(Connections::Kept),
         unpooled: HttpClient::new(Connections::OnePerCall),
     };
+    let runs = Runs::new(router.clone());
+    let admin = AdminContext {
+        router: router.clone(),
+        runs: runs.clone(),
+        bootstrap: settings.bootstrap_operator_key,
+        resolver: Arc::new(NoResolver),
+    };
     HttpContext {
-        runs: Runs::new(router.clone()),
+        admin,
+        runs,
         router,
         metrics: set_up_metrics(),
         is_closed: Arc::new(AtomicBool::new(false)),
