--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -12,7 +12,10 @@
 mod socket_address;
 
 pub use self::{
-    budget::BudgetMessage,
+    budget::{
+        AskLoan, BilledRequest, BillsHeld, BudgetBody, BudgetMessage, CeilingRaised, ForgetBills,
+        HoldBills, LoanCredited, LoanTotal, RaiseCeiling,
+    },
     config::ConfigMessage,
     envelope::{Envelope, PeerBody},
     frame::{FRAME_MAX_BYTES, FrameCodec, FrameError},
--- a/components/router/src/daemon/assembly.rs
+++ b/components/router/src/daemon/assembly.rs
@@ -16,7 +16,7 @@
 use super::{RouterSettings, control_thread::ControlThread};
 use crate::{
     Clock, RouterContext,
-    accounting::PerRequestAccounting,
+    accounting::GrantAccounting,
     admin::{AdminContext, NoResolver},
     configuration::{ConfigHandle, run_config_poller},
     dispatch::PolicyDispatcher,
@@ -71,9 +71,10 @@
     });
     let dispatcher =
         PolicyDispatcher::start(control.handle(), clock, cfg.clone(), peers.clone(), hosts);
+    let accounting = GrantAccounting::start(control.handle(), clock, table.clone(), peers.clone());
     let router = RouterContext {
         clock,
-        accounting: Arc::new(PerRequestAccounting::new(table.clone(), clock)),
+        accounting: Arc::new(accounting),
         registry,
         dispatcher: Arc::new(dispatcher),
         peers: peers.clone(),
