--- a/components/router/src/registry/fleet.rs
+++ b/components/router/src/registry/fleet.rs
@@ -344,6 +344,8 @@
     }
 
     fn settle_intent(&self, permit: &IntentPermit, answer: &KeptAnswer) -> Commit {
+        // From now on the commit of the bill decides the row.
+        self.entries.update(&permit.key, |it| it.recorded = None);
         self.intents.settle(permit, stored_answer(answer))
     }
 
--- a/components/router/src/registry/home_link.rs
+++ b/components/router/src/registry/home_link.rs
@@ -15,10 +15,10 @@
 use crate::{Clock, peers::Peers};
 
 /// Time for a home router to answer one claim.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(400);
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Claims sent before the home router counts as out of reach.
-const CLAIM_TRIES: usize = 3;
+const CLAIM_TRIES: usize = 6;
 
 /// Most ids in one message to a new home router.
 const HELD_MAX: usize = 1_000;
--- a/components/router/src/registry/relay.rs
+++ b/components/router/src/registry/relay.rs
@@ -16,10 +16,11 @@
 };
 
 /// Time for the other router to answer one fetch.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
+const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Fetches sent before the other router counts as out of reach.
-const FETCH_TRIES: usize = 3;
+/// Fetches sent before the other router counts as out of reach, although it is a live
+/// member.
+const FETCH_TRIES: usize = 10;
 
 /// Longest time that a fetch waits for something new.
 const FETCH_WAIT: Duration = Duration::from_millis(200);
@@ -63,6 +64,9 @@
         has_head: bool,
     ) -> Option<PartMessage> {
         for _ in 0..FETCH_TRIES {
+            if !self.is_alive(&fetch.attempt.router) {
+                return None;
+            }
             let send = |call| {
                 let message = FetchMessage {
                     call,
@@ -82,6 +86,10 @@
         None
     }
 
+    fn is_alive(&self, router: &RouterId) -> bool {
+        self.peers.view().find(&router.name).is_some_and(|member| member.id == *router)
+    }
+
     /// Copies the rest of the answer to `log`, after its `first` part. The end is
     /// returned, not written.
     ///
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -3,12 +3,14 @@
 
 pub mod engine;
 mod http;
+mod objects;
 mod platform_server;
 mod service;
 mod table;
 
 pub use self::{
     http::ServerHandle,
+    objects::MemoryObjects,
     platform_server::{PlatformServer, PlatformState},
     service::{RunRecord, ServiceServer, ServiceState},
     table::{Bucket, CallLimits, MemoryTable, TableCounts, TableFaults, TableState},
--- /dev/null
+++ b/components/standins/src/objects/mod.rs
@@ -0,0 +1,5 @@
+//! Stand-in of the object store.
+
+mod memory_objects;
+
+pub use self::memory_objects::MemoryObjects;
