--- a/components/errors/src/error.rs
+++ b/components/errors/src/error.rs
@@ -1,6 +1,6 @@
 //! An error with its context.
 
-use std::{fmt, sync::Arc};
+use std::{fmt, sync::Arc, time::Duration};
 
 use crate::{ErrorAnswer, ErrorKind, Ran};
 
@@ -19,12 +19,20 @@
     /// Whether an earlier attempt of the request may have run, so that the answer must
     /// not say "not run", whatever the kind says.
     may_have_run: bool,
+    /// Delay before a retry, where it is known better than by the kind.
+    retry_delay: Option<Duration>,
 }
 
 impl Error {
     /// Creates an error of `kind`.
     pub fn new(kind: ErrorKind, message: impl Into<Arc<str>>) -> Error {
-        Error { kind, message: message.into(), context: Vec::new(), may_have_run: false }
+        Error {
+            kind,
+            message: message.into(),
+            context: Vec::new(),
+            may_have_run: false,
+            retry_delay: None,
+        }
     }
 
     /// Adds what was being done when the error arose.
@@ -47,6 +55,17 @@
         }
     }
 
+    /// Sets the delay before a retry, jitter included.
+    pub fn with_retry_delay(mut self, delay: Duration) -> Error {
+        self.retry_delay = Some(delay);
+        self
+    }
+
+    /// Returns the delay before a retry, where it is known better than by the kind.
+    pub fn retry_delay(&self) -> Option<Duration> {
+        self.retry_delay
+    }
+
     /// Returns the kind.
     pub fn kind(&self) -> ErrorKind {
         self.kind
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -8,6 +8,7 @@
 mod frame;
 mod membership;
 mod requests;
+mod routing;
 
 pub use self::{
     budget::BudgetMessage,
@@ -20,4 +21,5 @@
         FetchMessage, HeldMessage, HeldRef, KeptRef, PartMessage, RequestRef, RequestsBody,
         RequestsMessage, VerdictBody, VerdictMessage, WholeEnd,
     },
+    routing::{CrashRecordMessage, RoutingMessage},
 };
--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -11,7 +11,7 @@
 use client::{Connections, HttpClient, PlatformClient};
 use errors::{Error, ErrorKind, Result};
 use membership::{Member, MemberState};
-use platform::{ObjectStore, Table};
+use platform::{HostList, ObjectStore, Table};
 use rand::Rng as _;
 use telemetry::set_up_metrics;
 use tokio::runtime::{Builder, Runtime};
@@ -21,8 +21,9 @@
 use crate::{
     Clock, RouterContext,
     accounting::PerRequestAccounting,
+    admin::{AdminContext, NoResolver},
     configuration::{ConfigHandle, run_config_poller},
-    dispatch::LeastRequests,
+    dispatch::PolicyDispatcher,
     http::{HttpContext, HttpServer, KEEP_ADDRESSES},
     peers::{AloneRouter, Peers},
     registry::{FleetRegistry, RegistryParts},
@@ -149,6 +150,7 @@
     let id = RouterId::new(settings.name.clone(), Incarnation(utils::new_rng().random()));
     let platform = PlatformClient::new(settings.platform_address, settings.platform_timeout);
     let objects: Arc<dyn ObjectStore> = Arc::new(platform.clone());
+    let hosts: Arc<dyn HostList> = Arc::new(platform.clone());
     let table: Arc<dyn Table> = Arc::new(platform);
     let cfg = ConfigHandle::new();
     let local = Member {
@@ -160,8 +162,8 @@
         load: 0,
         config_version: cfg.version(),
     };
-    control.handle().spawn(run_config_poller(cfg.clone(), table.clone()));
     let peers: Arc<dyn Peers> = Arc::new(AloneRouter::new(local));
+    control.handle().spawn(run_config_poller(cfg.clone(), table.clone(), peers.clone()));
     let registry = FleetRegistry::start(RegistryParts {
         router: id,
         clock,
@@ -169,19 +171,29 @@
         objects,
         peers: peers.clone(),
     });
+    let dispatcher =
+        PolicyDispatcher::start(control.handle(), clock, cfg.clone(), peers.clone(), hosts);
     let router = RouterContext {
         clock,
         accounting: Arc::new(PerRequestAccounting::new(table.clone(), clock)),
         registry,
-        dispatcher: Arc::new(LeastRequests::new(cfg.clone())),
+        dispatcher: Arc::new(dispatcher),
         peers,
         cfg,
         table,
         pooled: HttpClient::new(Connections::Kept),
         unpooled: HttpClient::new(Connections::OnePerCall),
     };
+    let runs = Runs::new(router.clone());
+    let admin = AdminContext {
+        router: router.clone(),
+        runs: runs.clone(),
+        bootstrap: settings.bootstrap_operator_key,
+        resolver: Arc::new(NoResolver),
+    };
     HttpContext {
-        runs: Runs::new(router.clone()),
+        admin,
+        runs,
         router,
         metrics: set_up_metrics(),
         is_closed: Arc::new(AtomicBool::new(false)),
