Add the command-line tool and the administration client

Operators could reach the administration API only with a general HTTP client. auburncrank makes plans, shows them in words, and has them confirmed; it sends requests as a caller, too. Tried by hand against auburncrankd and the stand-in platform: bootstrap key, apply, repeated deposit, chat, action sent twice (run once).

--- a/components/client/src/lib.rs
+++ b/components/client/src/lib.rs
@@ -1,11 +1,13 @@
 //! HTTP clients: of the platform's services, of endpoints and of routers.
 
+mod admin;
 mod caller;
 mod http_client;
 mod platform_client;
 mod send_error;
 
 pub use self::{
+    admin::{AdminClient, AdminClientError},
     caller::{
         AddressEntry, AddressList, Caller, CallerAnswer, CallerCall, CallerError, ERROR_HEADER,
     },
--- a/components/router/src/admin/admin_error.rs
+++ b/components/router/src/admin/admin_error.rs
@@ -31,7 +31,8 @@
 
 impl From<Vec<Fault>> for AdminError {
     fn from(faults: Vec<Fault>) -> AdminError {
-        let message = format!("{} faults; nothing was changed", faults.len());
+        let noun = if faults.len() == 1 { "fault" } else { "faults" };
+        let message = format!("{} {noun}; nothing was changed", faults.len());
         AdminError { faults, ..AdminError::new(ErrorKind::InvalidConfig, message) }
     }
 }
--- a/components/router/tests/scene/mod.rs
+++ b/components/router/tests/scene/mod.rs
@@ -19,6 +19,9 @@
 /// API key of the client account of the scene.
 pub(crate) const API_KEY: &str = "key-of-the-cooperative-0123456789";
 
+/// Operator's key of the scene while there is no operator.
+pub(crate) const BOOTSTRAP_KEY: &str = "key-of-the-first-operator-0123456789";
+
 /// The client account of the scene.
 pub(crate) const ACCOUNT: &str = "cooperative";
 
@@ -121,7 +124,7 @@
         platform_timeout: Duration::from_secs(2),
         drain_timeout: Duration::from_secs(10),
         traffic_threads: 2,
-        bootstrap_operator_key: None,
+        bootstrap_operator_key: Some(config::ApiKey::new(BOOTSTRAP_KEY).hash()),
     }
 }
 
--- a/components/router/tests/whole_path.rs
+++ b/components/router/tests/whole_path.rs
@@ -1,6 +1,7 @@
 //! The whole path over loopback: a caller's request goes through a router to an
 //! endpoint and back, paid from a prepaid budget in the platform's table.
 
+#[allow(dead_code)]
 mod scene;
 
 use engine_api::{ChatCompletion, ChatMessage};
--- /dev/null
+++ b/programs/auburncrank/src/cli.rs
@@ -0,0 +1,146 @@
+//! Command line of the tool.
+
+use std::{env, process::ExitCode};
+
+use settings::{ProgramSpec, SettingFaults, SettingSpec, parse_args};
+
+use crate::{
+    cmd::COMMANDS,
+    context::CommandContext,
+    exit::{CommandError, EXIT_CODES},
+};
+
+const SPEC: ProgramSpec = ProgramSpec {
+    name: "auburncrank",
+    about: "Administers an auburncrank fleet, and sends requests to it as a caller.",
+    arguments: "COMMAND [ARGUMENTS]",
+    details: "A command that changes something makes a plan and shows it. Nothing takes effect \
+        until the\nplan is confirmed: at the question, with --yes, or with 'confirm PLAN'.",
+    settings: &[
+        SettingSpec {
+            flag: "router",
+            env: "AUBURNCRANK_ROUTER",
+            value: "IP:PORT,...",
+            default: Some("127.0.0.1:8080"),
+            help: "Addresses of routers; one that answers is enough.",
+        },
+        SettingSpec {
+            flag: "key",
+            env: "AUBURNCRANK_KEY",
+            value: "KEY",
+            default: None,
+            help: "Operator's key; for 'send' the key of the client account.",
+        },
+        SettingSpec {
+            flag: "json",
+            env: "AUBURNCRANK_JSON",
+            value: "",
+            default: None,
+            help: "Prints answers as JSON.",
+        },
+        SettingSpec {
+            flag: "yes",
+            env: "AUBURNCRANK_YES",
+            value: "",
+            default: None,
+            help: "Confirms the plan at once where none of its effects needs care.",
+        },
+        SettingSpec {
+            flag: "confirm",
+            env: "AUBURNCRANK_CONFIRM",
+            value: "PLAN",
+            default: None,
+            help: "Confirms this plan, made before, in place of making a new one.",
+        },
+        SettingSpec {
+            flag: "id",
+            env: "AUBURNCRANK_ID",
+            value: "ID",
+            default: None,
+            help: "Id of the deposit, or of the request to send; repeats with it count once.",
+        },
+        SettingSpec {
+            flag: "after",
+            env: "AUBURNCRANK_AFTER",
+            value: "ENTRY",
+            default: None,
+            help: "Continues a list after this entry.",
+        },
+        SettingSpec {
+            flag: "max-tokens",
+            env: "AUBURNCRANK_MAX_TOKENS",
+            value: "TOKENS",
+            default: Some("256"),
+            help: "Longest answer of 'send chat', in tokens.",
+        },
+        SettingSpec {
+            flag: "stream",
+            env: "AUBURNCRANK_STREAM",
+            value: "",
+            default: None,
+            help: "Prints the answer of 'send chat' as it arrives.",
+        },
+        SettingSpec {
+            flag: "timeout",
+            env: "AUBURNCRANK_TIMEOUT",
+            value: "DURATION",
+            default: Some("30s"),
+            help: "Longest time of a call with all its tries.",
+        },
+    ],
+};
+
+/// Reads the command line and runs the command.
+pub(crate) fn run() -> ExitCode {
+    let parsed = match parse_args(&SPEC, env::args_os().skip(1), |name| env::var(name).ok()) {
+        Ok(parsed) => parsed,
+        Err(faults) => return report(&CommandError::Usage(faults.to_string())),
+    };
+    if parsed.help {
+        print_help();
+        return ExitCode::SUCCESS;
+    }
+    let mut arguments = parsed.arguments;
+    if arguments.is_empty() {
+        return report(&CommandError::Usage("no command; see --help".to_owned()));
+    }
+    let name = arguments.remove(0);
+    let Some(command) = COMMANDS.iter().find(|command| command.name == name) else {
+        let message = format!("'{name}' is not a command; see --help");
+        return report(&CommandError::Usage(message));
+    };
+    let mut faults = SettingFaults::default();
+    let cx = CommandContext::from_settings(&parsed.values, arguments, &mut faults);
+    if !faults.0.is_empty() {
+        return report(&CommandError::Usage(faults.to_string()));
+    }
+    if parsed.check {
+        println!("The settings are sound.");
+        return ExitCode::SUCCESS;
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => return report(&CommandError::Refused(error.to_string())),
+    };
+    match runtime.block_on((command.run)(cx)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => report(&error),
+    }
+}
+
+fn report(error: &CommandError) -> ExitCode {
+    eprintln!("{error}");
+    error.exit_code()
+}
+
+fn print_help() {
+    print!("{}\nCommands:\n", SPEC.help());
+    for command in COMMANDS {
+        for usage in command.usage {
+            println!("  {usage}");
+        }
+        println!("        {}", command.about);
+    }
+    println!("\n{EXIT_CODES}");
+}
--- /dev/null
+++ b/programs/auburncrank/src/cmd/budget.rs
@@ -0,0 +1,90 @@
+//! `budget`: shows budgets and makes deposits.
+
+use admin_api::BudgetList;
+use config::{Deposit, Intent};
+use types::{AccountName, DepositId, Tokens};
+
+use crate::{
+    context::CommandContext,
+    exit::CommandError,
+    output::{Table, print_json},
+    review::review_intent,
+};
+
+/// Forms of the arguments.
+pub(super) const USAGE: &[&str] =
+    &["budget show [ACCOUNT]", "budget deposit ACCOUNT TOKENS --id ID"];
+
+/// What the command does.
+pub(super) const ABOUT: &str =
+    "Shows budgets, or makes a deposit; a deposit is made once for its id, such as the invoice.";
+
+/// Runs the command.
+pub(super) async fn run(cx: &CommandContext) -> Result<(), CommandError> {
+    let arguments: Vec<_> = cx.arguments.iter().map(String::as_str).collect();
+    match arguments[..] {
+        [] | ["show"] => show(cx, None).await,
+        ["show", account] => show(cx, Some(account)).await,
+        ["deposit", account, tokens] => deposit(cx, account, tokens).await,
+        _ => {
+            Err(CommandError::Usage(format!("usage: auburncrank {}", USAGE.join("\n       or: "))))
+        }
+    }
+}
+
+async fn show(cx: &CommandContext, account: Option<&str>) -> Result<(), CommandError> {
+    let admin = cx.admin()?;
+    let mut budgets = Vec::new();
+    let mut after = cx.after.clone();
+    loop {
+        let query = after.map_or_else(String::new, |after| format!("?after={after}"));
+        let list: BudgetList = admin.get(&format!("/admin/v1/budgets{query}")).await?;
+        budgets.extend(list.budgets);
+        after = list.next;
+        if after.is_none() {
+            break;
+        }
+        eprintln!("{} budgets read", budgets.len());
+    }
+    budgets.retain(|budget| account.is_none_or(|account| budget.account.as_str() == account));
+    if let (Some(account), true) = (account, budgets.is_empty()) {
+        let message =
+            format!("account {account} has no budget yet; make one with 'budget deposit'");
+        return Err(CommandError::Refused(message));
+    }
+    if cx.json {
+        print_json(&budgets);
+        return Ok(());
+    }
+    let mut table = Table::new(&["ACCOUNT", "DEPOSITED", "SETTLED", "GRANTED", "AVAILABLE"]);
+    for budget in budgets {
+        table.push(vec![
+            budget.account.to_string(),
+            budget.deposited.to_string(),
+            budget.settled.to_string(),
+            budget.granted.to_string(),
+            budget.available.to_string(),
+        ]);
+    }
+    print!("{}", table.render());
+    Ok(())
+}
+
+async fn deposit(cx: &CommandContext, account: &str, tokens: &str) -> Result<(), CommandError> {
+    let usage =
+        |name: &str, error: &dyn std::fmt::Display| CommandError::Usage(format!("{name}: {error}"));
+    let Some(id) = &cx.id else {
+        let message = "--id: missing; give the deposit an id of your own, such as the number of \
+            the invoice: with it a repeated command deposits nothing twice";
+        return Err(CommandError::Usage(message.to_owned()));
+    };
+    let deposit = Deposit {
+        id: DepositId::new(id).map_err(|error| usage("--id", &error))?,
+        account: AccountName::new(account).map_err(|error| usage("ACCOUNT", &error))?,
+        tokens: Tokens(tokens.parse().map_err(|_| {
+            usage("TOKENS", &format!("'{tokens}' is not a whole number of tokens"))
+        })?),
+    };
+    let intent = Intent { deposits: vec![deposit], ..Intent::default() };
+    review_intent(cx, &intent).await
+}
--- /dev/null
+++ b/programs/auburncrank/src/cmd/keys_of_account.rs
@@ -0,0 +1,21 @@
+//! `account add-key` and `account remove-key`.
+
+use serde_json::json;
+
+use crate::{context::CommandContext, exit::CommandError, review::review_json};
+
+/// Makes the plan that adds a key to an account or removes it; `field` is that of the
+/// intent.
+pub(super) async fn change_key(
+    cx: &CommandContext,
+    field: &str,
+    account: &str,
+    hash: &str,
+) -> Result<(), CommandError> {
+    if utils::Digest::from_hex(hash).is_none() {
+        let message = "HASH: expected the 64 hexadecimal digits that 'auburncrank key' prints";
+        return Err(CommandError::Usage(message.to_owned()));
+    }
+    let intent = json!({ field: { account: [hash] } });
+    review_json(cx, "/admin/v1/plans", intent.to_string().into()).await
+}
--- /dev/null
+++ b/programs/auburncrank/src/cmd/status.rs
@@ -0,0 +1,84 @@
+//! `status`: the state of the fleet.
+
+use admin_api::{LocalState, StateView};
+
+use crate::{
+    context::CommandContext,
+    exit::CommandError,
+    output::{Table, print_json},
+};
+
+/// Forms of the arguments.
+pub(super) const USAGE: &[&str] = &["status"];
+
+/// What the command does.
+pub(super) const ABOUT: &str = "Shows routers, endpoints and the version in force.";
+
+/// Runs the command.
+pub(super) async fn run(cx: &CommandContext) -> Result<(), CommandError> {
+    let [] = cx.expect("status")?;
+    let state: StateView = cx.admin()?.get("/admin/v1/state").await?;
+    if cx.json {
+        print_json(&state);
+        return Ok(());
+    }
+    println!("{}\n", describe_version(&state.local));
+    print!("{}", router_table(&state).render());
+    println!();
+    print!("{}", endpoint_table(&state).render());
+    if !state.quarantine.is_empty() {
+        println!("\n{} contents are quarantined; see 'quarantine list'.", state.quarantine.len());
+    }
+    Ok(())
+}
+
+fn describe_version(local: &LocalState) -> String {
+    let name = &local.name;
+    let version = local.config_version;
+    match (local.accepted_version, local.config_is_confirmed) {
+        (Some(accepted), _) if accepted == version => {
+            format!("Router {name} has version {version}, which is the accepted one.")
+        }
+        (Some(accepted), _) => {
+            format!("Router {name} has version {version}; version {accepted} is accepted.")
+        }
+        (None, true) => format!(
+            "Router {name} has version {version}; the table does not answer now and confirmed \
+             the version a short time ago."
+        ),
+        (None, false) => format!(
+            "Router {name} has version {version} and cannot say whether a later one is \
+             accepted: the table does not answer."
+        ),
+    }
+}
+
+fn router_table(state: &StateView) -> Table {
+    let mut table =
+        Table::new(&["ROUTER", "FAILURE DOMAIN", "ADDRESS", "STATE", "REQUESTS", "VERSION"]);
+    for router in &state.routers {
+        table.push(vec![
+            router.name.to_string(),
+            router.failure_domain.to_string(),
+            router.address.to_string(),
+            router.state.clone(),
+            router.load.to_string(),
+            router.config_version.to_string(),
+        ]);
+    }
+    table
+}
+
+fn endpoint_table(state: &StateView) -> Table {
+    let mut table = Table::new(&["ENDPOINT", "FAILURE DOMAIN", "ADDRESS", "STATE", "SERVES"]);
+    for endpoint in &state.endpoints {
+        table.push(vec![
+            endpoint.name.to_string(),
+            endpoint.failure_domain.to_string(),
+            endpoint.address.to_string(),
+            if endpoint.leaving { "leaving" } else { "in service" }.to_owned(),
+            endpoint.serves.join(", "),
+        ]);
+    }
+    table
+}
--- a/programs/auburncrank/src/main.rs
+++ b/programs/auburncrank/src/main.rs
@@ -1,3 +1,14 @@
-//! `auburncrank`.
+//! `auburncrank`: the command-line tool of operators and callers.
 
-fn main() {}
+mod cli;
+mod cmd;
+mod context;
+mod exit;
+mod output;
+mod review;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::run()
+}
--- /dev/null
+++ b/programs/auburncrank/src/output.rs
@@ -0,0 +1,66 @@
+//! Output: tables for people and JSON for programs.
+
+use std::time::SystemTime;
+
+use serde::Serialize;
+use types::UnixMillis;
+
+/// A table with a header.
+pub(crate) struct Table {
+    /// Rows, the header first; all of the same length.
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// Creates an empty table.
+    pub(crate) fn new(header: &[&str]) -> Table {
+        Table { rows: vec![header.iter().map(|it| (*it).to_owned()).collect()] }
+    }
+
+    /// Adds a row.
+    pub(crate) fn push(&mut self, row: Vec<String>) {
+        self.rows.push(row);
+    }
+
+    /// Returns the table as text, its columns aligned.
+    pub(crate) fn render(&self) -> String {
+        let columns = self.rows[0].len();
+        let width = |column: usize| {
+            self.rows.iter().map(|row| row[column].chars().count()).max().unwrap_or(0)
+        };
+        let widths: Vec<_> = (0..columns).map(width).collect();
+        let mut text = String::new();
+        for row in &self.rows {
+            let cells = row.iter().zip(&widths).map(|(cell, &width)| format!("{cell:width$}"));
+            let line = cells.collect::<Vec<_>>().join("  ");
+            text.push_str(line.trim_end());
+            text.push('\n');
+        }
+        text
+    }
+}
+
+/// Prints `value` as JSON.
+pub(crate) fn print_json<T: Serialize>(value: &T) {
+    println!("{}", serde_json::to_string_pretty(value).expect("answers have a JSON form"));
+}
+
+/// Returns a point in time as people read it.
+pub(crate) fn format_time(time: UnixMillis) -> String {
+    humantime::format_rfc3339_seconds(SystemTime::from(time)).to_string()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn columns_are_aligned() {
+        let mut table = Table::new(&["NAME", "TOKENS"]);
+        table.push(vec!["cooperative".to_owned(), "5".to_owned()]);
+        insta::assert_snapshot!(table.render(), @"
+        NAME         TOKENS
+        cooperative  5
+        ");
+    }
+}
