--- a/components/routing/tests/scheduler.rs
+++ b/components/routing/tests/scheduler.rs
@@ -1,5 +1,7 @@
 //! The scheduler under events: choice, queue, refusals, ejection, trials.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use config::{Config, Model, Service};
