--- a/components/router/src/traffic/chat_run.rs
+++ b/components/router/src/traffic/chat_run.rs
@@ -55,7 +55,7 @@
     loop {
         let lease = match cx.dispatcher.acquire(&need).await {
             Ok(lease) => lease,
-            Err(error) if was_sent => {
+            Err(error) if was_sent && error.kind() != ErrorKind::Quarantined => {
                 return Err(Error::new(ErrorKind::AttemptsFailed, error.to_string()));
             }
             Err(error) => return Err(error),
--- a/components/routing/src/endpoint.rs
+++ b/components/routing/src/endpoint.rs
@@ -88,7 +88,7 @@
             EndpointState::Leaving
         } else if self.health.is_ejected() {
             EndpointState::Ejected
-        } else if self.health.failures() > 0 || self.health.is_paused(now) {
+        } else if self.health.is_suspect(now) || self.health.is_paused(now) {
             EndpointState::Suspect
         } else {
             EndpointState::Serving
--- a/components/routing/src/health.rs
+++ b/components/routing/src/health.rs
@@ -7,11 +7,16 @@
 /// Most doublings of the ejection time.
 const DOUBLINGS_MAX: u32 = 5;
 
+/// Time after a failure for which an endpoint is suspect.
+const SUSPICION_TIME: Duration = Duration::from_secs(5);
+
 /// Whether an endpoint fails.
 #[derive(Debug, Default)]
 pub(crate) struct Health {
     /// Failures since the last success.
     failures: u32,
+    /// When the last of them happened.
+    failed_at: Timestamp,
     /// Ejections since the last success.
     ejections: u32,
     /// Until when it is ejected; a probe must succeed after that.
@@ -38,7 +43,8 @@
     }
 
     /// Notes a failure.
-    pub(crate) fn on_failure(&mut self) {
+    pub(crate) fn on_failure(&mut self, now: Timestamp) {
+        self.failed_at = now;
         self.failures = self.failures.saturating_add(1);
         self.is_probing = false;
     }
@@ -48,6 +54,11 @@
         self.failures
     }
 
+    /// Tells whether it failed lately.
+    pub(crate) fn is_suspect(&self, now: Timestamp) -> bool {
+        self.failures > 0 && now.since(self.failed_at) < SUSPICION_TIME
+    }
+
     /// Ejects the endpoint for `base`, doubled with each ejection in a row.
     pub(crate) fn eject(&mut self, base: Duration, now: Timestamp) {
         let factor = 1 << self.ejections.min(DOUBLINGS_MAX);
@@ -94,17 +105,26 @@
     fn ejection_doubles_and_a_success_ends_it() {
         let mut health = Health::default();
         let base = Duration::from_secs(1);
-        health.on_failure();
+        health.on_failure(Timestamp::ZERO);
         health.eject(base, Timestamp::ZERO);
         assert!(!health.may_probe(Timestamp::from_millis(999)));
         assert!(health.may_probe(Timestamp::from_millis(1_000)));
         health.start_probe();
         assert!(!health.may_probe(Timestamp::from_millis(1_000)));
-        health.on_failure();
+        health.on_failure(Timestamp::from_millis(1_000));
         health.eject(base, Timestamp::from_millis(1_000));
         assert!(!health.may_probe(Timestamp::from_millis(2_999)));
         assert!(health.may_probe(Timestamp::from_millis(3_000)));
         assert!(health.on_success());
         assert!(!health.is_ejected());
     }
+
+    #[test]
+    fn single_failure_is_forgiven_after_a_while() {
+        let mut health = Health::default();
+        health.on_failure(Timestamp::ZERO);
+        assert!(health.is_suspect(Timestamp::from_millis(4_999)));
+        assert!(!health.is_suspect(Timestamp::from_millis(5_000)));
+        assert_eq!(health.failures(), 1);
+    }
 }
--- a/components/routing/src/scheduler/reports.rs
+++ b/components/routing/src/scheduler/reports.rs
@@ -56,7 +56,7 @@
     /// too many others of its pools are ejected.
     pub(super) fn note_failure(&mut self, id: EndpointId, now: Timestamp) {
         let endpoint = self.table.get_mut(id);
-        endpoint.health.on_failure();
+        endpoint.health.on_failure(now);
         endpoint.load.forget_others();
         let is_due = endpoint.health.failures() >= self.settings.ejection_failures;
         if is_due && (self.table.get(id).health.is_ejected() || self.may_eject(id)) {
--- a/components/standins/src/engine/server.rs
+++ b/components/standins/src/engine/server.rs
@@ -108,7 +108,13 @@
 
     async fn start_with(address: SocketAddr, state: EngineState) -> io::Result<EngineServer> {
         let http = ServerHandle::start(address, routes(&state)).await?;
-        let driver = tokio::spawn(drive(state.clone())).abort_handle();
+        let (driven, process) = (state.clone(), http.abort_handle());
+        let driver = tokio::spawn(async move {
+            drive(driven).await;
+            // The engine crashed, and with it its process.
+            process.abort();
+        });
+        let driver = driver.abort_handle();
         Ok(EngineServer { http, state, driver })
     }
 
--- a/components/standins/src/http.rs
+++ b/components/standins/src/http.rs
@@ -42,6 +42,11 @@
         self.address
     }
 
+    /// Returns what kills the server.
+    pub(crate) fn abort_handle(&self) -> AbortHandle {
+        self.task.clone()
+    }
+
     /// Kills the server: its connections break.
     pub fn kill(&self) {
         self.task.abort();
