--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -2,31 +2,18 @@
 
 use std::{
     net::{SocketAddr, TcpListener},
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::atomic::Ordering,
 };
 
-use client::{Connections, HttpClient, PlatformClient};
 use errors::{Error, ErrorKind, Result};
-use membership::{Member, MemberState};
-use platform::Table;
-use rand::Rng as _;
-use telemetry::set_up_metrics;
 use tokio::runtime::{Builder, Runtime};
-use types::{Incarnation, RouterId};
 
-use super::{RequestCounter, RouterSettings, StartError, control_thread::ControlThread};
+use super::{
+    RequestCounter, RouterSettings, StartError, assembly::assemble, control_thread::ControlThread,
+};
 use crate::{
-    Clock, RouterContext,
-    accounting::PerRequestAccounting,
-    configuration::{ConfigHandle, run_config_poller},
-    dispatch::PolicyDispatcher,
+    RouterContext,
     http::{HttpContext, HttpServer, KEEP_ADDRESSES},
-    peers::AloneRouter,
-    registry::LocalRegistry,
-    traffic::Runs,
 };
 
 /// A router process. Dropping it without [`shut_down`](RouterProcess::shut_down) cuts
@@ -36,6 +23,8 @@
     settings: RouterSettings,
     /// Address for callers.
     caller_address: SocketAddr,
+    /// Address for the other routers.
+    peer_address: SocketAddr,
     /// Runtime that carries traffic; `None` once it is shut down.
     traffic: Option<Runtime>,
     /// Thread that owns control state.
@@ -54,6 +43,8 @@
     pub fn start(settings: RouterSettings) -> std::result::Result<RouterProcess, StartError> {
         let listener = listen(settings.caller_address)?;
         let caller_address = listener.local_addr()?;
+        let peer_listener = listen(settings.peer_address)?;
+        let peer_address = peer_listener.local_addr()?;
         let control = ControlThread::start()?;
         let traffic = Builder::new_multi_thread()
             .worker_threads(settings.traffic_threads)
@@ -62,18 +53,26 @@
             .build()?;
         let cx = {
             let _guard = traffic.enter();
-            assemble(&settings, caller_address, &control)
+            assemble(&settings, caller_address, peer_listener, &control)?
         };
         let http = {
             let _guard = traffic.enter();
             HttpServer::start(tokio::net::TcpListener::from_std(listener)?, cx.routes())
         };
         log::info!(
-            router:% = settings.name, address:% = caller_address;
+            router:% = settings.name, address:% = caller_address, peer_address:% = peer_address;
             "router serves callers"
         );
         let (traffic, http) = (Some(traffic), Some(http));
-        Ok(RouterProcess { settings, caller_address, traffic, _control: control, http, cx })
+        Ok(RouterProcess {
+            settings,
+            caller_address,
+            peer_address,
+            traffic,
+            _control: control,
+            http,
+            cx,
+        })
     }
 
     /// Returns the address for callers.
@@ -81,6 +80,11 @@
         self.caller_address
     }
 
+    /// Returns the address for the other routers.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
     /// Returns what every request needs, for checks and administration.
     pub fn context(&self) -> &RouterContext {
         &self.cx.router
@@ -138,51 +142,3 @@
     };
     bind().map_err(|source| StartError::Listen { address, source })
 }
-
-/// Joins the subsystems. Their control tasks run on the control thread.
-fn assemble(
-    settings: &RouterSettings,
-    caller_address: SocketAddr,
-    control: &ControlThread,
-) -> HttpContext {
-    let clock = Clock::new();
-    let id = RouterId::new(settings.name.clone(), Incarnation(utils::new_rng().random()));
-    let platform = PlatformClient::new(settings.platform_address, settings.platform_timeout);
-    let table: Arc<dyn Table> = Arc::new(platform.clone());
-    let cfg = ConfigHandle::new();
-    let local = Member {
-        id: id.clone(),
-        failure_domain: settings.failure_domain.clone(),
-        caller_address,
-        peer_address: settings.peer_address,
-        state: MemberState::Alive,
-        load: 0,
-        config_version: cfg.version(),
-    };
-    control.handle().spawn(run_config_poller(cfg.clone(), table.clone()));
-    let peers = Arc::new(AloneRouter::new(local));
-    let dispatcher = PolicyDispatcher::start(
-        control.handle(),
-        clock,
-        cfg.clone(),
-        peers.clone(),
-        Arc::new(platform),
-    );
-    let router = RouterContext {
-        clock,
-        accounting: Arc::new(PerRequestAccounting::new(table.clone(), clock)),
-        registry: Arc::new(LocalRegistry::new(id, table.clone())),
-        dispatcher: Arc::new(dispatcher),
-        peers,
-        cfg,
-        table,
-        pooled: HttpClient::new(Connections::Kept),
-        unpooled: HttpClient::new(Connections::OnePerCall),
-    };
-    HttpContext {
-        runs: Runs::new(router.clone()),
-        router,
-        metrics: set_up_metrics(),
-        is_closed: Arc::new(AtomicBool::new(false)),
-    }
-}
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -27,6 +27,40 @@
 /// Gauge of the configuration version in force.
 pub const CONFIG_VERSION: &str = "auburncrank_config_version";
 
+/// Counter of requests refused for their budget, by `reason`.
+pub const BUDGET_REFUSALS_TOTAL: &str = "auburncrank_budget_refusals_total";
+
+/// Counter of commits of grants and bills, by `outcome`.
+pub const BUDGET_COMMITS_TOTAL: &str = "auburncrank_budget_commits_total";
+
+/// Gauge of the unspent tokens of this router's grant, by `account`.
+pub const GRANTED_TOKENS: &str = "auburncrank_granted_tokens";
+
+/// Gauge of tokens reserved by requests on this router, by `account`.
+pub const RESERVED_TOKENS: &str = "auburncrank_reserved_tokens";
+
+/// Gauge of billed tokens that are not yet in the table, by `account`.
+pub const UNSETTLED_TOKENS: &str = "auburncrank_unsettled_tokens";
+
+/// Gauge of requests that wait for tokens on this router, by `account`.
+pub const BUDGET_WAITING_REQUESTS: &str = "auburncrank_budget_waiting_requests";
+
+/// Gauge of tokens in the grants of dead routers, by `account`.
+pub const IN_DOUBT_TOKENS: &str = "auburncrank_in_doubt_tokens";
+
+/// Gauge of the time since the table confirmed that no later configuration is accepted,
+/// in seconds; infinite where it never did.
+pub const CONFIG_CONFIRMED_AGE_SECONDS: &str = "auburncrank_config_confirmed_age_seconds";
+
+/// Counter of administration calls, by `result`: `ok` or the code of the error table.
+pub const ADMIN_CALLS_TOTAL: &str = "auburncrank_admin_calls_total";
+
+/// Counter of orders to engines, by `kind` and `outcome`.
+pub const ENGINE_ORDERS_TOTAL: &str = "auburncrank_engine_orders_total";
+
+/// Gauge of the fencing number of the controller lease where this router holds it, else
+/// zero.
+pub const CONTROLLER_FENCING_NUMBER: &str = "auburncrank_controller_fencing_number";
 /// Counter of retries that the retry budget denied, by `reason`.
 pub const RETRIES_DENIED_TOTAL: &str = "auburncrank_retries_denied_total";
 
@@ -50,3 +84,17 @@
 
 /// Counter of polls of endpoints and of the host list, by `source` and `result`.
 pub const POLLS_TOTAL: &str = "auburncrank_polls_total";
+/// Counter of messages to other routers that were dropped, by `reason`.
+pub const PEER_MESSAGES_DROPPED_TOTAL: &str = "auburncrank_peer_messages_dropped_total";
+
+/// Counter of messages that were handed to connections to other routers, by `kind`.
+pub const PEER_MESSAGES_SENT_TOTAL: &str = "auburncrank_peer_messages_sent_total";
+
+/// Counter of messages from other routers that could not be read.
+pub const PEER_MESSAGES_MALFORMED_TOTAL: &str = "auburncrank_peer_messages_malformed_total";
+
+/// Gauge of the routers known to this one, itself included, by `state`.
+pub const MEMBERS: &str = "auburncrank_members";
+
+/// Gauge that is 1 where another process with a higher incarnation uses this router's name.
+pub const ROUTER_SUPERSEDED: &str = "auburncrank_router_superseded";
