Test the failure detector on simulated time

A small in-memory network carries encoded messages between detectors with loss, cut directions, pauses, deaths and restarts, from a seed.

The first run failed where seven of eight die together: the survivor still suspected one after 5 s. It now probes at half the period while answers are missing, and leaves suspected members to their own probes.

--- a/components/membership/src/detector/action.rs
+++ b/components/membership/src/detector/action.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use crate::Message;
+use types::RouterId;
+
+use crate::{MemberState, Message};
 
 /// What the failure detector wants done.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -12,6 +14,20 @@
         /// Peer address of the receiver.
         to: SocketAddr,
         /// The message.
-        message: Message,
+        message: Box<Message>,
+    },
+    /// Note that the state of a member has changed, as far as this router knows.
+    MemberChanged {
+        /// The member.
+        id: RouterId,
+        /// Its new state.
+        state: MemberState,
     },
 }
+
+impl Action {
+    /// Creates the action that sends `message` to the peer address `to`.
+    pub(super) fn send(to: SocketAddr, message: Message) -> Action {
+        Action::Send { to, message: Box::new(message) }
+    }
+}
--- a/components/membership/src/detector/core.rs
+++ b/components/membership/src/detector/core.rs
@@ -155,10 +155,8 @@
         self.check_probes(now, rng, &mut actions);
         self.check_suspicions(now, rng, &mut actions);
         if now >= self.next_probe_at {
-            self.next_probe_at = now + self.settings.probe_period;
-            if let Some(target) = self.roster.next_to_probe(rng) {
-                self.start_probe(&target, now, &mut actions);
-            }
+            self.next_probe_at = now + self.probe_period();
+            self.probe_next(now, rng, &mut actions);
         }
         if now >= self.next_gossip_at {
             self.next_gossip_at = now + self.settings.gossip_period;
@@ -199,7 +197,7 @@
                 // The target learns of the accusation, also where it is not believed here.
                 let about_target = message.updates.into_iter().filter(|it| it.id.name == target);
                 let message = self.message(kind, about_target.collect());
-                actions.push(Action::Send { to: target_address, message });
+                actions.push(Action::send(target_address, message));
             }
             MessageKind::Join => self.answer_join(reply_to, now, &mut actions),
             MessageKind::Gossip => self.correct_sender(&sender_name, now, &mut actions),
@@ -266,7 +264,7 @@
             let kind = MessageKind::Ack { probe: relay.origin_number };
             let updates = self.roster.get(sender).map(|it| it.record_at(now));
             let message = self.message(kind, updates.into_iter().collect());
-            actions.push(Action::Send { to: relay.origin, message });
+            actions.push(Action::send(relay.origin, message));
             return;
         }
         self.failed_in_a_row = 0;
@@ -286,11 +284,11 @@
             records.into_iter().filter(|it| it.status != MemberStatus::Dead).collect();
         for chunk in live.chunks(JOIN_CHUNK) {
             let message = self.message(MessageKind::Gossip, chunk.to_vec());
-            actions.push(Action::Send { to, message });
+            actions.push(Action::send(to, message));
         }
         if live.is_empty() {
             let message = self.message(MessageKind::Gossip, Vec::new());
-            actions.push(Action::Send { to, message });
+            actions.push(Action::send(to, message));
         }
     }
 
@@ -313,7 +311,7 @@
         let first = if unknown.is_empty() { 0 } else { rng.random_range(0..unknown.len()) };
         for &to in unknown.iter().cycle().skip(first).take(count) {
             let message = self.message(MessageKind::Join, Vec::new());
-            actions.push(Action::Send { to, message });
+            actions.push(Action::send(to, message));
         }
     }
 }
--- a/components/membership/src/detector/merge.rs
+++ b/components/membership/src/detector/merge.rs
@@ -32,19 +32,25 @@
             return;
         }
         let Some(known) = self.roster.get(&record.id.name) else {
-            self.merge_unknown(record, now, rng);
+            self.merge_unknown(record, now, rng, actions);
             return;
         };
         match record.id.incarnation.cmp(&known.record.id.incarnation) {
             Ordering::Less => {}
-            Ordering::Greater => self.accept(record, now, rng),
+            Ordering::Greater => self.accept(record, now, rng, actions),
             Ordering::Equal => self.merge_same_process(record, now, rng, actions),
         }
     }
 
-    fn merge_unknown(&mut self, record: MemberRecord, now: Timestamp, rng: &mut Rng) {
+    fn merge_unknown(
+        &mut self,
+        record: MemberRecord,
+        now: Timestamp,
+        rng: &mut Rng,
+        actions: &mut Vec<Action>,
+    ) {
         if record.status != MemberStatus::Dead {
-            self.accept(record, now, rng);
+            self.accept(record, now, rng, actions);
         } else if record.dead_for < self.settings.keep_dead {
             // Remembered, so that an older record does not bring it back.
             self.roster.put(record, now, rng);
@@ -58,7 +64,7 @@
         rng: &mut Rng,
         actions: &mut Vec<Action>,
     ) {
-        self.merge_figures(&record);
+        self.merge_figures(&record, actions);
         let name = record.id.name.clone();
         let Some(known) = self.roster.get(&name) else { return };
         let verdict = self.judge(known, &record, now);
@@ -70,13 +76,13 @@
         }
         match verdict {
             Verdict::Ignore => {}
-            Verdict::Accept => self.accept(record, now, rng),
+            Verdict::Accept => self.accept(record, now, rng, actions),
             Verdict::TellMember => self.tell_member(record, now, actions),
         }
     }
 
     /// Takes over what does not depend on whether the member is alive.
-    fn merge_figures(&mut self, record: &MemberRecord) {
+    fn merge_figures(&mut self, record: &MemberRecord, actions: &mut Vec<Action>) {
         let name = record.id.name.clone();
         let Some(known) = self.roster.get_mut(&name) else { return };
         let known = &mut known.record;
@@ -88,6 +94,8 @@
         }
         if record.is_leaving && !known.is_leaving {
             known.is_leaving = true;
+            let (id, state) = (known.id.clone(), known.state());
+            actions.push(Action::MemberChanged { id, state });
             self.is_changed = true;
             self.gossip.push(&name);
         }
@@ -118,13 +126,36 @@
         }
     }
 
-    fn accept(&mut self, record: MemberRecord, now: Timestamp, rng: &mut Rng) {
+    fn accept(
+        &mut self,
+        record: MemberRecord,
+        now: Timestamp,
+        rng: &mut Rng,
+        actions: &mut Vec<Action>,
+    ) {
         let name = record.id.name.clone();
         if record.status != MemberStatus::Suspect {
             self.suspicions.remove(&name);
         }
-        self.roster.put(record, now, rng);
+        self.put(record, now, rng, actions);
         self.gossip.push(&name);
+    }
+
+    /// Puts a record into the roster and notes the change of its state.
+    pub(super) fn put(
+        &mut self,
+        record: MemberRecord,
+        now: Timestamp,
+        rng: &mut Rng,
+        actions: &mut Vec<Action>,
+    ) {
+        let known = self.roster.get(&record.id.name).map(|it| &it.record);
+        let before = known.map(|it| (it.id.incarnation, it.state()));
+        if before != Some((record.id.incarnation, record.state())) {
+            let (id, state) = (record.id.clone(), record.state());
+            actions.push(Action::MemberChanged { id, state });
+        }
+        self.roster.put(record, now, rng);
         self.is_changed = true;
     }
 
@@ -132,7 +163,7 @@
         let Some(to) = self.note_told(&record.id.name, now) else { return };
         let number = self.take_number();
         let message = self.message(MessageKind::Ping { probe: number }, vec![record]);
-        actions.push(Action::Send { to, message });
+        actions.push(Action::send(to, message));
     }
 
     /// Notes that a member is told of its death, unless it was just now.
--- a/components/membership/src/detector/outbox.rs
+++ b/components/membership/src/detector/outbox.rs
@@ -31,7 +31,7 @@
         names.sort();
         names.dedup();
         let message = self.message(kind, self.records(&names, now));
-        actions.push(Action::Send { to, message });
+        actions.push(Action::send(to, message));
     }
 
     /// Passes changes on to some members, if there are any.
@@ -48,7 +48,7 @@
                 continue;
             };
             let message = self.message(MessageKind::Gossip, self.records(&names, now));
-            actions.push(Action::Send { to, message });
+            actions.push(Action::send(to, message));
         }
     }
 
@@ -66,7 +66,7 @@
         let Some(entry) = self.roster.get(name) else { return };
         let to = entry.record.peer_address;
         let message = self.message(MessageKind::Gossip, vec![entry.record_at(now)]);
-        actions.push(Action::Send { to, message });
+        actions.push(Action::send(to, message));
     }
 
     /// Returns `name` if that member is held for suspect or dead.
--- a/components/membership/src/detector/suspicion.rs
+++ b/components/membership/src/detector/suspicion.rs
@@ -1,5 +1,7 @@
 //! Probes and suspicions: from a ping without answer to a dead member.
 
+use std::time::Duration;
+
 use types::{RouterName, Timestamp};
 use utils::Rng;
 
@@ -39,13 +41,26 @@
 }
 
 impl Detector {
+    /// Returns the time to the next probe: half the period while answers are missing, so
+    /// that a router which many others have left notices all of them in time.
+    pub(super) fn probe_period(&self) -> Duration {
+        let period = self.settings.probe_period;
+        if self.failed_in_a_row > 0 { period / 2 } else { period }
+    }
+
+    /// Probes the next member that this router does not suspect; those it does are
+    /// probed by [`check_suspicions`](Detector::check_suspicions).
+    pub(super) fn probe_next(&mut self, now: Timestamp, rng: &mut Rng, actions: &mut Vec<Action>) {
+        for _ in 0..self.roster.live_count() {
+            let Some(target) = self.roster.next_to_probe(rng) else { return };
+            if !self.suspicions.contains_key(&target) {
+                return self.start_probe(&target, now, actions);
+            }
+        }
+    }
+
     /// Probes member `name`.
-    pub(super) fn start_probe(
-        &mut self,
-        name: &RouterName,
-        now: Timestamp,
-        actions: &mut Vec<Action>,
-    ) {
+    fn start_probe(&mut self, name: &RouterName, now: Timestamp, actions: &mut Vec<Action>) {
         let Some(record) = self.roster.get(name).map(|it| it.record.clone()) else { return };
         let number = self.take_number();
         self.probes.push(Probe {
@@ -82,7 +97,7 @@
         let failed: Vec<Probe> = failed;
         for probe in failed {
             self.failed_in_a_row += 1;
-            self.suspect(&probe, now);
+            self.suspect(&probe, now, actions);
         }
     }
 
@@ -98,7 +113,7 @@
         ended.sort();
         for name in ended {
             self.suspicions.remove(&name);
-            self.declare_dead(&name, now, rng);
+            self.declare_dead(&name, now, rng, actions);
         }
         let due = self.suspicions.iter().filter(|(_, it)| it.retry_at <= now);
         let mut due: Vec<_> = due.map(|(name, it)| (it.retry_at, name.clone())).collect();
@@ -138,7 +153,7 @@
             // The helper passes the accusation on to the target.
             let accusation = self.roster.get(target).map(|it| it.record_at(now));
             let message = self.message(kind, accusation.into_iter().collect());
-            actions.push(Action::Send { to, message });
+            actions.push(Action::send(to, message));
         }
     }
 
@@ -156,7 +171,7 @@
         self.probe_through_others(number, name, now, rng, actions);
     }
 
-    fn suspect(&mut self, probe: &Probe, now: Timestamp) {
+    fn suspect(&mut self, probe: &Probe, now: Timestamp, actions: &mut Vec<Action>) {
         let name = &probe.target.name;
         let Some(entry) = self.roster.get_mut(name) else { return };
         let is_same = entry.record.id == probe.target;
@@ -165,6 +180,8 @@
         }
         if entry.record.status == MemberStatus::Alive {
             entry.record.status = MemberStatus::Suspect;
+            let (id, state) = (entry.record.id.clone(), entry.record.state());
+            actions.push(Action::MemberChanged { id, state });
             self.is_changed = true;
             if !self.is_isolated() {
                 self.gossip.push(name);
@@ -173,12 +190,17 @@
         self.suspicions.insert(name.clone(), Suspicion::new(&self.settings, now));
     }
 
-    fn declare_dead(&mut self, name: &RouterName, now: Timestamp, rng: &mut Rng) {
+    fn declare_dead(
+        &mut self,
+        name: &RouterName,
+        now: Timestamp,
+        rng: &mut Rng,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(mut record) = self.roster.get(name).map(|it| it.record.clone()) else { return };
         record.status = MemberStatus::Dead;
-        record.dead_for = std::time::Duration::ZERO;
-        self.roster.put(record, now, rng);
-        self.is_changed = true;
+        record.dead_for = Duration::ZERO;
+        self.put(record, now, rng, actions);
         if !self.is_isolated() {
             self.gossip.push(name);
         }
--- a/components/router/src/peers/service.rs
+++ b/components/router/src/peers/service.rs
@@ -145,9 +145,13 @@
 
     fn carry_out(&mut self, actions: Vec<Action>) {
         for action in actions {
-            let Action::Send { to, message } = action;
-            let body = PeerBody::Membership(MembershipMessage::from(&message));
-            self.links.send(to, Envelope::new(&self.id, body));
+            match action {
+                Action::Send { to, message } => {
+                    let body = PeerBody::Membership(MembershipMessage::from(&*message));
+                    self.links.send(to, Envelope::new(&self.id, body));
+                }
+                Action::MemberChanged { id, state } => report_change(&id, state),
+            }
         }
     }
 
@@ -174,14 +178,24 @@
     }
 }
 
+fn report_change(id: &RouterId, state: MemberState) {
+    let label = state_label(state);
+    metrics::counter!(telemetry::MEMBER_CHANGES_TOTAL, "state" => label).increment(1);
+    log::info!(member:% = id; "member is {label}");
+}
+
+fn state_label(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Alive => "alive",
+        MemberState::Suspect => "suspect",
+        MemberState::Leaving => "leaving",
+        MemberState::Dead => "dead",
+    }
+}
+
 fn report_members(view: &MembershipView) {
-    let states = [
-        ("alive", MemberState::Alive),
-        ("suspect", MemberState::Suspect),
-        ("leaving", MemberState::Leaving),
-    ];
-    for (label, state) in states {
+    for state in [MemberState::Alive, MemberState::Suspect, MemberState::Leaving] {
         let count = view.members().filter(|it| it.state == state).count();
-        metrics::gauge!(telemetry::MEMBERS, "state" => label).set(count as f64);
+        metrics::gauge!(telemetry::MEMBERS, "state" => state_label(state)).set(count as f64);
     }
 }
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -3,12 +3,14 @@
 
 pub mod engine;
 mod http;
+mod peer_network;
 mod platform_server;
 mod service;
 mod table;
 
 pub use self::{
     http::ServerHandle,
+    peer_network::{NodeTraffic, PeerNetwork, StateChange, router_name},
     platform_server::{PlatformServer, PlatformState},
     service::{RunRecord, ServiceServer, ServiceState},
     table::{Bucket, CallLimits, MemoryTable, TableCounts, TableFaults, TableState},
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -39,5 +39,8 @@
 /// Gauge of the routers known to this one, itself included, by `state`.
 pub const MEMBERS: &str = "auburncrank_members";
 
+/// Counter of members whose state changed, as this router sees it, by new `state`.
+pub const MEMBER_CHANGES_TOTAL: &str = "auburncrank_member_changes_total";
+
 /// Gauge that is 1 where another process with a higher incarnation uses this router's name.
 pub const ROUTER_SUPERSEDED: &str = "auburncrank_router_superseded";
