--- a/components/config/src/resolution.rs
+++ b/components/config/src/resolution.rs
@@ -10,16 +10,16 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
 pub enum Resolution {
-    /// Closes the grant of a router that is gone.
-    CloseGrant {
+    /// Returns tokens to the budget that a router which is gone had been granted.
+    ReleaseGrant {
         /// Client account.
         account: AccountName,
         /// Router that held the grant.
         router: RouterName,
         /// Its incarnation.
         incarnation: Incarnation,
-        /// Tokens of the grant that are taken as spent; the rest returns to the budget.
-        spent: Tokens,
+        /// Tokens that return to the budget.
+        tokens: Tokens,
     },
     /// Says what became of a call whose outcome is unknown.
     SettleRequest {
@@ -29,6 +29,10 @@
         request: RequestId,
         /// Whether the call ran.
         ran: bool,
+        /// Whether the operator has made sure that the router which recorded the call
+        /// has ended and cannot send it any more.
+        #[serde(default)]
+        router_ended: bool,
     },
 }
 
@@ -36,9 +40,8 @@
     /// Returns the client account that it concerns.
     pub fn account(&self) -> &AccountName {
         match self {
-            Resolution::CloseGrant { account, .. } | Resolution::SettleRequest { account, .. } => {
-                account
-            }
+            Resolution::ReleaseGrant { account, .. }
+            | Resolution::SettleRequest { account, .. } => account,
         }
     }
 }
@@ -46,15 +49,16 @@
 impl fmt::Display for Resolution {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Resolution::CloseGrant { account, router, incarnation, spent } => write!(
+            Resolution::ReleaseGrant { account, router, incarnation, tokens } => write!(
                 f,
-                "close the grant of account {account} on router {router} \
-                 (incarnation {}) with {spent} tokens spent",
+                "return {tokens} tokens to account {account} that router {router} \
+                 (incarnation {}) was granted",
                 incarnation.0
             ),
-            Resolution::SettleRequest { account, request, ran } => {
+            Resolution::SettleRequest { account, request, ran, router_ended } => {
                 let outcome = if *ran { "ran" } else { "did not run" };
-                write!(f, "settle request {request} of account {account}: it {outcome}")
+                write!(f, "settle request {request} of account {account}: it {outcome}")?;
+                if *router_ended { f.write_str("; its router has ended") } else { Ok(()) }
             }
         }
     }
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -8,6 +8,7 @@
 mod frame;
 mod membership;
 mod requests;
+mod routing;
 
 pub use self::{
     budget::BudgetMessage,
@@ -15,5 +16,10 @@
     envelope::{Envelope, PeerBody},
     frame::{FRAME_MAX_BYTES, FrameCodec, FrameError},
     membership::MembershipMessage,
-    requests::RequestsMessage,
+    requests::{
+        AnswerEndRef, AnswerHeadRef, AttemptRef, ClaimMessage, EndKind, EndedMessage, FailedEnd,
+        FetchMessage, HeldMessage, HeldRef, KeptRef, PartMessage, RequestRef, RequestsBody,
+        RequestsMessage, VerdictBody, VerdictMessage, WholeEnd,
+    },
+    routing::{CrashRecordMessage, RoutingMessage},
 };
--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -11,7 +11,7 @@
 use client::{Connections, HttpClient, PlatformClient};
 use errors::{Error, ErrorKind, Result};
 use membership::{Member, MemberState};
-use platform::Table;
+use platform::{HostList, ObjectStore, Table};
 use rand::Rng as _;
 use telemetry::set_up_metrics;
 use tokio::runtime::{Builder, Runtime};
@@ -23,10 +23,10 @@
     accounting::PerRequestAccounting,
     admin::{AdminContext, NoResolver},
     configuration::{ConfigHandle, run_config_poller},
-    dispatch::LeastRequests,
+    dispatch::PolicyDispatcher,
     http::{HttpContext, HttpServer, KEEP_ADDRESSES},
     peers::{AloneRouter, Peers},
-    registry::LocalRegistry,
+    registry::{FleetRegistry, RegistryParts},
     traffic::Runs,
 };
 
@@ -149,6 +149,8 @@
     let clock = Clock::new();
     let id = RouterId::new(settings.name.clone(), Incarnation(utils::new_rng().random()));
     let platform = PlatformClient::new(settings.platform_address, settings.platform_timeout);
+    let objects: Arc<dyn ObjectStore> = Arc::new(platform.clone());
+    let hosts: Arc<dyn HostList> = Arc::new(platform.clone());
     let table: Arc<dyn Table> = Arc::new(platform);
     let cfg = ConfigHandle::new();
     let local = Member {
@@ -162,11 +164,20 @@
     };
     let peers: Arc<dyn Peers> = Arc::new(AloneRouter::new(local));
     control.handle().spawn(run_config_poller(cfg.clone(), table.clone(), peers.clone()));
+    let registry = FleetRegistry::start(RegistryParts {
+        router: id,
+        clock,
+        table: table.clone(),
+        objects,
+        peers: peers.clone(),
+    });
+    let dispatcher =
+        PolicyDispatcher::start(control.handle(), clock, cfg.clone(), peers.clone(), hosts);
     let router = RouterContext {
         clock,
         accounting: Arc::new(PerRequestAccounting::new(table.clone(), clock)),
-        registry: Arc::new(LocalRegistry::new(id, table.clone())),
-        dispatcher: Arc::new(LeastRequests::new(cfg.clone())),
+        registry,
+        dispatcher: Arc::new(dispatcher),
         peers,
         cfg,
         table,
--- a/programs/auburncrank/src/cli.rs
+++ b/programs/auburncrank/src/cli.rs
@@ -59,6 +59,13 @@
             default: None,
             help: "Id of the deposit, or of the request to send; repeats with it count once.",
         },
+        SettingSpec {
+            flag: "router-ended",
+            env: "AUBURNCRANK_ROUTER_ENDED",
+            value: "",
+            default: None,
+            help: "Says that the router which recorded the call of 'in-doubt settle' has ended.",
+        },
         SettingSpec {
             flag: "after",
             env: "AUBURNCRANK_AFTER",
--- a/programs/auburncrank/src/context.rs
+++ b/programs/auburncrank/src/context.rs
@@ -23,6 +23,8 @@
     pub(crate) confirm: Option<PlanId>,
     /// Id of the request or deposit.
     pub(crate) id: Option<String>,
+    /// Whether the operator has made sure that the router in question has ended.
+    pub(crate) router_ended: bool,
     /// Where a list continues.
     pub(crate) after: Option<String>,
     /// Most tokens of an answer.
@@ -50,6 +52,7 @@
             yes: values.is_on("yes"),
             confirm: confirm.and_then(|_| values.parse("confirm", faults)),
             id: values.optional("id").map(str::to_owned),
+            router_ended: values.is_on("router-ended"),
             after: values.optional("after").map(str::to_owned),
             max_tokens: values.parse("max-tokens", faults).unwrap_or_default(),
             stream: values.is_on("stream"),
