--- a/programs/auburncrank/src/cmd/in_doubt.rs
+++ b/programs/auburncrank/src/cmd/in_doubt.rs
@@ -14,8 +14,8 @@
 /// Forms of the arguments.
 pub(super) const USAGE: &[&str] = &[
     "in-doubt list",
-    "in-doubt close-grant ACCOUNT ROUTER INCARNATION SPENT_TOKENS",
-    "in-doubt settle ACCOUNT REQUEST ran|not-run",
+    "in-doubt release ACCOUNT ROUTER INCARNATION TOKENS",
+    "in-doubt settle ACCOUNT REQUEST ran|not-run [--router-ended]",
 ];
 
 /// What the command does.
@@ -27,14 +27,14 @@
     let arguments: Vec<_> = cx.arguments.iter().map(String::as_str).collect();
     let resolution = match arguments[..] {
         [] | ["list"] => return list(cx).await,
-        ["close-grant", account, router, incarnation, spent] => json!({
-            "kind": "close_grant", "account": account, "router": router,
+        ["release", account, router, incarnation, tokens] => json!({
+            "kind": "release_grant", "account": account, "router": router,
             "incarnation": number("INCARNATION", incarnation)?,
-            "spent": number("SPENT_TOKENS", spent)?,
+            "tokens": number("TOKENS", tokens)?,
         }),
         ["settle", account, request, outcome @ ("ran" | "not-run")] => json!({
             "kind": "settle_request", "account": account, "request": request,
-            "ran": outcome == "ran",
+            "ran": outcome == "ran", "router_ended": cx.router_ended,
         }),
         _ => {
             let usage = USAGE.join("\n   or: auburncrank ");
