Refuse bad input of callers with a clear error each, at no cost

A request with 100 KB of headers was answered and billed: the HTTP library's buffer limit does not bound the head. Headers over 32 KiB are now refused as headers_too_large. A known path with another method is method_not_allowed, the limits on body size and on slow senders are settings.

--- a/components/router/src/admin/handlers/plans.rs
+++ b/components/router/src/admin/handlers/plans.rs
@@ -8,6 +8,7 @@
 
 use super::params::path_param;
 use crate::{
+    HttpLimits,
     admin::{
         AdminError, confirm_plan,
         context::{AdminCall, AdminContext},
@@ -23,7 +24,7 @@
     call: AdminCall,
     mut req: Request,
 ) -> Result<PlanView, AdminError> {
-    let body = read_body(&mut req).await?;
+    let body = read_body(&mut req, &HttpLimits::default()).await?;
     if body.len() > INTENT_MAX_BYTES {
         let message = format!("the intent has more than {INTENT_MAX_BYTES} bytes; split it");
         return Err(AdminError::new(ErrorKind::BodyTooLarge, message));
--- a/components/router/src/daemon/assembly.rs
+++ b/components/router/src/daemon/assembly.rs
@@ -95,6 +95,7 @@
         admin,
         runs,
         router,
+        limits: settings.http_limits,
         metrics: set_up_metrics(),
         is_closed: Arc::new(AtomicBool::new(false)),
     })
--- a/components/router/src/daemon/mod.rs
+++ b/components/router/src/daemon/mod.rs
@@ -2,12 +2,13 @@
 
 mod assembly;
 mod control_thread;
+mod http_limits;
 mod process;
 mod request_counter;
 mod settings;
 mod start_error;
 
 pub use self::{
-    process::RouterProcess, request_counter::RequestCounter, settings::RouterSettings,
-    start_error::StartError,
+    http_limits::HttpLimits, process::RouterProcess, request_counter::RequestCounter,
+    settings::RouterSettings, start_error::StartError,
 };
--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -57,7 +57,8 @@
         };
         let http = {
             let _guard = traffic.enter();
-            HttpServer::start(tokio::net::TcpListener::from_std(listener)?, cx.routes())
+            let listener = tokio::net::TcpListener::from_std(listener)?;
+            HttpServer::start(listener, cx.routes(), settings.http_limits.head_timeout)
         };
         log::info!(
             router:% = settings.name, address:% = caller_address, peer_address:% = peer_address;
--- a/components/router/src/daemon/settings.rs
+++ b/components/router/src/daemon/settings.rs
@@ -5,6 +5,8 @@
 use config::KeyHash;
 use types::{FailureDomain, RouterName};
 
+use super::HttpLimits;
+
 /// Settings of a router, checked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RouterSettings {
@@ -22,6 +24,8 @@
     pub platform_address: SocketAddr,
     /// Longest time of a call to the platform.
     pub platform_timeout: Duration,
+    /// Limits on what callers send.
+    pub http_limits: HttpLimits,
     /// Longest time of a graceful shutdown.
     pub drain_timeout: Duration,
     /// Threads that carry traffic.
--- a/components/router/src/http/action.rs
+++ b/components/router/src/http/action.rs
@@ -12,7 +12,7 @@
     HttpContext,
     auth::authenticate,
     body::read_body,
-    request_head::{deadline, request_id},
+    request_head::{check_size, deadline, request_id},
     respond::{insert_request_id, respond_error},
 };
 use crate::{
@@ -43,6 +43,7 @@
 ) -> Result<Response> {
     let cfg = cx.router.cfg.load_full();
     let (account_name, account) = authenticate(&cfg, headers)?;
+    check_size(headers)?;
     if cx.is_closed() {
         return Err(Error::new(ErrorKind::RouterLeaving, "use another address"));
     }
@@ -53,7 +54,7 @@
     let Some((name, action)) = found else {
         return Err(Error::new(ErrorKind::UnknownAction, "the account has no such action"));
     };
-    let body = read_body(req).await?;
+    let body = read_body(req, &cx.limits).await?;
     let content = [name.as_str().as_bytes(), b"\n", &body].concat();
     let content_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
     let job = ActionJob {
--- a/components/router/src/http/chat.rs
+++ b/components/router/src/http/chat.rs
@@ -15,7 +15,7 @@
     HttpContext,
     auth::authenticate,
     body::read_body,
-    request_head::{check_json, deadline, request_id},
+    request_head::{check_json, check_size, deadline, request_id},
     respond::{insert_request_id, respond_error},
 };
 use crate::{
@@ -52,12 +52,13 @@
 ) -> Result<Response> {
     let cfg = cx.router.cfg.load_full();
     let (account_name, account) = authenticate(&cfg, headers)?;
+    check_size(headers)?;
     if cx.is_closed() {
         return Err(Error::new(ErrorKind::RouterLeaving, "use another address"));
     }
     check_json(headers)?;
     let deadline = deadline(headers, &cx.router.clock)?;
-    let body = read_body(req).await?;
+    let body = read_body(req, &cx.limits).await?;
     let chat: ChatRequest = serde_json::from_slice(&body)
         .map_err(|error| Error::new(ErrorKind::BadRequest, format!("body: {error}")))?;
     let access = ModelName::new(&chat.model).ok().and_then(|name| account.models.get(&name));
--- a/components/router/src/http/request_head.rs
+++ b/components/router/src/http/request_head.rs
@@ -13,12 +13,28 @@
 /// Header with the time that the caller gives the request, in milliseconds.
 const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
 
+/// Most bytes of the headers of a request.
+pub(super) const HEAD_MAX_BYTES: usize = 32 * 1024;
+
 /// Time of a request whose caller does not give one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(120);
 
 /// Longest time of a request.
 const MAX_TIMEOUT: Duration = Duration::from_secs(3_600);
 
+/// Checks the size of the headers. The HTTP library refuses only much larger ones.
+///
+/// # Errors
+/// `HeadersTooLarge` where they have more than [`HEAD_MAX_BYTES`].
+pub(super) fn check_size(headers: &HeaderMap) -> Result<()> {
+    let bytes: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    if bytes <= HEAD_MAX_BYTES {
+        return Ok(());
+    }
+    let message = format!("the headers have more than {HEAD_MAX_BYTES} bytes");
+    Err(Error::new(ErrorKind::HeadersTooLarge, message))
+}
+
 /// Returns the request id that the caller gave, or a new one.
 ///
 /// # Errors
--- a/components/router/src/http/respond.rs
+++ b/components/router/src/http/respond.rs
@@ -13,6 +13,13 @@
 /// Header of the request id, in requests and answers.
 pub(super) const REQUEST_ID: HeaderName = HeaderName::from_static("idempotency-key");
 
+/// Paths of the resources with a single method.
+const KNOWN_PATHS: [&str; 5] =
+    ["/v1/chat/completions", "/v1/addresses", "/health", "/ready", "/metrics"];
+
+/// Prefix of the paths of actions.
+const ACTIONS_PREFIX: &str = "/v1/actions/";
+
 /// Creates the answer to an error, as the table of errors says, and counts it.
 pub(super) fn respond_error(error: &Error, id: Option<&RequestId>) -> Response {
     let entry = error.kind().entry();
@@ -44,8 +51,15 @@
     }
 }
 
-/// Answers requests for unknown resources.
-pub(super) async fn serve_unknown(_req: Request) -> Result<Response> {
-    let error = Error::new(ErrorKind::NotFound, "there is no such resource");
+/// Answers requests that no route takes: the resource is unknown, or it has no such
+/// method.
+pub(super) async fn serve_unknown(req: Request) -> Result<Response> {
+    let path = req.uri().path();
+    let is_known = KNOWN_PATHS.contains(&path) || path.starts_with(ACTIONS_PREFIX);
+    let error = if is_known {
+        Error::new(ErrorKind::MethodNotAllowed, "the resource has no such method")
+    } else {
+        Error::new(ErrorKind::NotFound, "there is no such resource")
+    };
     Ok(respond_error(&error, None))
 }
--- a/components/router/src/http/routes.rs
+++ b/components/router/src/http/routes.rs
@@ -16,7 +16,7 @@
     respond::serve_unknown,
 };
 use crate::{
-    RouterContext,
+    HttpLimits, RouterContext,
     admin::{AdminContext, admin_routes},
     traffic::Runs,
 };
@@ -28,6 +28,8 @@
     pub(crate) router: RouterContext,
     /// The runs in progress.
     pub(crate) runs: Runs,
+    /// Limits on what callers send.
+    pub(crate) limits: HttpLimits,
     /// Metrics of the process.
     pub(crate) metrics: MetricsHandle,
     /// Whether new requests are refused because the router is leaving.
--- a/components/router/src/http/server.rs
+++ b/components/router/src/http/server.rs
@@ -10,11 +10,7 @@
 use tokio::{net::TcpListener, sync::watch};
 use viz::{Responder, Router, Tree};
 
-/// Longest time for the head of a request to arrive.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Most bytes of the head of a request.
-const HEAD_MAX_BYTES: usize = 64 * 1024;
+use super::request_head::HEAD_MAX_BYTES;
 
 /// The HTTP server.
 pub(crate) struct HttpServer {
@@ -26,9 +22,13 @@
 
 impl HttpServer {
     /// Starts serving `router` on `listener`.
-    pub(crate) fn start(listener: TcpListener, router: Router) -> HttpServer {
+    pub(crate) fn start(
+        listener: TcpListener,
+        router: Router,
+        head_timeout: Duration,
+    ) -> HttpServer {
         let (stop, stopped) = watch::channel(false);
-        let task = tokio::spawn(accept_connections(listener, router, stopped));
+        let task = tokio::spawn(accept_connections(listener, router, head_timeout, stopped));
         HttpServer { stop, task }
     }
 
@@ -42,6 +42,7 @@
 async fn accept_connections(
     listener: TcpListener,
     router: Router,
+    head_timeout: Duration,
     mut stopped: watch::Receiver<bool>,
 ) {
     let tree = Arc::new(Tree::from(router));
@@ -63,8 +64,8 @@
         let service = Responder::new(tree.clone(), Some(peer));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .max_buf_size(HEAD_MAX_BYTES)
+            .header_read_timeout(head_timeout)
+            .max_buf_size(2 * HEAD_MAX_BYTES)
             .serve_connection(TokioIo::new(stream), service);
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -21,5 +21,5 @@
 pub use self::{
     clock::Clock,
     context::RouterContext,
-    daemon::{RequestCounter, RouterProcess, RouterSettings, StartError},
+    daemon::{HttpLimits, RequestCounter, RouterProcess, RouterSettings, StartError},
 };
--- a/components/router/tests/administration.rs
+++ b/components/router/tests/administration.rs
@@ -7,7 +7,7 @@
 use client::{Connections, HttpClient};
 use config::{ApiKey, INTENT_MAX_BYTES};
 use http::{HeaderMap, HeaderValue, Method, header::AUTHORIZATION};
-use router::{RouterProcess, RouterSettings};
+use router::{HttpLimits, RouterProcess, RouterSettings};
 use scene::{Scene, account_key, two_users};
 use serde_json::{Value, json};
 use standins::{CallLimits, PlatformServer, PlatformState, TableFaults};
@@ -97,6 +97,7 @@
         seeds: Vec::new(),
         platform_address: platform.address(),
         platform_timeout: Duration::from_secs(2),
+        http_limits: HttpLimits::default(),
         drain_timeout: Duration::from_secs(10),
         traffic_threads: 2,
         bootstrap_operator_key: Some(ApiKey::new(BOOTSTRAP).hash()),
--- a/components/router/tests/peers.rs
+++ b/components/router/tests/peers.rs
@@ -14,7 +14,7 @@
 use http::{HeaderMap, Method};
 use membership::MemberState;
 use protocol::{BudgetMessage, PeerBody};
-use router::{RouterProcess, RouterSettings, peers::PeerHandler};
+use router::{HttpLimits, RouterProcess, RouterSettings, peers::PeerHandler};
 use types::{FailureDomain, RouterId, RouterName};
 
 /// Longest time for an expected change; far above what it takes.
@@ -35,6 +35,7 @@
         bootstrap_operator_key: None,
         platform_address: SocketAddr::from(([127, 0, 0, 1], 1)),
         platform_timeout: Duration::from_secs(1),
+        http_limits: HttpLimits::default(),
         drain_timeout: Duration::from_secs(4),
         traffic_threads: 1,
     })
--- a/components/scene/src/router_set.rs
+++ b/components/scene/src/router_set.rs
@@ -117,6 +117,7 @@
             bootstrap_operator_key: None,
             platform_address: self.platform,
             platform_timeout: Duration::from_secs(2),
+            http_limits: self.spec.http_limits,
             drain_timeout: self.spec.drain_timeout,
             traffic_threads: 2,
         }
--- a/components/scene/src/scene_spec.rs
+++ b/components/scene/src/scene_spec.rs
@@ -10,6 +10,7 @@
     Account, Action, ApiKey, Config, Endpoint, Model, ModelAccess, Operator, Role, Service,
     ShortagePolicy,
 };
+use router::HttpLimits;
 use standins::{CallLimits, engine::EngineSettings};
 use types::{
     AccountName, ActionName, ConfigVersion, EndpointName, FailureDomain, ModelName, ModelVersion,
@@ -39,6 +40,8 @@
     pub actions: Vec<ActionSpec>,
     /// Routers.
     pub routers: Vec<RouterSpec>,
+    /// Limits on what callers send.
+    pub http_limits: HttpLimits,
     /// Longest time of a graceful shutdown of a router.
     pub drain_timeout: Duration,
 }
--- a/components/scene/src/two_users.rs
+++ b/components/scene/src/two_users.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use config::ShortagePolicy;
+use router::HttpLimits;
 use standins::{CallLimits, engine::EngineSettings};
 use types::{
     AccountName, ActionName, EndpointName, FailureDomain, ModelName, Priority, RouterName,
@@ -35,6 +36,7 @@
             action("find-stock", "order-desk", true, 1),
         ],
         routers: FAILURE_DOMAINS.iter().map(|domain| router(domain)).collect(),
+        http_limits: HttpLimits::default(),
         drain_timeout: Duration::from_secs(20),
     }
 }
--- a/programs/auburncrank-bench/src/cmd/path.rs
+++ b/programs/auburncrank-bench/src/cmd/path.rs
@@ -12,6 +12,7 @@
 use hdrhistogram::Histogram;
 use http::{HeaderMap, HeaderValue, Method};
 use http_body_util::BodyExt;
+use router::HttpLimits;
 use scene::{AccountSpec, EngineSpec, RouterSpec, Scene, SceneSpec, account_key};
 use serde::Serialize;
 use serde_json::json;
@@ -120,6 +121,7 @@
         services: Vec::new(),
         actions: Vec::new(),
         routers: vec![RouterSpec { name: name(RouterName::new, "router-1"), failure_domain }],
+        http_limits: HttpLimits::default(),
         drain_timeout: Duration::from_secs(1),
     }
 }
--- a/programs/auburncrankd/src/cli.rs
+++ b/programs/auburncrankd/src/cli.rs
@@ -4,7 +4,7 @@
 
 use config::KeyHash;
 use log::LevelFilter;
-use router::RouterSettings;
+use router::{HttpLimits, RouterSettings};
 use settings::{ProgramSpec, SettingFaults, SettingSpec, SettingValues, parse_args};
 use telemetry::LogFormat;
 use types::{FailureDomain, RouterName};
@@ -77,6 +77,27 @@
             default: Some("10m"),
             help: "Longest time of a graceful end.",
         },
+        SettingSpec {
+            flag: "body-max-bytes",
+            env: "AUBURNCRANK_BODY_MAX_BYTES",
+            value: "BYTES",
+            default: Some("16777216"),
+            help: "Longest body of a request.",
+        },
+        SettingSpec {
+            flag: "body-timeout",
+            env: "AUBURNCRANK_BODY_TIMEOUT",
+            value: "DURATION",
+            default: Some("30s"),
+            help: "Longest time for the body of a request to arrive.",
+        },
+        SettingSpec {
+            flag: "head-timeout",
+            env: "AUBURNCRANK_HEAD_TIMEOUT",
+            value: "DURATION",
+            default: Some("10s"),
+            help: "Longest time for the head of a request to arrive.",
+        },
         SettingSpec {
             flag: "traffic-threads",
             env: "AUBURNCRANK_TRAFFIC_THREADS",
@@ -166,6 +187,7 @@
     let platform_address = values.parse("platform", faults);
     let platform_timeout = values.duration("platform-timeout", faults);
     let drain_timeout = values.duration("drain-timeout", faults);
+    let http_limits = read_http_limits(values, faults);
     let traffic_threads = values.parse::<usize>("traffic-threads", faults);
     let bootstrap = values.optional("bootstrap-operator-key-hash").unwrap_or_default();
     let bootstrap_operator_key = if bootstrap.is_empty() {
@@ -186,9 +208,18 @@
         seeds,
         platform_address: platform_address?,
         platform_timeout,
+        http_limits,
         drain_timeout,
         traffic_threads: traffic_threads?,
         bootstrap_operator_key,
     };
     Some(DaemonSettings { router, log_level: log_level?, log_format: log_format? })
 }
+
+fn read_http_limits(values: &SettingValues, faults: &mut SettingFaults) -> HttpLimits {
+    HttpLimits {
+        body_max_bytes: values.parse("body-max-bytes", faults).unwrap_or_default(),
+        body_timeout: values.duration("body-timeout", faults),
+        head_timeout: values.duration("head-timeout", faults),
+    }
+}
