--- /dev/null
+++ b/components/specification/tests/budgets.rs
@@ -0,0 +1,45 @@
+//! Exhaustive exploration of budgets.
+
+use specification::{
+    budgets::{BudgetSpec, Limits, Variant},
+    explore,
+};
+
+/// Explores a variant; returns what it violates.
+fn explore_variant(variant: Variant, limits: Limits) -> Option<&'static str> {
+    let result = explore(&BudgetSpec { variant, limits });
+    println!("budgets, {variant:?}, {limits:?}: {} states", result.states);
+    if let Some((text, state)) = &result.violation {
+        println!("{text}: {state:?}");
+    }
+    result.violation.map(|(text, _)| text)
+}
+
+#[test]
+fn budgets_hold_in_every_state() {
+    let limits = Limits { deposit: 2, top_up: 0, serving: 2, requests: 1 };
+    assert_eq!(explore_variant(Variant::AsDesigned, limits), None);
+}
+
+#[test]
+fn budgets_hold_in_every_state_with_a_top_up() {
+    let limits = Limits { deposit: 1, top_up: 1, serving: 2, requests: 1 };
+    assert_eq!(explore_variant(Variant::AsDesigned, limits), None);
+}
+
+#[test]
+fn every_broken_protocol_is_caught() {
+    let broken = [
+        Variant::NoWitnessClose,
+        Variant::NoReadBack,
+        Variant::LoanWithoutId,
+        Variant::LoanBeforeDebit,
+        Variant::SpendWithoutCeiling,
+        Variant::CeilingRaisedDuringChange,
+        Variant::NewWitnessWithoutCeiling,
+    ];
+    let limits = Limits { deposit: 1, top_up: 0, serving: 2, requests: 2 };
+    for variant in broken {
+        assert!(explore_variant(variant, limits).is_some(), "{variant:?}");
+    }
+}
