--- a/programs/auburncrank-bench/src/cmd/mod.rs
+++ b/programs/auburncrank-bench/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The studies, one module each.
 
 mod path;
+mod routing;
 
 use crate::cli::StudyOptions;
 
@@ -20,8 +21,15 @@
 pub(crate) struct StudyError(pub(crate) String);
 
 /// All studies.
-pub(crate) const STUDIES: &[Study] = &[Study {
-    name: "path",
-    about: "Streams through a router against the same engine directly.",
-    run: path::run,
-}];
+pub(crate) const STUDIES: &[Study] = &[
+    Study {
+        name: "path",
+        about: "Streams through a router against the same engine directly.",
+        run: path::run,
+    },
+    Study {
+        name: "routing",
+        about: "Choice of endpoints against baselines, on simulated time.",
+        run: routing::run,
+    },
+];
--- /dev/null
+++ b/programs/auburncrank-bench/src/cmd/routing/router_policy.rs
@@ -0,0 +1,184 @@
+//! Policies of the simulated routers.
+
+use std::time::Duration;
+
+use config::Config;
+use engine_api::LoadReport;
+use routing::{
+    AttemptOutcome, CrashRecord, Decision, EndpointNeed, Resolved, RetryBudget, Scheduler,
+    SchedulerSettings, WaiterId,
+};
+use types::{EndpointName, Priority, Timestamp};
+use utils::Rng;
+
+use super::{
+    baseline::{Baseline, BaselineChoice},
+    deployment::{Deployment, router_name},
+};
+
+/// Most attempts of one request inside of the fleet.
+const ATTEMPTS_MAX: usize = 3;
+
+/// Name of a policy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PolicyName {
+    /// A random engine.
+    Random,
+    /// One engine after the other.
+    RoundRobin,
+    /// The engine with the fewest requests of this router.
+    LeastRequests,
+    /// The scheduler of the `routing` crate.
+    Auburncrank,
+}
+
+impl PolicyName {
+    /// All policies.
+    pub(super) const ALL: [PolicyName; 4] = [
+        PolicyName::Random,
+        PolicyName::RoundRobin,
+        PolicyName::LeastRequests,
+        PolicyName::Auburncrank,
+    ];
+
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            PolicyName::Random => "random",
+            PolicyName::RoundRobin => "round_robin",
+            PolicyName::LeastRequests => "least_requests",
+            PolicyName::Auburncrank => "auburncrank",
+        }
+    }
+
+    /// Creates the policy of one router.
+    pub(super) fn create(
+        self,
+        deployment: &Deployment,
+        router: usize,
+        cfg: &Config,
+    ) -> Box<dyn RouterPolicy> {
+        let baseline = |choice| -> Box<dyn RouterPolicy> { Box::new(Baseline::new(choice, cfg)) };
+        match self {
+            PolicyName::Random => baseline(BaselineChoice::Random),
+            PolicyName::RoundRobin => baseline(BaselineChoice::RoundRobin),
+            PolicyName::LeastRequests => baseline(BaselineChoice::LeastRequests),
+            PolicyName::Auburncrank => {
+                let (name, domain) = (router_name(router), deployment.failure_domain(router));
+                let mut scheduler = Scheduler::new(name, domain, SchedulerSettings::default());
+                scheduler.apply_config(cfg);
+                let retries = RetryBudget::new(Timestamp::ZERO);
+                Box::new(ScheduledRouter { scheduler, retries })
+            }
+        }
+    }
+}
+
+/// Policy of one router.
+pub(super) trait RouterPolicy {
+    /// Asks for an engine.
+    fn submit(&mut self, need: &EndpointNeed, now: Timestamp, rng: &mut Rng) -> Decision;
+
+    /// Resolves requests that wait.
+    fn poll(&mut self, _now: Timestamp, _rng: &mut Rng) -> Vec<Resolved> {
+        Vec::new()
+    }
+
+    /// Refuses requests that have waited too long.
+    fn sweep(&mut self, _now: Timestamp) -> Vec<Resolved> {
+        Vec::new()
+    }
+
+    /// Withdraws a request that waits.
+    fn cancel(&mut self, _id: WaiterId) {}
+
+    /// Notes a first token.
+    fn on_first_token(&mut self, _lease: u64, _latency: Duration, _now: Timestamp) {}
+
+    /// Notes the end of an attempt.
+    fn finish(
+        &mut self,
+        lease: u64,
+        outcome: AttemptOutcome,
+        now: Timestamp,
+        rng: &mut Rng,
+    ) -> Option<CrashRecord>;
+
+    /// Tells whether the router may try again after a failed attempt.
+    fn may_retry(&mut self, need: &EndpointNeed, _now: Timestamp) -> bool {
+        need.avoid.len() < ATTEMPTS_MAX
+    }
+
+    /// Takes a load report; `None` where the engine did not answer.
+    fn on_report(&mut self, _engine: &EndpointName, _report: Option<&LoadReport>, _now: Timestamp) {
+    }
+
+    /// Takes what another router knows of a content that crashes engines.
+    fn on_crash_record(&mut self, _record: &CrashRecord, _now: Timestamp) {}
+
+    /// Returns the priority that the engine is told.
+    fn engine_priority(&self, _need: &EndpointNeed) -> Priority {
+        Priority::Normal
+    }
+}
+
+/// The scheduler of the `routing` crate.
+struct ScheduledRouter {
+    /// Scheduler.
+    scheduler: Scheduler,
+    /// Retry budget.
+    retries: RetryBudget,
+}
+
+impl RouterPolicy for ScheduledRouter {
+    fn submit(&mut self, need: &EndpointNeed, now: Timestamp, rng: &mut Rng) -> Decision {
+        self.scheduler.submit(need, now, rng)
+    }
+
+    fn poll(&mut self, now: Timestamp, rng: &mut Rng) -> Vec<Resolved> {
+        self.scheduler.poll(now, rng)
+    }
+
+    fn sweep(&mut self, now: Timestamp) -> Vec<Resolved> {
+        self.scheduler.sweep(now)
+    }
+
+    fn cancel(&mut self, id: WaiterId) {
+        self.scheduler.cancel(id);
+    }
+
+    fn on_first_token(&mut self, lease: u64, latency: Duration, now: Timestamp) {
+        self.scheduler.on_first_token(lease, latency, now);
+    }
+
+    fn finish(
+        &mut self,
+        lease: u64,
+        outcome: AttemptOutcome,
+        now: Timestamp,
+        rng: &mut Rng,
+    ) -> Option<CrashRecord> {
+        if outcome == AttemptOutcome::Completed {
+            self.retries.on_success();
+        }
+        self.scheduler.finish(lease, outcome, now, rng)
+    }
+
+    fn may_retry(&mut self, need: &EndpointNeed, now: Timestamp) -> bool {
+        need.avoid.len() < ATTEMPTS_MAX && self.retries.take(now)
+    }
+
+    fn on_report(&mut self, engine: &EndpointName, report: Option<&LoadReport>, now: Timestamp) {
+        match report {
+            Some(report) => self.scheduler.on_report(engine, report, now),
+            None => self.scheduler.on_report_failed(engine, now),
+        }
+    }
+
+    fn on_crash_record(&mut self, record: &CrashRecord, now: Timestamp) {
+        self.scheduler.quarantine_mut().merge(record, now);
+    }
+
+    fn engine_priority(&self, need: &EndpointNeed) -> Priority {
+        need.priority
+    }
+}
