--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -9,17 +9,25 @@
 mod membership;
 mod requests;
 mod routing;
+mod socket_address;
 
 pub use self::{
-    budget::BudgetMessage,
+    budget::{
+        AskLoan, BilledRequest, BillsHeld, BudgetBody, BudgetMessage, CeilingRaised, ForgetBills,
+        HoldBills, LoanCredited, LoanTotal, RaiseCeiling,
+    },
     config::ConfigMessage,
     envelope::{Envelope, PeerBody},
     frame::{FRAME_MAX_BYTES, FrameCodec, FrameError},
-    membership::MembershipMessage,
+    membership::{
+        MemberRecordMessage, MembershipError, MembershipKind, MembershipMessage,
+        PingRequestMessage, StatusMessage,
+    },
     requests::{
         AnswerEndRef, AnswerHeadRef, AttemptRef, ClaimMessage, EndKind, EndedMessage, FailedEnd,
         FetchMessage, HeldMessage, HeldRef, KeptRef, PartMessage, RequestRef, RequestsBody,
         RequestsMessage, VerdictBody, VerdictMessage, WholeEnd,
     },
     routing::{CrashRecordMessage, RoutingMessage},
+    socket_address::AddressError,
 };
--- a/components/router/src/admin/accept.rs
+++ b/components/router/src/admin/accept.rs
@@ -118,7 +118,7 @@
     add_version(&mut commit, &stored, &row.plan, &after, operator, now);
     add_deposits(&mut commit, table, &row.plan, &stored.cfg, now).await?;
     for resolution in &row.plan.resolutions {
-        let writes = resolver.prepare(resolution).await?;
+        let writes = resolver.prepare(resolution, operator).await?;
         commit.preconditions.extend(writes.preconditions);
         commit.writes.extend(writes.writes);
     }
--- a/components/router/src/daemon/mod.rs
+++ b/components/router/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! The router as a process: its threads, its start and its end.
 
+mod assembly;
 mod control_thread;
 mod process;
 mod request_counter;
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -11,6 +11,7 @@
 mod clock;
 pub mod configuration;
 mod context;
+mod control_jobs;
 mod daemon;
 pub mod dispatch;
 mod http;
--- a/programs/auburncrank/src/cmd/in_doubt.rs
+++ b/programs/auburncrank/src/cmd/in_doubt.rs
@@ -1,13 +1,13 @@
 //! `in-doubt`: what only an operator can resolve.
 
-use admin_api::InDoubtList;
+use admin_api::{InDoubtGrant, InDoubtList, OpenCall, OutcomeUnknownList};
 use client::AdminClient;
 use serde_json::json;
 
 use crate::{
     context::CommandContext,
     exit::CommandError,
-    output::{Table, print_json},
+    output::{Table, format_time, print_json},
     review::review_json,
 };
 
@@ -51,31 +51,61 @@
 
 async fn list(cx: &CommandContext) -> Result<(), CommandError> {
     let admin = cx.admin()?;
-    let mut rows = read_all(&admin, "in-doubt").await?;
-    rows.extend(read_all(&admin, "outcome-unknown").await?);
+    let (grants, calls) = (read_grants(&admin).await?, read_calls(&admin).await?);
     if cx.json {
-        print_json(&rows);
+        print_json(&json!({ "grants": grants, "calls": calls }));
         return Ok(());
     }
-    let mut table = Table::new(&["ROW", "STATE"]);
-    for row in rows {
-        table.push(vec![row.key, row.value.to_string()]);
+    let mut table = Table::new(&["ACCOUNT", "ROUTER", "INCARNATION", "TOKENS IN DOUBT", "SINCE"]);
+    for grant in grants {
+        table.push(vec![
+            grant.account.to_string(),
+            grant.router.name.to_string(),
+            grant.router.incarnation.0.to_string(),
+            grant.tokens.to_string(),
+            grant.since.map_or_else(|| "unknown".to_owned(), format_time),
+        ]);
+    }
+    println!("{}", table.render());
+    let mut table = Table::new(&["ACCOUNT", "REQUEST", "ROUTER", "STATE"]);
+    for call in calls {
+        let state = match (call.outcome_unknown, call.router_is_known) {
+            (true, _) => "outcome unknown",
+            (false, true) => "its router may be running it now",
+            (false, false) => "its router is gone",
+        };
+        table.push(vec![
+            call.account.to_string(),
+            call.request.to_string(),
+            call.router.name.to_string(),
+            state.to_owned(),
+        ]);
     }
     print!("{}", table.render());
     Ok(())
 }
 
-async fn read_all(
-    admin: &AdminClient,
-    resource: &str,
-) -> Result<Vec<admin_api::InDoubtRow>, CommandError> {
-    let mut rows = Vec::new();
+async fn read_grants(admin: &AdminClient) -> Result<Vec<InDoubtGrant>, CommandError> {
+    let mut grants = Vec::new();
+    let mut query = String::new();
+    loop {
+        let list: InDoubtList = admin.get(&format!("/admin/v1/in-doubt{query}")).await?;
+        grants.extend(list.grants);
+        let Some(next) = list.next else { return Ok(grants) };
+        eprintln!("grants read up to {next}");
+        query = format!("?after={next}");
+    }
+}
+
+async fn read_calls(admin: &AdminClient) -> Result<Vec<OpenCall>, CommandError> {
+    let mut calls = Vec::new();
     let mut query = String::new();
     loop {
-        let list: InDoubtList = admin.get(&format!("/admin/v1/{resource}{query}")).await?;
-        rows.extend(list.rows);
-        let Some(next) = list.next else { return Ok(rows) };
-        eprintln!("{} rows read", rows.len());
+        let list: OutcomeUnknownList =
+            admin.get(&format!("/admin/v1/outcome-unknown{query}")).await?;
+        calls.extend(list.calls);
+        let Some(next) = list.next else { return Ok(calls) };
+        eprintln!("calls read up to {next}");
         query = format!("?after={next}");
     }
 }
--- a/programs/auburncrank/src/cmd/status.rs
+++ b/programs/auburncrank/src/cmd/status.rs
@@ -26,6 +26,12 @@
     print!("{}", router_table(&state).render());
     println!();
     print!("{}", endpoint_table(&state).render());
+    if let Some(controller) = &state.controller {
+        println!("\nThis router is the controller (fencing number {}).", controller.fencing);
+        controller.progress.iter().for_each(|line| println!("  {line}"));
+        controller.halted.iter().for_each(|line| println!("  ! {line}"));
+        controller.leftovers.iter().for_each(|line| println!("  unload by hand: {line}"));
+    }
     if !state.quarantine.is_empty() {
         println!("\n{} contents are quarantined; see 'quarantine list'.", state.quarantine.len());
     }
