--- a/components/router/src/admin/handlers/state.rs
+++ b/components/router/src/admin/handlers/state.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use admin_api::{
-    BudgetList, BudgetView, EndpointView, LocalState, RequestList, RouterView, StateView,
+    BudgetList, BudgetView, ControllerView, EndpointView, LocalState, RequestList, RouterView,
+    StateView,
 };
 use budget::BudgetRow;
 use config::Config;
 use membership::{Member, MemberState};
 use platform::Row;
+use rollout::RolloutProgress;
 use types::{AccountName, EndpointName};
 use viz::Request;
 
@@ -19,6 +21,7 @@
         context::{AdminCall, AdminContext},
     },
     configuration::store_corrupt,
+    control_jobs::ControllerStatus,
 };
 
 /// Prefix of the keys of budget rows.
@@ -53,6 +56,7 @@
         local,
         routers,
         endpoints: names.filter_map(|name| view_endpoint(&call.cfg, name)).collect(),
+        controller: view_controller(&cx.controller.status()),
         quarantine: call.cfg.quarantine.iter().cloned().collect(),
     })
 }
@@ -78,6 +82,24 @@
     Ok(RequestList { router, in_progress: cx.runs.len() })
 }
 
+fn view_controller(status: &ControllerStatus) -> Option<ControllerView> {
+    let rollouts = &status.rollouts;
+    let progress = rollouts.progress.iter().map(|it| {
+        let RolloutProgress { target, ready, total } = it;
+        format!("{} {}: {ready} of {total} endpoints serve it", target.model, target.version)
+    });
+    let leftovers = rollouts
+        .leftovers
+        .iter()
+        .map(|it| format!("{} {} on endpoint {}", it.target.model, it.target.version, it.endpoint));
+    Some(ControllerView {
+        fencing: status.fencing?,
+        progress: progress.collect(),
+        halted: rollouts.halts.iter().map(ToString::to_string).collect(),
+        leftovers: leftovers.collect(),
+    })
+}
+
 fn view_router(member: &Member) -> RouterView {
     let state = match member.state {
         MemberState::Alive => "alive",
--- a/components/router/src/admin/mod.rs
+++ b/components/router/src/admin/mod.rs
@@ -12,6 +12,7 @@
 mod resolver;
 mod respond;
 mod routes;
+mod table_resolver;
 
 pub use self::{
     accept::confirm_plan,
@@ -19,4 +20,4 @@
     make_plan::{make_plan, make_undo_plan},
     resolver::{NoResolver, Resolver},
 };
-pub(crate) use self::{context::AdminContext, routes::admin_routes};
+pub(crate) use self::{context::AdminContext, routes::admin_routes, table_resolver::TableResolver};
--- /dev/null
+++ b/components/router/src/admin/table_resolver.rs
@@ -0,0 +1,84 @@
+//! Resolutions as writes of the rows of budgets and requests.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use budget::{budget_key, grant_key, resolve_in_doubt};
+use config::Resolution;
+use errors::{Error, ErrorKind, Result};
+use platform::{Commit, Table};
+use requests::{AnswerBody, Holder, StoredAnswer, intent_key, resolve};
+use types::{OperatorName, RequestKey, RouterId, UnixMillis};
+
+use super::Resolver;
+use crate::{
+    configuration::{read_row, store_error},
+    peers::Peers,
+};
+
+/// Body of the answer to a call that ran, as an operator has found out.
+const RESOLVED_BODY: &str = r#"{"resolved_by_operator":true}"#;
+
+/// Turns resolutions into writes of the rows of budgets and requests.
+pub(crate) struct TableResolver {
+    /// The platform's table.
+    table: Arc<dyn Table>,
+    /// The other routers: what they hold is not in doubt.
+    peers: Arc<dyn Peers>,
+}
+
+impl TableResolver {
+    /// Creates a resolver.
+    pub(crate) fn new(table: Arc<dyn Table>, peers: Arc<dyn Peers>) -> TableResolver {
+        TableResolver { table, peers }
+    }
+
+    fn live_routers(&self) -> Vec<RouterId> {
+        self.peers.view().members().map(|member| member.id.clone()).collect()
+    }
+}
+
+#[async_trait]
+impl Resolver for TableResolver {
+    async fn prepare(&self, resolution: &Resolution, operator: &OperatorName) -> Result<Commit> {
+        match resolution {
+            Resolution::ReleaseGrant { account, router, incarnation, tokens } => {
+                let router = RouterId::new(router.clone(), *incarnation);
+                let keys = [budget_key(account), grant_key(account, &router)];
+                let rows = self.table.read(&keys).await.map_err(store_error)?;
+                let rows = (rows[0].as_ref(), rows[1].as_ref());
+                let (live, now) = (self.live_routers(), UnixMillis::now().0);
+                resolve_in_doubt(account, &router, *tokens, rows, &live, now)
+                    .map_err(|error| cannot_resolve(resolution, &error))
+            }
+            Resolution::SettleRequest { account, request, ran, router_ended } => {
+                let key = intent_key(&RequestKey::new(account.clone(), request.clone()));
+                let row = read_row(&*self.table, &key).await?;
+                let row =
+                    row.ok_or_else(|| cannot_resolve(resolution, &"there is no such call"))?;
+                let holder = if *router_ended { Holder::Ended } else { Holder::MayRun };
+                resolve(&row, outcome_of(*ran), holder, operator)
+                    .map_err(|error| cannot_resolve(resolution, &error))
+            }
+        }
+    }
+}
+
+fn outcome_of(ran: bool) -> requests::Resolution {
+    if !ran {
+        return requests::Resolution::DidNotRun;
+    }
+    requests::Resolution::Ran(StoredAnswer {
+        status: 200,
+        content_type: "application/json".into(),
+        body: AnswerBody::from_bytes(RESOLVED_BODY.as_bytes()),
+        finish_reason: None,
+        prompt_tokens: 0,
+        completion_tokens: 0,
+    })
+}
+
+fn cannot_resolve(resolution: &Resolution, reason: &dyn std::fmt::Display) -> Error {
+    let message = format!("cannot {resolution}: {reason}; nothing was changed");
+    Error::new(ErrorKind::InvalidConfig, message)
+}
--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -107,6 +107,7 @@
         let deadline = clock.now() + self.settings.drain_timeout;
         log::info!(router:% = self.settings.name; "router is leaving");
         self.cx.router.peers.leave();
+        self.cx.admin.controller.release().await;
         tokio::time::sleep(KEEP_ADDRESSES.min(self.settings.drain_timeout / 2)).await;
         self.cx.is_closed.store(true, Ordering::Relaxed);
         let http = self.http.take();
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -84,6 +84,7 @@
 
 /// Counter of polls of endpoints and of the host list, by `source` and `result`.
 pub const POLLS_TOTAL: &str = "auburncrank_polls_total";
+
 /// Counter of messages to other routers that were dropped, by `reason`.
 pub const PEER_MESSAGES_DROPPED_TOTAL: &str = "auburncrank_peer_messages_dropped_total";
 
@@ -101,3 +102,7 @@
 
 /// Gauge that is 1 where another process with a higher incarnation uses this router's name.
 pub const ROUTER_SUPERSEDED: &str = "auburncrank_router_superseded";
+
+/// Gauge of rollouts of model versions that are halted, on the holder of the controller
+/// lease.
+pub const HALTED_ROLLOUTS: &str = "auburncrank_halted_rollouts";
