--- a/programs/auburncrank-demo/src/serve.rs
+++ b/programs/auburncrank-demo/src/serve.rs
@@ -6,7 +6,7 @@
 pub(crate) async fn serve(scene: &Scene) {
     println!("platform stand-in  {}", scene.platform_address());
     for (name, router) in scene.routers.iter() {
-        println!("{name:18} {}", router.caller_address());
+        println!("{name:18} {} (peers {})", router.caller_address(), router.peer_address());
     }
     for account in scene.config().accounts.keys() {
         println!("key of {account:12} {}", account_key(account.as_str()).expose());
