--- /dev/null
+++ b/components/router/src/daemon/assembly.rs
@@ -0,0 +1,135 @@
+//! Joins the subsystems of a router.
+
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, atomic::AtomicBool},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use client::{Connections, HttpClient, PlatformClient};
+use membership::{DetectorSettings, Member, MemberState};
+use platform::{HostList, ObjectStore, Table};
+use telemetry::set_up_metrics;
+use types::{Incarnation, RouterId};
+
+use super::{RouterSettings, control_thread::ControlThread};
+use crate::{
+    Clock, RouterContext,
+    accounting::GrantAccounting,
+    admin::{AdminContext, NoResolver},
+    configuration::{ConfigHandle, run_config_poller},
+    dispatch::PolicyDispatcher,
+    http::HttpContext,
+    peers::{PeerNetwork, PeerNetworkSettings, Peers, run_host_hints},
+    registry::{FleetRegistry, RegistryParts},
+    traffic::Runs,
+};
+
+/// Time between two updates of the load that the other routers are told.
+const LOAD_PERIOD: Duration = Duration::from_millis(100);
+
+/// Joins the subsystems. Their control tasks run on the control thread.
+///
+/// # Errors
+/// Where the peer listener cannot be used.
+pub(super) fn assemble(
+    settings: &RouterSettings,
+    caller_address: SocketAddr,
+    peer_listener: TcpListener,
+    control: &ControlThread,
+) -> io::Result<HttpContext> {
+    let clock = Clock::new();
+    let id = RouterId::new(settings.name.clone(), new_incarnation());
+    let platform = PlatformClient::new(settings.platform_address, settings.platform_timeout);
+    let objects: Arc<dyn ObjectStore> = Arc::new(platform.clone());
+    let hosts: Arc<dyn HostList> = Arc::new(platform.clone());
+    let table: Arc<dyn Table> = Arc::new(platform);
+    let cfg = ConfigHandle::new();
+    let local = Member {
+        id: id.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        caller_address,
+        peer_address: peer_listener.local_addr()?,
+        state: MemberState::Alive,
+        load: 0,
+        config_version: cfg.version(),
+    };
+    let peers = start_peers(settings, local, peer_listener, clock, &cfg, control)?;
+    control.handle().spawn(run_host_hints(
+        hosts.clone(),
+        peers.view().local.peer_address.port(),
+        peers.clone(),
+    ));
+    control.handle().spawn(run_config_poller(cfg.clone(), table.clone(), peers.clone()));
+    let registry = FleetRegistry::start(RegistryParts {
+        router: id,
+        clock,
+        table: table.clone(),
+        objects,
+        peers: peers.clone(),
+    });
+    let dispatcher =
+        PolicyDispatcher::start(control.handle(), clock, cfg.clone(), peers.clone(), hosts);
+    let accounting = GrantAccounting::start(control.handle(), clock, table.clone(), peers.clone());
+    let router = RouterContext {
+        clock,
+        accounting: Arc::new(accounting),
+        registry,
+        dispatcher: Arc::new(dispatcher),
+        peers: peers.clone(),
+        cfg,
+        table,
+        pooled: HttpClient::new(Connections::Kept),
+        unpooled: HttpClient::new(Connections::OnePerCall),
+    };
+    let runs = Runs::new(router.clone());
+    control.handle().spawn(report_load(runs.clone(), peers));
+    let admin = AdminContext {
+        router: router.clone(),
+        runs: runs.clone(),
+        bootstrap: settings.bootstrap_operator_key,
+        resolver: Arc::new(NoResolver),
+    };
+    Ok(HttpContext {
+        admin,
+        runs,
+        router,
+        metrics: set_up_metrics(),
+        is_closed: Arc::new(AtomicBool::new(false)),
+    })
+}
+
+fn start_peers(
+    settings: &RouterSettings,
+    local: Member,
+    listener: TcpListener,
+    clock: Clock,
+    cfg: &ConfigHandle,
+    control: &ControlThread,
+) -> io::Result<Arc<PeerNetwork>> {
+    let settings = PeerNetworkSettings {
+        local,
+        seeds: settings.seeds.clone(),
+        detector: DetectorSettings::default(),
+        listener,
+        clock,
+        cfg: cfg.clone(),
+    };
+    PeerNetwork::start(settings, control.handle()).map(Arc::new)
+}
+
+/// Returns the incarnation of this start: microseconds of the wall clock, so that a later
+/// start of the same name has a higher one.
+fn new_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
+}
+
+/// Tells the other routers the number of requests in progress.
+async fn report_load(runs: Runs, peers: Arc<PeerNetwork>) {
+    loop {
+        peers.set_load(runs.len());
+        tokio::time::sleep(LOAD_PERIOD).await;
+    }
+}
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 mod http;
 mod objects;
+mod peer_network;
 mod platform_server;
 mod service;
 mod table;
@@ -11,6 +12,7 @@
 pub use self::{
     http::ServerHandle,
     objects::MemoryObjects,
+    peer_network::{NodeTraffic, PeerNetwork, StateChange, router_name},
     platform_server::{PlatformServer, PlatformState},
     service::{RunRecord, ServiceServer, ServiceState},
     table::{Bucket, CallLimits, MemoryTable, TableCounts, TableFaults, TableState},
