--- a/components/admin_api/src/lib.rs
+++ b/components/admin_api/src/lib.rs
@@ -15,9 +15,9 @@
     budget_list::{BudgetList, BudgetView},
     confirmation::Confirmation,
     error_body::{AdminErrorBody, AdminErrorDetail},
-    in_doubt_list::{InDoubtList, InDoubtRow},
+    in_doubt_list::{InDoubtGrant, InDoubtList, OpenCall, OutcomeUnknownList},
     plan_view::{PlanStatus, PlanView},
     request_list::RequestList,
-    state_view::{EndpointView, LocalState, RouterView, StateView},
+    state_view::{ControllerView, EndpointView, LocalState, RouterView, StateView},
     version_list::{VersionDiff, VersionList, VersionView},
 };
--- a/components/admin_api/src/state_view.rs
+++ b/components/admin_api/src/state_view.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use types::{ConfigVersion, EndpointName, FailureDomain, RouterName};
+use types::{ConfigVersion, EndpointName, FailureDomain, FencingNumber, RouterName};
 
 /// Answer to `GET /admin/v1/state`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,10 +14,28 @@
     pub routers: Vec<RouterView>,
     /// Configured endpoints.
     pub endpoints: Vec<EndpointView>,
+    /// State of the controller of orders to engines, where the answering router holds
+    /// its lease.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub controller: Option<ControllerView>,
     /// Content fingerprints that operators have quarantined.
     pub quarantine: Vec<String>,
 }
 
+/// State of the controller of orders to engines.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControllerView {
+    /// Fencing number of its lease.
+    pub fencing: FencingNumber,
+    /// Progress of each version that is to be served, in words.
+    pub progress: Vec<String>,
+    /// Halted rollouts, in words.
+    pub halted: Vec<String>,
+    /// Versions that an operator has to unload by hand, because their endpoint does not
+    /// check fencing numbers.
+    pub leftovers: Vec<String>,
+}
+
 /// State of the router that answers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LocalState {
--- /dev/null
+++ b/components/rollout/src/observed.rs
@@ -0,0 +1,49 @@
+//! What endpoints report.
+
+use engine_api::{LoadState, LoadedModel};
+use types::AdapterName;
+
+use crate::ModelTarget;
+
+/// What an endpoint reported last. An endpoint that does not answer has no report.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EndpointReport {
+    /// Models on it.
+    pub models: Vec<LoadedModel>,
+}
+
+/// State of a version on one endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum TargetState {
+    /// The endpoint does not answer.
+    Unknown,
+    /// It is not loaded.
+    Missing,
+    /// It is being loaded.
+    Loading,
+    /// It serves.
+    Ready,
+    /// The load failed.
+    Failed,
+}
+
+impl EndpointReport {
+    /// Returns the state of `target`.
+    pub fn state_of(&self, target: &ModelTarget) -> TargetState {
+        match self.find(target).map(|it| it.state) {
+            None => TargetState::Missing,
+            Some(LoadState::Loading) => TargetState::Loading,
+            Some(LoadState::Ready) => TargetState::Ready,
+            Some(LoadState::Failed) => TargetState::Failed,
+        }
+    }
+
+    /// Tells whether `adapter` is loaded beside `target`.
+    pub fn has_adapter(&self, target: &ModelTarget, adapter: &AdapterName) -> bool {
+        self.find(target).is_some_and(|it| it.adapters.contains(adapter))
+    }
+
+    fn find(&self, target: &ModelTarget) -> Option<&LoadedModel> {
+        self.models.iter().find(|it| it.model == target.model && it.version == target.version)
+    }
+}
--- a/components/router/src/accounting/grant.rs
+++ b/components/router/src/accounting/grant.rs
@@ -13,6 +13,7 @@
     sync::{mpsc, oneshot},
 };
 use types::{RouterId, Timestamp, Tokens};
+use utils::Rng;
 
 use super::{
     Accounting, Reservation, ReserveRequest,
@@ -38,16 +39,18 @@
 }
 
 impl GrantAccounting {
-    /// Starts the accounting over `table` with a task on `control`.
+    /// Starts the accounting over `table` with a task on `control`; `rng` spreads its
+    /// calls over time.
     pub fn start(
         control: &Handle,
         clock: Clock,
         table: Arc<dyn Table>,
         peers: Arc<dyn Peers>,
+        rng: Rng,
     ) -> GrantAccounting {
         let (tx, rx) = mpsc::unbounded_channel();
         peers.subscribe(Arc::new(BudgetMessages { tx: tx.clone() }));
-        let task = LedgerTask::new(clock, table, peers, tx.clone());
+        let task = LedgerTask::new(clock, table, peers, tx.clone(), rng);
         control.spawn(task.run(rx));
         GrantAccounting { clock, tx }
     }
--- a/components/router/src/admin/handlers/in_doubt.rs
+++ b/components/router/src/admin/handlers/in_doubt.rs
@@ -1,6 +1,10 @@
 //! States that only an operator can resolve.
 
-use admin_api::{InDoubtList, InDoubtRow};
+use admin_api::{InDoubtGrant, InDoubtList, OpenCall, OutcomeUnknownList};
+use budget::list_in_doubt;
+use platform::Row;
+use requests::{INTENT_PREFIX, IntentState, list_open};
+use types::{AccountName, RouterId, UnixMillis};
 use viz::Request;
 
 use super::page::read_page;
@@ -12,40 +16,56 @@
     configuration::store_corrupt,
 };
 
-/// Prefix of the keys of grants whose router is gone.
+/// Prefix of the keys of grant rows.
 const GRANT_PREFIX: &str = "grant/";
 
-/// Prefix of the keys of calls that must not run twice.
-const CALL_PREFIX: &str = "intent/";
-
-/// Serves `GET /admin/v1/in-doubt`: the open grants.
+/// Serves `GET /admin/v1/in-doubt`: grants of routers that are gone.
 pub(in crate::admin) async fn get_in_doubt(
     cx: AdminContext,
     _call: AdminCall,
     req: Request,
 ) -> Result<InDoubtList, AdminError> {
-    list_rows(&cx, GRANT_PREFIX, &req).await
+    let page = read_page(&*cx.router.table, GRANT_PREFIX, &req).await?;
+    let live = live_routers(&cx);
+    let mut grants = Vec::new();
+    for row in &page.rows {
+        let Some(account) = account_of(row) else { continue };
+        for in_doubt in list_in_doubt(&account, std::slice::from_ref(row), &live) {
+            let in_doubt = in_doubt.map_err(store_corrupt)?;
+            grants.push(InDoubtGrant {
+                account: in_doubt.account,
+                router: in_doubt.router,
+                tokens: in_doubt.tokens,
+                since: in_doubt.since_unix_ms.map(UnixMillis),
+            });
+        }
+    }
+    Ok(InDoubtList { grants, next: page.next })
 }
 
-/// Serves `GET /admin/v1/outcome-unknown`: the recorded calls.
+/// Serves `GET /admin/v1/outcome-unknown`: calls that have no recorded outcome.
 pub(in crate::admin) async fn get_outcome_unknown(
     cx: AdminContext,
     _call: AdminCall,
     req: Request,
-) -> Result<InDoubtList, AdminError> {
-    list_rows(&cx, CALL_PREFIX, &req).await
+) -> Result<OutcomeUnknownList, AdminError> {
+    let page = read_page(&*cx.router.table, INTENT_PREFIX, &req).await?;
+    let live = live_routers(&cx);
+    let calls = list_open(&page.rows).into_iter().map(|open| OpenCall {
+        account: open.request.account,
+        request: open.request.id,
+        router_is_known: live.contains(&open.intent.router),
+        router: open.intent.router,
+        outcome_unknown: open.intent.state == IntentState::OutcomeUnknown,
+    });
+    Ok(OutcomeUnknownList { calls: calls.collect(), next: page.next })
 }
 
-async fn list_rows(
-    cx: &AdminContext,
-    prefix: &str,
-    req: &Request,
-) -> Result<InDoubtList, AdminError> {
-    let page = read_page(&*cx.router.table, prefix, req).await?;
-    let view = |row: &platform::Row| {
-        let value = row.decode().map_err(store_corrupt)?;
-        Ok::<_, AdminError>(InDoubtRow { key: row.key.to_string(), value })
-    };
-    let rows: Result<_, _> = page.rows.iter().map(view).collect();
-    Ok(InDoubtList { rows: rows?, next: page.next })
+/// Returns the router processes that this router knows, itself included.
+fn live_routers(cx: &AdminContext) -> Vec<RouterId> {
+    cx.router.peers.view().members().map(|member| member.id.clone()).collect()
+}
+
+fn account_of(row: &Row) -> Option<AccountName> {
+    row.key.as_str().strip_prefix(GRANT_PREFIX)?.split('/').next()?.parse().ok()
 }
--- a/components/router/src/daemon/assembly.rs
+++ b/components/router/src/daemon/assembly.rs
@@ -9,7 +9,7 @@
 
 use client::{Connections, HttpClient, PlatformClient};
 use membership::{DetectorSettings, Member, MemberState};
-use platform::{HostList, ObjectStore, Table};
+use platform::{HostList, ObjectStore, Table, WeightStore};
 use telemetry::set_up_metrics;
 use types::{Incarnation, RouterId};
 
@@ -17,8 +17,9 @@
 use crate::{
     Clock, RouterContext,
     accounting::GrantAccounting,
-    admin::{AdminContext, NoResolver},
+    admin::{AdminContext, TableResolver},
     configuration::{ConfigHandle, run_config_poller},
+    control_jobs::{ControllerContext, start_controller},
     dispatch::PolicyDispatcher,
     http::HttpContext,
     peers::{PeerNetwork, PeerNetworkSettings, Peers, run_host_hints},
@@ -44,6 +45,7 @@
     let platform = PlatformClient::new(settings.platform_address, settings.platform_timeout);
     let objects: Arc<dyn ObjectStore> = Arc::new(platform.clone());
     let hosts: Arc<dyn HostList> = Arc::new(platform.clone());
+    let weights: Arc<dyn WeightStore> = Arc::new(platform.clone());
     let table: Arc<dyn Table> = Arc::new(platform);
     let cfg = ConfigHandle::new();
     let local = Member {
@@ -63,7 +65,7 @@
     ));
     control.handle().spawn(run_config_poller(cfg.clone(), table.clone(), peers.clone()));
     let registry = FleetRegistry::start(RegistryParts {
-        router: id,
+        router: id.clone(),
         clock,
         table: table.clone(),
         objects,
@@ -71,7 +73,9 @@
     });
     let dispatcher =
         PolicyDispatcher::start(control.handle(), clock, cfg.clone(), peers.clone(), hosts);
-    let accounting = GrantAccounting::start(control.handle(), clock, table.clone(), peers.clone());
+    let rng = utils::new_rng();
+    let accounting =
+        GrantAccounting::start(control.handle(), clock, table.clone(), peers.clone(), rng);
     let router = RouterContext {
         clock,
         accounting: Arc::new(accounting),
@@ -84,17 +88,28 @@
         unpooled: HttpClient::new(Connections::OnePerCall),
     };
     let runs = Runs::new(router.clone());
-    control.handle().spawn(report_load(runs.clone(), peers));
+    control.handle().spawn(report_load(runs.clone(), peers.clone()));
+    let controller = ControllerContext {
+        me: id,
+        clock,
+        cfg: router.cfg.clone(),
+        table: router.table.clone(),
+        weights,
+        peers: peers.clone(),
+        http: router.pooled.clone(),
+    };
     let admin = AdminContext {
         router: router.clone(),
         runs: runs.clone(),
         bootstrap: settings.bootstrap_operator_key,
-        resolver: Arc::new(NoResolver),
+        resolver: Arc::new(TableResolver::new(router.table.clone(), peers)),
+        controller: start_controller(controller, control.handle()),
     };
     Ok(HttpContext {
         admin,
         runs,
         router,
+        limits: settings.http_limits,
         metrics: set_up_metrics(),
         is_closed: Arc::new(AtomicBool::new(false)),
     })
--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -57,7 +57,8 @@
         };
         let http = {
             let _guard = traffic.enter();
-            HttpServer::start(tokio::net::TcpListener::from_std(listener)?, cx.routes())
+            let listener = tokio::net::TcpListener::from_std(listener)?;
+            HttpServer::start(listener, cx.routes(), settings.http_limits.head_timeout)
         };
         log::info!(
             router:% = settings.name, address:% = caller_address, peer_address:% = peer_address;
@@ -106,6 +107,7 @@
         let deadline = clock.now() + self.settings.drain_timeout;
         log::info!(router:% = self.settings.name; "router is leaving");
         self.cx.router.peers.leave();
+        self.cx.admin.controller.release().await;
         tokio::time::sleep(KEEP_ADDRESSES.min(self.settings.drain_timeout / 2)).await;
         self.cx.is_closed.store(true, Ordering::Relaxed);
         let http = self.http.take();
--- a/components/router/src/lib.rs
+++ b/components/router/src/lib.rs
@@ -11,6 +11,7 @@
 mod clock;
 pub mod configuration;
 mod context;
+mod control_jobs;
 mod daemon;
 pub mod dispatch;
 mod http;
@@ -21,5 +22,5 @@
 pub use self::{
     clock::Clock,
     context::RouterContext,
-    daemon::{RequestCounter, RouterProcess, RouterSettings, StartError},
+    daemon::{HttpLimits, RequestCounter, RouterProcess, RouterSettings, StartError},
 };
