--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -8,10 +8,14 @@
 mod frame;
 mod membership;
 mod requests;
+mod routing;
 mod socket_address;
 
 pub use self::{
-    budget::BudgetMessage,
+    budget::{
+        AskLoan, BilledRequest, BillsHeld, BudgetBody, BudgetMessage, CeilingRaised, ForgetBills,
+        HoldBills, LoanCredited, LoanTotal, RaiseCeiling,
+    },
     config::ConfigMessage,
     envelope::{Envelope, PeerBody},
     frame::{FRAME_MAX_BYTES, FrameCodec, FrameError},
@@ -19,6 +23,11 @@
         MemberRecordMessage, MembershipError, MembershipKind, MembershipMessage,
         PingRequestMessage, StatusMessage,
     },
-    requests::RequestsMessage,
+    requests::{
+        AnswerEndRef, AnswerHeadRef, AttemptRef, ClaimMessage, EndKind, EndedMessage, FailedEnd,
+        FetchMessage, HeldMessage, HeldRef, KeptRef, PartMessage, RequestRef, RequestsBody,
+        RequestsMessage, VerdictBody, VerdictMessage, WholeEnd,
+    },
+    routing::{CrashRecordMessage, RoutingMessage},
     socket_address::AddressError,
 };
--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -1,38 +1,21 @@
 //! A router process.
 
 use std::{
-    io,
     net::{SocketAddr, TcpListener},
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    sync::atomic::Ordering,
 };
 
-use client::{Connections, HttpClient, PlatformClient};
 use errors::{Error, ErrorKind, Result};
-use membership::{DetectorSettings, Member, MemberState};
-use platform::Table;
-use telemetry::set_up_metrics;
 use tokio::runtime::{Builder, Runtime};
-use types::{Incarnation, RouterId};
 
-use super::{RequestCounter, RouterSettings, StartError, control_thread::ControlThread};
+use super::{
+    RequestCounter, RouterSettings, StartError, assembly::assemble, control_thread::ControlThread,
+};
 use crate::{
-    Clock, RouterContext,
-    accounting::PerRequestAccounting,
-    configuration::{ConfigHandle, run_config_poller},
-    dispatch::LeastRequests,
+    RouterContext,
     http::{HttpContext, HttpServer, KEEP_ADDRESSES},
-    peers::{PeerNetwork, PeerNetworkSettings, run_host_hints},
-    registry::LocalRegistry,
-    traffic::Runs,
 };
 
-/// Time between two updates of the load that the other routers are told.
-const LOAD_PERIOD: Duration = Duration::from_millis(100);
-
 /// A router process. Dropping it without [`shut_down`](RouterProcess::shut_down) cuts
 /// off everything, as a crash does.
 pub struct RouterProcess {
@@ -159,76 +142,3 @@
     };
     bind().map_err(|source| StartError::Listen { address, source })
 }
-
-/// Joins the subsystems. Their control tasks run on the control thread.
-fn assemble(
-    settings: &RouterSettings,
-    caller_address: SocketAddr,
-    peer_listener: TcpListener,
-    control: &ControlThread,
-) -> io::Result<HttpContext> {
-    let clock = Clock::new();
-    let id = RouterId::new(settings.name.clone(), new_incarnation());
-    let platform = PlatformClient::new(settings.platform_address, settings.platform_timeout);
-    let table: Arc<dyn Table> = Arc::new(platform.clone());
-    let cfg = ConfigHandle::new();
-    let local = Member {
-        id: id.clone(),
-        failure_domain: settings.failure_domain.clone(),
-        caller_address,
-        peer_address: peer_listener.local_addr()?,
-        state: MemberState::Alive,
-        load: 0,
-        config_version: cfg.version(),
-    };
-    let peer_port = local.peer_address.port();
-    let peers = PeerNetwork::start(
-        PeerNetworkSettings {
-            local,
-            seeds: settings.seeds.clone(),
-            detector: DetectorSettings::default(),
-            listener: peer_listener,
-            clock,
-            cfg: cfg.clone(),
-        },
-        control.handle(),
-    )?;
-    let peers = Arc::new(peers);
-    let hosts = Arc::new(platform);
-    control.handle().spawn(run_host_hints(hosts, peer_port, peers.clone()));
-    control.handle().spawn(run_config_poller(cfg.clone(), table.clone()));
-    let router = RouterContext {
-        clock,
-        accounting: Arc::new(PerRequestAccounting::new(table.clone(), clock)),
-        registry: Arc::new(LocalRegistry::new(id, table.clone())),
-        dispatcher: Arc::new(LeastRequests::new(cfg.clone())),
-        peers: peers.clone(),
-        cfg,
-        table,
-        pooled: HttpClient::new(Connections::Kept),
-        unpooled: HttpClient::new(Connections::OnePerCall),
-    };
-    let runs = Runs::new(router.clone());
-    control.handle().spawn(report_load(runs.clone(), peers));
-    Ok(HttpContext {
-        runs,
-        router,
-        metrics: set_up_metrics(),
-        is_closed: Arc::new(AtomicBool::new(false)),
-    })
-}
-
-/// Returns the incarnation of this start: microseconds of the wall clock, so that a later
-/// start of the same name has a higher one.
-fn new_incarnation() -> Incarnation {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
-}
-
-/// Tells the other routers the number of requests in progress.
-async fn report_load(runs: Runs, peers: Arc<PeerNetwork>) {
-    loop {
-        peers.set_load(runs.len());
-        tokio::time::sleep(LOAD_PERIOD).await;
-    }
-}
--- a/components/router/tests/peers.rs
+++ b/components/router/tests/peers.rs
@@ -32,6 +32,7 @@
         peer_address: any_port(),
         seeds,
         // Nothing listens there: membership needs no platform.
+        bootstrap_operator_key: None,
         platform_address: SocketAddr::from(([127, 0, 0, 1], 1)),
         platform_timeout: Duration::from_secs(1),
         drain_timeout: Duration::from_secs(4),
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod engine;
 mod http;
+mod objects;
 mod peer_network;
 mod platform_server;
 mod service;
@@ -10,6 +11,7 @@
 
 pub use self::{
     http::ServerHandle,
+    objects::MemoryObjects,
     peer_network::{NodeTraffic, PeerNetwork, StateChange, router_name},
     platform_server::{PlatformServer, PlatformState},
     service::{RunRecord, ServiceServer, ServiceState},
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -27,6 +27,63 @@
 /// Gauge of the configuration version in force.
 pub const CONFIG_VERSION: &str = "auburncrank_config_version";
 
+/// Counter of requests refused for their budget, by `reason`.
+pub const BUDGET_REFUSALS_TOTAL: &str = "auburncrank_budget_refusals_total";
+
+/// Counter of commits of grants and bills, by `outcome`.
+pub const BUDGET_COMMITS_TOTAL: &str = "auburncrank_budget_commits_total";
+
+/// Gauge of the unspent tokens of this router's grant, by `account`.
+pub const GRANTED_TOKENS: &str = "auburncrank_granted_tokens";
+
+/// Gauge of tokens reserved by requests on this router, by `account`.
+pub const RESERVED_TOKENS: &str = "auburncrank_reserved_tokens";
+
+/// Gauge of billed tokens that are not yet in the table, by `account`.
+pub const UNSETTLED_TOKENS: &str = "auburncrank_unsettled_tokens";
+
+/// Gauge of requests that wait for tokens on this router, by `account`.
+pub const BUDGET_WAITING_REQUESTS: &str = "auburncrank_budget_waiting_requests";
+
+/// Gauge of tokens in the grants of dead routers, by `account`.
+pub const IN_DOUBT_TOKENS: &str = "auburncrank_in_doubt_tokens";
+
+/// Gauge of the time since the table confirmed that no later configuration is accepted,
+/// in seconds; infinite where it never did.
+pub const CONFIG_CONFIRMED_AGE_SECONDS: &str = "auburncrank_config_confirmed_age_seconds";
+
+/// Counter of administration calls, by `result`: `ok` or the code of the error table.
+pub const ADMIN_CALLS_TOTAL: &str = "auburncrank_admin_calls_total";
+
+/// Counter of orders to engines, by `kind` and `outcome`.
+pub const ENGINE_ORDERS_TOTAL: &str = "auburncrank_engine_orders_total";
+
+/// Gauge of the fencing number of the controller lease where this router holds it, else
+/// zero.
+pub const CONTROLLER_FENCING_NUMBER: &str = "auburncrank_controller_fencing_number";
+/// Counter of retries that the retry budget denied, by `reason`.
+pub const RETRIES_DENIED_TOTAL: &str = "auburncrank_retries_denied_total";
+
+/// Counter of ended attempts on endpoints, by `outcome`.
+pub const ATTEMPTS_TOTAL: &str = "auburncrank_attempts_total";
+
+/// Gauge of endpoints that this router uses, by `state`.
+pub const ENDPOINTS: &str = "auburncrank_endpoints";
+
+/// Gauge of requests that wait for an endpoint.
+pub const QUEUED_REQUESTS: &str = "auburncrank_queued_requests";
+
+/// Histogram of the wait for an endpoint, in seconds.
+pub const QUEUE_SECONDS: &str = "auburncrank_queue_seconds";
+
+/// Gauge of contents that are quarantined because they crashed endpoints.
+pub const QUARANTINED_CONTENTS: &str = "auburncrank_quarantined_contents";
+
+/// Counter of endpoints lost while content ran, by `alone`.
+pub const ENDPOINT_LOSSES_TOTAL: &str = "auburncrank_endpoint_losses_total";
+
+/// Counter of polls of endpoints and of the host list, by `source` and `result`.
+pub const POLLS_TOTAL: &str = "auburncrank_polls_total";
 /// Counter of messages to other routers that were dropped, by `reason`.
 pub const PEER_MESSAGES_DROPPED_TOTAL: &str = "auburncrank_peer_messages_dropped_total";
 
