Choose the addresses for callers: near, spread, several

GET /v1/addresses gave every router in the order of names, so that every caller preferred the same one.

The first address is now one in the caller's failure domain (query parameter failure_domain), unless that domain carries more than its share of the load; the second is in another domain; up to four; suspected routers last; less loaded ones are drawn more often. The time to keep is drawn from 5 to 10 s, so that callers do not ask in step. A leaving router serves on for that time and 2 s for the news to spread.

--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -2,12 +2,14 @@
 //!
 //! This crate decides only; it has no network code.
 
+mod address_choice;
 mod detector;
 mod member;
 mod member_state;
 mod view;
 
 pub use self::{
+    address_choice::{ADDRESSES_PER_ANSWER, choose_addresses, draw_keep},
     detector::{
         Action, Detector, DetectorSettings, MemberRecord, MemberStatus, Message, MessageKind,
     },
--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -13,7 +13,7 @@
 };
 use crate::{
     RouterContext,
-    http::{HttpContext, HttpServer, KEEP_ADDRESSES},
+    http::{HttpContext, HttpServer, KEEP_ADDRESSES, LEAVE_SPREAD},
 };
 
 /// A router process. Dropping it without [`shut_down`](RouterProcess::shut_down) cuts
@@ -106,7 +106,8 @@
         let deadline = clock.now() + self.settings.drain_timeout;
         log::info!(router:% = self.settings.name; "router is leaving");
         self.cx.router.peers.leave();
-        tokio::time::sleep(KEEP_ADDRESSES.min(self.settings.drain_timeout / 2)).await;
+        let serve_on = KEEP_ADDRESSES + LEAVE_SPREAD;
+        tokio::time::sleep(serve_on.min(self.settings.drain_timeout / 2)).await;
         self.cx.is_closed.store(true, Ordering::Relaxed);
         let http = self.http.take();
         let finish = async {
--- a/components/router/src/http/addresses.rs
+++ b/components/router/src/http/addresses.rs
@@ -3,20 +3,55 @@
 use std::time::Duration;
 
 use client::{AddressEntry, AddressList};
+use membership::{choose_addresses, draw_keep};
+use types::FailureDomain;
 use viz::{Request, Response, ResponseExt};
 
 use super::HttpContext;
 
-/// Time for which callers keep the list.
+/// Longest time for which callers keep the list.
 pub(crate) const KEEP_ADDRESSES: Duration = Duration::from_secs(10);
 
-/// Serves `GET /v1/addresses`.
-pub(super) async fn serve_addresses(cx: HttpContext, _req: Request) -> viz::Result<Response> {
+/// Time for all other routers to learn that one is leaving.
+pub(crate) const LEAVE_SPREAD: Duration = Duration::from_secs(2);
+
+/// Parameter of the query that names the caller's failure domain.
+const DOMAIN_PARAMETER: &str = "failure_domain";
+
+/// Serves `GET /v1/addresses?failure_domain=NAME`. The parameter is optional; an unknown
+/// failure domain is as good as none.
+pub(super) async fn serve_addresses(cx: HttpContext, req: Request) -> viz::Result<Response> {
+    metrics::counter!(telemetry::ADDRESS_ANSWERS_TOTAL).increment(1);
+    let mut rng = utils::new_rng();
     let view = cx.router.peers.view();
-    let addresses = view.serving().map(|member| AddressEntry {
+    let domain = caller_domain(req.uri().query().unwrap_or_default());
+    let chosen = choose_addresses(&view, domain.as_ref(), &mut rng);
+    let addresses = chosen.into_iter().map(|member| AddressEntry {
         address: member.caller_address,
         failure_domain: member.failure_domain.clone(),
     });
-    let list = AddressList { addresses: addresses.collect(), keep: KEEP_ADDRESSES };
+    let keep = draw_keep(KEEP_ADDRESSES, &mut rng);
+    let list = AddressList { addresses: addresses.collect(), keep };
     Ok(Response::json(list)?)
 }
+
+/// Reads the failure domain from the query of a request. Names need no escapes.
+fn caller_domain(query: &str) -> Option<FailureDomain> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(name, _)| *name == DOMAIN_PARAMETER)?;
+    FailureDomain::new(value).ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn failure_domain_is_read_from_the_query() {
+        let zlin = FailureDomain::new("zlin").ok();
+        assert_eq!(caller_domain("failure_domain=zlin"), zlin);
+        assert_eq!(caller_domain("a=b&failure_domain=zlin"), zlin);
+        assert_eq!(caller_domain("failure_domain="), None);
+        assert_eq!(caller_domain(""), None);
+    }
+}
--- a/components/router/src/http/mod.rs
+++ b/components/router/src/http/mod.rs
@@ -12,6 +12,9 @@
 mod server;
 
 pub(crate) use self::{
-    addresses::KEEP_ADDRESSES, auth::bearer_key, body::read_body, routes::HttpContext,
+    addresses::{KEEP_ADDRESSES, LEAVE_SPREAD},
+    auth::bearer_key,
+    body::read_body,
+    routes::HttpContext,
     server::HttpServer,
 };
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -99,5 +99,8 @@
 /// Counter of members whose state changed, as this router sees it, by new `state`.
 pub const MEMBER_CHANGES_TOTAL: &str = "auburncrank_member_changes_total";
 
+/// Counter of answers with addresses for callers.
+pub const ADDRESS_ANSWERS_TOTAL: &str = "auburncrank_address_answers_total";
+
 /// Gauge that is 1 where another process with a higher incarnation uses this router's name.
 pub const ROUTER_SUPERSEDED: &str = "auburncrank_router_superseded";
