--- a/components/membership/src/detector/core.rs
+++ b/components/membership/src/detector/core.rs
@@ -44,22 +44,36 @@
     contacts: Vec<SocketAddr>,
     /// Number of the next probe.
     next_number: u64,
-    /// Probes that failed since the last answer to any probe.
+    /// Probes of members that were not suspected, failed since the last answer to any.
     pub(super) failed_in_a_row: usize,
     /// Whether a process with a higher incarnation uses this router's name.
     is_superseded: bool,
     /// Whether the view may differ from the last one that was taken.
     pub(super) is_changed: bool,
+    /// When it started.
+    started: Timestamp,
     /// When it last woke up.
     last_wakeup: Timestamp,
     /// When the next member is probed.
     next_probe_at: Timestamp,
     /// When the next round of gossip is due.
     next_gossip_at: Timestamp,
+    /// When a member is next asked for all members; `None` once the view is taken to be
+    /// whole.
+    next_sync: Option<Sync>,
     /// When the next seed, hint or dead member is contacted.
     next_contact_at: Timestamp,
 }
 
+/// Request for all members that is to come.
+#[derive(Debug)]
+struct Sync {
+    /// When it is made.
+    at: Timestamp,
+    /// Requests to come, this one included.
+    left: u32,
+}
+
 impl Detector {
     /// Creates the failure detector of `local`, which knows of no other member.
     /// `contacts` are peer addresses at which routers may be found.
@@ -69,7 +83,9 @@
         contacts: Vec<SocketAddr>,
         now: Timestamp,
     ) -> Detector {
+        let first_sync = Sync { at: now + settings.first_sync, left: settings.syncs };
         Detector {
+            next_sync: Some(first_sync),
             settings,
             local: MemberRecord::from_member(local),
             roster: Roster::default(),
@@ -82,6 +98,7 @@
             failed_in_a_row: 0,
             is_superseded: false,
             is_changed: true,
+            started: now,
             last_wakeup: now,
             next_probe_at: now,
             next_gossip_at: now,
@@ -138,9 +155,10 @@
     /// Returns when the detector wants to wake up next.
     pub fn next_wakeup(&self) -> Timestamp {
         let timers = [self.next_probe_at, self.next_gossip_at, self.next_contact_at];
+        let sync = self.next_sync.as_ref().map(|it| it.at);
         let probes = self.probes.iter().map(|it| it.indirect_at.unwrap_or(it.fails_at));
         let suspicions = self.suspicions.values().map(Suspicion::next_wakeup);
-        timers.into_iter().chain(probes).chain(suspicions).min().unwrap_or_default()
+        timers.into_iter().chain(sync).chain(probes).chain(suspicions).min().unwrap_or_default()
     }
 
     /// Handles a wakeup.
@@ -167,6 +185,9 @@
             self.roster.forget_dead(self.settings.keep_dead, now);
             self.contact_others(now, rng, &mut actions);
         }
+        if self.next_sync.as_ref().is_some_and(|it| it.at <= now) {
+            self.sync(now, rng, &mut actions);
+        }
         actions
     }
 
@@ -292,6 +313,21 @@
         }
     }
 
+    /// Asks one member for all that it knows. Routers that start together are not in each
+    /// other's first answers; gossip alone brings so many changes slowly.
+    fn sync(&mut self, now: Timestamp, rng: &mut Rng, actions: &mut Vec<Action>) {
+        let Some(sync) = self.next_sync.take() else { return };
+        for name in self.roster.draw_live(1, None, rng) {
+            let Some(to) = self.roster.get(&name).map(|it| it.record.peer_address) else {
+                continue;
+            };
+            actions.push(Action::send(to, self.message(MessageKind::Join, Vec::new())));
+        }
+        let span = now.since(self.started) * 2;
+        let left = sync.left.saturating_sub(1);
+        self.next_sync = (left > 0).then(|| Sync { at: now + utils::jitter(span, rng), left });
+    }
+
     /// Contacts a dead member, which may be alive beyond a partition that has healed,
     /// and an address at which no member is known.
     fn contact_others(&mut self, now: Timestamp, rng: &mut Rng, actions: &mut Vec<Action>) {
--- a/components/membership/src/detector/probe.rs
+++ b/components/membership/src/detector/probe.rs
@@ -11,6 +11,8 @@
     pub(super) number: u64,
     /// The member that is probed.
     pub(super) target: RouterId,
+    /// Whether the member was suspected already when the probe began.
+    pub(super) is_retry: bool,
     /// When others are asked to ping it; `None` once they were.
     pub(super) indirect_at: Option<Timestamp>,
     /// When the probe has failed.
--- a/components/membership/src/detector/settings.rs
+++ b/components/membership/src/detector/settings.rs
@@ -27,6 +27,11 @@
     pub refresh_updates: usize,
     /// Time between two attempts to reach seeds, hints or dead members.
     pub contact_period: Duration,
+    /// Time from the start to the first further request for all members; each later one
+    /// comes after three times as long.
+    pub first_sync: Duration,
+    /// Requests for all members after the start.
+    pub syncs: u32,
     /// Age up to which the death of a member is believed without own evidence.
     pub fresh_death: Duration,
     /// Time for which dead members are remembered, and tried again.
@@ -49,6 +54,8 @@
             max_updates: 8,
             refresh_updates: 2,
             contact_period: Duration::from_secs(1),
+            first_sync: Duration::from_secs(2),
+            syncs: 4,
             fresh_death: Duration::from_secs(10),
             keep_dead: Duration::from_secs(3_600),
             pause_threshold: Duration::from_secs(1),
--- a/components/membership/src/detector/suspicion.rs
+++ b/components/membership/src/detector/suspicion.rs
@@ -11,7 +11,7 @@
 /// Most suspected members that are probed anew in one wakeup.
 const MAX_SUSPECTS_PROBED: usize = 4;
 
-/// Failed probes in a row, without any answer, from which on this router takes itself to
+/// Failed probes in a row of members that were not suspected, from which on this router takes itself to
 /// be the one that is cut off, and accuses nobody before others.
 const ISOLATED_AFTER: usize = 3;
 
@@ -66,6 +66,7 @@
         self.probes.push(Probe {
             number,
             target: record.id,
+            is_retry: false,
             indirect_at: Some(now + self.settings.direct_timeout),
             fails_at: now + self.settings.probe_timeout,
         });
@@ -96,7 +97,7 @@
         self.probes = pending;
         let failed: Vec<Probe> = failed;
         for probe in failed {
-            self.failed_in_a_row += 1;
+            self.failed_in_a_row += usize::from(!probe.is_retry);
             self.suspect(&probe, now, actions);
         }
     }
@@ -166,6 +167,7 @@
     ) {
         self.start_probe(name, now, actions);
         let Some(probe) = self.probes.last_mut() else { return };
+        probe.is_retry = true;
         probe.indirect_at = None;
         let number = probe.number;
         self.probe_through_others(number, name, now, rng, actions);
