--- a/programs/auburncrank-bench/src/cmd/mod.rs
+++ b/programs/auburncrank-bench/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The studies, one module each.
 
+mod control;
 mod path;
 mod routing;
 
@@ -22,6 +23,11 @@
 
 /// All studies.
 pub(crate) const STUDIES: &[Study] = &[
+    Study {
+        name: "control",
+        about: "Acceptance and spread of configurations, on simulated time.",
+        run: control::run,
+    },
     Study {
         name: "path",
         about: "Streams through a router against the same engine directly.",
