--- a/components/router/src/admin/make_plan.rs
+++ b/components/router/src/admin/make_plan.rs
@@ -49,7 +49,7 @@
     let faults: Vec<_> = moved
         .map(|change| {
             let path = format!("{}.{}", change.kind(), change.name());
-            Fault::new(path, "a later version changed it too; undo that one first")
+            Fault::new(path, "it is no longer as that version left it; undo the later change first")
         })
         .collect();
     if !faults.is_empty() {
