Show running requests, endpoint states and quarantined contents to operators

The released contents that routers must not quarantine were in the configuration and in no change of it: an operator could not set them, and a difference would have lost them. Differences now name every field of the configuration, so that a new one does not compile until it is handled.

--- a/components/admin_api/src/lib.rs
+++ b/components/admin_api/src/lib.rs
@@ -17,7 +17,9 @@
     error_body::{AdminErrorBody, AdminErrorDetail},
     in_doubt_list::{InDoubtGrant, InDoubtList, OpenCall, OutcomeUnknownList},
     plan_view::{PlanStatus, PlanView},
-    request_list::RequestList,
-    state_view::{ControllerView, EndpointView, LocalState, RouterView, StateView},
+    request_list::{RequestList, RunningRequest},
+    state_view::{
+        ControllerView, CrashingContent, EndpointView, LocalState, RouterView, StateView,
+    },
     version_list::{VersionDiff, VersionList, VersionView},
 };
--- a/components/admin_api/src/state_view.rs
+++ b/components/admin_api/src/state_view.rs
@@ -18,8 +18,12 @@
     /// its lease.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub controller: Option<ControllerView>,
+    /// Requests that wait for an endpoint on the answering router.
+    pub waiting_requests: usize,
     /// Content fingerprints that operators have quarantined.
     pub quarantine: Vec<String>,
+    /// Contents that routers have quarantined, because endpoints were lost while they ran.
+    pub crashing: Vec<CrashingContent>,
 }
 
 /// State of the controller of orders to engines.
@@ -71,6 +75,15 @@
     pub config_version: ConfigVersion,
 }
 
+/// Content that routers have quarantined.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashingContent {
+    /// Content fingerprint.
+    pub fingerprint: String,
+    /// Endpoints that were lost while it ran.
+    pub endpoints: Vec<EndpointName>,
+}
+
 /// A configured endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointView {
@@ -84,6 +97,11 @@
     pub leaving: bool,
     /// Whether it checks fencing numbers.
     pub checks_fencing: bool,
+    /// State as the answering router sees it; absent where it does not use the endpoint.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub state: Option<String>,
+    /// Requests in progress on it, of all routers, as the answering one estimates.
+    pub requests: u32,
     /// Models and services that it serves.
     pub serves: Vec<String>,
 }
--- a/components/config/src/apply_intent.rs
+++ b/components/config/src/apply_intent.rs
@@ -17,13 +17,10 @@
     apply("services", &mut cfg.services, &set.services, &remove.services, &mut faults);
     apply("actions", &mut cfg.actions, &set.actions, &remove.actions, &mut faults);
     apply("operators", &mut cfg.operators, &set.operators, &remove.operators, &mut faults);
-    let unquarantined = |it: &&String| !base.quarantine.contains(*it);
-    for fingerprint in remove.quarantine.iter().filter(unquarantined) {
-        let path = format!("remove.quarantine.{fingerprint}");
-        faults.push(Fault::new(path, "it is not quarantined"));
-    }
-    cfg.quarantine.retain(|it| !remove.quarantine.contains(it));
-    cfg.quarantine.extend(set.quarantine.iter().cloned());
+    let (listed, unlisted) = (&set.quarantine, &remove.quarantine);
+    apply_list("quarantine", &mut cfg.quarantine, listed, unlisted, &mut faults);
+    let (listed, unlisted) = (&set.quarantine_released, &remove.quarantine_released);
+    apply_list("quarantine_released", &mut cfg.quarantine_released, listed, unlisted, &mut faults);
     apply_keys(&mut cfg, intent, &mut faults);
     (cfg, faults)
 }
@@ -46,6 +43,24 @@
     entries.extend(set.iter().map(|(name, value)| (name.clone(), value.clone())));
 }
 
+fn apply_list(
+    kind: &str,
+    list: &mut BTreeSet<String>,
+    set: &BTreeSet<String>,
+    remove: &BTreeSet<String>,
+    faults: &mut Vec<Fault>,
+) {
+    for fingerprint in remove {
+        let path = format!("remove.{kind}.{fingerprint}");
+        if set.contains(fingerprint) {
+            faults.push(Fault::new(path, "it is set and removed in the same intent"));
+        } else if !list.remove(fingerprint) {
+            faults.push(Fault::new(path, "it is not on the list"));
+        }
+    }
+    list.extend(set.iter().cloned());
+}
+
 fn apply_keys(cfg: &mut Config, intent: &Intent, faults: &mut Vec<Fault>) {
     for (name, keys) in &intent.add_keys {
         let Some(account) = cfg.accounts.get_mut(name) else {
--- a/components/config/src/change.rs
+++ b/components/config/src/change.rs
@@ -24,14 +24,14 @@
     pub after: Option<V>,
 }
 
-/// Change of one content fingerprint.
+/// Change of a list of content fingerprints.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct QuarantineChange {
+pub struct FingerprintChange {
     /// Content fingerprint.
     pub fingerprint: String,
-    /// Whether it is quarantined afterwards.
-    pub quarantined: bool,
+    /// Whether it is on the list afterwards.
+    pub listed: bool,
 }
 
 /// Change of one entry of the configuration.
@@ -50,8 +50,10 @@
     Action(EntryChange<ActionName, Action>),
     /// An operator.
     Operator(EntryChange<OperatorName, Operator>),
-    /// A content fingerprint.
-    Quarantine(QuarantineChange),
+    /// A content fingerprint that operators have quarantined.
+    Quarantine(FingerprintChange),
+    /// A content fingerprint that operators have released.
+    QuarantineReleased(FingerprintChange),
 }
 
 impl Change {
@@ -65,6 +67,7 @@
             Change::Action(_) => "action",
             Change::Operator(_) => "operator",
             Change::Quarantine(_) => "quarantine",
+            Change::QuarantineReleased(_) => "quarantine_released",
         }
     }
 
@@ -77,7 +80,7 @@
             Change::Service(it) => it.name.as_str(),
             Change::Action(it) => it.name.as_str(),
             Change::Operator(it) => it.name.as_str(),
-            Change::Quarantine(it) => &it.fingerprint,
+            Change::Quarantine(it) | Change::QuarantineReleased(it) => &it.fingerprint,
         }
     }
 
@@ -90,12 +93,8 @@
             Change::Service(it) => it.apply(&mut cfg.services),
             Change::Action(it) => it.apply(&mut cfg.actions),
             Change::Operator(it) => it.apply(&mut cfg.operators),
-            Change::Quarantine(it) if it.quarantined => {
-                cfg.quarantine.insert(it.fingerprint.clone());
-            }
-            Change::Quarantine(it) => {
-                cfg.quarantine.remove(&it.fingerprint);
-            }
+            Change::Quarantine(it) => it.apply(&mut cfg.quarantine),
+            Change::QuarantineReleased(it) => it.apply(&mut cfg.quarantine_released),
         }
     }
 
@@ -108,10 +107,8 @@
             Change::Service(it) => Change::Service(it.reverse()),
             Change::Action(it) => Change::Action(it.reverse()),
             Change::Operator(it) => Change::Operator(it.reverse()),
-            Change::Quarantine(it) => Change::Quarantine(QuarantineChange {
-                fingerprint: it.fingerprint.clone(),
-                quarantined: !it.quarantined,
-            }),
+            Change::Quarantine(it) => Change::Quarantine(it.reverse()),
+            Change::QuarantineReleased(it) => Change::QuarantineReleased(it.reverse()),
         }
     }
 
@@ -129,7 +126,8 @@
             Change::Service(it) => it.fits(&cfg.services),
             Change::Action(it) => it.fits(&cfg.actions),
             Change::Operator(it) => it.fits(&cfg.operators),
-            Change::Quarantine(it) => cfg.quarantine.contains(&it.fingerprint) != it.quarantined,
+            Change::Quarantine(it) => it.fits(&cfg.quarantine),
+            Change::QuarantineReleased(it) => it.fits(&cfg.quarantine_released),
         }
     }
 }
@@ -147,6 +145,30 @@
     diff_configs(&before, &after)
 }
 
+impl FingerprintChange {
+    /// Adds what takes the change back.
+    pub(crate) fn undo(&self, set: &mut BTreeSet<String>, remove: &mut BTreeSet<String>) {
+        let undone = if self.listed { remove } else { set };
+        undone.insert(self.fingerprint.clone());
+    }
+
+    fn apply(&self, list: &mut BTreeSet<String>) {
+        if self.listed {
+            list.insert(self.fingerprint.clone());
+        } else {
+            list.remove(&self.fingerprint);
+        }
+    }
+
+    fn reverse(&self) -> FingerprintChange {
+        FingerprintChange { fingerprint: self.fingerprint.clone(), listed: !self.listed }
+    }
+
+    fn fits(&self, list: &BTreeSet<String>) -> bool {
+        list.contains(&self.fingerprint) != self.listed
+    }
+}
+
 impl<N: Ord + Clone, V: Clone + PartialEq> EntryChange<N, V> {
     /// Adds what takes the change back.
     pub(crate) fn undo(&self, set: &mut BTreeMap<N, V>, remove: &mut BTreeSet<N>) {
@@ -187,21 +209,42 @@
 /// Returns the changes that lead from `before` to `after`, in the order of kinds and
 /// names.
 pub fn diff_configs(before: &Config, after: &Config) -> Vec<Change> {
+    // Named one by one, so that no new field is forgotten here.
+    let Config {
+        version: _,
+        accounts,
+        models,
+        endpoints,
+        services,
+        actions,
+        operators,
+        quarantine,
+        quarantine_released,
+    } = after;
     let mut changes = Vec::new();
-    changes.extend(diff_entries(&before.accounts, &after.accounts).map(Change::Account));
-    changes.extend(diff_entries(&before.models, &after.models).map(Change::Model));
-    changes.extend(diff_entries(&before.endpoints, &after.endpoints).map(Change::Endpoint));
-    changes.extend(diff_entries(&before.services, &after.services).map(Change::Service));
-    changes.extend(diff_entries(&before.actions, &after.actions).map(Change::Action));
-    changes.extend(diff_entries(&before.operators, &after.operators).map(Change::Operator));
-    let differing = before.quarantine.symmetric_difference(&after.quarantine);
-    changes.extend(differing.map(|fingerprint| {
-        let quarantined = after.quarantine.contains(fingerprint);
-        Change::Quarantine(QuarantineChange { fingerprint: fingerprint.clone(), quarantined })
-    }));
+    changes.extend(diff_entries(&before.accounts, accounts).map(Change::Account));
+    changes.extend(diff_entries(&before.models, models).map(Change::Model));
+    changes.extend(diff_entries(&before.endpoints, endpoints).map(Change::Endpoint));
+    changes.extend(diff_entries(&before.services, services).map(Change::Service));
+    changes.extend(diff_entries(&before.actions, actions).map(Change::Action));
+    changes.extend(diff_entries(&before.operators, operators).map(Change::Operator));
+    let quarantined = diff_fingerprints(&before.quarantine, quarantine);
+    changes.extend(quarantined.map(Change::Quarantine));
+    let released = diff_fingerprints(&before.quarantine_released, quarantine_released);
+    changes.extend(released.map(Change::QuarantineReleased));
     changes
 }
 
+fn diff_fingerprints<'a>(
+    before: &'a BTreeSet<String>,
+    after: &'a BTreeSet<String>,
+) -> impl Iterator<Item = FingerprintChange> + 'a {
+    before.symmetric_difference(after).map(|fingerprint| FingerprintChange {
+        fingerprint: fingerprint.clone(),
+        listed: after.contains(fingerprint),
+    })
+}
+
 fn diff_entries<'a, N, V>(
     before: &'a BTreeMap<N, V>,
     after: &'a BTreeMap<N, V>,
--- a/components/config/src/describe.rs
+++ b/components/config/src/describe.rs
@@ -20,10 +20,16 @@
         Change::Service(it) => describe_entry(change, it),
         Change::Action(it) => describe_entry(change, it),
         Change::Operator(it) => describe_entry(change, it),
-        Change::Quarantine(it) if it.quarantined => {
+        Change::Quarantine(it) if it.listed => {
             vec![format!("quarantine content {}", it.fingerprint)]
         }
-        Change::Quarantine(it) => vec![format!("release content {}", it.fingerprint)],
+        Change::Quarantine(it) => vec![format!("end the quarantine of content {}", it.fingerprint)],
+        Change::QuarantineReleased(it) if it.listed => {
+            vec![format!("release content {} from the routers' quarantine", it.fingerprint)]
+        }
+        Change::QuarantineReleased(it) => {
+            vec![format!("let routers quarantine content {} again", it.fingerprint)]
+        }
     }
 }
 
--- a/components/config/src/intent.rs
+++ b/components/config/src/intent.rs
@@ -61,6 +61,9 @@
     /// Content fingerprints to quarantine.
     #[serde_as(as = "SetPreventDuplicates<_>")]
     pub quarantine: BTreeSet<String>,
+    /// Content fingerprints that routers are not to quarantine.
+    #[serde_as(as = "SetPreventDuplicates<_>")]
+    pub quarantine_released: BTreeSet<String>,
 }
 
 /// Entries to remove.
@@ -86,9 +89,12 @@
     /// Operators.
     #[serde_as(as = "SetPreventDuplicates<_>")]
     pub operators: BTreeSet<OperatorName>,
-    /// Content fingerprints to release from quarantine.
+    /// Content fingerprints whose quarantine by operators ends.
     #[serde_as(as = "SetPreventDuplicates<_>")]
     pub quarantine: BTreeSet<String>,
+    /// Content fingerprints that routers may quarantine again.
+    #[serde_as(as = "SetPreventDuplicates<_>")]
+    pub quarantine_released: BTreeSet<String>,
 }
 
 impl Intent {
@@ -126,10 +132,9 @@
                 Change::Service(it) => it.undo(&mut set.services, &mut remove.services),
                 Change::Action(it) => it.undo(&mut set.actions, &mut remove.actions),
                 Change::Operator(it) => it.undo(&mut set.operators, &mut remove.operators),
-                Change::Quarantine(it) => {
-                    let undone =
-                        if it.quarantined { &mut remove.quarantine } else { &mut set.quarantine };
-                    undone.insert(it.fingerprint.clone());
+                Change::Quarantine(it) => it.undo(&mut set.quarantine, &mut remove.quarantine),
+                Change::QuarantineReleased(it) => {
+                    it.undo(&mut set.quarantine_released, &mut remove.quarantine_released);
                 }
             }
         }
@@ -146,12 +151,14 @@
             && set.actions.is_empty()
             && set.operators.is_empty()
             && set.quarantine.is_empty()
+            && set.quarantine_released.is_empty()
             && remove.models.is_empty()
             && remove.endpoints.is_empty()
             && remove.services.is_empty()
             && remove.actions.is_empty()
             && remove.operators.is_empty()
-            && remove.quarantine.is_empty())
+            && remove.quarantine.is_empty()
+            && remove.quarantine_released.is_empty())
     }
 
     /// Returns the client accounts that it concerns, some more than once.
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -34,7 +34,7 @@
     action::Action,
     api_key::{API_KEY_MIN_BYTES, ApiKey},
     caution::{Caution, CautionKind},
-    change::{Change, EntryChange, QuarantineChange, combine_changes, diff_configs},
+    change::{Change, EntryChange, FingerprintChange, combine_changes, diff_configs},
     config::{CONFIG_KEY, Config},
     deposit::Deposit,
     describe::{describe_change, redact_key_hashes},
--- a/components/config/src/validate.rs
+++ b/components/config/src/validate.rs
@@ -55,16 +55,7 @@
         self.check_endpoints(&mut faults);
         self.check_services(&mut faults);
         self.check_operators(&mut faults);
-        for fingerprint in &self.quarantine {
-            let is_digit = |c: char| matches!(c, '0'..='9' | 'a'..='f');
-            let is_sound = fingerprint.len() == FINGERPRINT_DIGITS;
-            if !is_sound || !fingerprint.chars().all(is_digit) {
-                faults.push(
-                    format!("quarantine.{fingerprint}"),
-                    "expected 64 lower-case hexadecimal digits",
-                );
-            }
-        }
+        self.check_fingerprints(&mut faults);
         faults.0.sort();
         faults.0
     }
@@ -78,6 +69,7 @@
             ("actions", self.actions.len(), ACTIONS_MAX),
             ("operators", self.operators.len(), OPERATORS_MAX),
             ("quarantine", self.quarantine.len(), QUARANTINE_MAX),
+            ("quarantine_released", self.quarantine_released.len(), QUARANTINE_MAX),
         ];
         for (path, size, max) in sizes {
             if size > max {
@@ -86,6 +78,21 @@
         }
     }
 
+    fn check_fingerprints(&self, faults: &mut Faults) {
+        let lists =
+            [("quarantine", &self.quarantine), ("quarantine_released", &self.quarantine_released)];
+        for (path, list) in lists {
+            for fingerprint in list.iter().filter(|it| !is_fingerprint(it)) {
+                let message = "expected 64 lower-case hexadecimal digits";
+                faults.push(format!("{path}.{fingerprint}"), message);
+            }
+        }
+        for fingerprint in self.quarantine.intersection(&self.quarantine_released) {
+            let message = "it is quarantined and released; end one of the two";
+            faults.push(format!("quarantine_released.{fingerprint}"), message);
+        }
+    }
+
     /// Checks that no two owners share a key, which would make the owner ambiguous.
     fn check_keys(&self, faults: &mut Faults) {
         let mut owners: HashMap<KeyHash, String> = HashMap::default();
@@ -222,6 +229,11 @@
     }
 }
 
+fn is_fingerprint(text: &str) -> bool {
+    let is_digit = |byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f');
+    text.len() == FINGERPRINT_DIGITS && text.bytes().all(is_digit)
+}
+
 /// Faults found so far.
 #[derive(Default)]
 struct Faults(Vec<Fault>);
--- a/components/router/src/admin/handlers/plans.rs
+++ b/components/router/src/admin/handlers/plans.rs
@@ -10,7 +10,7 @@
 use crate::{
     HttpLimits,
     admin::{
-        AdminError, confirm_plan,
+        AdminError, BusyEndpoints, confirm_plan,
         context::{AdminCall, AdminContext},
         make_plan, make_undo_plan,
         plan_rows::read_plan,
@@ -34,7 +34,7 @@
     call.store?;
     let router = &cx.router;
     let name = &call.caller.name;
-    let plan = make_plan(&*router.table, &router.pooled, &call.cfg, &intent, name).await?;
+    let plan = make_plan(&*router.table, &busy_endpoints(&cx), &call.cfg, &intent, name).await?;
     Ok(view_plan(&plan, &PlanState::Open))
 }
 
@@ -49,7 +49,8 @@
     let version = ConfigVersion(path_param(&req, "version")?);
     let router = &cx.router;
     let name = &call.caller.name;
-    let plan = make_undo_plan(&*router.table, &router.pooled, &call.cfg, version, name).await?;
+    let plan =
+        make_undo_plan(&*router.table, &busy_endpoints(&cx), &call.cfg, version, name).await?;
     Ok(view_plan(&plan, &PlanState::Open))
 }
 
@@ -94,6 +95,12 @@
     })
 }
 
+/// Returns the requests in progress on each endpoint, of all routers, as estimated here.
+fn busy_endpoints(cx: &AdminContext) -> BusyEndpoints {
+    let status = cx.router.dispatcher.status();
+    status.endpoints.iter().map(|it| (it.name.clone(), it.requests)).collect()
+}
+
 fn view_plan(plan: &Plan, state: &PlanState) -> PlanView {
     let (status, version) = match state {
         PlanState::Confirmed { version, .. } => (PlanStatus::Confirmed, Some(*version)),
--- a/components/router/src/admin/handlers/state.rs
+++ b/components/router/src/admin/handlers/state.rs
@@ -3,15 +3,17 @@
 use std::time::Duration;
 
 use admin_api::{
-    BudgetList, BudgetView, ControllerView, EndpointView, LocalState, RequestList, RouterView,
-    StateView,
+    BudgetList, BudgetView, ControllerView, CrashingContent, EndpointView, LocalState, RequestList,
+    RouterView, RunningRequest, StateView,
 };
 use budget::BudgetRow;
 use config::Config;
 use membership::{Member, MemberState};
 use platform::Row;
 use rollout::RolloutProgress;
+use routing::{CrashRecord, EndpointStatus};
 use types::{AccountName, EndpointName};
+use utils::HashMap;
 use viz::Request;
 
 use super::page::read_page;
@@ -31,6 +33,9 @@
 /// version is the accepted one.
 const CONFIRMED_AGE_MAX: Duration = Duration::from_secs(18);
 
+/// Most requests that one answer lists, the oldest ones.
+const REQUESTS_SHOWN: usize = 1_000;
+
 /// Serves `GET /admin/v1/state`.
 pub(in crate::admin) async fn get_state(
     cx: AdminContext,
@@ -52,11 +57,17 @@
     // The view of this router is as old as its last heartbeat.
     routers[0].config_version = in_force.version;
     let names = call.cfg.endpoints.keys();
+    let dispatch = cx.router.dispatcher.status();
+    let used: HashMap<_, _> = dispatch.endpoints.iter().map(|it| (&it.name, it)).collect();
     Ok(StateView {
         local,
         routers,
-        endpoints: names.filter_map(|name| view_endpoint(&call.cfg, name)).collect(),
+        endpoints: names
+            .filter_map(|name| view_endpoint(&call.cfg, name, used.get(name).copied()))
+            .collect(),
         controller: view_controller(&cx.controller.status()),
+        waiting_requests: dispatch.waiting,
+        crashing: dispatch.quarantined.iter().map(view_crashing).collect(),
         quarantine: call.cfg.quarantine.iter().cloned().collect(),
     })
 }
@@ -79,7 +90,17 @@
     _req: Request,
 ) -> Result<RequestList, AdminError> {
     let router = cx.router.peers.view().local.id.name.clone();
-    Ok(RequestList { router, in_progress: cx.runs.len() })
+    let now = cx.router.clock.now();
+    let mut running = cx.runs.running();
+    // The oldest first: it is the one that an operator looks for.
+    running.sort_unstable_by_key(|(_, started)| *started);
+    let in_progress = running.len();
+    let requests = running.into_iter().take(REQUESTS_SHOWN).map(|(key, started)| RunningRequest {
+        account: key.account,
+        request: key.id,
+        age_ms: u64::try_from(now.since(started).as_millis()).unwrap_or(u64::MAX),
+    });
+    Ok(RequestList { router, in_progress, requests: requests.collect() })
 }
 
 fn view_controller(status: &ControllerStatus) -> Option<ControllerView> {
@@ -117,7 +138,18 @@
     }
 }
 
-fn view_endpoint(cfg: &Config, name: &EndpointName) -> Option<EndpointView> {
+fn view_crashing(record: &CrashRecord) -> CrashingContent {
+    CrashingContent {
+        fingerprint: record.fingerprint.to_string(),
+        endpoints: record.endpoints.iter().cloned().collect(),
+    }
+}
+
+fn view_endpoint(
+    cfg: &Config,
+    name: &EndpointName,
+    status: Option<&EndpointStatus>,
+) -> Option<EndpointView> {
     let endpoint = cfg.endpoints.get(name)?;
     let models = cfg.models.iter().filter(|(_, model)| model.endpoints.contains(name));
     let services = cfg.services.iter().filter(|(_, service)| service.endpoints.contains(name));
@@ -129,6 +161,8 @@
         failure_domain: endpoint.failure_domain.clone(),
         leaving: endpoint.leaving,
         checks_fencing: endpoint.checks_fencing,
+        state: status.map(|it| it.state.label().to_owned()),
+        requests: status.map_or(0, |it| it.requests),
         serves,
     })
 }
--- a/components/router/src/admin/make_plan.rs
+++ b/components/router/src/admin/make_plan.rs
@@ -1,17 +1,19 @@
 //! Makes plans of intents.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
-use client::HttpClient;
-use config::{Config, Fault, Intent, Plan, PlanRow, PlanState};
+use config::{Config, Fault, Intent, Plan, PlanFacts, PlanRow, PlanState};
 use errors::ErrorKind;
 use platform::{Commit, CommitOutcome, PlatformError, Precondition, Table, Write};
 use rand::Rng as _;
-use types::{ConfigVersion, OperatorName, PlanId, UnixMillis};
+use types::{ConfigVersion, EndpointName, OperatorName, PlanId, UnixMillis};
 
 use super::{AdminError, plan_facts::gather_facts, plan_rows::plan_key};
 use crate::configuration::{read_versions, store_error};
 
+/// Requests in progress on endpoints, as far as they are known.
+pub type BusyEndpoints = BTreeMap<EndpointName, u32>;
+
 /// Makes the plan of `intent` against `base` and keeps it in the table.
 ///
 /// # Errors
@@ -19,12 +21,13 @@
 /// table's answer was lost; nothing takes effect in any case.
 pub async fn make_plan(
     table: &dyn Table,
-    http: &HttpClient,
+    busy: &BusyEndpoints,
     base: &Arc<Config>,
     intent: &Intent,
     operator: &OperatorName,
 ) -> Result<Plan, AdminError> {
-    let facts = gather_facts(table, http, base, intent).await?;
+    let facts = gather_facts(table, intent).await?;
+    let facts = PlanFacts { busy_endpoints: busy.clone(), ..facts };
     let now = UnixMillis::now();
     let plan = Plan::new(new_plan_id(), base, intent, &facts, operator.clone(), now)?;
     keep_plan(table, plan).await
@@ -36,7 +39,7 @@
 /// As [`make_plan`]; `NotFound` where there is no such version.
 pub async fn make_undo_plan(
     table: &dyn Table,
-    http: &HttpClient,
+    busy: &BusyEndpoints,
     base: &Arc<Config>,
     version: ConfigVersion,
     operator: &OperatorName,
@@ -56,7 +59,7 @@
         return Err(faults.into());
     }
     let intent = Intent::from_undone(&row.changes);
-    make_plan(table, http, base, &intent, operator).await
+    make_plan(table, busy, base, &intent, operator).await
 }
 
 async fn keep_plan(table: &dyn Table, plan: Plan) -> Result<Plan, AdminError> {
--- a/components/router/src/admin/mod.rs
+++ b/components/router/src/admin/mod.rs
@@ -17,7 +17,7 @@
 pub use self::{
     accept::confirm_plan,
     admin_error::AdminError,
-    make_plan::{make_plan, make_undo_plan},
+    make_plan::{BusyEndpoints, make_plan, make_undo_plan},
     resolver::{NoResolver, Resolver},
 };
 pub(crate) use self::{context::AdminContext, routes::admin_routes, table_resolver::TableResolver};
--- a/components/router/src/traffic/runs.rs
+++ b/components/router/src/traffic/runs.rs
@@ -1,11 +1,16 @@
 //! The runs in progress.
 
-use std::{future::Future, panic::AssertUnwindSafe, sync::Arc};
+use std::{
+    future::Future,
+    panic::AssertUnwindSafe,
+    sync::{Arc, Mutex, MutexGuard},
+};
 
 use errors::{Error, ErrorKind};
 use futures::FutureExt;
 use tokio_util::task::TaskTracker;
-use types::RequestKey;
+use types::{RequestKey, Timestamp};
+use utils::HashMap;
 
 use super::{ActionJob, ChatJob, action_run::run_action, chat_run::run_chat};
 use crate::{
@@ -21,12 +26,14 @@
     cx: RouterContext,
     /// The runs in progress.
     tracker: TaskTracker,
+    /// When each of them was started.
+    started: Arc<Mutex<HashMap<RequestKey, Timestamp>>>,
 }
 
 impl Runs {
     /// Creates the runs of a router.
     pub(crate) fn new(cx: RouterContext) -> Runs {
-        Runs { cx, tracker: TaskTracker::new() }
+        Runs { cx, tracker: TaskTracker::new(), started: Arc::default() }
     }
 
     /// Starts the run of a chat request, which writes its answer to `log`.
@@ -48,6 +55,15 @@
         self.tracker.len()
     }
 
+    /// Returns the requests in progress and when each was started.
+    pub(crate) fn running(&self) -> Vec<(RequestKey, Timestamp)> {
+        self.lock_started().iter().map(|(key, started)| (key.clone(), *started)).collect()
+    }
+
+    fn lock_started(&self) -> MutexGuard<'_, HashMap<RequestKey, Timestamp>> {
+        self.started.lock().expect("no holder of the lock panics")
+    }
+
     /// Waits until no run is in progress. No run must be started afterwards.
     pub(crate) async fn wait(&self) {
         self.tracker.close();
@@ -63,12 +79,15 @@
         let registry = self.cx.registry.clone();
         let started = self.cx.clock.now();
         let clock = self.cx.clock;
+        let runs = self.clone();
+        runs.lock_started().insert(key.clone(), started);
         self.tracker.spawn(async move {
             let run = AssertUnwindSafe(run).catch_unwind().await;
             let result = run.unwrap_or_else(|_| {
                 Err(Error::new(ErrorKind::Internal, "the run of the request panicked"))
             });
             let result = result.map(|end| keep_answer(&log, end));
+            runs.lock_started().remove(&key);
             // The registry learns of the end first, so that no retry joins a dead run.
             match registry.end(&key, result).await {
                 Ok(answer) => log.finish(answer.end.clone()),
--- a/components/router/tests/confirming.rs
+++ b/components/router/tests/confirming.rs
@@ -6,7 +6,6 @@
 
 use async_trait::async_trait;
 use budget::{BudgetRow, budget_key};
-use client::{Connections, HttpClient};
 use config::{
     AUDIT_PREFIX, Account, CONFIG_CHANGES_PREFIX, Config, Deposit, Intent, Plan, VersionRow,
 };
@@ -14,7 +13,7 @@
 use platform::{Commit, CommitOutcome, Key, PlatformError, Row, Table, Write};
 use rand::{Rng as _, seq::SliceRandom as _};
 use router::{
-    admin::{AdminError, NoResolver, confirm_plan, make_plan},
+    admin::{AdminError, BusyEndpoints, NoResolver, confirm_plan, make_plan},
     configuration::read_config,
 };
 use standins::{CallLimits, MemoryTable, TableFaults};
@@ -46,8 +45,7 @@
 
 async fn plan(table: &dyn Table, intent: &Intent) -> Plan {
     let base = read_config(table, &Arc::default()).await.unwrap().cfg;
-    let http = HttpClient::new(Connections::OnePerCall);
-    make_plan(table, &http, &base, intent, &operator("ada")).await.unwrap()
+    make_plan(table, &BusyEndpoints::new(), &base, intent, &operator("ada")).await.unwrap()
 }
 
 async fn confirm(table: &dyn Table, plan: &Plan, who: &str) -> Result<ConfigVersion, AdminError> {
--- a/programs/auburncrank-bench/src/cmd/control/operators.rs
+++ b/programs/auburncrank-bench/src/cmd/control/operators.rs
@@ -2,12 +2,11 @@
 
 use std::sync::Arc;
 
-use client::{Connections, HttpClient};
 use config::{Account, Intent, Plan};
 use errors::ErrorKind;
 use platform::Table;
 use router::{
-    admin::{AdminError, NoResolver, confirm_plan, make_plan},
+    admin::{AdminError, BusyEndpoints, NoResolver, confirm_plan, make_plan},
     configuration::read_config,
 };
 use tokio::time::Instant;
@@ -37,10 +36,9 @@
 ) -> Option<Plan> {
     let mut intent = Intent::default();
     intent.set.accounts.insert(account.clone(), Account { weight, ..Account::default() });
-    let http = HttpClient::new(Connections::OnePerCall);
     for _ in 0..TRIES_MAX {
         let Ok(base) = read_config(table, &Arc::default()).await else { continue };
-        let made = make_plan(table, &http, &base.cfg, &intent, &operator()).await;
+        let made = make_plan(table, &BusyEndpoints::new(), &base.cfg, &intent, &operator()).await;
         if let Ok(plan) = made {
             return Some(plan);
         }
--- a/programs/auburncrank/src/cmd/quarantine.rs
+++ b/programs/auburncrank/src/cmd/quarantine.rs
@@ -3,14 +3,25 @@
 use admin_api::StateView;
 use serde_json::json;
 
-use crate::{context::CommandContext, exit::CommandError, output::print_json, review::review_json};
+use crate::{
+    context::CommandContext,
+    exit::CommandError,
+    output::{Table, print_json},
+    review::review_json,
+};
 
 /// Forms of the arguments.
-pub(super) const USAGE: &[&str] =
-    &["quarantine list", "quarantine add FINGERPRINT", "quarantine remove FINGERPRINT"];
+pub(super) const USAGE: &[&str] = &[
+    "quarantine list",
+    "quarantine add FINGERPRINT",
+    "quarantine remove FINGERPRINT",
+    "quarantine release FINGERPRINT",
+    "quarantine unrelease FINGERPRINT",
+];
 
 /// What the command does.
-pub(super) const ABOUT: &str = "Shows and changes the contents that no endpoint may run.";
+pub(super) const ABOUT: &str = "Shows and changes the contents that no endpoint may run; 'remove' ends what 'add' began, \
+     'release' overrules the routers, 'unrelease' ends that.";
 
 /// Runs the command.
 pub(super) async fn run(cx: &CommandContext) -> Result<(), CommandError> {
@@ -19,6 +30,8 @@
         [] | ["list"] => return list(cx).await,
         ["add", fingerprint] => json!({ "set": { "quarantine": [fingerprint] } }),
         ["remove", fingerprint] => json!({ "remove": { "quarantine": [fingerprint] } }),
+        ["release", fingerprint] => json!({ "set": { "quarantine_released": [fingerprint] } }),
+        ["unrelease", fingerprint] => json!({ "remove": { "quarantine_released": [fingerprint] } }),
         _ => {
             let usage = USAGE.join("\n   or: auburncrank ");
             return Err(CommandError::Usage(format!("usage: auburncrank {usage}")));
@@ -30,9 +43,18 @@
 async fn list(cx: &CommandContext) -> Result<(), CommandError> {
     let state: StateView = cx.admin()?.get("/admin/v1/state").await?;
     if cx.json {
-        print_json(&state.quarantine);
-    } else {
-        state.quarantine.iter().for_each(|fingerprint| println!("{fingerprint}"));
+        print_json(&json!({ "quarantine": state.quarantine, "crashing": state.crashing }));
+        return Ok(());
     }
+    let mut table = Table::new(&["CONTENT", "QUARANTINED BY"]);
+    for fingerprint in state.quarantine {
+        table.push(vec![fingerprint, "an operator".to_owned()]);
+    }
+    for content in state.crashing {
+        let endpoints: Vec<_> = content.endpoints.iter().map(|it| it.as_str()).collect();
+        let reason = format!("routers, after the loss of {}", endpoints.join(", "));
+        table.push(vec![content.fingerprint, reason]);
+    }
+    print!("{}", table.render());
     Ok(())
 }
--- a/programs/auburncrank/src/cmd/requests.rs
+++ b/programs/auburncrank/src/cmd/requests.rs
@@ -1,23 +1,50 @@
 //! `requests`: requests in progress.
 
-use admin_api::RequestList;
+use std::time::Duration;
 
-use crate::{context::CommandContext, exit::CommandError, output::print_json};
+use admin_api::{RequestList, StateView};
+
+use crate::{
+    context::CommandContext,
+    exit::CommandError,
+    output::{Table, print_json},
+};
 
 /// Forms of the arguments.
 pub(super) const USAGE: &[&str] = &["requests"];
 
 /// What the command does.
-pub(super) const ABOUT: &str = "Shows the requests in progress on the router that answers.";
+pub(super) const ABOUT: &str = "Shows the requests in progress on each router, oldest first.";
 
 /// Runs the command.
 pub(super) async fn run(cx: &CommandContext) -> Result<(), CommandError> {
     let [] = cx.expect("requests")?;
-    let list: RequestList = cx.admin()?.get("/admin/v1/requests").await?;
+    let state: StateView = cx.admin()?.get("/admin/v1/state").await?;
+    let mut lists = Vec::new();
+    for router in &state.routers {
+        let admin = cx.admin_of(vec![router.address])?;
+        match admin.get::<RequestList>("/admin/v1/requests").await {
+            Ok(list) => lists.push(list),
+            Err(error) => eprintln!("router {}: {error}", router.name),
+        }
+    }
     if cx.json {
-        print_json(&list);
-    } else {
-        println!("{} requests are in progress on router {}.", list.in_progress, list.router);
+        print_json(&lists);
+        return Ok(());
+    }
+    let mut table = Table::new(&["ROUTER", "ACCOUNT", "REQUEST", "AGE"]);
+    for list in &lists {
+        for request in &list.requests {
+            table.push(vec![
+                list.router.to_string(),
+                request.account.to_string(),
+                request.request.to_string(),
+                humantime::format_duration(Duration::from_millis(request.age_ms)).to_string(),
+            ]);
+        }
     }
+    print!("{}", table.render());
+    let total: usize = lists.iter().map(|list| list.in_progress).sum();
+    println!("{total} requests are in progress on {} routers.", lists.len());
     Ok(())
 }
--- a/programs/auburncrank/src/cmd/status.rs
+++ b/programs/auburncrank/src/cmd/status.rs
@@ -32,8 +32,9 @@
         controller.halted.iter().for_each(|line| println!("  ! {line}"));
         controller.leftovers.iter().for_each(|line| println!("  unload by hand: {line}"));
     }
-    if !state.quarantine.is_empty() {
-        println!("\n{} contents are quarantined; see 'quarantine list'.", state.quarantine.len());
+    let quarantined = state.quarantine.len() + state.crashing.len();
+    if quarantined > 0 {
+        println!("\n{quarantined} contents are quarantined; see 'quarantine list'.");
     }
     Ok(())
 }
@@ -76,13 +77,20 @@
 }
 
 fn endpoint_table(state: &StateView) -> Table {
-    let mut table = Table::new(&["ENDPOINT", "FAILURE DOMAIN", "ADDRESS", "STATE", "SERVES"]);
+    let mut table =
+        Table::new(&["ENDPOINT", "FAILURE DOMAIN", "ADDRESS", "STATE", "REQUESTS", "SERVES"]);
     for endpoint in &state.endpoints {
+        let state = match &endpoint.state {
+            _ if endpoint.leaving => "leaving",
+            Some(state) => state,
+            None => "not used",
+        };
         table.push(vec![
             endpoint.name.to_string(),
             endpoint.failure_domain.to_string(),
             endpoint.address.to_string(),
-            if endpoint.leaving { "leaving" } else { "in service" }.to_owned(),
+            state.to_owned(),
+            endpoint.requests.to_string(),
             endpoint.serves.join(", "),
         ]);
     }
--- a/programs/auburncrank/src/context.rs
+++ b/programs/auburncrank/src/context.rs
@@ -76,8 +76,13 @@
             let message = "--router: missing; give it or set AUBURNCRANK_ROUTER";
             return Err(CommandError::Usage(message.to_owned()));
         }
+        self.admin_of(self.routers.clone())
+    }
+
+    /// Returns a client of the administration API of `routers`.
+    pub(crate) fn admin_of(&self, routers: Vec<SocketAddr>) -> Result<AdminClient, CommandError> {
         let on_retry = |line: &str| eprintln!("trying again: {line}");
-        Ok(AdminClient::new(self.routers.clone(), self.key()?, self.timeout, on_retry))
+        Ok(AdminClient::new(routers, self.key()?, self.timeout, on_retry))
     }
 
     /// Returns the arguments as an array; `usage` is what the command expects.
