--- a/components/config/src/intent.rs
+++ b/components/config/src/intent.rs
@@ -7,8 +7,7 @@
 use types::{AccountName, ActionName, EndpointName, ModelName, OperatorName, ServiceName};
 
 use crate::{
-    Account, Action, Change, Deposit, Endpoint, Fault, KeyHash, Model, Operator, Resolution,
-    Service,
+    Account, Action, Change, Deposit, Endpoint, KeyHash, Model, Operator, Resolution, Service,
 };
 
 /// Longest intent, in bytes of its JSON form.
@@ -98,28 +97,6 @@
 }
 
 impl Intent {
-    /// Reads an intent from its JSON form.
-    ///
-    /// # Errors
-    /// A fault with the path, line and column of what cannot be read.
-    pub fn from_json(text: &[u8]) -> Result<Intent, Fault> {
-        if text.len() > INTENT_MAX_BYTES {
-            let message = format!("longer than {INTENT_MAX_BYTES} bytes; split it into several");
-            return Err(Fault::new("intent", message));
-        }
-        let mut deserializer = serde_json::Deserializer::from_slice(text);
-        let intent: Intent =
-            serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
-                let path = error.path().to_string();
-                let path = if path == "." { "intent".to_owned() } else { path };
-                Fault::new(path, error.into_inner().to_string())
-            })?;
-        match deserializer.end() {
-            Ok(()) => Ok(intent),
-            Err(error) => Err(Fault::new("intent", error.to_string())),
-        }
-    }
-
     /// Returns the intent that takes `changes` back.
     pub fn from_undone(changes: &[Change]) -> Intent {
         let mut intent = Intent::default();
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -21,6 +21,7 @@
 mod operator;
 mod plan;
 mod plan_facts;
+mod read_intent;
 mod resolution;
 mod role;
 mod rows;
--- /dev/null
+++ b/components/config/src/read_intent.rs
@@ -0,0 +1,109 @@
+//! Reads intents from JSON.
+
+use serde_json::{Deserializer, Value, json};
+use serde_path_to_error::{Path, Segment};
+
+use crate::{Fault, INTENT_MAX_BYTES, Intent};
+
+/// Most faults of form that are reported together.
+const FAULTS_MAX: usize = 20;
+
+/// Names in the path of an entry, such as `set.accounts.school`.
+const ENTRY_SEGMENTS: usize = 3;
+
+impl Intent {
+    /// Reads an intent from its JSON form.
+    ///
+    /// # Errors
+    /// The first fault of form of each entry, with its path.
+    pub fn from_json(text: &[u8]) -> Result<Intent, Vec<Fault>> {
+        if text.len() > INTENT_MAX_BYTES {
+            let message = format!("longer than {INTENT_MAX_BYTES} bytes; split it into several");
+            return Err(vec![Fault::new("intent", message)]);
+        }
+        let mut deserializer = Deserializer::from_slice(text);
+        let first = match serde_path_to_error::deserialize(&mut deserializer) {
+            Ok(intent) => match deserializer.end() {
+                Ok(()) => return Ok(intent),
+                Err(error) => return Err(vec![Fault::new("intent", error.to_string())]),
+            },
+            Err(error) => error,
+        };
+        let mut faults = vec![fault_of(&first)];
+        // Without the entry at fault, the next fault shows. A text that is not JSON, or
+        // names something twice, ends here or goes on without one of the two.
+        if let Ok(mut value) = serde_json::from_slice::<Value>(text) {
+            let mut is_removed = remove_entry(&mut value, first.path());
+            while is_removed && faults.len() < FAULTS_MAX {
+                let error = match serde_path_to_error::deserialize::<_, Intent>(value.clone()) {
+                    Ok(_) => break,
+                    Err(error) => error,
+                };
+                faults.push(fault_of(&error));
+                is_removed = remove_entry(&mut value, error.path());
+            }
+        }
+        Err(faults)
+    }
+}
+
+fn fault_of(error: &serde_path_to_error::Error<serde_json::Error>) -> Fault {
+    let path = error.path().to_string();
+    let path = if path == "." { "intent".to_owned() } else { path };
+    Fault::new(path, error.inner().to_string())
+}
+
+/// Removes the entry that `path` leads into; false where there is none.
+fn remove_entry(value: &mut Value, path: &Path) -> bool {
+    let mut parent = value;
+    let keys = path.iter().map_while(|segment| match segment {
+        Segment::Map { key } => Some(key),
+        Segment::Seq { .. } | Segment::Enum { .. } | Segment::Unknown => None,
+    });
+    let mut keys: Vec<_> = keys.take(ENTRY_SEGMENTS).collect();
+    if let (&[list], Some(Segment::Seq { index })) = (&keys[..], path.iter().nth(1)) {
+        return replace_item(parent, list, *index);
+    }
+    let Some(last) = keys.pop() else { return false };
+    for key in keys {
+        let Some(child) = parent.get_mut(key) else { return false };
+        parent = child;
+    }
+    parent.as_object_mut().is_some_and(|fields| fields.remove(last).is_some())
+}
+
+/// Replaces an item of a list by one without faults, so that the numbers of those after
+/// it stay.
+fn replace_item(value: &mut Value, list: &str, index: usize) -> bool {
+    let sound = match list {
+        "deposits" => json!({ "id": "x", "account": "x", "tokens": 1 }),
+        _ => json!({ "kind": "settle_request", "account": "x", "request": "x", "ran": false }),
+    };
+    let item = value.get_mut(list).and_then(|items| items.get_mut(index));
+    item.is_some_and(|item| std::mem::replace(item, sound.clone()) != sound)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn first_fault_of_form_of_each_entry_is_reported() {
+        let text = br#"{ "sett": {}, "set": {
+            "accounts": { "a": { "wieght": 1 }, "b": { "weight": "heavy" }, "c": {} },
+            "endpoints": { "e": { "address": "nowhere", "failure_domain": "zlin" },
+                "f": { "address": "10.0.0.1:80" }, "g h": {} } },
+            "deposits": [ { "id": "i", "account": "c", "tokens": 1.5 },
+                { "id": "j", "account": "c", "tokens": 1 }, { "id": "k", "account": "c" } ],
+            "add_keys": { "c": ["beef"] } }"#;
+        let faults = Intent::from_json(text).unwrap_err();
+        let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
+        insta::assert_snapshot!(lines.join("\n"));
+    }
+
+    #[test]
+    fn text_after_the_intent_is_a_fault() {
+        let faults = Intent::from_json(b"{} {}").unwrap_err();
+        insta::assert_snapshot!(faults[0], @"intent: trailing characters at line 1 column 4");
+    }
+}
--- a/components/router/src/admin/handlers/plans.rs
+++ b/components/router/src/admin/handlers/plans.rs
@@ -1,9 +1,9 @@
 //! Plans.
 
 use admin_api::{Confirmation, PlanStatus, PlanView};
-use config::{INTENT_MAX_BYTES, Intent, Plan, PlanState, redact_key_hashes};
+use config::{Fault, INTENT_MAX_BYTES, Intent, Plan, PlanState, redact_key_hashes};
 use errors::{Error, ErrorKind};
-use types::{ConfigVersion, PlanId, UnixMillis};
+use types::{ConfigVersion, OperatorName, PlanId, UnixMillis};
 use viz::Request;
 
 use super::params::path_param;
@@ -29,11 +29,12 @@
         let message = format!("the intent has more than {INTENT_MAX_BYTES} bytes; split it");
         return Err(AdminError::new(ErrorKind::BodyTooLarge, message));
     }
-    let intent = Intent::from_json(&body).map_err(|fault| vec![fault])?;
+    let intent = Intent::from_json(&body)?;
     call.caller.check_intent(&intent)?;
     call.store?;
     let router = &cx.router;
     let name = &call.caller.name;
+    check_resolutions(&cx, &intent, name).await?;
     let plan = make_plan(&*router.table, &busy_endpoints(&cx), &call.cfg, &intent, name).await?;
     Ok(view_plan(&plan, &PlanState::Open))
 }
@@ -95,6 +96,25 @@
     })
 }
 
+/// Checks that the resolutions of `intent` can be carried out as things are now.
+async fn check_resolutions(
+    cx: &AdminContext,
+    intent: &Intent,
+    operator: &OperatorName,
+) -> Result<(), AdminError> {
+    let mut faults = Vec::new();
+    for (index, resolution) in intent.resolutions.iter().enumerate() {
+        match cx.resolver.prepare(resolution, operator).await {
+            Ok(_) => {}
+            Err(error) if error.kind() == ErrorKind::InvalidConfig => {
+                faults.push(Fault::new(format!("resolutions[{index}]"), error.message()));
+            }
+            Err(error) => return Err(error.into()),
+        }
+    }
+    if faults.is_empty() { Ok(()) } else { Err(faults.into()) }
+}
+
 /// Returns the requests in progress on each endpoint, of all routers, as estimated here.
 fn busy_endpoints(cx: &AdminContext) -> BusyEndpoints {
     let status = cx.router.dispatcher.status();
--- a/components/router/src/admin/table_resolver.rs
+++ b/components/router/src/admin/table_resolver.rs
@@ -79,6 +79,6 @@
 }
 
 fn cannot_resolve(resolution: &Resolution, reason: &dyn std::fmt::Display) -> Error {
-    let message = format!("cannot {resolution}: {reason}; nothing was changed");
+    let message = format!("cannot {resolution}: {reason}");
     Error::new(ErrorKind::InvalidConfig, message)
 }
--- a/components/router/tests/administration.rs
+++ b/components/router/tests/administration.rs
@@ -7,6 +7,7 @@
 use client::{Connections, HttpClient};
 use config::{ApiKey, INTENT_MAX_BYTES};
 use http::{HeaderMap, HeaderValue, Method, header::AUTHORIZATION};
+use platform::{Commit, Key, Write};
 use router::{HttpLimits, RouterProcess, RouterSettings};
 use scene::{Scene, account_key, two_users};
 use serde_json::{Value, json};
@@ -279,3 +280,51 @@
     let (status, body) = post(router, admin, "/admin/v1/plans", &intent).await;
     assert_eq!((status, &body["error"]["code"]), (503, &json!("store_unavailable")));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn grants_in_doubt_and_calls_without_outcome_are_listed_and_resolved() {
+    let office = Office::open().await;
+    let (router, admin) = (office.router, office.admin.as_str());
+    let gone = json!({ "name": "router-gone", "incarnation": 3 });
+    let table = office.scene.platform().table();
+    let put = |key: &str, value: Value| Write::put(Key::new(key).unwrap(), &value);
+    let grant = json!({ "router": gone, "write": 1, "unspent": 90, "spent": 10, "witness": null,
+        "epoch": 0, "ceiling": 0, "closed_unix_ms": null, "moved": {}, "received": {} });
+    let call = json!({ "router": gone, "write": 1, "fingerprint": "0".repeat(64), "fencing": 1,
+        "state": "recorded" });
+    let budget = json!({ "deposited": 1_000, "settled": 10, "granted": 90 });
+    let writes = vec![
+        put("grant/cooperative/router-gone/3", grant),
+        put("budget/cooperative", budget),
+        put("intent/cooperative/order-9", call),
+    ];
+    table.force(&Commit { writes, ..Commit::default() });
+    let (_, in_doubt) = get(router, READER, "/admin/v1/in-doubt").await;
+    assert_eq!(in_doubt["grants"][0]["tokens"], 90, "{in_doubt}");
+    let (_, open) = get(router, READER, "/admin/v1/outcome-unknown").await;
+    assert_eq!(open["calls"][0]["router_is_known"], false, "{open}");
+
+    let release = |tokens: u64| {
+        json!({ "resolutions": [{ "kind": "release_grant",
+        "account": "cooperative", "router": "router-gone", "incarnation": 3, "tokens": tokens }] })
+    };
+    let (status, refused) = post(router, CLERK, "/admin/v1/plans", &release(91)).await;
+    insta::assert_snapshot!(format!("{status} {}", refused["error"]["faults"][0]));
+    apply(router, CLERK, &release(60)).await;
+    let account = AccountName::new("cooperative").unwrap();
+    let budget = office.scene.budget(&account).unwrap();
+    assert_eq!((budget.granted, budget.settled), (Tokens(30), Tokens(10)));
+
+    let settle = |ended: bool| {
+        json!({ "resolutions": [{ "kind": "settle_request",
+        "account": "cooperative", "request": "order-9", "ran": false, "router_ended": ended }] })
+    };
+    let (status, refused) = post(router, admin, "/admin/v1/plans", &settle(false)).await;
+    insta::assert_snapshot!(format!("{status} {}", refused["error"]["faults"][0]));
+    apply(router, admin, &settle(true)).await;
+    let (_, open) = get(router, READER, "/admin/v1/outcome-unknown").await;
+    assert_eq!(open["calls"], json!([]));
+    let (_, audit) = get(router, READER, "/admin/v1/audit").await;
+    let words = audit["entries"].as_array().unwrap().last().unwrap()["words"].to_string();
+    insta::assert_snapshot!(words);
+}
--- a/components/router/tests/confirming.rs
+++ b/components/router/tests/confirming.rs
@@ -216,6 +216,61 @@
     assert_eq!(current(&table).await.version, ConfigVersion(150));
 }
 
+/// A table that forgets the preconditions on some rows, to show that the checks of this
+/// file find what they are there for.
+struct ForgetfulTable {
+    inner: MemoryTable,
+    forgotten: &'static [&'static str],
+}
+
+#[async_trait]
+impl Table for ForgetfulTable {
+    async fn read(&self, keys: &[Key]) -> Result<Vec<Option<Row>>, PlatformError> {
+        let rows = self.inner.read(keys).await;
+        // Others act between what is read and what is committed.
+        tokio::time::sleep(std::time::Duration::from_millis(3)).await;
+        rows
+    }
+
+    async fn scan(&self, prefix: &str, after: Option<&Key>) -> Result<Vec<Row>, PlatformError> {
+        self.inner.scan(prefix, after).await
+    }
+
+    async fn commit(&self, commit: &Commit) -> CommitOutcome {
+        let mut commit = commit.clone();
+        commit.preconditions.retain(|precondition| {
+            !self.forgotten.iter().any(|prefix| precondition.key().as_str().starts_with(prefix))
+        });
+        self.inner.commit(&commit).await
+    }
+}
+
+/// Lets two operators race over one entry, each paying a deposit with the same id;
+/// returns how many won and the tokens deposited.
+async fn race_over(forgotten: &'static [&'static str]) -> (usize, Tokens) {
+    let inner = table(1);
+    confirm(&inner, &plan(&inner, &weigh("coop", 1)).await, "ada").await.unwrap();
+    let mut plans = Vec::new();
+    for weight in [2, 3] {
+        let deposits = vec![deposit("inv-1", "coop", 70)];
+        plans.push(plan(&inner, &Intent { deposits, ..weigh("coop", weight) }).await);
+    }
+    let table = ForgetfulTable { inner: inner.clone(), forgotten };
+    let confirmations = plans.iter().map(|plan| confirm(&table, plan, "bob"));
+    let results = futures::future::join_all(confirmations).await;
+    let budget: BudgetRow = inner.inspect("budget/coop")[0].decode().unwrap();
+    (results.iter().filter(|result| result.is_ok()).count(), budget.deposited)
+}
+
+#[tokio::test(start_paused = true)]
+async fn checks_find_a_missing_precondition() {
+    assert_eq!(race_over(&[]).await, (1, Tokens(70)));
+    // Without the version's preconditions both win, and one change is lost.
+    assert_eq!(race_over(&["config/", "deposit/", "budget/"]).await.0, 2);
+    // Any one of those that are left still keeps one of the two out.
+    assert_eq!(race_over(&["config/", "budget/"]).await.1, Tokens(70));
+}
+
 /// A table whose commits take effect late: the answer is lost first, and the commit
 /// lands with the next call.
 struct LateTable {
