--- a/components/config/src/intent.rs
+++ b/components/config/src/intent.rs
@@ -7,8 +7,7 @@
 use types::{AccountName, ActionName, EndpointName, ModelName, OperatorName, ServiceName};
 
 use crate::{
-    Account, Action, Change, Deposit, Endpoint, Fault, KeyHash, Model, Operator, Resolution,
-    Service,
+    Account, Action, Change, Deposit, Endpoint, KeyHash, Model, Operator, Resolution, Service,
 };
 
 /// Longest intent, in bytes of its JSON form.
@@ -61,6 +60,9 @@
     /// Content fingerprints to quarantine.
     #[serde_as(as = "SetPreventDuplicates<_>")]
     pub quarantine: BTreeSet<String>,
+    /// Content fingerprints that routers are not to quarantine.
+    #[serde_as(as = "SetPreventDuplicates<_>")]
+    pub quarantine_released: BTreeSet<String>,
 }
 
 /// Entries to remove.
@@ -86,34 +88,15 @@
     /// Operators.
     #[serde_as(as = "SetPreventDuplicates<_>")]
     pub operators: BTreeSet<OperatorName>,
-    /// Content fingerprints to release from quarantine.
+    /// Content fingerprints whose quarantine by operators ends.
     #[serde_as(as = "SetPreventDuplicates<_>")]
     pub quarantine: BTreeSet<String>,
+    /// Content fingerprints that routers may quarantine again.
+    #[serde_as(as = "SetPreventDuplicates<_>")]
+    pub quarantine_released: BTreeSet<String>,
 }
 
 impl Intent {
-    /// Reads an intent from its JSON form.
-    ///
-    /// # Errors
-    /// A fault with the path, line and column of what cannot be read.
-    pub fn from_json(text: &[u8]) -> Result<Intent, Fault> {
-        if text.len() > INTENT_MAX_BYTES {
-            let message = format!("longer than {INTENT_MAX_BYTES} bytes; split it into several");
-            return Err(Fault::new("intent", message));
-        }
-        let mut deserializer = serde_json::Deserializer::from_slice(text);
-        let intent: Intent =
-            serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
-                let path = error.path().to_string();
-                let path = if path == "." { "intent".to_owned() } else { path };
-                Fault::new(path, error.into_inner().to_string())
-            })?;
-        match deserializer.end() {
-            Ok(()) => Ok(intent),
-            Err(error) => Err(Fault::new("intent", error.to_string())),
-        }
-    }
-
     /// Returns the intent that takes `changes` back.
     pub fn from_undone(changes: &[Change]) -> Intent {
         let mut intent = Intent::default();
@@ -126,10 +109,9 @@
                 Change::Service(it) => it.undo(&mut set.services, &mut remove.services),
                 Change::Action(it) => it.undo(&mut set.actions, &mut remove.actions),
                 Change::Operator(it) => it.undo(&mut set.operators, &mut remove.operators),
-                Change::Quarantine(it) => {
-                    let undone =
-                        if it.quarantined { &mut remove.quarantine } else { &mut set.quarantine };
-                    undone.insert(it.fingerprint.clone());
+                Change::Quarantine(it) => it.undo(&mut set.quarantine, &mut remove.quarantine),
+                Change::QuarantineReleased(it) => {
+                    it.undo(&mut set.quarantine_released, &mut remove.quarantine_released);
                 }
             }
         }
@@ -146,12 +128,14 @@
             && set.actions.is_empty()
             && set.operators.is_empty()
             && set.quarantine.is_empty()
+            && set.quarantine_released.is_empty()
             && remove.models.is_empty()
             && remove.endpoints.is_empty()
             && remove.services.is_empty()
             && remove.actions.is_empty()
             && remove.operators.is_empty()
-            && remove.quarantine.is_empty())
+            && remove.quarantine.is_empty()
+            && remove.quarantine_released.is_empty())
     }
 
     /// Returns the client accounts that it concerns, some more than once.
--- a/programs/auburncrank-bench/src/cmd/mod.rs
+++ b/programs/auburncrank-bench/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The studies, one module each.
 
+mod control;
 mod membership;
 mod path;
 mod routing;
@@ -23,6 +24,11 @@
 
 /// All studies.
 pub(crate) const STUDIES: &[Study] = &[
+    Study {
+        name: "control",
+        about: "Acceptance and spread of configurations, on simulated time.",
+        run: control::run,
+    },
     Study {
         name: "membership",
         about: "Traffic, processor time and detection times of the failure detector.",
