Resume an engine's stream after a router's death

A router that dies left its engines generating answers that nobody read, and the caller's retry generated them anew. Engines now get a request id that holds the content's fingerprint, and the first attempt asks to go on with a stream of that id. The stand-in engine is split into small files and exports and imports KV caches.

--- a/components/engine_api/src/lib.rs
+++ b/components/engine_api/src/lib.rs
@@ -5,6 +5,7 @@
 mod chat_completion;
 mod chat_request;
 mod headers;
+mod kv_export;
 mod load_report;
 mod order;
 mod prompt;
@@ -20,6 +21,7 @@
         ADAPTER_HEADER, FENCING_HEADER, MODEL_VERSION_HEADER, PRIORITY_HEADER, REQUEST_ID_HEADER,
         RESUME_FROM_HEADER,
     },
+    kv_export::KvExport,
     load_report::{LoadReport, LoadState, LoadedModel},
     order::{Order, OrderKind, OrderOutcome},
     prompt::{BLOCK_BYTES, prompt_blocks, prompt_tokens_bound},
--- a/components/router/src/traffic/chat_attempt.rs
+++ b/components/router/src/traffic/chat_attempt.rs
@@ -6,7 +6,7 @@
 use client::SendError;
 use engine_api::{
     ADAPTER_HEADER, ChatChunk, ChatMessage, ChatRequest, DONE_MARK, MODEL_VERSION_HEADER,
-    PRIORITY_HEADER, REQUEST_ID_HEADER, SseDecoder, StreamOptions, Usage,
+    PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_FROM_HEADER, SseDecoder, StreamOptions, Usage,
 };
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header::CONTENT_TYPE};
 use http_body_util::BodyExt;
@@ -55,7 +55,7 @@
 ) -> Result<(), AttemptError> {
     let sent = cx.clock.now();
     let body = encode_request(job, progress);
-    let headers = request_headers(job, lease);
+    let headers = request_headers(job, lease, progress);
     let path = "/v1/chat/completions";
     let res = cx.pooled.send(lease.address, Method::POST, path, headers, body).await;
     let res = res.map_err(|error| match error {
@@ -126,7 +126,7 @@
     serde_json::to_vec(&req).expect("a chat request has a JSON form").into()
 }
 
-fn request_headers(job: &ChatJob, lease: &EndpointLease) -> HeaderMap {
+fn request_headers(job: &ChatJob, lease: &EndpointLease, progress: &ChatProgress) -> HeaderMap {
     let priority = match job.access.priority {
         Priority::Bulk => "0",
         Priority::Normal => "1",
@@ -135,7 +135,11 @@
     let mut headers = HeaderMap::new();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     headers.insert(PRIORITY_HEADER, HeaderValue::from_static(priority));
-    insert_header(&mut headers, REQUEST_ID_HEADER, &job.key.to_string());
+    insert_header(&mut headers, REQUEST_ID_HEADER, &job.engine_request_id());
+    if progress.text.is_empty() {
+        // An engine that still has the stream of an earlier router goes on with it.
+        headers.insert(RESUME_FROM_HEADER, HeaderValue::from_static("0"));
+    }
     if let Some(version) = &lease.version {
         insert_header(&mut headers, MODEL_VERSION_HEADER, version.as_str());
     }
--- a/components/router/src/traffic/chat_job.rs
+++ b/components/router/src/traffic/chat_job.rs
@@ -27,6 +27,12 @@
 }
 
 impl ChatJob {
+    /// Returns the request's id for engines. It holds the fingerprint, so that an engine
+    /// never takes the stream of other content under the same id for this one.
+    pub(crate) fn engine_request_id(&self) -> String {
+        format!("{}/{}", self.key, self.fingerprint)
+    }
+
     /// Returns the most tokens that the request can be billed.
     pub(crate) fn worst_case(&self) -> Tokens {
         Tokens(prompt_tokens_bound(&self.req.messages).saturating_add(self.max_tokens))
--- a/components/standins/src/engine/core.rs
+++ b/components/standins/src/engine/core.rs
@@ -80,6 +80,11 @@
         self.running.retain(|sequence| sequence.job.id != id);
     }
 
+    /// Caches blocks that another engine exported.
+    pub fn import_blocks(&mut self, blocks: &[u64]) {
+        self.cache.use_blocks(blocks);
+    }
+
     /// Returns how many jobs are in the batch.
     pub fn running(&self) -> usize {
         self.running.len()
@@ -209,6 +214,15 @@
         assert_eq!(engine.cache_counts(), (2, 1));
     }
 
+    #[test]
+    fn imported_blocks_count_as_cached() {
+        let mut engine = one_at_a_time();
+        engine.import_blocks(&[1]);
+        engine.submit(job(1, Priority::Normal));
+        engine.step();
+        assert_eq!(engine.cache_counts(), (1, 1));
+    }
+
     #[test]
     fn poison_crashes_the_engine() {
         let mut engine = one_at_a_time();
--- a/components/standins/src/engine/mod.rs
+++ b/components/standins/src/engine/mod.rs
@@ -1,12 +1,16 @@
 //! Stand-in of a model engine.
 
 mod answer;
+mod chunks;
 mod core;
+mod handlers;
 mod job;
 mod log;
 mod prefix_cache;
+mod process;
 mod server;
 mod settings;
+mod state;
 mod stream;
 
 pub use self::{
@@ -15,6 +19,7 @@
     job::{Job, JobId},
     log::{EngineLog, EngineRecord},
     prefix_cache::PrefixCache,
-    server::{EngineServer, EngineState},
+    server::EngineServer,
     settings::EngineSettings,
+    state::EngineState,
 };
