--- a/components/router/src/answer/log.rs
+++ b/components/router/src/answer/log.rs
@@ -1,10 +1,13 @@
 //! The log of an answer: written by one run, read by any number of callers.
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::{
+    pin::pin,
+    sync::{Arc, Mutex, MutexGuard},
+};
 
 use bytes::{Bytes, BytesMut};
 use errors::Error;
-use tokio::sync::watch;
+use tokio::sync::Notify;
 
 use super::{AnswerEnd, AnswerHead, AnswerReader, KeptAnswer};
 
@@ -27,8 +30,8 @@
 pub struct AnswerLog {
     /// What was written so far.
     state: Mutex<LogState>,
-    /// Number of writes; wakes readers.
-    writes: watch::Sender<u64>,
+    /// Wakes readers after each write, in the order in which they began to wait.
+    writes: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -44,8 +47,7 @@
 impl AnswerLog {
     /// Creates an empty log.
     pub fn new() -> Arc<AnswerLog> {
-        let (writes, _) = watch::channel(0);
-        Arc::new(AnswerLog { state: Mutex::default(), writes })
+        Arc::new(AnswerLog { state: Mutex::default(), writes: Notify::new() })
     }
 
     /// Creates the log of a kept answer.
@@ -83,7 +85,7 @@
 
     /// Creates a reader that starts at the start of the answer.
     pub fn reader(self: &Arc<AnswerLog>) -> AnswerReader {
-        AnswerReader::new(self.clone(), self.writes.subscribe())
+        AnswerReader::new(self.clone())
     }
 
     /// Returns the body as written so far.
@@ -117,9 +119,17 @@
         }
     }
 
-    /// Returns a receiver that is woken by each write.
-    pub fn subscribe(&self) -> watch::Receiver<u64> {
-        self.writes.subscribe()
+    /// Waits until `find` finds something in the log.
+    pub async fn wait_for<T>(&self, mut find: impl FnMut(&AnswerLog) -> Option<T>) -> T {
+        loop {
+            let mut written = pin!(self.writes.notified());
+            // Writes between the look and the wait are not missed.
+            written.as_mut().enable();
+            if let Some(found) = find(self) {
+                return found;
+            }
+            written.await;
+        }
     }
 
     /// Returns the head, once known.
@@ -138,6 +148,6 @@
         }
         change(&mut state);
         drop(state);
-        self.writes.send_modify(|writes| *writes += 1);
+        self.writes.notify_waiters();
     }
 }
--- a/components/router/src/answer/reader.rs
+++ b/components/router/src/answer/reader.rs
@@ -2,9 +2,6 @@
 
 use std::sync::Arc;
 
-use errors::{Error, ErrorKind};
-use tokio::sync::watch;
-
 use super::{AnswerEvent, AnswerLog};
 
 /// Reads one answer from its start to its end.
@@ -12,8 +9,6 @@
 pub struct AnswerReader {
     /// The answer.
     log: Arc<AnswerLog>,
-    /// Wakes the reader.
-    writes: watch::Receiver<u64>,
     /// Whether the head was read.
     has_head: bool,
     /// Number of parts read.
@@ -23,27 +18,20 @@
 }
 
 impl AnswerReader {
-    pub(super) fn new(log: Arc<AnswerLog>, writes: watch::Receiver<u64>) -> AnswerReader {
-        AnswerReader { log, writes, has_head: false, parts: 0, has_ended: false }
+    pub(super) fn new(log: Arc<AnswerLog>) -> AnswerReader {
+        AnswerReader { log, has_head: false, parts: 0, has_ended: false }
     }
 
     /// Waits for the next event; `None` after the end.
     pub async fn next(&mut self) -> Option<AnswerEvent> {
-        while !self.has_ended {
-            if let Some(event) = self.poll_log() {
-                return Some(event);
-            }
-            if self.writes.changed().await.is_err() {
-                self.has_ended = true;
-                let error = Error::new(ErrorKind::Internal, "the run of the request was lost");
-                return Some(AnswerEvent::Failed(error));
-            }
+        if self.has_ended {
+            return None;
         }
-        None
+        let log = self.log.clone();
+        Some(log.wait_for(|_| self.poll_log()).await)
     }
 
     fn poll_log(&mut self) -> Option<AnswerEvent> {
-        self.writes.mark_unchanged();
         let state = self.log.lock();
         if let Some(head) = state.head.as_ref().filter(|_| !self.has_head) {
             self.has_head = true;
--- a/components/router/src/registry/home_link.rs
+++ b/components/router/src/registry/home_link.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use membership::{MemberState, MembershipView};
+use membership::{Member, MemberState, MembershipView};
 use protocol::{ClaimMessage, EndedMessage, HeldMessage, RequestsBody, VerdictMessage};
 use requests::{Attempt, Claim, ClaimVerdict, EndState, HeldEntry, HomeDirectory, find_home};
 use types::{RequestKey, RouterId, RouterName};
@@ -35,24 +35,19 @@
     directory: Mutex<HomeDirectory>,
     /// Claims that wait for an answer.
     claims: PendingCalls<ClaimVerdict>,
-    /// Serving members by name, and whether they were leaving, as of the last check.
-    known: Mutex<Vec<KnownMember>>,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct KnownMember {
-    /// Identity.
-    id: RouterId,
-    /// Whether it was leaving.
-    is_leaving: bool,
+    /// Members as of the last look for lost ones.
+    seen: Mutex<Arc<MembershipView>>,
+    /// Members as of the last time that ids were handed over.
+    followed: Mutex<Arc<MembershipView>>,
 }
 
 impl HomeLink {
     /// Creates the link of router `local`.
     pub(super) fn new(local: RouterId, peers: Arc<dyn Peers>, clock: Clock) -> HomeLink {
-        let known = Mutex::new(known_members(&peers.view()));
+        let view = peers.view();
         let directory = Mutex::new(HomeDirectory::new(clock.now()));
-        HomeLink { local, peers, clock, directory, claims: PendingCalls::new(), known }
+        let (seen, followed) = (Mutex::new(view.clone()), Mutex::new(view));
+        HomeLink { local, peers, clock, directory, claims: PendingCalls::new(), seen, followed }
     }
 
     /// Asks the home router; `None` where it is out of reach.
@@ -94,23 +89,32 @@
     /// Tells new home routers what this router knows, where the members have changed.
     /// `own` returns the attempts of this router.
     pub(super) fn follow_members(&self, own: impl FnOnce() -> Vec<HeldEntry>) {
-        let members = known_members(&self.peers.view());
-        let before = std::mem::replace(&mut *self.lock_known(), members.clone());
-        if members == before {
+        self.note_losses();
+        let view = self.peers.view();
+        let before = replace(&self.followed, &view);
+        if Arc::ptr_eq(&before, &view) || member_ids(&before) == member_ids(&view) {
             return;
         }
-        let is_lost = |old: &KnownMember| {
-            !old.is_leaving && !members.iter().any(|member| member.id == old.id)
-        };
-        if before.iter().any(is_lost) {
-            self.lock().on_loss(self.clock.now());
-        }
         let is_home = |key: &RequestKey| self.home_of(key) == self.local.name;
         let mut held = self.lock().take_moved(is_home);
         held.extend(own());
         self.hand_over(held);
     }
 
+    /// Tells the directory where members were lost that had not left by themselves.
+    fn note_losses(&self) {
+        let view = self.peers.view();
+        let before = replace(&self.seen, &view);
+        if Arc::ptr_eq(&before, &view) {
+            return;
+        }
+        let is_member = |id: &RouterId| view.find(&id.name).is_some_and(|it| it.id == *id);
+        let is_lost = |old: &Member| old.state != MemberState::Leaving && !is_member(&old.id);
+        if before.members().any(is_lost) {
+            self.lock().on_loss(self.clock.now());
+        }
+    }
+
     fn hand_over(&self, held: Vec<HeldEntry>) {
         let mut by_home: HashMap<RouterName, Vec<HeldEntry>> = HashMap::default();
         for entry in held {
@@ -166,6 +170,7 @@
     }
 
     fn decide(&self, claim: &Claim) -> ClaimVerdict {
+        self.note_losses();
         let view = self.peers.view();
         let is_alive = |id: &RouterId| view.find(&id.name).is_some_and(|member| member.id == *id);
         self.lock().claim(self.clock.now(), claim, is_alive)
@@ -180,18 +185,17 @@
     fn lock(&self) -> MutexGuard<'_, HomeDirectory> {
         self.directory.lock().expect("no holder of the lock panics")
     }
+}
 
-    fn lock_known(&self) -> MutexGuard<'_, Vec<KnownMember>> {
-        self.known.lock().expect("no holder of the lock panics")
-    }
+/// Puts `view` in place of the one in `slot`; returns that one.
+fn replace(slot: &Mutex<Arc<MembershipView>>, view: &Arc<MembershipView>) -> Arc<MembershipView> {
+    let mut slot = slot.lock().expect("no holder of the lock panics");
+    std::mem::replace(&mut *slot, view.clone())
 }
 
-fn known_members(view: &MembershipView) -> Vec<KnownMember> {
-    let known = |member: &membership::Member| KnownMember {
-        id: member.id.clone(),
-        is_leaving: member.state == MemberState::Leaving,
-    };
-    let mut members: Vec<_> = view.members().map(known).collect();
-    members.sort_by(|a, b| a.id.cmp(&b.id));
-    members
+/// Returns the serving members, whose change moves the homes of ids.
+fn member_ids(view: &MembershipView) -> Vec<RouterId> {
+    let mut ids: Vec<_> = view.serving().map(|member| member.id.clone()).collect();
+    ids.sort();
+    ids
 }
--- a/components/router/src/registry/relay.rs
+++ b/components/router/src/registry/relay.rs
@@ -153,18 +153,12 @@
 
 /// Fills `part` with what the answer has from its offset on; waits a while for more.
 async fn fill_part(part: &mut PartMessage, log: &Arc<AnswerLog>, has_head: bool) {
-    let mut writes = log.subscribe();
     let offset = usize::try_from(part.offset).unwrap_or(usize::MAX);
-    let wait = async {
-        loop {
-            writes.mark_unchanged();
-            let slice = log.slice(offset, PART_MAX_BYTES);
-            let is_new = !slice.data.is_empty() || slice.end.is_some();
-            if is_new || (slice.head.is_some() && !has_head) || writes.changed().await.is_err() {
-                return;
-            }
-        }
-    };
+    let wait = log.wait_for(|log| {
+        let slice = log.slice(offset, PART_MAX_BYTES);
+        let has_new_head = slice.head.is_some() && !has_head;
+        (has_new_head || !slice.data.is_empty() || slice.end.is_some()).then_some(())
+    });
     let _ = tokio::time::timeout(FETCH_WAIT, wait).await;
     let slice = log.slice(offset, PART_MAX_BYTES);
     part.head = slice.head.as_ref().map(wire::encode_head);
--- /dev/null
+++ b/components/router/tests/fakes/gate.rs
@@ -0,0 +1,112 @@
+//! Gates: what a router's process does stops at its gate while it is paused or dead.
+
+use std::{
+    pin::pin,
+    sync::{Arc, Mutex},
+};
+
+use async_trait::async_trait;
+use platform::{Commit, CommitOutcome, Key, PlatformError, Row, Table};
+use standins::MemoryTable;
+use tokio::sync::Notify;
+
+/// State of a router's process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ProcessState {
+    /// It runs.
+    Running,
+    /// It runs and cannot reach the table.
+    CutFromTable,
+    /// It is paused.
+    Paused,
+    /// It has died.
+    Dead,
+}
+
+/// Gate of a router's process.
+#[derive(Debug, Clone)]
+pub(crate) struct Gate {
+    /// State of the process.
+    state: Arc<Mutex<ProcessState>>,
+    /// Wakes what waits, in its order.
+    changes: Arc<Notify>,
+}
+
+impl Gate {
+    /// Creates the gate of a running process.
+    pub(crate) fn new() -> Gate {
+        let state = Arc::new(Mutex::new(ProcessState::Running));
+        Gate { state, changes: Arc::default() }
+    }
+
+    /// Sets the state; a dead process stays dead.
+    pub(crate) fn set(&self, state: ProcessState) {
+        let mut current = self.state.lock().unwrap();
+        if *current != ProcessState::Dead {
+            *current = state;
+        }
+        drop(current);
+        self.changes.notify_waiters();
+    }
+
+    /// Returns the state.
+    pub(crate) fn get(&self) -> ProcessState {
+        *self.state.lock().unwrap()
+    }
+
+    /// Waits for as long as the process is paused; for ever where it is dead.
+    pub(crate) async fn pass(&self) {
+        loop {
+            let mut changed = pin!(self.changes.notified());
+            changed.as_mut().enable();
+            if !matches!(self.get(), ProcessState::Paused | ProcessState::Dead) {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
+/// The table as a router's process sees it.
+pub(crate) struct GatedTable {
+    /// The table.
+    pub(crate) table: MemoryTable,
+    /// Gate of the process.
+    pub(crate) gate: Gate,
+}
+
+impl GatedTable {
+    async fn enter(&self) -> Result<(), PlatformError> {
+        self.gate.pass().await;
+        match self.gate.get() {
+            ProcessState::CutFromTable => Err(PlatformError::Unavailable),
+            _ => Ok(()),
+        }
+    }
+}
+
+#[async_trait]
+impl Table for GatedTable {
+    async fn read(&self, keys: &[Key]) -> Result<Vec<Option<Row>>, PlatformError> {
+        self.enter().await?;
+        let result = self.table.read(keys).await;
+        self.gate.pass().await;
+        result
+    }
+
+    async fn scan(&self, prefix: &str, after: Option<&Key>) -> Result<Vec<Row>, PlatformError> {
+        self.enter().await?;
+        let result = self.table.scan(prefix, after).await;
+        self.gate.pass().await;
+        result
+    }
+
+    async fn commit(&self, commit: &Commit) -> CommitOutcome {
+        if let Err(error) = self.enter().await {
+            return CommitOutcome::NotApplied(error);
+        }
+        let result = self.table.commit(commit).await;
+        self.gate.pass().await;
+        result
+    }
+}
--- a/components/router/tests/fakes/mod.rs
+++ b/components/router/tests/fakes/mod.rs
@@ -1,6 +1,8 @@
 //! A small network between the registries of a few routers, on paused time.
 
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::unwrap_used, dead_code, unused_imports)]
+
+mod gate;
 
 use std::{
     collections::BTreeMap,
@@ -9,6 +11,7 @@
 };
 
 use membership::{Member, MemberState, MembershipView};
+use platform::Table;
 use protocol::PeerBody;
 use rand::Rng as _;
 use router::{
@@ -25,6 +28,8 @@
 };
 use utils::{Digest, Rng, seeded_rng};
 
+pub(crate) use self::gate::{Gate, GatedTable, ProcessState};
+
 /// Time that a message is on its way.
 const MESSAGE_DELAY: Duration = Duration::from_millis(1);
 
@@ -52,9 +57,11 @@
 
 struct NetState {
     /// Handlers by router.
-    handlers: BTreeMap<RouterName, Arc<dyn PeerHandler>>,
+    handlers: BTreeMap<RouterName, Vec<Arc<dyn PeerHandler>>>,
     /// Members.
     members: BTreeMap<RouterName, Member>,
+    /// Changes of the members so far.
+    member_changes: u64,
     /// Pairs that cannot reach each other.
     cut: Vec<(RouterName, RouterName)>,
     /// Share of messages that are lost.
@@ -71,41 +78,82 @@
     local: RouterId,
     /// Network.
     net: Weak<Net>,
+    /// Membership as of a number of changes.
+    view: Mutex<(u64, Arc<MembershipView>)>,
 }
 
 impl Fleet {
     /// Starts the routers `names`, long enough ago that their homes know all ids.
     pub(crate) async fn start(names: &[&str]) -> Fleet {
+        let mut fleet = Fleet::new(1);
+        for name in names {
+            fleet.add_member(name);
+        }
+        for name in names {
+            let table = Arc::new(fleet.table.clone());
+            fleet.start_registry(name, table);
+        }
+        tokio::time::sleep(requests::EARLIER_ATTEMPT_WINDOW).await;
+        fleet
+    }
+
+    /// Creates a fleet without routers; `seed` decides which messages and answers are lost.
+    pub(crate) fn new(seed: u64) -> Fleet {
         let state = NetState {
             handlers: BTreeMap::new(),
-            members: names.iter().map(|name| (router(name).name, member(name))).collect(),
+            members: BTreeMap::new(),
+            member_changes: 1,
             cut: Vec::new(),
             loss: 0.0,
             doubled: 0.0,
-            rng: seeded_rng(1),
+            rng: seeded_rng(seed),
         };
-        let net = Arc::new(Net { state: Mutex::new(state), runtime: Handle::current() });
-        let mut fleet = Fleet {
-            table: MemoryTable::new(CallLimits::new(2_000, 500), 1),
+        Fleet {
+            table: MemoryTable::new(CallLimits::new(2_000, 500), seed),
             objects: MemoryObjects::default(),
-            net,
+            net: Arc::new(Net { state: Mutex::new(state), runtime: Handle::current() }),
             registries: BTreeMap::new(),
             clock: Clock::new(),
-        };
-        for name in names {
-            let id = router(name);
-            let peers = FakePeers { local: id.clone(), net: Arc::downgrade(&fleet.net) };
-            let registry = FleetRegistry::start(RegistryParts {
-                router: id.clone(),
-                clock: fleet.clock,
-                table: Arc::new(fleet.table.clone()),
-                objects: Arc::new(fleet.objects.clone()),
-                peers: Arc::new(peers),
-            });
-            fleet.registries.insert(id.name, registry);
         }
-        tokio::time::sleep(requests::EARLIER_ATTEMPT_WINDOW).await;
-        fleet
+    }
+
+    /// Makes a router a member.
+    pub(crate) fn add_member(&self, name: &str) {
+        let mut state = self.net.state.lock().unwrap();
+        state.members.insert(router(name).name, member(name));
+        state.member_changes += 1;
+    }
+
+    /// Removes a router from the members and cuts it off.
+    pub(crate) fn remove_member(&self, name: &str) {
+        let name = router(name).name;
+        let mut state = self.net.state.lock().unwrap();
+        state.handlers.remove(&name);
+        state.members.remove(&name);
+        state.member_changes += 1;
+    }
+
+    /// Returns the network as a router sees it.
+    pub(crate) fn peers_of(&self, name: &str) -> Arc<dyn Peers> {
+        let view = Mutex::new((0, Arc::new(MembershipView::from_local(member(name)))));
+        Arc::new(FakePeers { local: router(name), net: Arc::downgrade(&self.net), view })
+    }
+
+    /// Starts the registry of a member.
+    pub(crate) fn start_registry(
+        &mut self,
+        name: &str,
+        table: Arc<dyn Table>,
+    ) -> Arc<FleetRegistry> {
+        let registry = FleetRegistry::start(RegistryParts {
+            router: router(name),
+            clock: self.clock,
+            table,
+            objects: Arc::new(self.objects.clone()),
+            peers: self.peers_of(name),
+        });
+        self.registries.insert(router(name).name, registry.clone());
+        registry
     }
 
     /// Returns the registry of a router.
@@ -123,6 +171,11 @@
         }
     }
 
+    /// Joins all routers again.
+    pub(crate) fn clear_cuts(&self) {
+        self.net.state.lock().unwrap().cut.clear();
+    }
+
     /// Sets the shares of messages that are lost and that come twice.
     pub(crate) fn set_faults(&self, loss: f64, doubled: f64) {
         let mut state = self.net.state.lock().unwrap();
@@ -131,13 +184,8 @@
 
     /// Kills a router; the others notice.
     pub(crate) async fn kill(&mut self, name: &str) {
-        let name = router(name).name;
-        self.registries.remove(&name);
-        {
-            let mut state = self.net.state.lock().unwrap();
-            state.handlers.remove(&name);
-            state.members.remove(&name);
-        }
+        self.registries.remove(&router(name).name);
+        self.remove_member(name);
         tokio::time::sleep(Duration::from_secs(2)).await;
     }
 
@@ -172,6 +220,7 @@
                 .cut
                 .iter()
                 .any(|(a, b)| (*a == from.name && b == to) || (a == to && *b == from.name));
+            let is_cut = is_cut || !state.members.contains_key(&from.name);
             let (loss, doubled) = (state.loss, state.doubled);
             match is_cut || state.rng.random_bool(loss) {
                 true => 0,
@@ -182,8 +231,8 @@
             let (net, from, to, body) = (self.clone(), from.clone(), to.clone(), body.clone());
             self.runtime.spawn(async move {
                 tokio::time::sleep(MESSAGE_DELAY * (1 + 50 * copy)).await;
-                let handler = net.state.lock().unwrap().handlers.get(&to).cloned();
-                if let Some(handler) = handler {
+                let handlers = net.state.lock().unwrap().handlers.get(&to).cloned();
+                for handler in handlers.unwrap_or_default() {
                     handler.on_message(&from, &body);
                 }
             });
@@ -193,13 +242,17 @@
 
 impl Peers for FakePeers {
     fn view(&self) -> Arc<MembershipView> {
-        let members = match self.net.upgrade() {
-            Some(net) => net.state.lock().unwrap().members.clone(),
-            None => BTreeMap::new(),
-        };
-        let local = member(self.local.name.as_str());
-        let others = members.into_values().filter(|it| it.id != self.local).collect();
-        Arc::new(MembershipView { local, others })
+        let mut view = self.view.lock().unwrap();
+        if let Some(net) = self.net.upgrade() {
+            let state = net.state.lock().unwrap();
+            if view.0 != state.member_changes {
+                let others = state.members.values().filter(|it| it.id != self.local);
+                let others = others.cloned().collect();
+                let local = view.1.local.clone();
+                *view = (state.member_changes, Arc::new(MembershipView { local, others }));
+            }
+        }
+        view.1.clone()
     }
 
     fn send(&self, to: &RouterName, body: PeerBody) {
@@ -210,7 +263,8 @@
 
     fn subscribe(&self, handler: Arc<dyn PeerHandler>) {
         if let Some(net) = self.net.upgrade() {
-            net.state.lock().unwrap().handlers.insert(self.local.name.clone(), handler);
+            let mut state = net.state.lock().unwrap();
+            state.handlers.entry(self.local.name.clone()).or_default().push(handler);
         }
     }
 
@@ -259,7 +313,8 @@
     }
 }
 
-fn router(name: &str) -> RouterId {
+/// Returns the identity of a router.
+pub(crate) fn router(name: &str) -> RouterId {
     RouterId::new(RouterName::new(name).unwrap(), Incarnation(1))
 }
 
@@ -267,7 +322,7 @@
     let address = ([127, 0, 0, 1], 1).into();
     Member {
         id: router(name),
-        failure_domain: FailureDomain::new("zlin").unwrap(),
+        failure_domain: FailureDomain::new(&format!("domain-of-{name}")).unwrap(),
         caller_address: address,
         peer_address: address,
         state: MemberState::Alive,
--- a/components/router/tests/request_registry.rs
+++ b/components/router/tests/request_registry.rs
@@ -360,3 +360,17 @@
     fleet.set_cut("r1", "r2", false);
     expect_run(fleet.begin("r1", &req).await);
 }
+
+#[tokio::test(start_paused = true)]
+async fn new_home_does_not_vouch_for_ids_of_the_router_that_has_just_died() {
+    let fleet = Fleet::start(&["r1", "r2"]).await;
+    let homed = |req: &&router::registry::BeginRequest| fleet.home_of(&req.key) == "r1";
+    let requests: Vec<_> = (0..20).map(|n| request(&fleet, &format!("barrel-{n}"), true)).collect();
+    let req = requests.iter().find(homed).unwrap();
+    expect_run(fleet.begin("r1", req).await);
+    // The claim comes before the registry's next look at the members.
+    fleet.remove_member("r1");
+    expect_run(fleet.begin("r2", req).await);
+    let error = fleet.at("r2").end(&req.key, Err(refusal())).await.unwrap_err();
+    assert_eq!(error.ran(), Ran::Unknown);
+}
