Say "not run" only where the row does not show another attempt

A refusal whose withdrawal conflicted with another router's record still said "not run" where the home router vouched for the id. The vouching now counts only where the table does not answer.

--- a/components/router/src/registry/fleet.rs
+++ b/components/router/src/registry/fleet.rs
@@ -19,7 +19,7 @@
     Begin, BeginRequest, IntentPermit, RequestRegistry,
     entries::{Entries, Entry, Opened, reused},
     home_link::HomeLink,
-    intents::Intents,
+    intents::{Intents, Refusal},
     kept_store::{KeptItem, KeptStore},
     relay::{Fetch, Relay},
 };
@@ -217,7 +217,11 @@
             entry.is_first
         } else {
             let base = entry.base.clone();
-            self.intents.refuse(key, &entry.fingerprint, base).await || entry.is_first
+            match self.intents.refuse(key, &entry.fingerprint, base).await {
+                Refusal::Recorded => true,
+                Refusal::Contested => false,
+                Refusal::TableAway => entry.is_first,
+            }
         };
         if is_certain { error } else { error.after_earlier_attempt() }
     }
--- a/components/router/src/registry/intents.rs
+++ b/components/router/src/registry/intents.rs
@@ -40,6 +40,17 @@
     GivenUp(GiveUp),
 }
 
+/// How the record of a refusal ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Refusal {
+    /// No call was sent, and no attempt admitted before now can send one.
+    Recorded,
+    /// Another attempt has sent the call, or may do so.
+    Contested,
+    /// The table did not answer.
+    TableAway,
+}
+
 /// Intent rows in the table, as one router writes them.
 pub(super) struct Intents {
     /// Identity of this router.
@@ -127,14 +138,13 @@
     }
 
     /// Makes attempts fail that were admitted over `base`, as a refusal that says "not
-    /// run" needs it. True where no call was sent, and no attempt admitted before now can
-    /// send one.
+    /// run" needs it.
     pub(super) async fn refuse(
         &self,
         key: &RequestKey,
         fingerprint: &Digest,
         base: Option<IntentBase>,
-    ) -> bool {
+    ) -> Refusal {
         let deadline = self.clock.now() + REFUSAL_TIMEOUT;
         let mut base = base;
         loop {
@@ -142,14 +152,16 @@
                 Some(base) => base,
                 None => match self.admit(key, fingerprint).await {
                     Ok(IntentAdmission::Free(base)) => base,
-                    _ => return false,
+                    Ok(_) => return Refusal::Contested,
+                    Err(_) => return Refusal::TableAway,
                 },
             };
             let row = self.row(fingerprint, over.fencing, IntentState::Withdrawn);
             match self.write(IntentWrite::new(intent_key(key), row, over), deadline).await {
-                WriteEnd::Written(_) => return true,
+                WriteEnd::Written(_) => return Refusal::Recorded,
                 WriteEnd::Superseded(_) if self.clock.now() < deadline => {}
-                WriteEnd::Superseded(_) | WriteEnd::GivenUp(_) => return false,
+                WriteEnd::Superseded(_) => return Refusal::Contested,
+                WriteEnd::GivenUp(_) => return Refusal::TableAway,
             }
         }
     }
--- a/components/specification/src/budgets.rs
+++ b/components/specification/src/budgets/mod.rs
@@ -8,10 +8,17 @@
 //! restarts under the same name (rule 13) are left out: the former is the operator's own
 //! judgement, the latter makes a router without rights.
 //!
-//! Steps of a router use what it last read, so
-//! that a pause or a partition is a step that comes late, and a store that is away is a
-//! commit that comes late. The other faults happen at most once each.
+//! Steps of a router use what it last read, so that a pause or a partition is a step that
+//! comes late, and a store that is away is a commit that comes late. The other faults happen at most once each.
 
+mod state;
+mod variant;
+
+use self::state::{Faults, Router};
+pub use self::{
+    state::State,
+    variant::{Limits, Variant},
+};
 use crate::Specification;
 
 /// Routers.
@@ -20,140 +27,6 @@
 /// The one router that lends.
 const LENDER: usize = 0;
 
-/// How the protocol is changed for a test.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Variant {
-    /// Not at all.
-    AsDesigned,
-    /// A witness goes on to acknowledge ceilings after it has given tokens back.
-    NoWitnessClose,
-    /// A router takes a commit of unknown outcome for one that did not take effect.
-    NoReadBack,
-    /// A loan is credited once for each message that arrives.
-    LoanWithoutId,
-    /// A loan is sent before it is debited.
-    LoanBeforeDebit,
-    /// A router spends above the ceiling that its witness has acknowledged.
-    SpendWithoutCeiling,
-    /// A router takes acknowledgements while a change of its witness is in doubt.
-    CeilingRaisedDuringChange,
-    /// A new witness does not start from the ceiling in the row.
-    NewWitnessWithoutCeiling,
-}
-
-/// Sizes of an exploration.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Limits {
-    /// Tokens deposited at the start.
-    pub deposit: u8,
-    /// Tokens of the one later deposit.
-    pub top_up: u8,
-    /// Routers that serve requests; the others are witnesses.
-    pub serving: usize,
-    /// Most requests that each router admits.
-    pub requests: u8,
-}
-
-/// A grant row.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
-struct Grant {
-    /// Tokens that may be spent.
-    unspent: u8,
-    /// Tokens that have left the row by bills and moved loans.
-    spent: u8,
-    /// Tokens moved to each router.
-    moved: [u8; ROUTERS],
-    /// Witness.
-    witness: u8,
-    /// Ceiling when the epoch began.
-    ceiling: u8,
-    /// Epoch of the witness; zero before the first grant.
-    epoch: u8,
-    /// Whether the witness has closed it.
-    is_closed: bool,
-}
-
-/// What a router knows.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
-struct Router {
-    /// Whether it has died.
-    is_dead: bool,
-    /// Its grant row as it last read it.
-    row: Grant,
-    /// Whether nobody has written the row since, so that a commit over it succeeds.
-    is_current: bool,
-    /// Its bills in the table, as it last read them.
-    billed: u8,
-    /// Tokens moved to it from each donor, as it last read them.
-    moved_in: [u8; ROUTERS],
-    /// Requests that it has admitted. Each costs one token, from its reservation on, and
-    /// has one bill.
-    admitted: u8,
-    /// Tokens ever lent to each router.
-    lent: [u8; ROUTERS],
-    /// Tokens ever borrowed from each router.
-    credit: [u8; ROUTERS],
-    /// Highest ceiling acknowledged in the row's epoch.
-    acked: u8,
-    /// Tokens that a commit of unknown outcome would give back.
-    returning: u8,
-    /// Whether a change of its witness is in doubt.
-    is_changing: bool,
-}
-
-/// What a witness keeps of one router.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
-struct Watch {
-    /// Epoch.
-    epoch: u8,
-    /// Highest ceiling asked for.
-    ceiling: u8,
-    /// Whether it has closed the epoch.
-    is_closed: bool,
-}
-
-/// Faults that happen at most once each.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
-struct Faults {
-    /// The answer to a commit was lost.
-    lost_answer: bool,
-    /// A router died.
-    death: bool,
-    /// A witness took a router for dead that was cut off or paused.
-    suspicion: bool,
-    /// A message came twice.
-    doubled: bool,
-    /// The account was topped up.
-    top_up: bool,
-    /// A router changed its witness by its own choice.
-    change: bool,
-}
-
-/// State of the whole system.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct State {
-    /// Tokens deposited.
-    deposited: u8,
-    /// Tokens billed.
-    settled: u8,
-    /// Tokens in open grants.
-    granted: u8,
-    /// Grant rows.
-    rows: [Grant; ROUTERS],
-    /// Bills of each router in the table.
-    bills: [u8; ROUTERS],
-    /// Routers.
-    routers: [Router; ROUTERS],
-    /// What each witness keeps of each router.
-    watches: [[Watch; ROUTERS]; ROUTERS],
-    /// Acknowledgement on its way to each router: epoch and ceiling.
-    acks: [Option<(u8, u8)>; ROUTERS],
-    /// Loan on its way from each router to each other: the total ever lent.
-    loans: [[u8; ROUTERS]; ROUTERS],
-    /// Faults so far.
-    faults: Faults,
-}
-
 /// The specification.
 #[derive(Debug, Clone, Copy)]
 pub struct BudgetSpec {
@@ -468,98 +341,6 @@
     }
 }
 
-impl State {
-    /// Forgets what is left of epochs that nobody can act on any more, so that states
-    /// that differ only in it count once.
-    fn forget_old_epochs(&mut self) {
-        for r in 0..ROUTERS {
-            let epoch = self.rows[r].epoch;
-            let router = &self.routers[r];
-            if router.is_dead || router.row.epoch == epoch {
-                for w in 0..ROUTERS {
-                    let watch = &mut self.watches[w][r];
-                    if watch.epoch < epoch || usize::from(self.rows[r].witness) != w {
-                        *watch = Watch::default();
-                    }
-                }
-                self.acks[r] = self.acks[r].filter(|ack| *ack > (epoch, router.acked));
-            }
-        }
-    }
-
-    /// Router `r` reads its row (rule 14).
-    fn refresh(&mut self, r: usize) {
-        let router = &mut self.routers[r];
-        let old = router.row;
-        router.row = self.rows[r];
-        router.is_current = true;
-        router.billed = self.bills[r];
-        for d in 0..ROUTERS {
-            router.moved_in[d] = self.rows[d].moved[r];
-            router.credit[d] = router.credit[d].max(router.moved_in[d]);
-        }
-        if router.row.epoch != old.epoch {
-            router.acked = router.row.ceiling;
-        }
-        // A commit that was prepared and has not taken effect cannot any more once the
-        // row has changed; one over the same row is known to be undone by the next.
-        router.returning = 0;
-        router.is_changing = false;
-    }
-
-    /// Commits the bills of router `r`, as far as its row covers them.
-    fn commit_bills(&mut self, r: usize) -> bool {
-        let row = &mut self.rows[r];
-        let tokens = (self.routers[r].admitted - self.bills[r]).min(row.unspent);
-        row.unspent -= tokens;
-        row.spent += tokens;
-        self.bills[r] += tokens;
-        self.settled += tokens;
-        self.granted -= tokens;
-        tokens > 0
-    }
-}
-
-impl Router {
-    /// Returns the tokens that are spoken for.
-    fn claims(&self) -> u8 {
-        let unbilled = self.admitted - self.billed;
-        let open = (0..ROUTERS).map(|b| self.lent[b].saturating_sub(self.row.moved[b]));
-        unbilled + open.sum::<u8>()
-    }
-
-    /// Returns the tokens borrowed and not yet moved.
-    fn borrowed(&self) -> u8 {
-        (0..ROUTERS).map(|d| self.credit[d].saturating_sub(self.moved_in[d])).sum()
-    }
-
-    /// Returns the tokens that may be given back (rule 8).
-    fn spare(&self) -> u8 {
-        self.row.unspent.saturating_sub(self.claims())
-    }
-}
-
-impl Watch {
-    /// Raises the ceiling; false where the epoch is closed or over.
-    fn raise(&mut self, epoch: u8, ceiling: u8) -> bool {
-        if epoch < self.epoch || (epoch == self.epoch && self.is_closed) {
-            return false;
-        }
-        if epoch > self.epoch {
-            *self = Watch { epoch, ceiling: 0, is_closed: false };
-        }
-        self.ceiling = self.ceiling.max(ceiling);
-        true
-    }
-
-    fn close(&mut self, epoch: u8) {
-        if epoch > self.epoch {
-            *self = Watch { epoch, ceiling: 0, is_closed: false };
-        }
-        self.is_closed = true;
-    }
-}
-
 fn first_witness(r: usize) -> u8 {
     u8::try_from((r + 1) % ROUTERS).unwrap_or(0)
 }
--- a/components/specification/src/intent.rs
+++ b/components/specification/src/intent/mod.rs
@@ -5,126 +5,16 @@
 //! lost answers of the endpoint, and an operator who resolves the row are steps. Each
 //! fault happens at most once; pauses need no step of their own.
 
+mod state;
+mod variant;
+
+use self::state::{Base, Call, Phase, Row, RowState};
+pub use self::{state::State, variant::Variant};
 use crate::Specification;
 
 /// Routers.
 const ROUTERS: usize = 3;
 
-/// How the protocol is changed for a test.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Variant {
-    /// Not at all.
-    AsDesigned,
-    /// A router sends after a commit of unknown outcome without reading the row back.
-    NoReadBack,
-    /// A router takes over another's intent; the endpoint checks nothing.
-    TakeOverWithoutFencing,
-    /// A router takes over another's intent; the endpoint checks fencing numbers.
-    TakeOverWithFencing,
-    /// The endpoint also refuses ids that it has run.
-    TakeOverWithFencingAndIds,
-    /// A refusal says "not run" without a withdrawn row.
-    RefusalWithoutRow,
-    /// A withdrawal deletes the row.
-    WithdrawalDeletesRow,
-    /// An operator says "did not run" while the holder may still send.
-    ResolutionWhileHolderRuns,
-}
-
-/// State of the call in the row.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum RowState {
-    /// See `requests::IntentState::Recorded`.
-    Recorded,
-    /// See `requests::IntentState::Withdrawn`.
-    Withdrawn,
-    /// See `requests::IntentState::OutcomeUnknown`.
-    OutcomeUnknown,
-    /// See `requests::IntentState::Done`.
-    Done,
-}
-
-/// The intent row.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct Row {
-    /// Revision.
-    revision: u8,
-    /// Router that wrote it.
-    router: u8,
-    /// Fencing number.
-    fencing: u8,
-    /// State of the call.
-    state: RowState,
-}
-
-/// What an attempt was admitted with.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-struct Base {
-    /// Revision of the row; zero where there was none.
-    revision: u8,
-    /// Fencing number of the row; zero where there was none.
-    fencing: u8,
-}
-
-/// Where a router's attempt is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-enum Phase {
-    /// It has none.
-    Idle,
-    /// It may record the call.
-    Admitted(Base),
-    /// The answer to its record was lost.
-    Unknown(Base),
-    /// It may send the call.
-    Permit(Base),
-    /// It has sent the call and waits for the answer.
-    Sent(Base),
-    /// It has died.
-    Dead,
-}
-
-/// A call on its way to the endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-struct Call {
-    /// Fencing number.
-    fencing: u8,
-    /// Whether the attempt began before some router said "not run".
-    is_refused: bool,
-}
-
-/// State of the whole system.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct State {
-    /// The row.
-    row: Option<Row>,
-    /// Revision of the last commit.
-    last_revision: u8,
-    /// Phase of each router.
-    phases: [Phase; ROUTERS],
-    /// Whether the attempt of each router began before some router said "not run".
-    is_refused: [bool; ROUTERS],
-    /// Whether the attempt of each router is on top of another's open intent. Such an
-    /// attempt never says "not run".
-    took_over: [bool; ROUTERS],
-    /// Record of each router that may still reach the table.
-    late: [Option<Base>; ROUTERS],
-    /// Call of each router that may still reach the endpoint.
-    calls: [Option<Call>; ROUTERS],
-    /// Whether the endpoint has answered the call of each router.
-    answered: [bool; ROUTERS],
-    /// Times that the endpoint has run the request.
-    runs: u8,
-    /// Highest fencing number that the endpoint has seen.
-    seen_fencing: u8,
-    /// Attempts that have begun.
-    attempts: u8,
-    /// Faults that have happened: lost answer of the table, late commit, death, lost
-    /// answer of the endpoint, resolution.
-    faults: [bool; 5],
-    /// Whether "not run" was said although the request ran, or a refused attempt ran.
-    is_lie: bool,
-}
-
 const LOST_ANSWER: usize = 0;
 const LATE_COMMIT: usize = 1;
 const DEATH: usize = 2;
@@ -408,33 +298,3 @@
         next.push(resolved);
     }
 }
-
-impl State {
-    fn base(&self) -> Base {
-        let row = self.row.map(|row| (row.revision, row.fencing));
-        let (revision, fencing) = row.unwrap_or_default();
-        Base { revision, fencing }
-    }
-
-    /// Commits a row over `base`; false where the row has another revision.
-    fn write(&mut self, base: Base, router: usize, fencing: u8, state: RowState) -> bool {
-        if self.base().revision != base.revision {
-            return false;
-        }
-        self.last_revision += 1;
-        let router = u8::try_from(router).unwrap_or(u8::MAX);
-        self.row = Some(Row { revision: self.last_revision, router, fencing, state });
-        true
-    }
-
-    /// A router says "not run": nothing that began earlier may run from now on.
-    fn say_not_run(&mut self) {
-        self.is_lie |= self.runs > 0;
-        for router in 0..ROUTERS {
-            self.is_refused[router] = true;
-            if let Some(call) = &mut self.calls[router] {
-                call.is_refused = true;
-            }
-        }
-    }
-}
