Poll at a phase of each router's own, and check late orders

A fleet that starts at once polled at once ever after.

A confirmation is printed as one JSON object with its plan; a lost answer says what to do.

--- a/components/rollout/tests/rollout.rs
+++ b/components/rollout/tests/rollout.rs
@@ -17,6 +17,7 @@
     room: usize,
     failing: Option<(EndpointName, ModelVersion)>,
     orders: usize,
+    fencing: u64,
 }
 
 fn name(text: &str) -> EndpointName {
@@ -42,7 +43,7 @@
 impl Engines {
     fn new(cfg: &Config, room: usize) -> Engines {
         let reports = cfg.endpoints.keys().map(|name| (name.clone(), EndpointReport::default()));
-        Engines { reports: reports.collect(), room, failing: None, orders: 0 }
+        Engines { reports: reports.collect(), room, failing: None, orders: 0, fencing: 0 }
     }
 
     fn take(&mut self, order: &EndpointOrder) -> OrderResult {
@@ -216,3 +217,36 @@
     assert!(orders.is_empty());
     insta::assert_snapshot!(status.halts[0], @"m v1 is halted: the weight store has no such weights on endpoint a-0");
 }
+
+/// What a paused controller still sends when it wakes, after its successor has undone the
+/// change.
+fn wake_late_controller(checks_fencing: bool) -> Engines {
+    let first = config(&["v1"], &["v1"], checks_fencing);
+    let second = config(&["v1", "v2"], &["v2", "v1"], checks_fencing);
+    let mut engines = Engines::new(&first, 2);
+    settle(&mut Rollout::default(), &first, &mut engines, 0);
+    // The first controller loads v2 and, a version later, decides to unload v1.
+    let mut paused = Rollout::default();
+    settle(&mut paused, &second, &mut engines, 10_000_000);
+    let third = config(&["v2"], &["v2"], checks_fencing);
+    let (late, _) = paused.decide(&third, &engines.reports, Timestamp::from_millis(20_000_000));
+    // It is paused; the next holder goes back to v1 under a higher fencing number.
+    let mut successor = Rollout::default();
+    settle(&mut successor, &first, &mut engines, 30_000_000);
+    engines.fencing = 2;
+    for order in &late {
+        if !checks_fencing || 1 >= engines.fencing {
+            engines.take(order);
+        }
+    }
+    engines.finish_loads();
+    engines
+}
+
+#[test]
+fn late_orders_of_a_paused_controller_take_nothing_away() {
+    for checks_fencing in [true, false] {
+        let engines = wake_late_controller(checks_fencing);
+        assert_eq!(engines.ready("v1"), 6, "endpoints check fencing: {checks_fencing}");
+    }
+}
--- a/components/router/src/configuration/poller.rs
+++ b/components/router/src/configuration/poller.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use platform::Table;
+use utils::stable_hash;
 
 use super::{ConfigHandle, read_config};
 use crate::peers::Peers;
@@ -15,6 +16,7 @@
 
 /// Polls the table for as long as the router lives.
 pub async fn run_config_poller(cfg: ConfigHandle, table: Arc<dyn Table>, peers: Arc<dyn Peers>) {
+    let mut is_first = true;
     loop {
         if let Err(error) = poll_once(&cfg, &*table).await {
             log::warn!("configuration not read: {error}");
@@ -22,7 +24,10 @@
         let age = cfg.confirmed_age().map_or(f64::INFINITY, |age| age.as_secs_f64());
         metrics::gauge!(telemetry::CONFIG_CONFIRMED_AGE_SECONDS).set(age);
         let routers = u32::try_from(peers.view().members().count()).unwrap_or(u32::MAX);
-        tokio::time::sleep(poll_interval(routers)).await;
+        let interval = poll_interval(routers);
+        let pause = if is_first { phase_of(&peers, interval) } else { interval };
+        is_first = false;
+        tokio::time::sleep(pause).await;
     }
 }
 
@@ -31,6 +36,13 @@
     POLL_INTERVAL_MIN.max(Duration::from_secs(1) * routers / FLEET_POLLS_PER_SECOND)
 }
 
+/// Returns the pause after the first poll: it differs between routers, so that a fleet
+/// that starts at once does not poll at once ever after.
+fn phase_of(peers: &Arc<dyn Peers>, interval: Duration) -> Duration {
+    let hash = stable_hash(&[peers.view().local.id.name.as_str().as_bytes()]);
+    interval.mul_f64(hash as f64 / u64::MAX as f64)
+}
+
 async fn poll_once(cfg: &ConfigHandle, table: &dyn Table) -> errors::Result<()> {
     let stored = read_config(table, &cfg.load_full()).await?;
     cfg.advance(stored.cfg);
--- a/programs/auburncrank-bench/src/cmd/control/fleet.rs
+++ b/programs/auburncrank-bench/src/cmd/control/fleet.rs
@@ -35,10 +35,10 @@
     /// Starts `count` routers over `table`.
     pub(super) fn start(count: usize, table: &MemoryTable, seed: u64) -> Fleet {
         let mut rng = utils::seeded_rng(seed);
-        let start = |_| {
+        let start = |index| {
             let table = GatedTable::new(table.clone());
             let delay = Duration::from_millis(rng.random_range(0..START_SPREAD_MS));
-            SimRouter::start(table, count, delay)
+            SimRouter::start(table, count, index, delay)
         };
         let routers = (0..count).map(start).collect();
         Fleet { routers, rng }
@@ -47,10 +47,10 @@
     /// Restarts all routers at once; each is away for at least `pause`.
     pub(super) fn restart_all(&mut self, pause: Duration) {
         let count = self.routers.len();
-        for router in &mut self.routers {
+        for (index, router) in self.routers.iter_mut().enumerate() {
             router.poller.abort();
             let delay = pause + Duration::from_millis(self.rng.random_range(0..START_SPREAD_MS));
-            *router = SimRouter::start(router.table.clone(), count, delay);
+            *router = SimRouter::start(router.table.clone(), count, index, delay);
         }
     }
 
@@ -62,12 +62,12 @@
 }
 
 impl SimRouter {
-    fn start(table: GatedTable, fleet: usize, delay: Duration) -> SimRouter {
+    fn start(table: GatedTable, fleet: usize, index: usize, delay: Duration) -> SimRouter {
         let cfg = ConfigHandle::new();
         let (handle, polled) = (cfg.clone(), Arc::new(table.clone()));
         let poller = tokio::spawn(async move {
             tokio::time::sleep(delay).await;
-            run_config_poller(handle, polled, Arc::new(FleetPeers::new(fleet))).await;
+            run_config_poller(handle, polled, Arc::new(FleetPeers::new(fleet, index))).await;
         });
         SimRouter { table, cfg, poller }
     }
--- a/programs/auburncrank-bench/src/cmd/control/fleet_peers.rs
+++ b/programs/auburncrank-bench/src/cmd/control/fleet_peers.rs
@@ -14,11 +14,10 @@
 }
 
 impl FleetPeers {
-    /// Creates the membership of `routers` routers.
-    pub(super) fn new(routers: usize) -> FleetPeers {
-        let mut members = (0..routers).map(member);
-        let local = members.next().expect("a fleet has a router");
-        let view = MembershipView { local, others: members.collect() };
+    /// Creates the membership of `routers` routers as router `local` sees it.
+    pub(super) fn new(routers: usize, local: usize) -> FleetPeers {
+        let others = (0..routers).filter(|&number| number != local).map(member);
+        let view = MembershipView { local: member(local), others: others.collect() };
         FleetPeers { view: Arc::new(view) }
     }
 }
--- a/programs/auburncrank/src/cli.rs
+++ b/programs/auburncrank/src/cli.rs
@@ -104,7 +104,7 @@
         Err(faults) => return report(&CommandError::Usage(faults.to_string())),
     };
     if parsed.help {
-        print_help();
+        print!("{}", help());
         return ExitCode::SUCCESS;
     }
     let mut arguments = parsed.arguments;
@@ -141,13 +141,23 @@
     error.exit_code()
 }
 
-fn print_help() {
-    print!("{}\nCommands:\n", SPEC.help());
+/// Returns the text of `--help`.
+fn help() -> String {
+    let mut text = format!("{}\nCommands:\n", SPEC.help());
     for command in COMMANDS {
         for usage in command.usage {
-            println!("  {usage}");
+            text.push_str(&format!("  {usage}\n"));
         }
-        println!("        {}", command.about);
+        text.push_str(&format!("        {}\n", command.about));
+    }
+    text.push_str(&format!("\n{EXIT_CODES}\n"));
+    text
+}
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn help_names_every_command_setting_and_exit_code() {
+        insta::assert_snapshot!(super::help());
     }
-    println!("\n{EXIT_CODES}");
 }
--- a/programs/auburncrank/src/review.rs
+++ b/programs/auburncrank/src/review.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use client::AdminClient;
 use config::Intent;
+use serde_json::json;
 use types::PlanId;
 
 use crate::{
@@ -30,18 +31,18 @@
     body: Bytes,
 ) -> Result<(), CommandError> {
     let admin = cx.admin()?;
-    if let Some(plan) = &cx.confirm {
-        return confirm(cx, &admin, plan).await;
+    if let Some(id) = &cx.confirm {
+        let plan: PlanView = admin.get(&format!("/admin/v1/plans/{id}")).await?;
+        return confirm_shown(cx, &admin, &plan).await;
     }
     let plan: PlanView = admin.post(path, body).await?;
+    if cx.yes && plan.cautions.is_empty() {
+        return confirm_shown(cx, &admin, &plan).await;
+    }
     show_plan(cx, &plan);
     let id = &plan.plan;
-    let is_confirmed = match (cx.yes, io::stdin().is_terminal()) {
-        (true, _) if plan.cautions.is_empty() => true,
-        (true, _) | (false, false) => false,
-        (false, true) => ask(&format!("Confirm {id}? [y/N] "))?,
-    };
-    if is_confirmed {
+    let may_ask = !cx.yes && io::stdin().is_terminal();
+    if may_ask && ask(&format!("Confirm {id}? [y/N] "))? {
         return confirm(cx, &admin, id).await;
     }
     let reason =
@@ -59,16 +60,48 @@
     admin: &AdminClient,
     id: &PlanId,
 ) -> Result<(), CommandError> {
-    let path = format!("/admin/v1/plans/{id}/confirm");
-    let confirmation: Confirmation = admin.post(&path, Bytes::new()).await?;
+    let confirmation = post_confirmation(admin, id).await?;
     if cx.json {
         print_json(&confirmation);
-        return Ok(());
+    } else {
+        print_confirmation(&confirmation);
+    }
+    Ok(())
+}
+
+/// Prints a plan, confirms it and prints the result; as JSON all of it is one object.
+async fn confirm_shown(
+    cx: &CommandContext,
+    admin: &AdminClient,
+    plan: &PlanView,
+) -> Result<(), CommandError> {
+    if !cx.json {
+        show_plan(cx, plan);
     }
+    let confirmation = post_confirmation(admin, &plan.plan).await?;
+    if cx.json {
+        print_json(&json!({ "plan": plan, "confirmation": confirmation }));
+    } else {
+        print_confirmation(&confirmation);
+    }
+    Ok(())
+}
+
+async fn post_confirmation(admin: &AdminClient, id: &PlanId) -> Result<Confirmation, CommandError> {
+    let path = format!("/admin/v1/plans/{id}/confirm");
+    admin.post(&path, Bytes::new()).await.map_err(|error| match CommandError::from(error) {
+        CommandError::NoAnswer(text) => CommandError::NoAnswer(format!(
+            "{text}\nthe plan may be confirmed or not; 'auburncrank confirm {id}' tells and \
+             confirms it at most once"
+        )),
+        error => error,
+    })
+}
+
+fn print_confirmation(confirmation: &Confirmation) {
     let Confirmation { plan, version, confirmed_by, confirmed_at } = confirmation;
-    let at = format_time(confirmed_at);
+    let at = format_time(*confirmed_at);
     println!("{plan} was confirmed by {confirmed_by} at {at}; version {version} is accepted.");
-    Ok(())
 }
 
 /// Prints a plan.
