--- a/components/router/src/accounting/ledger_task.rs
+++ b/components/router/src/accounting/ledger_task.rs
@@ -18,7 +18,7 @@
     time::MissedTickBehavior,
 };
 use types::{AccountName, Timestamp};
-use utils::{HashMap, new_rng};
+use utils::{HashMap, Rng};
 
 use super::{ReserveRequest, in_doubt_gauge::InDoubtGauge};
 use crate::{Clock, peers::Peers};
@@ -89,12 +89,13 @@
         table: Arc<dyn Table>,
         peers: Arc<dyn Peers>,
         tx: mpsc::UnboundedSender<Command>,
+        rng: Rng,
     ) -> LedgerTask {
         let mut settings = BudgetSettings::new(DeathPolicy::WitnessedCeilings);
         settings.start_unix_ms = unix_ms().saturating_sub(clock.now().as_millis());
         let local = budget_peer(&peers.view().local);
         LedgerTask {
-            ledger: Ledger::new(settings, local, new_rng()),
+            ledger: Ledger::new(settings, local, rng),
             clock,
             in_doubt: InDoubtGauge::new(table.clone(), peers.clone()),
             table,
@@ -115,6 +116,8 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
         loop {
             tokio::select! {
+                // In a fixed order, so that a run on paused time can be repeated.
+                biased;
                 command = rx.recv() => match command {
                     Some(command) => self.on_command(command),
                     None => return,
--- a/components/router/src/daemon/assembly.rs
+++ b/components/router/src/daemon/assembly.rs
@@ -73,7 +73,9 @@
     });
     let dispatcher =
         PolicyDispatcher::start(control.handle(), clock, cfg.clone(), peers.clone(), hosts);
-    let accounting = GrantAccounting::start(control.handle(), clock, table.clone(), peers.clone());
+    let rng = utils::new_rng();
+    let accounting =
+        GrantAccounting::start(control.handle(), clock, table.clone(), peers.clone(), rng);
     let router = RouterContext {
         clock,
         accounting: Arc::new(accounting),
--- a/programs/auburncrank-bench/src/cmd/mod.rs
+++ b/programs/auburncrank-bench/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The studies, one module each.
 
 mod control;
+mod membership;
 mod path;
 mod routing;
 
@@ -28,6 +29,11 @@
         about: "Acceptance and spread of configurations, on simulated time.",
         run: control::run,
     },
+    Study {
+        name: "membership",
+        about: "Traffic, processor time and detection times of the failure detector.",
+        run: membership::run,
+    },
     Study {
         name: "path",
         about: "Streams through a router against the same engine directly.",
