--- a/programs/auburncrank-demo/src/load.rs
+++ b/programs/auburncrank-demo/src/load.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use client::{Caller, CallerError};
+use errors::ErrorKind;
 use rand::Rng as _;
 use scene::Scene;
 use tokio::task::JoinSet;
@@ -23,6 +24,9 @@
 /// Longest pause of a caller between two requests.
 const PAUSE_MAX: Duration = Duration::from_millis(1_500);
 
+/// Code of calls whose outcome is unknown.
+const OUTCOME_UNKNOWN: &str = ErrorKind::OutcomeUnknown.code();
+
 const FAILURE_DOMAINS: [&str; 3] = ["zlin", "kromeriz", "vsetin"];
 
 /// Starts the callers; the set yields the counts of each.
@@ -68,6 +72,10 @@
                 counts.refused += 1;
                 log::warn!(request_id:% = req.call.id, code = detail.code.as_str(); "refused");
             }
+            Err(CallerError::TimedOut(Some(detail))) if detail.code == OUTCOME_UNKNOWN => {
+                counts.outcome_unknown += 1;
+                log::warn!(request_id:% = req.call.id; "outcome unknown");
+            }
             Err(error) => {
                 counts.unanswered += 1;
                 log::warn!(request_id:% = req.call.id; "unanswered: {error}");
--- a/programs/auburncrank-demo/src/report.rs
+++ b/programs/auburncrank-demo/src/report.rs
@@ -12,7 +12,9 @@
     pub(crate) answered: u64,
     /// Requests refused for good.
     pub(crate) refused: u64,
-    /// Requests without an answer in time.
+    /// Non-idempotent calls that a killed router had sent: their outcome is unknown.
+    pub(crate) outcome_unknown: u64,
+    /// Other requests without an answer in time.
     pub(crate) unanswered: u64,
     /// Retries of callers.
     pub(crate) retries: u64,
@@ -26,6 +28,7 @@
         self.requests += other.requests;
         self.answered += other.answered;
         self.refused += other.refused;
+        self.outcome_unknown += other.outcome_unknown;
         self.unanswered += other.unanswered;
         self.retries += other.retries;
         self.incomplete_answers += other.incomplete_answers;
@@ -64,6 +67,7 @@
         println!("Requests            {:>8}", callers.requests);
         println!("  answered          {:>8}", callers.answered);
         println!("  refused           {:>8}", callers.refused);
+        println!("  outcome unknown   {:>8}", callers.outcome_unknown);
         println!("  unanswered        {:>8}", callers.unanswered);
         println!("  callers' retries  {:>8}", callers.retries);
         println!("Bills               {:>8}", tally.bills);
