--- a/components/budget/src/account/cycle.rs
+++ b/components/budget/src/account/cycle.rs
@@ -77,6 +77,7 @@
             self.read_own(cx);
         } else if is_idle_due && let Some(owner) = self.foreign_work(cx) {
             self.next_idle = cx.now + cx.settings.commit_gap;
+            self.last_foreign = Some(owner.clone());
             self.read_foreign(cx, owner);
         } else if is_idle_due && self.has_idle_work(cx) {
             self.next_idle = cx.now + jitter(cx.settings.idle_gap, &mut cx.rng);
--- a/components/budget/src/account/foreign_plan.rs
+++ b/components/budget/src/account/foreign_plan.rs
@@ -1,6 +1,8 @@
 //! The next commit of a dead router's grant row: as its witness, as a holder of its
 //! bills, or as a donor of loans to it.
 
+use std::collections::BTreeSet;
+
 use platform::{Commit, Precondition, Revision, Write};
 use types::{RequestKey, RouterId, Tokens};
 
@@ -28,13 +30,20 @@
 }
 
 impl Account {
-    /// Finds a dead router for which something is left to do.
+    /// Finds a router for which something is left to do: each in its turn, so that one
+    /// for which nothing can be done now does not keep the others waiting.
     pub(super) fn foreign_work(&self, cx: &LedgerContext) -> Option<RouterId> {
         let open = self.witnessed.iter().filter(|(_, kept)| !kept.is_done).map(|(id, _)| id);
-        let dead = open.chain(self.held.keys()).find(|id| cx.peers.is_dead(id));
-        let borrowers = self.lent.keys().filter(|id| self.lent_to(id) > Tokens::ZERO);
-        let borrower = || borrowers.into_iter().find(|id| cx.is_draining || cx.peers.is_dead(id));
-        dead.or_else(borrower).cloned()
+        let dead = open.chain(self.held.keys()).filter(|id| cx.peers.is_dead(id));
+        let borrowers = self
+            .lent
+            .keys()
+            .filter(|id| self.lent_to(id) > Tokens::ZERO)
+            .filter(|id| cx.is_draining || cx.peers.is_dead(id));
+        let all: BTreeSet<&RouterId> = dead.chain(borrowers).collect();
+        let last = self.last_foreign.as_ref();
+        let next = all.iter().find(|id| last.is_none_or(|last| **id > last));
+        next.or(all.first()).map(|id| (*id).clone())
     }
 
     /// Works out the next commit; `None` where there is nothing to change.
@@ -72,6 +81,9 @@
             }
         }
         if row == read && plan.requests.is_empty() {
+            if let Some(kept) = self.witnessed.get_mut(owner).filter(|_| plan.closes) {
+                kept.is_done = true;
+            }
             return Ok(None);
         }
         self.add_row_writes(cx, &mut plan, &row, revision);
--- a/components/budget/src/account/mod.rs
+++ b/components/budget/src/account/mod.rs
@@ -92,6 +92,8 @@
     witnessed: BTreeMap<RouterId, Witnessed>,
     /// Bills held for other routers.
     held: BTreeMap<RouterId, BTreeMap<RequestKey, HeldBill>>,
+    /// Router whose row was looked at last, as witness, holder or donor.
+    last_foreign: Option<RouterId>,
     /// Open call to the table.
     call: Option<Call>,
     /// When the next call for an urgent purpose may start.
@@ -136,6 +138,7 @@
             last_used: Timestamp::ZERO,
             witnessed: BTreeMap::new(),
             held: BTreeMap::new(),
+            last_foreign: None,
             call: None,
             next_urgent: Timestamp::ZERO,
             next_idle: Timestamp::ZERO,
--- a/components/budget/src/account/own_plan.rs
+++ b/components/budget/src/account/own_plan.rs
@@ -73,7 +73,8 @@
             && self.claims() == Tokens::ZERO
             && draft.row.unspent == Tokens::ZERO
             && self.borrowed.keys().all(|it| self.is_moved(&draft.row, it));
-        if draft.row == self.row && self.uncertain.is_empty() && !is_deleted {
+        let is_unchanged = draft.row == self.row && draft.places.is_empty();
+        if is_unchanged && self.uncertain.is_empty() && !is_deleted {
             return Ok(None);
         }
         Ok(Some(self.finish_plan(cx, draft, (budget, budget_revision), is_deleted)))
--- a/components/budget/src/ledger/messages.rs
+++ b/components/budget/src/ledger/messages.rs
@@ -12,6 +12,7 @@
     /// Handles a message. Malformed ones, and those for another incarnation of this
     /// router, change nothing.
     pub(super) fn on_message(&mut self, from: &RouterId, message: &BudgetMessage) {
+        self.cx.peers.hear(from, self.cx.now);
         let local = self.cx.local.id.incarnation.0;
         match &message.body {
             Some(BudgetBody::Raise(body)) => {
--- a/components/budget/src/ledger/mod.rs
+++ b/components/budget/src/ledger/mod.rs
@@ -124,6 +124,7 @@
 
     fn tick(&mut self) {
         self.update_busy_gap();
+        self.cx.peers.review_heard(self.cx.now);
         for account in self.accounts.values_mut() {
             account.advance(&mut self.cx);
         }
--- a/components/budget/src/ledger/peer_set.rs
+++ b/components/budget/src/ledger/peer_set.rs
@@ -1,10 +1,15 @@
 //! The peers that a ledger knows.
 
-use types::{AccountName, RouterId, RouterName};
-use utils::{HashSet, stable_hash};
+use std::time::Duration;
+
+use types::{AccountName, RouterId, RouterName, Timestamp};
+use utils::{HashMap, HashSet, stable_hash};
 
 use crate::BudgetPeer;
 
+/// Silence after which a peer that was never seen alive counts as dead.
+const UNSEEN_FOR: Duration = Duration::from_secs(10);
+
 /// The live peers, and those that were seen alive before.
 #[derive(Debug, Default)]
 pub(crate) struct PeerSet {
@@ -12,6 +17,8 @@
     live: Vec<BudgetPeer>,
     /// Every peer that was ever seen alive.
     seen: HashSet<RouterId>,
+    /// Peers that were never seen alive but have sent a message, and when.
+    heard: HashMap<RouterId, Timestamp>,
 }
 
 impl PeerSet {
@@ -21,6 +28,25 @@
         self.live = live;
     }
 
+    /// Takes note of a message of `id`.
+    pub(crate) fn hear(&mut self, id: &RouterId, now: Timestamp) {
+        if !self.seen.contains(id) {
+            self.heard.insert(id.clone(), now);
+        }
+    }
+
+    /// Counts those that were heard of and never seen alive as dead after a while.
+    pub(crate) fn review_heard(&mut self, now: Timestamp) {
+        let seen = &mut self.seen;
+        self.heard.retain(|id, heard| {
+            let is_over = now.since(*heard) >= UNSEEN_FOR;
+            if is_over {
+                seen.insert(id.clone());
+            }
+            !is_over
+        });
+    }
+
     /// Returns the live peers.
     pub(crate) fn live(&self) -> &[BudgetPeer] {
         &self.live
--- a/programs/auburncrank-bench/src/cmd/mod.rs
+++ b/programs/auburncrank-bench/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The studies, one module each.
 
+mod budgets;
 mod path;
 
 use crate::cli::StudyOptions;
@@ -20,8 +21,15 @@
 pub(crate) struct StudyError(pub(crate) String);
 
 /// All studies.
-pub(crate) const STUDIES: &[Study] = &[Study {
-    name: "path",
-    about: "Streams through a router against the same engine directly.",
-    run: path::run,
-}];
+pub(crate) const STUDIES: &[Study] = &[
+    Study {
+        name: "path",
+        about: "Streams through a router against the same engine directly.",
+        run: path::run,
+    },
+    Study {
+        name: "budgets",
+        about: "Overspend and false refusals under faults, on simulated time.",
+        run: budgets::run,
+    },
+];
