Test budgets under each failure on purpose; resolve amounts in doubt

The failures that the budget protocol is made for had random tests only. Each now has a test that brings it about: lost and late commits, a pause across a reclaim, a dead owner and witness, held bills, loans. Tokens in doubt are resolved by what was spent.

--- a/components/budget/src/in_doubt.rs
+++ b/components/budget/src/in_doubt.rs
@@ -30,14 +30,14 @@
     /// One of the rows cannot be read.
     #[error(transparent)]
     Unreadable(#[from] platform::RowError),
-    /// The router is alive and spends from the row.
-    #[error("router {0} is alive")]
-    Alive(RouterId),
-    /// More tokens were to be resolved than are in doubt.
-    #[error("{wanted} tokens were to be released, {in_doubt} are in doubt")]
+    /// The row is empty, or its router is alive and spends from it.
+    #[error("nothing of router {0} is in doubt")]
+    NotInDoubt(RouterId),
+    /// More tokens were to count as spent than are in doubt.
+    #[error("{spent} tokens were to count as spent, {in_doubt} are in doubt")]
     TooMany {
-        /// Tokens to be released.
-        wanted: Tokens,
+        /// Tokens to count as spent.
+        spent: Tokens,
         /// Tokens in doubt.
         in_doubt: Tokens,
     },
@@ -67,16 +67,17 @@
         .collect()
 }
 
-/// Returns the commit that gives `tokens` in doubt back to the account, by an operator's
-/// decision. The grant row stays, closed, so that its counters are never used twice.
+/// Returns the commit that ends the doubt about a dead router's grant by an operator's
+/// decision: `spent` tokens count as settled, and the rest returns to the account. The
+/// row stays, closed and empty, so that its counters are never used twice.
 ///
 /// # Errors
 /// Where the rows are missing or unreadable, the router is alive, or fewer tokens are in
-/// doubt.
+/// doubt than are to count as spent.
 pub fn resolve_in_doubt(
     account: &AccountName,
     router: &RouterId,
-    tokens: Tokens,
+    spent: Tokens,
     rows: (Option<&Row>, Option<&Row>),
     live: &[RouterId],
     now_unix_ms: u64,
@@ -88,11 +89,16 @@
     let mut budget: BudgetRow = budget_row.decode()?;
     let mut grant: GrantRow = grant_row.decode()?;
     if !is_in_doubt(&grant, live) {
-        return Err(ResolveError::Alive(router.clone()));
+        return Err(ResolveError::NotInDoubt(router.clone()));
     }
-    let too_many = ResolveError::TooMany { wanted: tokens, in_doubt: grant.unspent };
-    grant.unspent = grant.unspent.checked_sub(tokens).ok_or(too_many)?;
-    budget.granted = budget.granted.checked_sub(tokens).ok_or(ResolveError::Inconsistent)?;
+    let in_doubt = grant.unspent;
+    let granted = budget.granted.checked_sub(in_doubt).ok_or(ResolveError::Inconsistent)?;
+    let settled = budget.settled.checked_add(spent).ok_or(ResolveError::Inconsistent)?;
+    if !grant.spend(spent) {
+        return Err(ResolveError::TooMany { spent, in_doubt });
+    }
+    budget = BudgetRow { granted, settled, ..budget };
+    grant.unspent = Tokens::ZERO;
     grant.closed_unix_ms.get_or_insert(now_unix_ms);
     Ok(Commit {
         preconditions: vec![
--- /dev/null
+++ b/components/budget/tests/faults.rs
@@ -0,0 +1,238 @@
+//! Failures, each brought about on purpose. The scene checks the table's invariant and
+//! the spend all along.
+
+mod scene;
+
+use std::time::Duration;
+
+use budget::{Answer, DeathPolicy, Event, budget_key, grant_key, list_in_doubt, resolve_in_doubt};
+use errors::ErrorKind;
+use fleet_fakes::{FleetFaults, Step};
+use platform::{Commit, Write};
+use scene::Scene;
+use types::Tokens;
+
+const DOMAINS: [&str; 4] = ["zlin", "kromeriz", "vsetin", "brod"];
+const SECOND: Duration = Duration::from_secs(1);
+
+fn start(deposit: u64) -> Scene {
+    let mut scene = Scene::start(DeathPolicy::WitnessedCeilings, &DOMAINS, deposit, 7);
+    scene.run(SECOND);
+    scene
+}
+
+fn set_faults(scene: &mut Scene, faults: FleetFaults) {
+    scene.fleet.faults = faults;
+}
+
+fn refusal_kind(answer: &Answer) -> Option<ErrorKind> {
+    match answer {
+        Answer::Reserved(Err(error)) => Some(error.kind()),
+        _ => None,
+    }
+}
+
+#[test]
+fn lost_and_late_commits_bill_each_request_once() {
+    let mut scene = start(100_000);
+    let faults = FleetFaults { lost_answers: 0.5, late_commits: 0.4, ..FleetFaults::default() };
+    set_faults(&mut scene, faults);
+    for _ in 0..20 {
+        let reservation = scene.reserve_now(0, 1_000).unwrap();
+        scene.settle(0, reservation, 700);
+        scene.run(SECOND);
+    }
+    set_faults(&mut scene, FleetFaults::default());
+    scene.run(10 * SECOND);
+    assert_eq!(scene.fleet.budget(&scene.account).settled, Tokens(14_000));
+    assert!(scene.settled.iter().all(Result::is_ok));
+}
+
+#[test]
+fn paused_router_that_wakes_spends_only_what_was_left_to_it() {
+    let mut scene = start(10_000);
+    let reservation = scene.reserve_now(0, 2_000).unwrap();
+    scene.fleet.pause(0);
+    scene.run(30 * SECOND);
+    // All but what the paused router may still spend is back, and can be spent.
+    let other = scene.reserve_now(1, 7_900).expect("the rest has returned");
+    scene.settle(1, other, 7_900);
+    scene.run(5 * SECOND);
+    scene.fleet.resume(0);
+    scene.settle(0, reservation, 2_000);
+    scene.run(20 * SECOND);
+    assert_eq!(scene.fleet.budget(&scene.account).settled, Tokens(9_900));
+    assert_eq!(scene.reserve_now(0, 200), None);
+}
+
+#[test]
+fn bill_of_a_router_that_dies_with_the_store_away_is_committed_by_a_holder() {
+    let mut scene = start(10_000);
+    let reservation = scene.reserve_now(0, 2_000).unwrap();
+    scene.fleet.faults.table_down = true;
+    scene.settle(0, reservation, 1_500);
+    scene.run(SECOND);
+    assert!(scene.bills.values().all(|given| given.is_durable));
+    scene.kill(0);
+    scene.run(10 * SECOND);
+    assert_eq!(scene.billed(), Tokens::ZERO);
+    scene.fleet.faults.table_down = false;
+    scene.run(20 * SECOND);
+    scene.check_durable_bills();
+    assert_eq!(scene.fleet.budget(&scene.account).settled, Tokens(1_500));
+}
+
+#[test]
+fn bill_without_two_holders_and_without_the_table_is_not_called_durable() {
+    let mut scene = start(10_000);
+    let reservation = scene.reserve_now(0, 2_000).unwrap();
+    scene.fleet.set_side(0, 1, false);
+    scene.settle(0, reservation, 1_500);
+    scene.run(25 * SECOND);
+    let kind = scene.settled[0].as_ref().unwrap_err().kind();
+    assert_eq!(kind, ErrorKind::BillNotDurable);
+    scene.fleet.set_side(0, 0, true);
+    scene.run(20 * SECOND);
+    assert_eq!(scene.billed(), Tokens(1_500), "the request has run and is billed");
+}
+
+#[test]
+fn scattered_tail_is_lent_with_lost_and_doubled_messages_and_the_store_away() {
+    let mut scene = start(12_000);
+    for router in 0..DOMAINS.len() {
+        let reservation = scene.reserve_now(router, 1_000).unwrap();
+        scene.release(router, reservation);
+    }
+    scene.run(5 * SECOND);
+    let held = scene.fleet.snapshot(0)[0].unspent;
+    let lost = FleetFaults {
+        table_down: true,
+        lost_messages: 0.3,
+        doubled_messages: 0.3,
+        ..FleetFaults::default()
+    };
+    set_faults(&mut scene, lost);
+    scene.run(5 * SECOND);
+    let wanted = held.0 + 1_500;
+    let reservation = scene.reserve_now(0, wanted).expect("peers lend what is missing");
+    scene.settle(0, reservation, wanted);
+    set_faults(&mut scene, FleetFaults::default());
+    scene.run(30 * SECOND);
+    assert_eq!(scene.fleet.budget(&scene.account).settled, Tokens(wanted));
+}
+
+#[test]
+fn top_up_counts_on_the_side_that_reaches_the_table() {
+    let mut scene = start(1_000);
+    let first = scene.reserve_now(0, 1_000).unwrap();
+    scene.settle(0, first, 1_000);
+    scene.run(5 * SECOND);
+    scene.fleet.set_side(2, 1, false);
+    scene.fleet.set_side(3, 1, false);
+    let account = scene.account.clone();
+    scene.fleet.deposit(&account, Tokens(5_000));
+    scene.run(5 * SECOND);
+    assert!(scene.reserve_now(0, 2_000).is_some());
+    assert_eq!(scene.reserve_now(2, 2_000), None);
+    scene.fleet.set_side(2, 0, true);
+    scene.run(5 * SECOND);
+    assert!(scene.reserve_now(2, 2_000).is_some());
+}
+
+#[test]
+fn request_waits_for_a_release_and_is_refused_at_once_where_none_can_help() {
+    let mut scene = start(1_000);
+    let reservation = scene.reserve_now(0, 800).unwrap();
+    let ticket = scene.reserve(0, 800, 10 * SECOND);
+    scene.run(2 * SECOND);
+    assert!(scene.answers.iter().all(|(it, _)| *it != ticket));
+    scene.release(0, reservation);
+    scene.run(SECOND);
+    assert!(scene.answers.contains(&(ticket, Ok(Tokens(800)))));
+    for tokens in [1_001, u64::MAX] {
+        let ticket = scene.reserve(1, tokens, 60 * SECOND);
+        scene.run(SECOND);
+        assert!(scene.answers.contains(&(ticket, Err(ErrorKind::BudgetExhausted))));
+    }
+}
+
+#[test]
+fn draining_router_returns_everything() {
+    let mut scene = start(50_000);
+    let reservation = scene.reserve_now(0, 3_000).unwrap();
+    scene.settle(0, reservation, 1_000);
+    scene.run(SECOND);
+    scene.fleet.send(0, Event::Drain);
+    scene.run(5 * SECOND);
+    assert!(scene.fleet.is_drained(0));
+    let budget = scene.fleet.budget(&scene.account);
+    assert_eq!((budget.settled, budget.granted), (Tokens(1_000), Tokens::ZERO));
+}
+
+#[test]
+fn row_that_cannot_be_read_is_a_clear_error_and_loses_nothing() {
+    let mut scene = start(50_000);
+    let reservation = scene.reserve_now(0, 3_000).unwrap();
+    let key = budget_key(&scene.account);
+    let sound = scene.fleet.table().read(&key).unwrap();
+    let put = |value: &str| Write { key: key.clone(), value: Some(value.into()) };
+    for value in
+        ["{", r#"{"deposited":1,"settled":0,"granted":0,"later":1}"#, r#"{"deposited":-1}"#]
+    {
+        scene.fleet.force(&Commit { writes: vec![put(value)], ..Commit::default() });
+        let account = scene.account.clone();
+        let (ticket, tokens) = (1_000_000, Tokens(60_000));
+        let wait_until = scene.now() + 5 * SECOND;
+        scene.fleet.send(1, Event::Reserve { ticket, account, tokens, wait_until });
+        let mut kinds = Vec::new();
+        for _ in 0..1_000 {
+            if let Step::Answers(1, answers) = scene.fleet.step() {
+                kinds.extend(answers.into_iter().map(|(_, answer)| refusal_kind(&answer)));
+            }
+        }
+        assert_eq!(kinds, [Some(ErrorKind::StoreUnavailable)]);
+    }
+    scene.fleet.force(&Commit { writes: vec![put(&sound.value)], ..Commit::default() });
+    scene.settle(0, reservation, 2_000);
+    scene.run(10 * SECOND);
+    assert_eq!(scene.fleet.budget(&scene.account).settled, Tokens(2_000));
+}
+
+#[test]
+fn bill_that_does_not_fit_its_reservation_is_refused() {
+    let mut scene = start(50_000);
+    let reservation = scene.reserve_now(0, 1_000).unwrap();
+    scene.settle(0, reservation, 1_001);
+    scene.run(SECOND);
+    assert_eq!(scene.settled[0].as_ref().unwrap_err().kind(), ErrorKind::Internal);
+    scene.bills.clear();
+    assert_eq!(scene.fleet.budget(&scene.account).settled, Tokens::ZERO);
+}
+
+#[test]
+fn what_a_dead_pair_leaves_in_doubt_is_listed_and_resolved() {
+    let mut scene = start(10_000);
+    scene.reserve_now(0, 2_000).unwrap();
+    let witness = scene.grant_rows()[0].witness.clone().unwrap();
+    let dead = scene.fleet.router_id(0);
+    let index = (0..DOMAINS.len()).find(|it| scene.fleet.router_id(*it) == witness).unwrap();
+    scene.kill(0);
+    scene.kill(index);
+    scene.run(30 * SECOND);
+    let account = scene.account.clone();
+    let live: Vec<_> =
+        (1..DOMAINS.len()).filter(|it| *it != index).map(|it| scene.fleet.router_id(it)).collect();
+    let rows = scene.fleet.table().scan(&budget::grant_prefix(&account), None);
+    let in_doubt = list_in_doubt(&account, &rows, &live);
+    let entry = in_doubt[0].as_ref().unwrap();
+    assert_eq!((&entry.router, entry.since_unix_ms), (&dead, None));
+    let budget_row = scene.fleet.table().read(&budget_key(&account));
+    let grant_row = scene.fleet.table().read(&grant_key(&account, &dead));
+    let rows = (budget_row.as_ref(), grant_row.as_ref());
+    let commit = resolve_in_doubt(&account, &dead, Tokens(500), rows, &live, 9).unwrap();
+    scene.fleet.force(&commit);
+    let budget = scene.fleet.budget(&account);
+    assert_eq!((budget.settled, budget.granted), (Tokens(500), Tokens::ZERO));
+    let again = resolve_in_doubt(&account, &dead, Tokens(0), rows, &[dead.clone()], 9);
+    assert!(again.is_err());
+}
--- a/components/router/src/accounting/ledger_task.rs
+++ b/components/router/src/accounting/ledger_task.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::Arc,
-    time::{Duration, SystemTime},
+    time::Duration,
 };
 
 use budget::{
@@ -20,7 +20,7 @@
 use types::{AccountName, Timestamp};
 use utils::{HashMap, new_rng};
 
-use super::{ReserveRequest, in_doubt_gauge::InDoubtGauge};
+use super::{ReserveRequest, grant_resolver::unix_ms, in_doubt_gauge::InDoubtGauge};
 use crate::{Clock, peers::Peers};
 
 /// Time between two looks at the clock and the membership.
@@ -275,8 +275,3 @@
         set(telemetry::BUDGET_WAITING_REQUESTS, it.waiting as u64);
     }
 }
-
-fn unix_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
