--- a/components/router/src/accounting/ledger_task.rs
+++ b/components/router/src/accounting/ledger_task.rs
@@ -1,9 +1,6 @@
 //! The task on the control thread that owns the ledger and carries out its actions.
 
-use std::{
-    sync::Arc,
-    time::{Duration, SystemTime},
-};
+use std::{sync::Arc, time::Duration};
 
 use budget::{
     AccountSnapshot, Action, Answer, Bill, BudgetPeer, BudgetSettings, CallId, DeathPolicy, Event,
@@ -20,7 +17,7 @@
 use types::{AccountName, Timestamp};
 use utils::{HashMap, Rng};
 
-use super::{ReserveRequest, in_doubt_gauge::InDoubtGauge};
+use super::{ReserveRequest, grant_resolver::unix_ms, in_doubt_gauge::InDoubtGauge};
 use crate::{Clock, peers::Peers};
 
 /// Time between two looks at the clock and the membership.
@@ -278,8 +275,3 @@
         set(telemetry::BUDGET_WAITING_REQUESTS, it.waiting as u64);
     }
 }
-
-fn unix_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
--- a/programs/auburncrank-bench/src/cmd/mod.rs
+++ b/programs/auburncrank-bench/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The studies, one module each.
 
+mod budgets;
 mod control;
 mod membership;
 mod path;
@@ -24,6 +25,11 @@
 
 /// All studies.
 pub(crate) const STUDIES: &[Study] = &[
+    Study {
+        name: "budgets",
+        about: "Overspend and false refusals under faults, on simulated time.",
+        run: budgets::run,
+    },
     Study {
         name: "control",
         about: "Acceptance and spread of configurations, on simulated time.",
