Spread accepted configurations between routers without the table

A router learned of a version from the table only, so that one accepted just before the table went away stayed on the router that accepted it.

--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -16,7 +16,7 @@
         AskLoan, BilledRequest, BillsHeld, BudgetBody, BudgetMessage, CeilingRaised, ForgetBills,
         HoldBills, LoanCredited, LoanTotal, RaiseCeiling,
     },
-    config::ConfigMessage,
+    config::{ConfigAnswer, ConfigKind, ConfigMessage, ConfigRequest},
     envelope::{Envelope, PeerBody},
     frame::{FRAME_MAX_BYTES, FrameCodec, FrameError},
     membership::{
--- a/components/router/src/daemon/assembly.rs
+++ b/components/router/src/daemon/assembly.rs
@@ -18,7 +18,7 @@
     Clock, RouterContext,
     accounting::GrantAccounting,
     admin::{AdminContext, TableResolver},
-    configuration::{ConfigHandle, run_config_poller},
+    configuration::{ConfigHandle, run_config_poller, start_config_spread},
     control_jobs::{ControllerContext, start_controller},
     dispatch::PolicyDispatcher,
     http::HttpContext,
@@ -64,6 +64,7 @@
         peers.clone(),
     ));
     control.handle().spawn(run_config_poller(cfg.clone(), table.clone(), peers.clone()));
+    start_config_spread(cfg.clone(), peers.clone(), utils::new_rng(), control.handle());
     let registry = FleetRegistry::start(RegistryParts {
         router: id.clone(),
         clock,
--- a/components/router/src/http/health.rs
+++ b/components/router/src/http/health.rs
@@ -4,6 +4,7 @@
 use viz::{IntoResponse, Request, Response, ResponseExt, Result, StatusCode};
 
 use super::HttpContext;
+use crate::configuration::CONFIRMED_SPAN;
 
 /// Serves `GET /health`: the process runs.
 pub(super) async fn serve_health(_req: Request) -> Result<Response> {
@@ -11,6 +12,9 @@
 }
 
 /// Serves `GET /ready`: the router takes new requests.
+///
+/// The answer says so where the table has not confirmed lately that the configuration in
+/// force is the latest.
 pub(super) async fn serve_readiness(cx: HttpContext, _req: Request) -> Result<Response> {
     if cx.is_closed() {
         return Ok((StatusCode::SERVICE_UNAVAILABLE, "leaving\n").into_response());
@@ -18,7 +22,22 @@
     if cx.router.cfg.version() == ConfigVersion(0) {
         return Ok((StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n").into_response());
     }
-    Ok(Response::text("ready\n"))
+    if is_behind(&cx) {
+        let text = "another router has a later configuration\n";
+        return Ok((StatusCode::SERVICE_UNAVAILABLE, text).into_response());
+    }
+    let is_confirmed = cx.router.cfg.confirmed_age().is_some_and(|age| age < CONFIRMED_SPAN);
+    let text = if is_confirmed { "ready\n" } else { "ready; the configuration is not confirmed\n" };
+    Ok(Response::text(text))
+}
+
+/// Tells whether a router that the table has never confirmed knows of one with a later
+/// configuration. Such a router has been started anew and is still catching up.
+fn is_behind(cx: &HttpContext) -> bool {
+    let view = cx.router.peers.view();
+    let version = cx.router.cfg.version();
+    cx.router.cfg.confirmed_age().is_none()
+        && view.others.iter().any(|it| it.config_version > version)
 }
 
 /// Serves `GET /metrics` in the Prometheus text format.
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -52,6 +52,13 @@
 /// in seconds; infinite where it never did.
 pub const CONFIG_CONFIRMED_AGE_SECONDS: &str = "auburncrank_config_confirmed_age_seconds";
 
+/// Gauge that is 1 where the table has lately confirmed that no later configuration is
+/// accepted, and 0 where this router cannot tell how fresh its version is.
+pub const CONFIG_CONFIRMED: &str = "auburncrank_config_confirmed";
+
+/// Counter of configurations exchanged with other routers, by `result`.
+pub const CONFIG_SPREAD_TOTAL: &str = "auburncrank_config_spread_total";
+
 /// Counter of administration calls, by `result`: `ok` or the code of the error table.
 pub const ADMIN_CALLS_TOTAL: &str = "auburncrank_admin_calls_total";
 
