Write that a plan has expired before saying so

A commit of an earlier confirmation, still on its way, could take effect after a later one had answered that nothing was changed. The test fails without the write.

--- a/components/config/src/rows.rs
+++ b/components/config/src/rows.rs
@@ -57,6 +57,9 @@
 pub enum PlanState {
     /// It can be confirmed until it expires.
     Open,
+    /// A confirmation found it expired. Written so that an earlier commit that is still
+    /// on its way cannot take effect any more.
+    Expired,
     /// It took effect.
     Confirmed {
         /// Version in force with it.
--- a/components/router/src/admin/accept.rs
+++ b/components/router/src/admin/accept.rs
@@ -63,9 +63,10 @@
     for _ in 0..ATTEMPTS_MAX {
         match try_confirm(table, resolver, &mut known, id, operator).await {
             Ok(Attempt::Accepted(accepted)) => return Ok(accepted),
-            Ok(Attempt::Conflict) => {}
+            Ok(Attempt::NotApplied) => {}
             Ok(Attempt::AnswerLost) => is_unknown = true,
-            Err(error) if is_retriable(&error, is_unknown) => {}
+            // "Not changed" cannot be said any more; the next attempt may read the plan.
+            Err(error) if is_unknown && is_store_away(&error) => {}
             Err(error) => return Err(error),
         }
         tokio::time::sleep(jitter(ATTEMPT_DELAY, &mut new_rng())).await;
@@ -81,13 +82,13 @@
 /// What became of one attempt.
 enum Attempt {
     Accepted(Accepted),
-    Conflict,
+    /// Another commit came first, or the table limits the rate of commits.
+    NotApplied,
     AnswerLost,
 }
 
-fn is_retriable(error: &AdminError, is_unknown: bool) -> bool {
-    let is_limited = error.error.message() == PlatformError::RateLimited.to_string();
-    error.error.kind() == ErrorKind::StoreUnavailable && (is_limited || is_unknown)
+fn is_store_away(error: &AdminError) -> bool {
+    error.error.kind() == ErrorKind::StoreUnavailable
 }
 
 async fn try_confirm(
@@ -101,14 +102,19 @@
     let stored = read_config(table, known).await?;
     known.clone_from(&stored.cfg);
     let (row, unchanged_plan) = read_plan(table, id).await?;
-    if let PlanState::Confirmed { version, by, at } = row.state {
-        let cfg = stored.cfg;
-        return Ok(Attempt::Accepted(Accepted { version, by, at, cfg }));
-    }
     let now = UnixMillis::now();
-    if row.plan.is_expired(now) {
-        let message = "the plan was not confirmed in time; nothing was changed; make it anew";
-        return Err(AdminError::new(ErrorKind::PlanExpired, message));
+    match row.state {
+        PlanState::Confirmed { version, by, at } => {
+            // The plan may have been confirmed after the configuration was read.
+            let is_older = stored.cfg.version < version;
+            let cfg = if is_older { read_config(table, known).await?.cfg } else { stored.cfg };
+            return Ok(Attempt::Accepted(Accepted { version, by, at, cfg }));
+        }
+        PlanState::Expired => return Err(expired()),
+        PlanState::Open if row.plan.is_expired(now) => {
+            return expire(table, row.plan, unchanged_plan).await;
+        }
+        PlanState::Open => {}
     }
     let after = Arc::new(row.plan.rebase(&stored.cfg)?);
     let by = operator.clone();
@@ -128,12 +134,35 @@
             let version = after.version;
             Ok(Attempt::Accepted(Accepted { version, by, at: now, cfg: after }))
         }
-        CommitOutcome::Conflict(_) => Ok(Attempt::Conflict),
+        CommitOutcome::Conflict(_) | CommitOutcome::NotApplied(PlatformError::RateLimited) => {
+            Ok(Attempt::NotApplied)
+        }
         CommitOutcome::Unknown => Ok(Attempt::AnswerLost),
         CommitOutcome::NotApplied(error) => Err(store_error(error).into()),
     }
 }
 
+/// Marks a plan as expired.
+async fn expire(
+    table: &dyn Table,
+    plan: Plan,
+    unchanged: Precondition,
+) -> Result<Attempt, AdminError> {
+    let key = plan_key(&plan.id);
+    let row = PlanRow { state: PlanState::Expired, plan };
+    let commit = Commit { preconditions: vec![unchanged], writes: vec![Write::put(key, &row)] };
+    match table.commit(&commit).await {
+        CommitOutcome::Committed(_) => Err(expired()),
+        CommitOutcome::Conflict(_) | CommitOutcome::Unknown => Ok(Attempt::NotApplied),
+        CommitOutcome::NotApplied(error) => Err(store_error(error).into()),
+    }
+}
+
+fn expired() -> AdminError {
+    let message = "the plan was not confirmed in time; nothing was changed; make it anew";
+    AdminError::new(ErrorKind::PlanExpired, message)
+}
+
 /// Adds the rows of the new version, if the plan changes the configuration.
 fn add_version(
     commit: &mut Commit,
--- a/components/router/src/admin/handlers/plans.rs
+++ b/components/router/src/admin/handlers/plans.rs
@@ -124,6 +124,7 @@
 fn view_plan(plan: &Plan, state: &PlanState) -> PlanView {
     let (status, version) = match state {
         PlanState::Confirmed { version, .. } => (PlanStatus::Confirmed, Some(*version)),
+        PlanState::Expired => (PlanStatus::Expired, None),
         PlanState::Open if plan.is_expired(UnixMillis::now()) => (PlanStatus::Expired, None),
         PlanState::Open => (PlanStatus::Open, None),
     };
--- a/components/router/tests/confirming.rs
+++ b/components/router/tests/confirming.rs
@@ -10,7 +10,7 @@
     AUDIT_PREFIX, Account, CONFIG_CHANGES_PREFIX, Config, Deposit, Intent, Plan, VersionRow,
 };
 use errors::ErrorKind;
-use platform::{Commit, CommitOutcome, Key, PlatformError, Row, Table, Write};
+use platform::{Commit, CommitOutcome, Key, PlatformError, Precondition, Row, Table, Write};
 use rand::{Rng as _, seq::SliceRandom as _};
 use router::{
     admin::{AdminError, BusyEndpoints, NoResolver, confirm_plan, make_plan},
@@ -193,9 +193,33 @@
     made.expires_at = types::UnixMillis(1);
     let row = config::PlanRow { state: config::PlanState::Open, plan: made.clone() };
     let key = Key::new(&format!("plan/{}", made.id)).unwrap();
-    table.force(&Commit { writes: vec![Write::put(key, &row)], ..Commit::default() });
-    let error = confirm(&table, &made, "ada").await.unwrap_err();
-    assert_eq!(error.error.kind(), ErrorKind::PlanExpired);
+    table.force(&Commit { writes: vec![Write::put(key.clone(), &row)], ..Commit::default() });
+    // A commit of an earlier confirmation is on its way and loses its answer.
+    let mut open = made.clone();
+    open.expires_at = types::UnixMillis(u64::MAX);
+    let late = LateTable { inner: table.clone(), late: std::sync::Mutex::default() };
+    let row_of = |plan: &Plan| {
+        let state = config::PlanState::Open;
+        Write::put(key.clone(), &config::PlanRow { state, plan: plan.clone() })
+    };
+    table.force(&Commit { writes: vec![row_of(&open)], ..Commit::default() });
+    let lost =
+        tokio::time::timeout(std::time::Duration::from_millis(1), confirm(&late, &open, "ada"));
+    assert!(lost.await.is_err());
+    let mut on_its_way = late.late.lock().unwrap().take().unwrap();
+    // The hour passes; the plan's row is as that commit expects it.
+    table.force(&Commit { writes: vec![row_of(&made)], ..Commit::default() });
+    let revision = table.inspect(key.as_str())[0].revision;
+    for precondition in &mut on_its_way.preconditions {
+        if *precondition.key() == key {
+            *precondition = Precondition::Revision(key.clone(), revision);
+        }
+    }
+    for _ in 0..2 {
+        let error = confirm(&table, &made, "ada").await.unwrap_err();
+        assert_eq!(error.error.kind(), ErrorKind::PlanExpired);
+    }
+    assert!(matches!(table.force(&on_its_way), CommitOutcome::Conflict(_)));
     assert!(versions(&table).is_empty());
 }
 
