Close a grant in doubt by what was spent, with one resolver

The resolution now says what was spent (close_grant, 'in-doubt close'), everywhere; the second resolver is gone.

--- a/components/config/src/resolution.rs
+++ b/components/config/src/resolution.rs
@@ -10,16 +10,17 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
 pub enum Resolution {
-    /// Returns tokens to the budget that a router which is gone had been granted.
-    ReleaseGrant {
+    /// Closes the grant of a router that is gone: what it has spent counts as spent, the
+    /// rest returns to the budget.
+    CloseGrant {
         /// Client account.
         account: AccountName,
         /// Router that held the grant.
         router: RouterName,
         /// Its incarnation.
         incarnation: Incarnation,
-        /// Tokens that return to the budget.
-        tokens: Tokens,
+        /// Tokens of the grant in doubt that were spent without a bill.
+        spent: Tokens,
     },
     /// Says what became of a call whose outcome is unknown.
     SettleRequest {
@@ -40,8 +41,9 @@
     /// Returns the client account that it concerns.
     pub fn account(&self) -> &AccountName {
         match self {
-            Resolution::ReleaseGrant { account, .. }
-            | Resolution::SettleRequest { account, .. } => account,
+            Resolution::CloseGrant { account, .. } | Resolution::SettleRequest { account, .. } => {
+                account
+            }
         }
     }
 }
@@ -49,10 +51,10 @@
 impl fmt::Display for Resolution {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Resolution::ReleaseGrant { account, router, incarnation, tokens } => write!(
+            Resolution::CloseGrant { account, router, incarnation, spent } => write!(
                 f,
-                "return {tokens} tokens to account {account} that router {router} \
-                 (incarnation {}) was granted",
+                "close the grant of account {account} to router {router} (incarnation {}): \
+                 {spent} tokens were spent, the rest returns to the budget",
                 incarnation.0
             ),
             Resolution::SettleRequest { account, request, ran, router_ended } => {
--- a/components/router/src/accounting/ledger_task.rs
+++ b/components/router/src/accounting/ledger_task.rs
@@ -14,10 +14,10 @@
     sync::{mpsc, oneshot},
     time::MissedTickBehavior,
 };
-use types::{AccountName, Timestamp};
+use types::{AccountName, Timestamp, UnixMillis};
 use utils::{HashMap, Rng};
 
-use super::{ReserveRequest, grant_resolver::unix_ms, in_doubt_gauge::InDoubtGauge};
+use super::{ReserveRequest, in_doubt_gauge::InDoubtGauge};
 use crate::{Clock, peers::Peers};
 
 /// Time between two looks at the clock and the membership.
@@ -89,7 +89,7 @@
         rng: Rng,
     ) -> LedgerTask {
         let mut settings = BudgetSettings::new(DeathPolicy::WitnessedCeilings);
-        settings.start_unix_ms = unix_ms().saturating_sub(clock.now().as_millis());
+        settings.start_unix_ms = UnixMillis::now().0.saturating_sub(clock.now().as_millis());
         let local = budget_peer(&peers.view().local);
         LedgerTask {
             ledger: Ledger::new(settings, local, rng),
--- a/components/router/src/accounting/mod.rs
+++ b/components/router/src/accounting/mod.rs
@@ -1,7 +1,6 @@
 //! Budgets and bills as requests see them.
 
 mod grant;
-mod grant_resolver;
 mod in_doubt_gauge;
 mod ledger_task;
 mod reservation;
@@ -14,7 +13,6 @@
 
 pub use self::{
     grant::GrantAccounting,
-    grant_resolver::GrantResolver,
     in_doubt_gauge::read_in_doubt,
     reservation::{Reservation, ReserveRequest},
 };
--- a/components/router/src/admin/table_resolver.rs
+++ b/components/router/src/admin/table_resolver.rs
@@ -42,13 +42,13 @@
 impl Resolver for TableResolver {
     async fn prepare(&self, resolution: &Resolution, operator: &OperatorName) -> Result<Commit> {
         match resolution {
-            Resolution::ReleaseGrant { account, router, incarnation, tokens } => {
+            Resolution::CloseGrant { account, router, incarnation, spent } => {
                 let router = RouterId::new(router.clone(), *incarnation);
                 let keys = [budget_key(account), grant_key(account, &router)];
                 let rows = self.table.read(&keys).await.map_err(store_error)?;
                 let rows = (rows[0].as_ref(), rows[1].as_ref());
                 let (live, now) = (self.live_routers(), UnixMillis::now().0);
-                resolve_in_doubt(account, &router, *tokens, rows, &live, now)
+                resolve_in_doubt(account, &router, *spent, rows, &live, now)
                     .map_err(|error| cannot_resolve(resolution, &error))
             }
             Resolution::SettleRequest { account, request, ran, router_ended } => {
--- a/programs/auburncrank/src/cmd/in_doubt.rs
+++ b/programs/auburncrank/src/cmd/in_doubt.rs
@@ -14,7 +14,7 @@
 /// Forms of the arguments.
 pub(super) const USAGE: &[&str] = &[
     "in-doubt list",
-    "in-doubt release ACCOUNT ROUTER INCARNATION TOKENS",
+    "in-doubt close ACCOUNT ROUTER INCARNATION SPENT",
     "in-doubt settle ACCOUNT REQUEST ran|not-run [--router-ended]",
 ];
 
@@ -27,10 +27,10 @@
     let arguments: Vec<_> = cx.arguments.iter().map(String::as_str).collect();
     let resolution = match arguments[..] {
         [] | ["list"] => return list(cx).await,
-        ["release", account, router, incarnation, tokens] => json!({
-            "kind": "release_grant", "account": account, "router": router,
+        ["close", account, router, incarnation, spent] => json!({
+            "kind": "close_grant", "account": account, "router": router,
             "incarnation": number("INCARNATION", incarnation)?,
-            "tokens": number("TOKENS", tokens)?,
+            "spent": number("SPENT", spent)?,
         }),
         ["settle", account, request, outcome @ ("ran" | "not-run")] => json!({
             "kind": "settle_request", "account": account, "request": request,
