Let a home router vouch for an id only with the promises of all others

Each router now promises a home router, for 2 s at a time, not to run its ids without it; one that has to lets the promise run out, waits 4 s after it, and promises nothing for 15 minutes. A home vouches only with the promises of all others, at most 64.

--- a/components/history/src/event.rs
+++ b/components/history/src/event.rs
@@ -29,6 +29,12 @@
         /// Whether it may run more than once.
         is_idempotent: bool,
     },
+    /// A call arrived at a router that was late in getting it. Without this event a call
+    /// counts as arrived when it was made.
+    Arrival {
+        /// Call.
+        call: CallId,
+    },
     /// An endpoint ran a request and produced this whole answer, whether or not it
     /// arrived anywhere.
     Run {
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -25,8 +25,8 @@
     },
     requests::{
         AnswerEndRef, AnswerHeadRef, AttemptRef, ClaimMessage, EndKind, EndedMessage, FailedEnd,
-        FetchMessage, HeldMessage, HeldRef, KeptRef, PartMessage, RequestRef, RequestsBody,
-        RequestsMessage, VerdictBody, VerdictMessage, WholeEnd,
+        FetchMessage, HeldMessage, HeldRef, KeptRef, PartMessage, PromiseMessage, RequestRef,
+        RequestsBody, RequestsMessage, VerdictBody, VerdictMessage, WholeEnd,
     },
     routing::{CrashRecordMessage, RoutingMessage},
     socket_address::AddressError,
--- a/components/protocol/src/requests.rs
+++ b/components/protocol/src/requests.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct RequestsMessage {
     /// The message; absent where a newer version sent another.
-    #[prost(oneof = "RequestsBody", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "RequestsBody", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub body: Option<RequestsBody>,
 }
 
@@ -31,6 +31,23 @@
     /// Part of an answer.
     #[prost(message, tag = "6")]
     Part(PartMessage),
+    /// A home router asks for a promise.
+    #[prost(message, tag = "7")]
+    AskPromise(PromiseMessage),
+    /// The promise that it asked for.
+    #[prost(message, tag = "8")]
+    Promise(PromiseMessage),
+}
+
+/// Promise of a router not to run requests without the home router that asked for it.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct PromiseMessage {
+    /// Incarnation of the home router.
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    /// When it asked, in microseconds of its clock.
+    #[prost(uint64, tag = "2")]
+    pub asked_at: u64,
 }
 
 /// Key of a request and the digest of its content.
--- a/components/requests/src/lib.rs
+++ b/components/requests/src/lib.rs
@@ -10,6 +10,7 @@
 mod intent_admission;
 mod intent_row;
 mod intent_write;
+mod promises;
 mod resolution;
 mod stored_answer;
 mod take_over;
@@ -22,6 +23,7 @@
     intent_admission::{IntentAdmission, IntentBase, admit},
     intent_row::{INTENT_PREFIX, IntentRow, IntentState, WriteNumber, intent_key},
     intent_write::{GiveUp, IntentWrite, WriteStep},
+    promises::{PROMISE_TIME, PROMISE_WAIT, PROMISES_MAX, Promises},
     resolution::{Holder, OpenIntent, Resolution, ResolutionError, list_open, resolve},
     stored_answer::{AnswerBody, StoredAnswer},
     take_over::{EndpointCheck, may_take_over},
--- a/components/router/src/registry/fleet.rs
+++ b/components/router/src/registry/fleet.rs
@@ -32,6 +32,9 @@
 /// Time between two checks of the members and of the answers to be stored.
 const TICK: Duration = Duration::from_millis(500);
 
+/// Longest time from the arrival of a request to the end of the read of its row.
+const ADMISSION_TIME: Duration = Duration::from_millis(200);
+
 /// Claims that one begin makes before it gives up.
 const PLACE_TRIES: usize = 4;
 
@@ -62,6 +65,8 @@
     relay: Relay,
     /// Kept answers in the object store.
     kept: KeptStore,
+    /// Clock.
+    clock: Clock,
     /// Itself, for its tasks.
     this: Weak<FleetRegistry>,
 }
@@ -77,6 +82,7 @@
             kept: KeptStore::new(objects, &router),
             intents: Arc::new(Intents::new(router, table, clock)),
             relay: Relay::new(peers.clone()),
+            clock,
             this: this.clone(),
         });
         let handler = Arc::new(MessageHandler { registry: Arc::downgrade(&registry) });
@@ -86,6 +92,7 @@
     }
 
     async fn tick(&self) {
+        self.home.ask_promises();
         self.home.follow_members(|| self.entries.held());
         while let Some((object, items)) = self.kept.flush().await {
             for item in items {
@@ -95,8 +102,24 @@
         }
     }
 
+    /// Reads the intent row of a request that has just arrived. A row that says
+    /// "withdrawn" counts only where it was read at once: a refusal that is later than
+    /// the arrival must keep this attempt from running.
+    async fn read_intent(&self, req: &BeginRequest) -> Option<IntentAdmission> {
+        if req.idempotent {
+            return None;
+        }
+        let arrived = self.clock.now();
+        let admission = self.intents.admit(&req.key, &req.fingerprint).await.ok()?;
+        let is_late = self.clock.now().since(arrived) > ADMISSION_TIME;
+        let is_withdrawn =
+            matches!(&admission, IntentAdmission::Free(base) if base.revision.is_some());
+        (!is_late || !is_withdrawn).then_some(admission)
+    }
+
     /// Finds out where a request runs, or that it is to run here.
     async fn place(&self, req: &BeginRequest, entry: &Entry) -> Result<Begin> {
+        let intent = self.read_intent(req).await;
         let mut given_up = None;
         for _ in 0..PLACE_TRIES {
             let claim = Claim {
@@ -106,9 +129,9 @@
                 given_up: given_up.take(),
             };
             let (attempt, found) = match self.home.claim(&claim).await {
-                None => return self.admit(req, entry, Home::OutOfReach).await,
+                None => return self.admit(req, entry, Home::OutOfReach, intent),
                 Some(ClaimVerdict::Granted { is_first }) => {
-                    return self.admit(req, entry, Home::Granted { is_first }).await;
+                    return self.admit(req, entry, Home::Granted { is_first }, intent);
                 }
                 Some(ClaimVerdict::Reused) => return Err(reused()),
                 Some(ClaimVerdict::RunsAt(attempt)) => {
@@ -179,25 +202,31 @@
     }
 
     /// Admits a request that is to run here: a non-idempotent one by its intent row.
-    async fn admit(&self, req: &BeginRequest, entry: &Entry, home: Home) -> Result<Begin> {
+    fn admit(
+        &self,
+        req: &BeginRequest,
+        entry: &Entry,
+        home: Home,
+        intent: Option<IntentAdmission>,
+    ) -> Result<Begin> {
         let is_first = home == Home::Granted { is_first: true };
         self.entries.update(&req.key, |it| it.is_first = is_first);
         if req.idempotent {
             return Ok(Begin::Run(entry.log.clone()));
         }
-        match self.intents.admit(&req.key, &req.fingerprint).await {
-            Ok(IntentAdmission::Free(base)) => {
+        match intent {
+            Some(IntentAdmission::Free(base)) => {
                 self.entries.update(&req.key, |it| it.base = Some(base));
                 Ok(Begin::Run(entry.log.clone()))
             }
-            Ok(IntentAdmission::Answered(answer)) => Ok(self.join_stored(req, entry, &answer)),
-            Ok(IntentAdmission::Held(message)) => {
+            Some(IntentAdmission::Answered(answer)) => Ok(self.join_stored(req, entry, &answer)),
+            Some(IntentAdmission::Held(message)) => {
                 Err(Error::new(ErrorKind::OutcomeUnknown, message))
             }
-            Ok(IntentAdmission::Reused) => Err(reused()),
-            Err(_) if home != Home::OutOfReach => Ok(Begin::Run(entry.log.clone())),
-            Err(error) => {
-                let message = format!("neither the table nor the home router answers: {error}");
+            Some(IntentAdmission::Reused) => Err(reused()),
+            None if home != Home::OutOfReach => Ok(Begin::Run(entry.log.clone())),
+            None => {
+                let message = "neither the table nor the home router answers";
                 Err(Error::new(ErrorKind::StoreUnavailable, message).after_earlier_attempt())
             }
         }
@@ -241,6 +270,8 @@
             RequestsBody::Held(message) => self.home.on_held(message),
             RequestsBody::Fetch(message) => self.relay.on_fetch(&self.entries, from, message),
             RequestsBody::Part(message) => self.relay.on_part(message),
+            RequestsBody::AskPromise(message) => self.home.on_ask_promise(from, message),
+            RequestsBody::Promise(message) => self.home.on_promise(from, message),
         }
     }
 }
--- a/components/router/src/registry/home_link.rs
+++ b/components/router/src/registry/home_link.rs
@@ -5,10 +5,15 @@
     time::Duration,
 };
 
-use membership::{Member, MemberState, MembershipView};
-use protocol::{ClaimMessage, EndedMessage, HeldMessage, RequestsBody, VerdictMessage};
-use requests::{Attempt, Claim, ClaimVerdict, EndState, HeldEntry, HomeDirectory, find_home};
-use types::{RequestKey, RouterId, RouterName};
+use membership::MembershipView;
+use protocol::{
+    ClaimMessage, EndedMessage, HeldMessage, PromiseMessage, RequestsBody, VerdictMessage,
+};
+use requests::{
+    Attempt, Claim, ClaimVerdict, EndState, HeldEntry, HomeDirectory, PROMISES_MAX, Promises,
+    find_home,
+};
+use types::{RequestKey, RouterId, RouterName, Timestamp};
 use utils::{Digest, HashMap};
 
 use super::{pending_calls::PendingCalls, wire};
@@ -20,6 +25,9 @@
 /// Claims sent before the home router counts as out of reach.
 const CLAIM_TRIES: usize = 6;
 
+/// Pause between two looks whether the home of an id has changed.
+const HOME_CHECK_PAUSE: Duration = Duration::from_millis(100);
+
 /// Most ids in one message to a new home router.
 const HELD_MAX: usize = 1_000;
 
@@ -35,6 +43,8 @@
     directory: Mutex<HomeDirectory>,
     /// Claims that wait for an answer.
     claims: PendingCalls<ClaimVerdict>,
+    /// Promises between this router and the others.
+    promises: Mutex<Promises>,
     /// Members as of the last look for lost ones.
     seen: Mutex<Arc<MembershipView>>,
     /// Members as of the last time that ids were handed over.
@@ -47,25 +57,76 @@
         let view = peers.view();
         let directory = Mutex::new(HomeDirectory::new(clock.now()));
         let (seen, followed) = (Mutex::new(view.clone()), Mutex::new(view));
-        HomeLink { local, peers, clock, directory, claims: PendingCalls::new(), seen, followed }
+        let promises = Mutex::default();
+        let claims = PendingCalls::new();
+        HomeLink { local, peers, clock, directory, claims, promises, seen, followed }
     }
 
-    /// Asks the home router; `None` where it is out of reach.
+    /// Asks the home router; `None` where it is out of reach and this router may run the
+    /// request without it.
     pub(super) async fn claim(&self, claim: &Claim) -> Option<ClaimVerdict> {
-        for _ in 0..CLAIM_TRIES {
-            let home = self.home_of(&claim.key);
-            if home == self.local.name {
-                return Some(self.decide(claim));
+        loop {
+            let mut home = self.home_of(&claim.key);
+            for _ in 0..CLAIM_TRIES {
+                if home == self.local.name {
+                    return Some(self.decide(claim));
+                }
+                let send = |call| {
+                    let message = wire::encode_claim(call, claim);
+                    self.peers.send(&home, wire::wrap(RequestsBody::Claim(message)));
+                };
+                if let Some(verdict) = self.claims.call(CLAIM_TIMEOUT, send).await {
+                    return Some(verdict);
+                }
+                home = self.home_of(&claim.key);
+            }
+            if self.wait_to_run_alone(&claim.key, &home).await {
+                return None;
             }
-            let send = |call| {
-                let message = wire::encode_claim(call, claim);
-                self.peers.send(&home, wire::wrap(RequestsBody::Claim(message)));
-            };
-            if let Some(verdict) = self.claims.call(CLAIM_TIMEOUT, send).await {
-                return Some(verdict);
+        }
+    }
+
+    /// Waits until the promise to `home` has run out; false where another router became
+    /// the home meanwhile.
+    async fn wait_to_run_alone(&self, key: &RequestKey, home: &RouterName) -> bool {
+        let allowed = self.lock_promises().refuse(home, self.clock.now());
+        while self.clock.now() < allowed {
+            if self.home_of(key) != *home {
+                return false;
             }
+            tokio::time::sleep(HOME_CHECK_PAUSE).await;
+        }
+        true
+    }
+
+    /// Asks the others for their promises.
+    pub(super) fn ask_promises(&self) {
+        let others = other_ids(&self.peers.view());
+        self.lock_promises().retain(&others);
+        if others.len() > PROMISES_MAX {
+            return;
+        }
+        let message =
+            PromiseMessage { incarnation: self.local.incarnation.0, asked_at: self.clock.now().0 };
+        for id in others {
+            let body = RequestsBody::AskPromise(message);
+            self.peers.send(&id.name, wire::wrap(body));
+        }
+    }
+
+    /// Answers a home router that asks for a promise, unless this router runs requests
+    /// without it.
+    pub(super) fn on_ask_promise(&self, from: &RouterId, message: &PromiseMessage) {
+        if self.lock_promises().give(&from.name, self.clock.now()) {
+            self.peers.send(&from.name, wire::wrap(RequestsBody::Promise(*message)));
+        }
+    }
+
+    /// Takes a promise of another router.
+    pub(super) fn on_promise(&self, from: &RouterId, message: &PromiseMessage) {
+        if message.incarnation == self.local.incarnation.0 {
+            self.lock_promises().on_promise(from, Timestamp(message.asked_at));
         }
-        None
     }
 
     /// Tells the home router how an attempt ended. The message may be lost: then the next
@@ -101,7 +162,8 @@
         self.hand_over(held);
     }
 
-    /// Tells the directory where members were lost that had not left by themselves.
+    /// Tells the directory where members were lost. What one of them handed over as it
+    /// left may have been lost on its way.
     fn note_losses(&self) {
         let view = self.peers.view();
         let before = replace(&self.seen, &view);
@@ -109,8 +171,7 @@
             return;
         }
         let is_member = |id: &RouterId| view.find(&id.name).is_some_and(|it| it.id == *id);
-        let is_lost = |old: &Member| old.state != MemberState::Leaving && !is_member(&old.id);
-        if before.members().any(is_lost) {
+        if before.members().any(|old| !is_member(&old.id)) {
             self.lock().on_loss(self.clock.now());
         }
     }
@@ -172,8 +233,11 @@
     fn decide(&self, claim: &Claim) -> ClaimVerdict {
         self.note_losses();
         let view = self.peers.view();
+        let is_home = self.home_of(&claim.key) == self.local.name;
+        let now = self.clock.now();
+        let is_vouched = is_home && self.lock_promises().hold(&other_ids(&view), now);
         let is_alive = |id: &RouterId| view.find(&id.name).is_some_and(|member| member.id == *id);
-        self.lock().claim(self.clock.now(), claim, is_alive)
+        self.lock().claim(now, claim, is_vouched, is_alive)
     }
 
     fn home_of(&self, key: &RequestKey) -> RouterName {
@@ -182,11 +246,20 @@
         find_home(key, serving).unwrap_or(&self.local.name).clone()
     }
 
+    fn lock_promises(&self) -> MutexGuard<'_, Promises> {
+        self.promises.lock().expect("no holder of the lock panics")
+    }
+
     fn lock(&self) -> MutexGuard<'_, HomeDirectory> {
         self.directory.lock().expect("no holder of the lock panics")
     }
 }
 
+/// Returns the other members.
+fn other_ids(view: &MembershipView) -> Vec<RouterId> {
+    view.others.iter().map(|member| member.id.clone()).collect()
+}
+
 /// Puts `view` in place of the one in `slot`; returns that one.
 fn replace(slot: &Mutex<Arc<MembershipView>>, view: &Arc<MembershipView>) -> Arc<MembershipView> {
     let mut slot = slot.lock().expect("no holder of the lock panics");
