--- a/components/router/src/registry/fleet.rs
+++ b/components/router/src/registry/fleet.rs
@@ -8,9 +8,9 @@
 use async_trait::async_trait;
 use errors::{Error, ErrorKind, Ran, Result};
 use platform::{Commit, ObjectStore, Table};
-use protocol::{PeerBody, RequestsBody};
+use protocol::RequestsBody;
 use requests::{
-    AnswerBody, Attempt, Claim, ClaimVerdict, EndState, IntentAdmission, IntentState, StoredAnswer,
+    Attempt, Claim, ClaimVerdict, EndState, IntentAdmission, IntentState, StoredAnswer,
 };
 use types::{RequestKey, RouterId, Timestamp};
 use utils::Digest;
@@ -21,12 +21,15 @@
     home_link::HomeLink,
     intents::{Intents, Refusal},
     kept_store::{KeptItem, KeptStore},
+    message_handler::MessageHandler,
+    open_guard::OpenGuard,
     relay::{Fetch, Relay},
+    stored::{stored_answer, write_stored},
 };
 use crate::{
     Clock,
-    answer::{AnswerEnd, AnswerHead, AnswerLog, KeptAnswer},
-    peers::{PeerHandler, Peers},
+    answer::{AnswerLog, KeptAnswer},
+    peers::Peers,
 };
 
 /// Time between two checks of the members and of the answers to be stored.
@@ -56,9 +59,9 @@
 /// or has run; non-idempotent calls are decided by their intent rows alone.
 pub struct FleetRegistry {
     /// Requests of this router.
-    entries: Entries,
+    pub(super) entries: Entries,
     /// Home routers.
-    home: HomeLink,
+    pub(super) home: HomeLink,
     /// Intent rows.
     intents: Arc<Intents>,
     /// Answers of other routers.
@@ -191,13 +194,8 @@
     }
 
     fn join_stored(&self, req: &BeginRequest, entry: &Entry, answer: &StoredAnswer) -> Begin {
-        let body = answer.body.as_bytes();
-        let content_type = answer.content_type.clone();
-        entry.log.start(AnswerHead { status: answer.status, content_type });
-        entry.log.push(bytes::Bytes::copy_from_slice(body));
-        let usage = engine_api::Usage::new(answer.prompt_tokens, answer.completion_tokens);
-        entry.log.finish(AnswerEnd { finish_reason: answer.finish_reason.clone(), usage });
-        self.entries.keep(&req.key, body.len());
+        let bytes = write_stored(answer, &entry.log);
+        self.entries.keep(&req.key, bytes);
         Begin::Join(entry.log.clone())
     }
 
@@ -262,7 +260,7 @@
         tokio::spawn(async move { intents.close(&key, &recorded, state).await });
     }
 
-    fn on_requests(&self, from: &RouterId, body: &RequestsBody) {
+    pub(super) fn on_requests(&self, from: &RouterId, body: &RequestsBody) {
         match body {
             RequestsBody::Claim(message) => self.home.on_claim(from, message),
             RequestsBody::Verdict(message) => self.home.on_verdict(message),
@@ -389,56 +387,6 @@
     }
 }
 
-/// Removes the entry of a request that did not begin, also where its caller left
-/// meanwhile.
-struct OpenGuard<'a> {
-    /// Registry.
-    registry: &'a FleetRegistry,
-    /// Key of the request.
-    key: &'a RequestKey,
-    /// Its entry.
-    entry: &'a Entry,
-    /// Why it did not begin, if it did not; `None` as long as that is not known.
-    end: Option<Option<Error>>,
-}
-
-impl Drop for OpenGuard<'_> {
-    fn drop(&mut self) {
-        let error = match self.end.take() {
-            Some(None) => return,
-            Some(Some(error)) => error,
-            None => {
-                let message = "the first caller left; send the request again";
-                Error::new(ErrorKind::AttemptsFailed, message)
-            }
-        };
-        let state = match error.kind() {
-            ErrorKind::RequestIdReused => EndState::Forgotten,
-            ErrorKind::OutcomeUnknown => EndState::MayHaveRun,
-            _ => EndState::NotRun,
-        };
-        let Entry { fingerprint, attempt, log, .. } = self.entry;
-        self.registry.entries.remove(self.key, attempt);
-        self.registry.home.end(self.key, fingerprint, attempt, state);
-        log.fail(error);
-    }
-}
-
-/// Gets the messages of other routers for a registry.
-struct MessageHandler {
-    /// Registry.
-    registry: Weak<FleetRegistry>,
-}
-
-impl PeerHandler for MessageHandler {
-    fn on_message(&self, from: &RouterId, body: &PeerBody) {
-        let PeerBody::Requests(message) = body else { return };
-        if let (Some(registry), Some(body)) = (self.registry.upgrade(), &message.body) {
-            registry.on_requests(from, body);
-        }
-    }
-}
-
 async fn run_ticks(registry: Weak<FleetRegistry>) {
     loop {
         tokio::time::sleep(TICK).await;
@@ -450,14 +398,3 @@
 fn end_state(error: &Error) -> EndState {
     if error.ran() == Ran::Never { EndState::NotRun } else { EndState::MayHaveRun }
 }
-
-fn stored_answer(answer: &KeptAnswer) -> StoredAnswer {
-    StoredAnswer {
-        status: answer.head.status,
-        content_type: answer.head.content_type.clone(),
-        body: AnswerBody::from_bytes(&answer.body),
-        finish_reason: answer.end.finish_reason.clone(),
-        prompt_tokens: answer.end.usage.prompt_tokens,
-        completion_tokens: answer.end.usage.completion_tokens,
-    }
-}
--- a/components/router/src/registry/mod.rs
+++ b/components/router/src/registry/mod.rs
@@ -8,8 +8,11 @@
 mod intent_permit;
 mod intents;
 mod kept_store;
+mod message_handler;
+mod open_guard;
 mod pending_calls;
 mod relay;
+mod stored;
 mod wire;
 
 use std::sync::Arc;
