Keep long prompts apart from requests that cannot wait

A single lagging report sent all routers to the same engine; the mean over reports does not. Bulk requests spread by number and leave a share of the engines, learnt from the traffic, to the others.

--- a/components/routing/src/endpoint_table.rs
+++ b/components/routing/src/endpoint_table.rs
@@ -115,9 +115,11 @@
 
     fn set_members(&mut self, name: PoolName, names: &BTreeSet<EndpointName>, max: usize) {
         let mut members: Vec<EndpointId> = names.iter().filter_map(|it| self.id(it)).collect();
+        members.sort_by_cached_key(|&id| stable_hash(&[self.get(id).name.as_str().as_bytes()]));
         if members.len() > max {
             members.sort_by_cached_key(|&id| self.rendezvous_hash(id));
             members.truncate(max);
+            members.sort_by_cached_key(|&id| stable_hash(&[self.get(id).name.as_str().as_bytes()]));
         }
         let pools = &mut self.pools;
         let id = *self.pool_ids.entry(name).or_insert_with(|| {
@@ -126,6 +128,7 @@
         });
         let pool = &mut self.pools[id.0 as usize];
         pool.member_set = members.iter().copied().collect();
+        pool.ranks = members.iter().enumerate().map(|(rank, id)| (*id, rank)).collect();
         pool.members = members;
     }
 
--- a/components/routing/src/estimate.rs
+++ b/components/routing/src/estimate.rs
@@ -1,5 +1,7 @@
 //! Estimated time to the first token of a request on an endpoint.
 
+use types::Priority;
+
 use crate::{EndpointNeed, SchedulerSettings, endpoint::Endpoint};
 
 /// Tokens in one cached block.
@@ -11,6 +13,10 @@
 /// Cost of each request in the batch beside its wait, in steps.
 const STEPS_PER_REQUEST: f64 = 0.1;
 
+/// The same for a bulk request, which stays long: an even spread counts for more than
+/// the prompts that are processed just now.
+const STEPS_PER_REQUEST_BULK: f64 = 4.0;
+
 /// Estimated cost of a request on an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Estimate {
@@ -40,6 +46,10 @@
     let step_s = endpoint.load.step_s() * endpoint.slowness;
     let first_token_s = (prompt_steps + queue_steps) * step_s;
     let exact_steps = ahead as f64 / settings.prompt_tokens_per_step.max(1) as f64;
-    let cost_steps = 1.0 + exact_steps + queue_steps + requests * STEPS_PER_REQUEST;
+    let steps_per_request = match need.priority {
+        Priority::Bulk => STEPS_PER_REQUEST_BULK,
+        Priority::Normal | Priority::Urgent => STEPS_PER_REQUEST,
+    };
+    let cost_steps = 1.0 + exact_steps + queue_steps + requests * steps_per_request;
     Estimate { first_token_s, prompt_tokens, cost_s: cost_steps * step_s }
 }
--- a/components/routing/src/load_view.rs
+++ b/components/routing/src/load_view.rs
@@ -8,6 +8,11 @@
 /// Time for which changes of own work are remembered.
 const HISTORY: Duration = Duration::from_secs(2);
 
+/// Weight of a new report in the mean load of other routers. A single report is older
+/// than most prompts take, and all routers see the same one: whoever follows it goes
+/// where all others go.
+const OTHERS_WEIGHT: f64 = 0.02;
+
 /// Weight of a new step time in the mean.
 const STEP_WEIGHT: f64 = 0.3;
 
@@ -30,8 +35,10 @@
     own: OwnWork,
     /// Own work after each change, oldest first.
     history: VecDeque<(Timestamp, OwnWork)>,
-    /// Work of other routers, from the last report.
-    others: OwnWork,
+    /// Mean requests of other routers, from the reports.
+    other_requests: f64,
+    /// Mean prompt tokens of other routers' requests without a first token.
+    other_prompt_tokens: f64,
     /// Largest batch; zero where the endpoint reports none.
     pub(crate) max_batch: u32,
     /// Mean step time in seconds; zero before the first report.
@@ -64,10 +71,11 @@
     pub(crate) fn apply_report(&mut self, report: &LoadReport, lag: Duration, now: Timestamp) {
         let own_then = self.own_at(now - lag);
         let reported = report.running.saturating_add(report.waiting);
-        self.others = OwnWork {
-            requests: reported.saturating_sub(own_then.requests),
-            prompt_tokens: report.pending_prompt_tokens.saturating_sub(own_then.prompt_tokens),
-        };
+        let requests = f64::from(reported.saturating_sub(own_then.requests));
+        let tokens = report.pending_prompt_tokens.saturating_sub(own_then.prompt_tokens) as f64;
+        let weight = if self.reported_at.is_some() { OTHERS_WEIGHT } else { 1.0 };
+        self.other_requests += (requests - self.other_requests) * weight;
+        self.other_prompt_tokens += (tokens - self.other_prompt_tokens) * weight;
         self.max_batch = report.max_batch;
         if report.step_us > 0 {
             let step_s = report.step_us as f64 / 1e6;
@@ -80,7 +88,8 @@
 
     /// Forgets the work of other routers, after the endpoint was lost.
     pub(crate) fn forget_others(&mut self) {
-        self.others = OwnWork::default();
+        self.other_requests = 0.0;
+        self.other_prompt_tokens = 0.0;
     }
 
     /// Returns own requests in progress.
@@ -88,19 +97,19 @@
         self.own.requests
     }
 
-    /// Returns requests of other routers, as last reported.
+    /// Returns the mean requests of other routers, rounded.
     pub(crate) fn other_requests(&self) -> u32 {
-        self.others.requests
+        round(self.other_requests)
     }
 
     /// Returns the estimated requests in progress, of all routers.
     pub(crate) fn requests(&self) -> u32 {
-        self.own.requests.saturating_add(self.others.requests)
+        self.own.requests.saturating_add(self.other_requests())
     }
 
     /// Returns the estimated prompt tokens that are still to be processed.
     pub(crate) fn prompt_tokens(&self) -> u64 {
-        self.own.prompt_tokens.saturating_add(self.others.prompt_tokens)
+        self.own.prompt_tokens.saturating_add(u64::from(round(self.other_prompt_tokens)))
     }
 
     /// Returns the mean step time, in seconds.
@@ -121,6 +130,12 @@
     }
 }
 
+/// Rounds a number that is not negative.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn round(number: f64) -> u32 {
+    number.round() as u32
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/components/routing/src/scheduler/admission.rs
+++ b/components/routing/src/scheduler/admission.rs
@@ -9,7 +9,7 @@
 use super::{Decision, Resolved, Scheduler, Waiter, WaiterId, placing::Choice};
 use crate::{
     EndpointLease, EndpointNeed, Verdict,
-    pool::{PoolId, PoolName},
+    pool::{Pool, PoolId, PoolName},
 };
 
 /// Waiters of a priority that are tried where the first is not served by any endpoint.
@@ -78,6 +78,7 @@
     /// called every few tens of milliseconds.
     pub fn sweep(&mut self, now: Timestamp) -> Vec<Resolved> {
         self.quarantine.expire(now);
+        self.table.pools.iter_mut().for_each(Pool::learn_quick_share);
         let is_late = |waiter: &Waiter| now >= waiter.need.deadline;
         let late: Vec<WaiterId> =
             self.waiters.iter().filter(|(_, it)| is_late(it)).map(|(id, _)| *id).collect();
@@ -138,7 +139,7 @@
     ) -> Decision {
         let (queue, settings) = (&self.table.pool(pool).queue, &self.settings);
         let wait = queue.estimate_wait(need.priority, now);
-        if queue.account_len(&need.account) >= settings.account_queue_max {
+        if queue.account_len(&need.account, need.priority) >= settings.account_queue_max {
             let message = "the client account has too many requests waiting";
             return refuse_for_now(ErrorKind::QueueFull, message, wait, rng);
         }
--- a/components/routing/src/scheduler/outcomes.rs
+++ b/components/routing/src/scheduler/outcomes.rs
@@ -33,6 +33,8 @@
         rng: &mut Rng,
     ) -> Option<CrashRecord> {
         let lease = self.leases.remove(&lease)?;
+        let pool = self.table.pool_mut(lease.pool);
+        pool.in_progress[lease.priority as usize] -= 1;
         let endpoint = self.table.get_mut(lease.endpoint);
         // Requests of other routers may have come since the trial started.
         let was_alone = lease.is_trial
--- a/components/routing/src/scheduler/placing.rs
+++ b/components/routing/src/scheduler/placing.rs
@@ -37,6 +37,12 @@
 /// Cost of each less preferred version, in seconds.
 const OTHER_VERSION_S: f64 = 1.0;
 
+/// Cost of a quick endpoint for a bulk request, in seconds.
+const BULK_ON_QUICK_S: f64 = 0.15;
+
+/// Cost of an endpoint that is not quick for any other request, in seconds.
+const OTHERS_ON_SLOW_S: f64 = 0.1;
+
 /// Requests above the limit that an urgent one may add.
 const URGENT_EXCESS: u32 = 1;
 
@@ -69,8 +75,10 @@
 }
 
 /// What a search has seen so far.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Search {
+    /// Pool.
+    pool: PoolId,
     /// Best candidate.
     best: Option<Candidate>,
     /// Whether an endpoint serves the target but has no room.
@@ -92,8 +100,9 @@
     ) -> Choice {
         let members = &self.table.pool(pool).members;
         let blocks: Vec<u64> = need.blocks.iter().map(|&block| salt(block, pool)).collect();
-        let mut search = Search::default();
-        if members.len() <= self.settings.sampled_endpoints {
+        let mut search =
+            Search { pool, best: None, has_busy: false, loading_since: None, load: (0, 0) };
+        if members.len() <= self.settings.scanned_endpoints {
             members.iter().for_each(|&id| self.consider(id, need, &blocks, now, &mut search));
         } else {
             for _ in 0..self.settings.sampled_endpoints {
@@ -161,13 +170,16 @@
         };
         search.load.0 += endpoint.load.requests();
         search.load.1 += 1;
-        if endpoint.is_reserved || !self.has_room(endpoint, need.priority, now) {
+        let pool = self.table.pool(search.pool);
+        let is_quick = pool.is_quick(id);
+        if endpoint.is_reserved || !self.has_room(endpoint, need.priority, is_quick, now) {
             search.has_busy = true;
             return;
         }
         let cached_blocks = self.prefixes.cached_blocks(blocks, id);
         let estimate = estimate(endpoint, need, cached_blocks, &self.settings);
-        let cost_s = estimate.cost_s + self.other_costs(endpoint, need, version);
+        let apart_s = if pool.has_quick() { cost_apart(need.priority, is_quick) } else { 0.0 };
+        let cost_s = estimate.cost_s + apart_s + self.other_costs(endpoint, need, version);
         let candidate = Candidate { endpoint: id, version, estimate, is_last_resort, cost_s };
         let is_better = search.best.is_none_or(|best| {
             (candidate.is_last_resort, candidate.cost_s) < (best.is_last_resort, best.cost_s)
@@ -193,21 +205,35 @@
     }
 
     /// Tells whether the limit leaves room for a request of `priority`.
-    fn has_room(&self, endpoint: &Endpoint, priority: Priority, now: Timestamp) -> bool {
+    fn has_room(
+        &self,
+        endpoint: &Endpoint,
+        priority: Priority,
+        is_quick: bool,
+        now: Timestamp,
+    ) -> bool {
         let limit = endpoint.limit.get(self.settings.slow_start, now);
-        let kept = match priority {
-            Priority::Bulk => self.settings.places_kept_from_bulk,
-            Priority::Normal => self.settings.places_kept_for_urgent,
-            Priority::Urgent => 0,
+        let places = match priority {
+            Priority::Bulk => self.bulk_places(limit, is_quick),
+            Priority::Normal => limit,
+            Priority::Urgent => limit + URGENT_EXCESS,
         };
-        let extra = if priority == Priority::Urgent { URGENT_EXCESS } else { 0 };
-        let places = limit.saturating_sub(kept).max(1) + extra;
         let has_place = endpoint.load.requests() < places;
         let is_paced = priority != Priority::Bulk
             || endpoint.load.prompt_tokens() <= self.settings.bulk_prompt_tokens_max;
         has_place && is_paced
     }
 
+    fn bulk_places(&self, limit: u32, is_quick: bool) -> u32 {
+        let settings = &self.settings;
+        let percent = if is_quick {
+            settings.quick_places_bulk_percent
+        } else {
+            settings.places_bulk_percent
+        };
+        (limit * percent / 100).max(1)
+    }
+
     fn other_costs(&self, endpoint: &Endpoint, need: &EndpointNeed, version: usize) -> f64 {
         let is_other = endpoint.failure_domain != self.failure_domain;
         let has_failed = !need.avoid.is_empty() && self.has_failed_in(endpoint, need);
@@ -243,6 +269,8 @@
         if endpoint.health.is_ejected() {
             endpoint.health.start_probe();
         }
+        self.table.pools[pool.0 as usize].in_progress[need.priority as usize] += 1;
+        let endpoint = self.table.get_mut(chosen.endpoint);
         let was_accompanied = endpoint.load.requests() > 0;
         endpoint.load.add(chosen.estimate.prompt_tokens, now);
         endpoint.is_reserved |= is_trial;
@@ -303,3 +331,13 @@
         (since + Duration::from_secs_f64(seconds)).max(now)
     }
 }
+
+/// Returns the cost of mixing bulk requests with others, whose first tokens would wait
+/// behind long prompts.
+fn cost_apart(priority: Priority, is_quick: bool) -> f64 {
+    match (priority, is_quick) {
+        (Priority::Bulk, true) => BULK_ON_QUICK_S,
+        (Priority::Normal | Priority::Urgent, false) => OTHERS_ON_SLOW_S,
+        (Priority::Bulk, false) | (Priority::Normal | Priority::Urgent, true) => 0.0,
+    }
+}
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -7,7 +7,10 @@
 pub struct SchedulerSettings {
     /// Age of the load that reports give.
     pub report_lag: Duration,
-    /// Endpoints of a pool that one choice looks at, beside those with a cached prefix.
+    /// Size up to which a choice looks at all endpoints of a pool.
+    pub scanned_endpoints: usize,
+    /// Endpoints of a larger pool that one choice looks at, beside those with a cached
+    /// prefix.
     pub sampled_endpoints: usize,
     /// Endpoints of a pool that one router uses at most.
     pub pool_endpoints_max: usize,
@@ -15,14 +18,14 @@
     pub prefix_blocks: usize,
     /// Prompt tokens that an engine processes in one step.
     pub prompt_tokens_per_step: u64,
-    /// Requests of one client account that wait at most.
+    /// Requests of one client account and priority that wait at most.
     pub account_queue_max: usize,
     /// Requests that wait at most.
     pub queue_max: usize,
-    /// Places of an endpoint that bulk requests leave free.
-    pub places_kept_from_bulk: u32,
-    /// Places of an endpoint that only urgent requests take.
-    pub places_kept_for_urgent: u32,
+    /// Share of an endpoint's limit that bulk requests fill, in percent.
+    pub places_bulk_percent: u32,
+    /// The same, on a quick endpoint.
+    pub quick_places_bulk_percent: u32,
     /// Prompt tokens waiting on an endpoint above which it gets no further bulk request.
     pub bulk_prompt_tokens_max: u64,
     /// Consecutive failures after which an endpoint is ejected.
@@ -41,15 +44,16 @@
     fn default() -> SchedulerSettings {
         SchedulerSettings {
             report_lag: Duration::from_millis(500),
+            scanned_endpoints: 32,
             sampled_endpoints: 8,
             pool_endpoints_max: 64,
             prefix_blocks: 32_768,
             prompt_tokens_per_step: 512,
             account_queue_max: 512,
             queue_max: 4_096,
-            places_kept_from_bulk: 2,
-            places_kept_for_urgent: 1,
-            bulk_prompt_tokens_max: 2_048,
+            places_bulk_percent: 85,
+            quick_places_bulk_percent: 60,
+            bulk_prompt_tokens_max: 12_288,
             ejection_failures: 3,
             ejection_time: Duration::from_secs(1),
             ejected_percent_max: 50,
