Shrink a reservation once the prompt's tokens are known; cancel abandoned streams

A chat request reserved the bytes of its prompt until it ended, about four times its tokens. The reservation now shrinks with the first chunk that says how many tokens the prompt has. A stream that nobody reads any more, after the deadline or a standstill, is cancelled on the engine.

--- a/components/router/src/traffic/chat_attempt.rs
+++ b/components/router/src/traffic/chat_attempt.rs
@@ -44,13 +44,15 @@
     }
 }
 
-/// Runs one attempt. Text goes to `log` as it arrives; `progress` is kept for a further
+/// Runs one attempt. `on_prompt_tokens` gets the tokens of the prompt, once the first
+/// engine has said how many they are. Text goes to `log` as it arrives; `progress` is kept for a further
 /// attempt, which continues where this one broke off.
 pub(super) async fn attempt_chat(
     cx: &RouterContext,
     job: &ChatJob,
     lease: &EndpointLease,
     progress: &mut ChatProgress,
+    mut on_prompt_tokens: impl FnMut(u64),
     log: &AnswerLog,
 ) -> Result<(), AttemptError> {
     let sent = cx.clock.now();
@@ -73,7 +75,11 @@
             metrics::histogram!(telemetry::FIRST_TOKEN_SECONDS).record(latency.as_secs_f64());
             log.start(AnswerHead { status: 200, content_type: "text/plain".into() });
         }
+        let was_known = progress.prompt_tokens.is_some();
         apply_chunk(&chunk, tokens_before, progress);
+        if let Some(prompt_tokens) = progress.prompt_tokens.filter(|_| !was_known) {
+            on_prompt_tokens(prompt_tokens);
+        }
         log.push(Bytes::copy_from_slice(chunk.text().as_bytes()));
     }
     if progress.finish_reason.is_some() {
--- a/components/router/src/traffic/chat_run.rs
+++ b/components/router/src/traffic/chat_run.rs
@@ -1,8 +1,12 @@
 //! The run of a chat request.
 
+use std::{net::SocketAddr, time::Duration};
+
 use budget::{Bill, SettleOutcome};
+use bytes::Bytes;
 use engine_api::prompt_tokens_bound;
 use errors::{Error, ErrorKind, Result};
+use http::{HeaderMap, Method};
 use platform::Commit;
 use types::Tokens;
 
@@ -18,13 +22,16 @@
     dispatch::AttemptOutcome,
 };
 
+/// Longest time of a call that cancels a stream.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Runs a chat request to its billed end.
 pub(super) async fn run_chat(
     cx: &RouterContext,
     job: &ChatJob,
     log: &AnswerLog,
 ) -> Result<AnswerEnd> {
-    let reservation = cx
+    let mut reservation = cx
         .accounting
         .reserve(&ReserveRequest {
             account: job.key.account.clone(),
@@ -34,7 +41,7 @@
         })
         .await?;
     let mut progress = ChatProgress::default();
-    match run_attempts(cx, job, &mut progress, log).await {
+    match run_attempts(cx, job, &mut reservation, &mut progress, log).await {
         Ok(()) => settle_chat(cx, job, reservation, progress).await,
         Err(error) => {
             cx.accounting.release(reservation);
@@ -47,6 +54,7 @@
 async fn run_attempts(
     cx: &RouterContext,
     job: &ChatJob,
+    reservation: &mut Reservation,
     progress: &mut ChatProgress,
     log: &AnswerLog,
 ) -> Result<()> {
@@ -61,7 +69,11 @@
             Err(error) => return Err(error),
         };
         let endpoint = lease.endpoint.clone();
-        let attempt = attempt_chat(cx, job, &lease, progress, log);
+        let shrink = |prompt_tokens: u64| {
+            let tokens = Tokens(prompt_tokens.saturating_add(job.max_tokens));
+            cx.accounting.shrink(reservation, tokens);
+        };
+        let attempt = attempt_chat(cx, job, &lease, progress, shrink, log);
         let left = cx.clock.left_until(job.deadline);
         let result = tokio::time::timeout(left, attempt).await.unwrap_or_else(|_| {
             Err(AttemptError::new(AttemptOutcome::Cancelled, "the deadline passed"))
@@ -70,6 +82,9 @@
             cx.dispatcher.finish(lease, &need, AttemptOutcome::Completed);
             return Ok(());
         };
+        if matches!(failed.outcome, AttemptOutcome::Cancelled | AttemptOutcome::TimedOut) {
+            cancel_stream(cx, job, lease.address);
+        }
         cx.dispatcher.finish(lease, &need, failed.outcome);
         let is_unsent = matches!(failed.outcome, AttemptOutcome::NotSent | AttemptOutcome::Refused);
         was_sent |= !is_unsent;
@@ -83,6 +98,18 @@
     }
 }
 
+/// Tells an endpoint that nobody reads its stream any more, without waiting for it.
+fn cancel_stream(cx: &RouterContext, job: &ChatJob, endpoint: SocketAddr) {
+    let (client, path) = (cx.pooled.clone(), format!("/v1/streams/{}", job.engine_request_id()));
+    tokio::spawn(async move {
+        let (headers, body) = (HeaderMap::new(), Bytes::new());
+        let call = client.call(endpoint, Method::DELETE, &path, headers, body, CANCEL_TIMEOUT);
+        if let Err(error) = call.await {
+            log::debug!("stream not cancelled: {error}");
+        }
+    });
+}
+
 fn final_error(failed: &AttemptError, was_sent: bool) -> Error {
     let kind = match failed.outcome {
         AttemptOutcome::Rejected => ErrorKind::EndpointRejected,
