--- a/components/budget/tests/faults.rs
+++ b/components/budget/tests/faults.rs
@@ -229,10 +229,12 @@
     let budget_row = scene.fleet.table().read(&budget_key(&account));
     let grant_row = scene.fleet.table().read(&grant_key(&account, &dead));
     let rows = (budget_row.as_ref(), grant_row.as_ref());
-    let commit = resolve_in_doubt(&account, &dead, Tokens(500), rows, &live, 9).unwrap();
+    let too_many = Tokens(entry.tokens.0 + 1);
+    assert!(resolve_in_doubt(&account, &dead, too_many, rows, &live, 9).is_err());
+    let commit = resolve_in_doubt(&account, &dead, entry.tokens, rows, &live, 9).unwrap();
     scene.fleet.force(&commit);
     let budget = scene.fleet.budget(&account);
-    assert_eq!((budget.settled, budget.granted), (Tokens(500), Tokens::ZERO));
-    let again = resolve_in_doubt(&account, &dead, Tokens(0), rows, &[dead.clone()], 9);
+    assert_eq!((budget.settled, budget.granted), (Tokens::ZERO, Tokens::ZERO));
+    let again = resolve_in_doubt(&account, &dead, Tokens(0), rows, std::slice::from_ref(&dead), 9);
     assert!(again.is_err());
 }
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -21,6 +21,7 @@
 mod operator;
 mod plan;
 mod plan_facts;
+mod read_intent;
 mod resolution;
 mod role;
 mod rows;
@@ -34,7 +35,7 @@
     action::Action,
     api_key::{API_KEY_MIN_BYTES, ApiKey},
     caution::{Caution, CautionKind},
-    change::{Change, EntryChange, QuarantineChange, combine_changes, diff_configs},
+    change::{Change, EntryChange, FingerprintChange, combine_changes, diff_configs},
     config::{CONFIG_KEY, Config},
     deposit::Deposit,
     describe::{describe_change, redact_key_hashes},
--- a/components/config/src/plan.rs
+++ b/components/config/src/plan.rs
@@ -76,6 +76,7 @@
         }
         let changes = diff_configs(base, &after);
         check_size(&changes, intent, &mut faults);
+        check_resolutions(intent, &mut faults);
         if !faults.is_empty() {
             return Err(faults);
         }
@@ -211,6 +212,19 @@
     }
 }
 
+/// Checks that no row would be written twice in the commit of the plan.
+fn check_resolutions(intent: &Intent, faults: &mut Vec<Fault>) {
+    for (index, resolution) in intent.resolutions.iter().enumerate() {
+        let account = resolution.account();
+        let has_deposit = intent.deposits.iter().any(|it| it.account == *account);
+        let is_second = intent.resolutions[..index].iter().any(|it| it.account() == account);
+        if has_deposit || is_second {
+            let message = format!("account {account} has another in this intent: split it");
+            faults.push(Fault::new(format!("resolutions[{index}]"), message));
+        }
+    }
+}
+
 fn caution_of_resolution(resolution: &Resolution) -> Caution {
     let path = format!("resolutions.{}", resolution.account());
     let message = "your word replaces what the fleet cannot know; be certain of it";
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -2,8 +2,18 @@
 //!
 //! This crate decides only; it has no network code.
 
+mod address_choice;
+mod detector;
 mod member;
 mod member_state;
 mod view;
 
-pub use self::{member::Member, member_state::MemberState, view::MembershipView};
+pub use self::{
+    address_choice::{ADDRESSES_PER_ANSWER, choose_addresses, draw_keep},
+    detector::{
+        Action, Detector, DetectorSettings, MemberRecord, MemberStatus, Message, MessageKind,
+    },
+    member::Member,
+    member_state::MemberState,
+    view::MembershipView,
+};
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -61,3 +61,51 @@
 /// Gauge of the fencing number of the controller lease where this router holds it, else
 /// zero.
 pub const CONTROLLER_FENCING_NUMBER: &str = "auburncrank_controller_fencing_number";
+/// Counter of retries that the retry budget denied, by `reason`.
+pub const RETRIES_DENIED_TOTAL: &str = "auburncrank_retries_denied_total";
+
+/// Counter of ended attempts on endpoints, by `outcome`.
+pub const ATTEMPTS_TOTAL: &str = "auburncrank_attempts_total";
+
+/// Gauge of endpoints that this router uses, by `state`.
+pub const ENDPOINTS: &str = "auburncrank_endpoints";
+
+/// Gauge of requests that wait for an endpoint.
+pub const QUEUED_REQUESTS: &str = "auburncrank_queued_requests";
+
+/// Histogram of the wait for an endpoint, in seconds.
+pub const QUEUE_SECONDS: &str = "auburncrank_queue_seconds";
+
+/// Gauge of contents that are quarantined because they crashed endpoints.
+pub const QUARANTINED_CONTENTS: &str = "auburncrank_quarantined_contents";
+
+/// Counter of endpoints lost while content ran, by `alone`.
+pub const ENDPOINT_LOSSES_TOTAL: &str = "auburncrank_endpoint_losses_total";
+
+/// Counter of polls of endpoints and of the host list, by `source` and `result`.
+pub const POLLS_TOTAL: &str = "auburncrank_polls_total";
+
+/// Counter of messages to other routers that were dropped, by `reason`.
+pub const PEER_MESSAGES_DROPPED_TOTAL: &str = "auburncrank_peer_messages_dropped_total";
+
+/// Counter of messages that were handed to connections to other routers, by `kind`.
+pub const PEER_MESSAGES_SENT_TOTAL: &str = "auburncrank_peer_messages_sent_total";
+
+/// Counter of messages from other routers that could not be read.
+pub const PEER_MESSAGES_MALFORMED_TOTAL: &str = "auburncrank_peer_messages_malformed_total";
+
+/// Gauge of the routers known to this one, itself included, by `state`.
+pub const MEMBERS: &str = "auburncrank_members";
+
+/// Counter of members whose state changed, as this router sees it, by new `state`.
+pub const MEMBER_CHANGES_TOTAL: &str = "auburncrank_member_changes_total";
+
+/// Counter of answers with addresses for callers.
+pub const ADDRESS_ANSWERS_TOTAL: &str = "auburncrank_address_answers_total";
+
+/// Gauge that is 1 where another process with a higher incarnation uses this router's name.
+pub const ROUTER_SUPERSEDED: &str = "auburncrank_router_superseded";
+
+/// Gauge of rollouts of model versions that are halted, on the holder of the controller
+/// lease.
+pub const HALTED_ROLLOUTS: &str = "auburncrank_halted_rollouts";
--- a/programs/auburncrank-bench/src/cmd/mod.rs
+++ b/programs/auburncrank-bench/src/cmd/mod.rs
@@ -1,7 +1,10 @@
 //! The studies, one module each.
 
 mod budgets;
+mod control;
+mod membership;
 mod path;
+mod routing;
 
 use crate::cli::StudyOptions;
 
@@ -22,6 +25,16 @@
 
 /// All studies.
 pub(crate) const STUDIES: &[Study] = &[
+    Study {
+        name: "control",
+        about: "Acceptance and spread of configurations, on simulated time.",
+        run: control::run,
+    },
+    Study {
+        name: "membership",
+        about: "Traffic, processor time and detection times of the failure detector.",
+        run: membership::run,
+    },
     Study {
         name: "path",
         about: "Streams through a router against the same engine directly.",
@@ -32,4 +45,9 @@
         about: "Overspend and false refusals under faults, on simulated time.",
         run: budgets::run,
     },
+    Study {
+        name: "routing",
+        about: "Choice of endpoints against baselines, on simulated time.",
+        run: routing::run,
+    },
 ];
