--- a/programs/auburncrank-bench/src/cmd/mod.rs
+++ b/programs/auburncrank-bench/src/cmd/mod.rs
@@ -25,6 +25,11 @@
 
 /// All studies.
 pub(crate) const STUDIES: &[Study] = &[
+    Study {
+        name: "budgets",
+        about: "Overspend and false refusals under faults, on simulated time.",
+        run: budgets::run,
+    },
     Study {
         name: "control",
         about: "Acceptance and spread of configurations, on simulated time.",
@@ -40,11 +45,6 @@
         about: "Streams through a router against the same engine directly.",
         run: path::run,
     },
-    Study {
-        name: "budgets",
-        about: "Overspend and false refusals under faults, on simulated time.",
-        run: budgets::run,
-    },
     Study {
         name: "routing",
         about: "Choice of endpoints against baselines, on simulated time.",
