--- a/components/budget/src/ledger/mod.rs
+++ b/components/budget/src/ledger/mod.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use types::{AccountName, Timestamp, Tokens};
+use types::{AccountName, Timestamp};
 use utils::Rng;
 
 pub(crate) use self::{context::LedgerContext, peer_set::PeerSet};
@@ -153,9 +153,4 @@
             self.cx.actions.push(Action::Drained);
         }
     }
-
-    /// Returns the sum of all reservations and pending bills.
-    pub fn claims(&self) -> Tokens {
-        self.accounts.values().map(|it| it.reserved_total().saturating_add(it.bills_total())).sum()
-    }
 }
