Announce a new grant to its witness at once

Cause: a witness that had not been asked for a higher ceiling did not know the grant, and did not close it when its router died: all of it stayed in doubt. Also, an account that a router only witnesses no longer takes a grant of its own in the first minute. A test brings about the death, the closing and the waking.

--- a/components/budget/src/account/ceiling.rs
+++ b/components/budget/src/account/ceiling.rs
@@ -73,6 +73,7 @@
             self.must_read_back = true;
             return;
         }
+        self.known_epoch = Some(message.epoch);
         self.ceiling = self.ceiling.max(Tokens(message.ceiling));
     }
 
@@ -84,7 +85,9 @@
         let wanted = self.wanted_ceiling(cx);
         let needed = self.waiting_total().saturating_add(self.asked_total());
         let low = Tokens(self.headroom(cx).0 / 2).saturating_add(needed).min(self.free());
-        if slack >= low || wanted <= self.ceiling {
+        // A witness that has never heard of the grant could not close it.
+        let is_known = self.known_epoch == Some(self.row.epoch) || self.revision.is_none();
+        if is_known && (slack >= low || wanted <= self.ceiling) {
             return;
         }
         let is_open =
@@ -97,7 +100,7 @@
             account: self.name.to_string(),
             witness_incarnation: witness.incarnation.0,
             epoch: self.row.epoch,
-            ceiling: wanted.0,
+            ceiling: wanted.max(self.ceiling).0,
         };
         cx.send(&witness.name, BudgetBody::Raise(message));
     }
--- a/components/budget/src/account/cycle.rs
+++ b/components/budget/src/account/cycle.rs
@@ -103,7 +103,7 @@
     fn is_used(&self, cx: &LedgerContext) -> bool {
         !self.waiting.is_empty()
             || self.claims() > Tokens::ZERO
-            || cx.now.since(self.last_used) < KEEP_UNUSED
+            || self.last_used.is_some_and(|used| cx.now.since(used) < KEEP_UNUSED)
     }
 
     /// Returns the free tokens that this router wants to have.
--- a/components/budget/src/account/mod.rs
+++ b/components/budget/src/account/mod.rs
@@ -52,6 +52,8 @@
     row_fault: Option<String>,
     /// Highest ceiling that the row or its witness has acknowledged.
     ceiling: Tokens,
+    /// Epoch of which the witness has heard.
+    known_epoch: Option<u64>,
     /// Epoch that the witness has said to be closed.
     refused_epoch: Option<u64>,
     /// When the witness was last asked for a higher ceiling.
@@ -86,8 +88,8 @@
     waiting: VecDeque<Waiter>,
     /// Spend rate.
     rate: SpendRate,
-    /// When the last request came or ended.
-    last_used: Timestamp,
+    /// When the last request came or ended, if any did.
+    last_used: Option<Timestamp>,
     /// Ceilings kept for other routers.
     witnessed: BTreeMap<RouterId, Witnessed>,
     /// Bills held for other routers.
@@ -118,6 +120,7 @@
             budget_read: None,
             row_fault: None,
             ceiling: Tokens::ZERO,
+            known_epoch: None,
             refused_epoch: None,
             ceiling_asked: None,
             reserved: HashMap::default(),
@@ -135,7 +138,7 @@
             next_round: Timestamp::ZERO,
             waiting: VecDeque::new(),
             rate: SpendRate::default(),
-            last_used: Timestamp::ZERO,
+            last_used: None,
             witnessed: BTreeMap::new(),
             held: BTreeMap::new(),
             last_foreign: None,
@@ -164,7 +167,7 @@
 
     /// Tells whether requests have used the account lately.
     pub(crate) fn is_busy(&self, cx: &LedgerContext) -> bool {
-        cx.now.since(self.last_used) < BUSY_FOR && self.last_used > Timestamp::ZERO
+        self.last_used.is_some_and(|used| cx.now.since(used) < BUSY_FOR)
     }
 
     /// Returns how many requests wait.
--- a/components/budget/src/account/reservations.rs
+++ b/components/budget/src/account/reservations.rs
@@ -28,7 +28,7 @@
         tokens: Tokens,
         until: Timestamp,
     ) {
-        self.last_used = cx.now;
+        self.last_used = Some(cx.now);
         self.waiting.push_back(Waiter { ticket, tokens, since: cx.now, until });
     }
 
@@ -56,7 +56,7 @@
     ) -> Option<Tokens> {
         let tokens = self.reserved.remove(&reservation)?;
         self.reserved_total = self.reserved_total.saturating_sub(tokens);
-        self.last_used = cx.now;
+        self.last_used = Some(cx.now);
         Some(tokens)
     }
 
--- a/components/budget/tests/faults.rs
+++ b/components/budget/tests/faults.rs
@@ -65,6 +65,21 @@
     assert_eq!(scene.reserve_now(0, 200), None);
 }
 
+#[test]
+fn witness_that_has_closed_a_grant_acknowledges_no_higher_ceiling() {
+    let mut scene = start(10_000);
+    scene.reserve_now(0, 2_000).unwrap();
+    scene.run(10 * SECOND);
+    assert!(scene.fleet.snapshot(0)[0].unspent > Tokens(3_000));
+    scene.fleet.pause(0);
+    scene.run(30 * SECOND);
+    scene.reserve_now(1, 7_900).expect("the rest has returned");
+    // The router wakes, meets its witness again, and cannot read its row.
+    scene.fleet.set_side(0, 0, false);
+    scene.fleet.resume(0);
+    assert_eq!(scene.reserve_now(0, 1_000), None);
+}
+
 #[test]
 fn bill_of_a_router_that_dies_with_the_store_away_is_committed_by_a_holder() {
     let mut scene = start(10_000);
