--- a/components/router/src/registry/fleet.rs
+++ b/components/router/src/registry/fleet.rs
@@ -18,13 +18,14 @@
 use super::{
     Begin, BeginRequest, IntentPermit, RequestRegistry,
     entries::{Entries, Entry, Opened, reused},
+    home::Home,
     home_link::HomeLink,
     intents::{Intents, Refusal},
     kept_store::{KeptItem, KeptStore},
     message_handler::MessageHandler,
-    open_guard::OpenGuard,
+    open_guard::{OpenGuard, end_state},
     relay::{Fetch, Relay},
-    stored::{stored_answer, write_stored},
+    stored::{count_joined, stored_answer, write_stored},
 };
 use crate::{
     Clock,
@@ -159,6 +160,7 @@
         let fetch =
             Fetch { key: req.key.clone(), fingerprint: req.fingerprint, attempt: attempt.clone() };
         let first = self.relay.fetch(&fetch, 0, false).await?;
+        count_joined("other_router");
         self.entries.update(&req.key, |it| it.is_foreign = true);
         let (this, log, own) = (self.this.upgrade()?, entry.log.clone(), entry.attempt.clone());
         tokio::spawn(async move {
@@ -189,6 +191,7 @@
         if item.fingerprint != req.fingerprint {
             return None;
         }
+        count_joined("object_store");
         self.entries.update(&req.key, |it| it.is_foreign = true);
         Some(self.join_stored(req, entry, &item.answer))
     }
@@ -208,6 +211,9 @@
         intent: Option<IntentAdmission>,
     ) -> Result<Begin> {
         let is_first = home == Home::Granted { is_first: true };
+        if home == Home::OutOfReach {
+            metrics::counter!(telemetry::RUNS_WITHOUT_HOME_TOTAL).increment(1);
+        }
         self.entries.update(&req.key, |it| it.is_first = is_first);
         if req.idempotent {
             return Ok(Begin::Run(entry.log.clone()));
@@ -217,7 +223,10 @@
                 self.entries.update(&req.key, |it| it.base = Some(base));
                 Ok(Begin::Run(entry.log.clone()))
             }
-            Some(IntentAdmission::Answered(answer)) => Ok(self.join_stored(req, entry, &answer)),
+            Some(IntentAdmission::Answered(answer)) => {
+                count_joined("intent_row");
+                Ok(self.join_stored(req, entry, &answer))
+            }
             Some(IntentAdmission::Held(message)) => {
                 Err(Error::new(ErrorKind::OutcomeUnknown, message))
             }
@@ -274,23 +283,14 @@
     }
 }
 
-/// What the home router said to a request that is to run here.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Home {
-    /// It granted the run.
-    Granted {
-        /// Whether no earlier attempt can have been sent.
-        is_first: bool,
-    },
-    /// It did not answer.
-    OutOfReach,
-}
-
 #[async_trait]
 impl RequestRegistry for FleetRegistry {
     async fn begin(&self, req: &BeginRequest) -> Result<Begin> {
         let entry = match self.entries.open(&req.key, &req.fingerprint, req.idempotent)? {
-            Opened::Known(log) => return Ok(Begin::Join(log)),
+            Opened::Known(log) => {
+                count_joined("this_router");
+                return Ok(Begin::Join(log));
+            }
             Opened::New(entry) => entry,
         };
         let mut guard = OpenGuard { registry: self, key: &req.key, entry: &entry, end: None };
@@ -394,7 +394,3 @@
         registry.tick().await;
     }
 }
-
-fn end_state(error: &Error) -> EndState {
-    if error.ran() == Ran::Never { EndState::NotRun } else { EndState::MayHaveRun }
-}
--- a/components/router/src/registry/mod.rs
+++ b/components/router/src/registry/mod.rs
@@ -4,6 +4,7 @@
 mod begin;
 mod entries;
 mod fleet;
+mod home;
 mod home_link;
 mod intent_permit;
 mod intents;
--- a/components/router/src/registry/open_guard.rs
+++ b/components/router/src/registry/open_guard.rs
@@ -1,6 +1,6 @@
 //! Entries of requests that do not begin.
 
-use errors::{Error, ErrorKind};
+use errors::{Error, ErrorKind, Ran};
 use requests::EndState;
 use types::RequestKey;
 
@@ -40,3 +40,8 @@
         log.fail(error);
     }
 }
+
+/// Returns how an attempt ended that failed with `error`.
+pub(super) fn end_state(error: &Error) -> EndState {
+    if error.ran() == Ran::Never { EndState::NotRun } else { EndState::MayHaveRun }
+}
--- a/components/router/src/registry/stored.rs
+++ b/components/router/src/registry/stored.rs
@@ -27,3 +27,8 @@
     log.finish(AnswerEnd { finish_reason: answer.finish_reason.clone(), usage });
     body.len()
 }
+
+/// Counts a call that got the answer of an earlier or running attempt.
+pub(super) fn count_joined(source: &'static str) {
+    metrics::counter!(telemetry::JOINED_REQUESTS_TOTAL, "source" => source).increment(1);
+}
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -15,6 +15,13 @@
 /// Counter of runs that were not billed, by `reason`.
 pub const UNBILLED_RUNS_TOTAL: &str = "auburncrank_unbilled_runs_total";
 
+/// Counter of calls that got the answer of an earlier or running attempt, by `source`:
+/// `this_router`, `other_router`, `object_store` or `intent_row`.
+pub const JOINED_REQUESTS_TOTAL: &str = "auburncrank_joined_requests_total";
+
+/// Counter of requests that ran without the consent of the home router of their id.
+pub const RUNS_WITHOUT_HOME_TOTAL: &str = "auburncrank_runs_without_home_total";
+
 /// Histogram of the time to the first token, in seconds.
 pub const FIRST_TOKEN_SECONDS: &str = "auburncrank_first_token_seconds";
 
