--- a/components/routing/src/scheduler/admission.rs
+++ b/components/routing/src/scheduler/admission.rs
@@ -93,7 +93,7 @@
     /// Grants one waiting request of the pool, or refuses it; `None` where all go on
     /// waiting.
     fn grant_next(&mut self, pool: PoolId, now: Timestamp, rng: &mut Rng) -> Option<Resolved> {
-        for priority in self.table.pool(pool).queue.turns() {
+        for priority in self.table.pool(pool).queue.turns(now) {
             for id in self.table.pool(pool).queue.heads(priority, HEADS_TRIED) {
                 let need = &self.waiters[&id].need;
                 if self.is_hopeless(pool, need, now) {
--- a/components/routing/src/scheduler/outcomes.rs
+++ b/components/routing/src/scheduler/outcomes.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use types::Timestamp;
+use types::{Priority, Timestamp};
 use utils::{Rng, jitter};
 
 use super::{Lease, Scheduler};
@@ -20,7 +20,10 @@
         let expected_s = lease.expected_s.max(1e-4);
         endpoint.learn_slowness(latency.as_secs_f64() / expected_s);
         let expected = Duration::from_secs_f64(expected_s);
-        endpoint.limit.on_first_token(latency, expected, now);
+        // Bulk requests wait behind others on the engine, whatever its limit.
+        if lease.priority != Priority::Bulk {
+            endpoint.limit.on_first_token(latency, expected, now);
+        }
     }
 
     /// Takes back a lease. Returns the crash record of the content where the end
