--- a/components/admin_api/src/state_view.rs
+++ b/components/admin_api/src/state_view.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use types::{ConfigVersion, EndpointName, FailureDomain, RouterName};
+use types::{ConfigVersion, EndpointName, FailureDomain, FencingNumber, RouterName};
 
 /// Answer to `GET /admin/v1/state`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,8 +14,30 @@
     pub routers: Vec<RouterView>,
     /// Configured endpoints.
     pub endpoints: Vec<EndpointView>,
+    /// State of the controller of orders to engines, where the answering router holds
+    /// its lease.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub controller: Option<ControllerView>,
+    /// Requests that wait for an endpoint on the answering router.
+    pub waiting_requests: usize,
     /// Content fingerprints that operators have quarantined.
     pub quarantine: Vec<String>,
+    /// Contents that routers have quarantined, because endpoints were lost while they ran.
+    pub crashing: Vec<CrashingContent>,
+}
+
+/// State of the controller of orders to engines.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControllerView {
+    /// Fencing number of its lease.
+    pub fencing: FencingNumber,
+    /// Progress of each version that is to be served, in words.
+    pub progress: Vec<String>,
+    /// Halted rollouts, in words.
+    pub halted: Vec<String>,
+    /// Versions that an operator has to unload by hand, because their endpoint does not
+    /// check fencing numbers.
+    pub leftovers: Vec<String>,
 }
 
 /// State of the router that answers.
@@ -53,6 +75,15 @@
     pub config_version: ConfigVersion,
 }
 
+/// Content that routers have quarantined.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashingContent {
+    /// Content fingerprint.
+    pub fingerprint: String,
+    /// Endpoints that were lost while it ran.
+    pub endpoints: Vec<EndpointName>,
+}
+
 /// A configured endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointView {
@@ -66,6 +97,11 @@
     pub leaving: bool,
     /// Whether it checks fencing numbers.
     pub checks_fencing: bool,
+    /// State as the answering router sees it; absent where it does not use the endpoint.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub state: Option<String>,
+    /// Requests in progress on it, of all routers, as the answering one estimates.
+    pub requests: u32,
     /// Models and services that it serves.
     pub serves: Vec<String>,
 }
--- a/components/config/src/resolution.rs
+++ b/components/config/src/resolution.rs
@@ -10,7 +10,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
 pub enum Resolution {
-    /// Closes the grant of a router that is gone.
+    /// Closes the grant of a router that is gone: what it has spent counts as spent, the
+    /// rest returns to the budget.
     CloseGrant {
         /// Client account.
         account: AccountName,
@@ -18,7 +19,7 @@
         router: RouterName,
         /// Its incarnation.
         incarnation: Incarnation,
-        /// Tokens of the grant that are taken as spent; the rest returns to the budget.
+        /// Tokens of the grant in doubt that were spent without a bill.
         spent: Tokens,
     },
     /// Says what became of a call whose outcome is unknown.
@@ -29,6 +30,10 @@
         request: RequestId,
         /// Whether the call ran.
         ran: bool,
+        /// Whether the operator has made sure that the router which recorded the call
+        /// has ended and cannot send it any more.
+        #[serde(default)]
+        router_ended: bool,
     },
 }
 
@@ -48,13 +53,14 @@
         match self {
             Resolution::CloseGrant { account, router, incarnation, spent } => write!(
                 f,
-                "close the grant of account {account} on router {router} \
-                 (incarnation {}) with {spent} tokens spent",
+                "close the grant of account {account} to router {router} (incarnation {}): \
+                 {spent} tokens were spent, the rest returns to the budget",
                 incarnation.0
             ),
-            Resolution::SettleRequest { account, request, ran } => {
+            Resolution::SettleRequest { account, request, ran, router_ended } => {
                 let outcome = if *ran { "ran" } else { "did not run" };
-                write!(f, "settle request {request} of account {account}: it {outcome}")
+                write!(f, "settle request {request} of account {account}: it {outcome}")?;
+                if *router_ended { f.write_str("; its router has ended") } else { Ok(()) }
             }
         }
     }
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -16,7 +16,7 @@
         AskLoan, BilledRequest, BillsHeld, BudgetBody, BudgetMessage, CeilingRaised, ForgetBills,
         HoldBills, LoanCredited, LoanTotal, RaiseCeiling,
     },
-    config::ConfigMessage,
+    config::{ConfigAnswer, ConfigKind, ConfigMessage, ConfigRequest},
     envelope::{Envelope, PeerBody},
     frame::{FRAME_MAX_BYTES, FrameCodec, FrameError},
     membership::{
@@ -25,8 +25,8 @@
     },
     requests::{
         AnswerEndRef, AnswerHeadRef, AttemptRef, ClaimMessage, EndKind, EndedMessage, FailedEnd,
-        FetchMessage, HeldMessage, HeldRef, KeptRef, PartMessage, RequestRef, RequestsBody,
-        RequestsMessage, VerdictBody, VerdictMessage, WholeEnd,
+        FetchMessage, HeldMessage, HeldRef, KeptRef, PartMessage, PromiseMessage, RequestRef,
+        RequestsBody, RequestsMessage, VerdictBody, VerdictMessage, WholeEnd,
     },
     routing::{CrashRecordMessage, RoutingMessage},
     socket_address::AddressError,
--- a/components/router/src/admin/context.rs
+++ b/components/router/src/admin/context.rs
@@ -6,7 +6,9 @@
 use errors::{ErrorKind, Result};
 
 use super::{Resolver, access::Caller};
-use crate::{RouterContext, configuration::read_config, traffic::Runs};
+use crate::{
+    RouterContext, configuration::read_config, control_jobs::ControllerHandle, traffic::Runs,
+};
 
 /// What the handlers of the administration API need.
 #[derive(Clone)]
@@ -19,6 +21,8 @@
     pub(crate) bootstrap: Option<KeyHash>,
     /// Turns resolutions into writes.
     pub(crate) resolver: Arc<dyn Resolver>,
+    /// The controller of orders to engines.
+    pub(crate) controller: ControllerHandle,
 }
 
 /// A call of an operator who was authenticated.
--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -13,7 +13,7 @@
 };
 use crate::{
     RouterContext,
-    http::{HttpContext, HttpServer, KEEP_ADDRESSES},
+    http::{HttpContext, HttpServer, KEEP_ADDRESSES, LEAVE_SPREAD},
 };
 
 /// A router process. Dropping it without [`shut_down`](RouterProcess::shut_down) cuts
@@ -57,7 +57,8 @@
         };
         let http = {
             let _guard = traffic.enter();
-            HttpServer::start(tokio::net::TcpListener::from_std(listener)?, cx.routes())
+            let listener = tokio::net::TcpListener::from_std(listener)?;
+            HttpServer::start(listener, cx.routes(), settings.http_limits.head_timeout)
         };
         log::info!(
             router:% = settings.name, address:% = caller_address, peer_address:% = peer_address;
@@ -106,7 +107,9 @@
         let deadline = clock.now() + self.settings.drain_timeout;
         log::info!(router:% = self.settings.name; "router is leaving");
         self.cx.router.peers.leave();
-        tokio::time::sleep(KEEP_ADDRESSES.min(self.settings.drain_timeout / 2)).await;
+        self.cx.admin.controller.release().await;
+        let serve_on = KEEP_ADDRESSES + LEAVE_SPREAD;
+        tokio::time::sleep(serve_on.min(self.settings.drain_timeout / 2)).await;
         self.cx.is_closed.store(true, Ordering::Relaxed);
         let http = self.http.take();
         let finish = async {
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -52,6 +52,13 @@
 /// in seconds; infinite where it never did.
 pub const CONFIG_CONFIRMED_AGE_SECONDS: &str = "auburncrank_config_confirmed_age_seconds";
 
+/// Gauge that is 1 where the table has lately confirmed that no later configuration is
+/// accepted, and 0 where this router cannot tell how fresh its version is.
+pub const CONFIG_CONFIRMED: &str = "auburncrank_config_confirmed";
+
+/// Counter of configurations exchanged with other routers, by `result`.
+pub const CONFIG_SPREAD_TOTAL: &str = "auburncrank_config_spread_total";
+
 /// Counter of administration calls, by `result`: `ok` or the code of the error table.
 pub const ADMIN_CALLS_TOTAL: &str = "auburncrank_admin_calls_total";
 
@@ -84,6 +91,7 @@
 
 /// Counter of polls of endpoints and of the host list, by `source` and `result`.
 pub const POLLS_TOTAL: &str = "auburncrank_polls_total";
+
 /// Counter of messages to other routers that were dropped, by `reason`.
 pub const PEER_MESSAGES_DROPPED_TOTAL: &str = "auburncrank_peer_messages_dropped_total";
 
@@ -96,5 +104,15 @@
 /// Gauge of the routers known to this one, itself included, by `state`.
 pub const MEMBERS: &str = "auburncrank_members";
 
+/// Counter of members whose state changed, as this router sees it, by new `state`.
+pub const MEMBER_CHANGES_TOTAL: &str = "auburncrank_member_changes_total";
+
+/// Counter of answers with addresses for callers.
+pub const ADDRESS_ANSWERS_TOTAL: &str = "auburncrank_address_answers_total";
+
 /// Gauge that is 1 where another process with a higher incarnation uses this router's name.
 pub const ROUTER_SUPERSEDED: &str = "auburncrank_router_superseded";
+
+/// Gauge of rollouts of model versions that are halted, on the holder of the controller
+/// lease.
+pub const HALTED_ROLLOUTS: &str = "auburncrank_halted_rollouts";
--- a/programs/auburncrank-bench/src/cmd/mod.rs
+++ b/programs/auburncrank-bench/src/cmd/mod.rs
@@ -1,5 +1,8 @@
 //! The studies, one module each.
 
+mod budgets;
+mod control;
+mod membership;
 mod path;
 mod routing;
 
@@ -22,6 +25,21 @@
 
 /// All studies.
 pub(crate) const STUDIES: &[Study] = &[
+    Study {
+        name: "budgets",
+        about: "Overspend and false refusals under faults, on simulated time.",
+        run: budgets::run,
+    },
+    Study {
+        name: "control",
+        about: "Acceptance and spread of configurations, on simulated time.",
+        run: control::run,
+    },
+    Study {
+        name: "membership",
+        about: "Traffic, processor time and detection times of the failure detector.",
+        run: membership::run,
+    },
     Study {
         name: "path",
         about: "Streams through a router against the same engine directly.",
