Probe a member whose reported death is older than its refutation

At 64 routers and 30% loss one death was noticed by one router only after 13.2 s. The member had refuted a suspicion just before it died: routers that had its refutation ignored the report of its death and came to probe it in their turn, 64 members later. They now probe it at once and pass the refutation on. Tested at 64 routers and 10% loss with four seeds.

--- a/components/membership/src/detector/merge.rs
+++ b/components/membership/src/detector/merge.rs
@@ -16,6 +16,8 @@
     Accept,
     /// It contradicts what this router knows better; the member is told of it.
     TellMember,
+    /// It is older than what is known, but the member may be dead nevertheless.
+    ProbeMember,
 }
 
 impl Detector {
@@ -78,6 +80,7 @@
             Verdict::Ignore => {}
             Verdict::Accept => self.accept(record, now, rng, actions),
             Verdict::TellMember => self.tell_member(record, now, actions),
+            Verdict::ProbeMember => self.probe_accused(&name, now, actions),
         }
     }
 
@@ -104,7 +107,8 @@
     /// Judges a record of the process that is known under its name.
     fn judge(&self, known: &Entry, record: &MemberRecord, now: Timestamp) -> Verdict {
         if record.precedence() <= known.record.precedence() {
-            return Verdict::Ignore;
+            let is_late_death = record.status == MemberStatus::Dead && known.died.is_none();
+            return if is_late_death { Verdict::ProbeMember } else { Verdict::Ignore };
         }
         let evidence_span = self.settings.suspicion_timeout;
         match record.status {
@@ -161,12 +165,22 @@
 
     fn tell_member(&mut self, record: MemberRecord, now: Timestamp, actions: &mut Vec<Action>) {
         let Some(to) = self.note_told(&record.id.name, now) else { return };
-        let number = self.take_number();
+        let number = self.begin_probe(&record.id, now);
         let message = self.message(MessageKind::Ping { probe: number }, vec![record]);
         actions.push(Action::send(to, message));
     }
 
-    /// Notes that a member is told of its death, unless it was just now.
+    /// Probes a member whose death was reported although it has refuted that suspicion:
+    /// it may have died just after. Others learn of the refutation.
+    fn probe_accused(&mut self, name: &RouterName, now: Timestamp, actions: &mut Vec<Action>) {
+        if self.suspicions.contains_key(name) || self.note_told(name, now).is_none() {
+            return;
+        }
+        self.gossip.push(name);
+        self.start_probe(name, now, actions);
+    }
+
+    /// Notes that a member is told of its death, or probed for it, unless it was just now.
     fn note_told(&mut self, name: &RouterName, now: Timestamp) -> Option<SocketAddr> {
         let period = self.settings.contact_period;
         let entry = self.roster.get_mut(name)?;
--- a/components/membership/src/detector/suspicion.rs
+++ b/components/membership/src/detector/suspicion.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use types::{RouterName, Timestamp};
+use types::{RouterId, RouterName, Timestamp};
 use utils::Rng;
 
 use super::probe::Probe;
@@ -60,18 +60,29 @@
     }
 
     /// Probes member `name`.
-    fn start_probe(&mut self, name: &RouterName, now: Timestamp, actions: &mut Vec<Action>) {
+    pub(super) fn start_probe(
+        &mut self,
+        name: &RouterName,
+        now: Timestamp,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(record) = self.roster.get(name).map(|it| it.record.clone()) else { return };
+        let number = self.begin_probe(&record.id, now);
+        let kind = MessageKind::Ping { probe: number };
+        self.send_to(name, record.peer_address, kind, now, actions);
+    }
+
+    /// Notes a probe of `target` that is about to be sent; returns its number.
+    pub(super) fn begin_probe(&mut self, target: &RouterId, now: Timestamp) -> u64 {
         let number = self.take_number();
         self.probes.push(Probe {
             number,
-            target: record.id,
+            target: target.clone(),
             is_retry: false,
             indirect_at: Some(now + self.settings.direct_timeout),
             fails_at: now + self.settings.probe_timeout,
         });
-        let kind = MessageKind::Ping { probe: number };
-        self.send_to(name, record.peer_address, kind, now, actions);
+        number
     }
 
     /// Asks others to ping where the direct answer is missing, and suspects members
--- a/components/membership/tests/failure_detector.rs
+++ b/components/membership/tests/failure_detector.rs
@@ -59,6 +59,21 @@
     }
 }
 
+#[test]
+fn dead_router_is_noticed_in_a_larger_fleet_under_loss() {
+    for seed in 0..4 {
+        let mut network = PeerNetwork::new(64, seed);
+        assert!(network.run_until_converged(Duration::from_secs(10)));
+        network.set_loss(0.1);
+        network.run_for(Duration::from_secs(30));
+        network.kill(3);
+        network.run_for(NOTICE_LIMIT);
+        for observer in (0..64).filter(|&it| it != 3) {
+            assert!(network.view(observer).find(&router_name(3)).is_none(), "seed {seed}");
+        }
+    }
+}
+
 #[test]
 fn routers_that_die_together_are_noticed_by_the_survivor() {
     let mut network = start(2);
