--- a/programs/auburncrank-bench/src/cmd/mod.rs
+++ b/programs/auburncrank-bench/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod membership;
 mod path;
 mod routing;
+mod slopes;
 
 use crate::cli::StudyOptions;
 
@@ -44,4 +45,9 @@
         about: "Choice of endpoints against baselines, on simulated time.",
         run: routing::run,
     },
+    Study {
+        name: "slopes",
+        about: "Growth of the control work with routers, accounts, endpoints and requests.",
+        run: slopes::run,
+    },
 ];
--- /dev/null
+++ b/programs/auburncrank-bench/src/cmd/slopes/membership.rs
@@ -0,0 +1,64 @@
+//! Failure detector against the number of routers.
+
+use std::time::Duration;
+
+use cpu_time::ThreadTime;
+use standins::{NodeTraffic, PeerNetwork};
+
+use super::{fit::Slope, memory::HeldMemory};
+use crate::cmd::StudyError;
+
+/// Numbers of routers.
+const ROUTERS: [usize; 4] = [32, 64, 128, 256];
+
+/// Time for all routers to find each other.
+const JOIN_LIMIT: Duration = Duration::from_secs(120);
+
+/// Time for the last changes of the start to be passed on.
+const SETTLE: Duration = Duration::from_secs(60);
+
+/// Simulated time that is measured.
+const SPAN: Duration = Duration::from_secs(30);
+
+/// Measures traffic, processor time and memory of one router.
+pub(super) fn measure(seed: u64) -> Result<Vec<Slope>, StudyError> {
+    let (mut messages, mut bytes) = (Vec::new(), Vec::new());
+    let (mut processor, mut memory) = (Vec::new(), Vec::new());
+    for routers in ROUTERS {
+        let size = routers as f64;
+        let held = HeldMemory::start();
+        let mut network = PeerNetwork::new(routers, seed);
+        if !network.run_until_converged(JOIN_LIMIT) {
+            return Err(StudyError(format!("{routers} routers did not find each other")));
+        }
+        network.run_for(SETTLE);
+        network.take_changes();
+        memory.push((size, held.bytes() / size));
+        let before = sent(&network, routers);
+        let started = ThreadTime::now();
+        network.run_for(SPAN);
+        let micros = started.elapsed().as_micros() as f64;
+        let after = sent(&network, routers);
+        let node_seconds = size * SPAN.as_secs_f64();
+        let rate = |before: u64, after: u64| (after - before) as f64 / node_seconds;
+        messages.push((size, rate(before.sent_messages, after.sent_messages)));
+        bytes.push((size, rate(before.sent_bytes, after.sent_bytes)));
+        processor.push((size, micros / node_seconds));
+    }
+    Ok(vec![
+        Slope::fit("membership messages sent by a router, 1/s", "routers", messages)?,
+        Slope::fit("membership bytes sent by a router, B/s", "routers", bytes)?,
+        Slope::fit("membership processor time of a router, us/s", "routers", processor)?,
+        Slope::fit("membership memory of a router, B", "routers", memory)?,
+    ])
+}
+
+fn sent(network: &PeerNetwork, routers: usize) -> NodeTraffic {
+    let mut total = NodeTraffic::default();
+    for node in 0..routers {
+        let traffic = network.traffic(node);
+        total.sent_messages += traffic.sent_messages;
+        total.sent_bytes += traffic.sent_bytes;
+    }
+    total
+}
