Remember changes of the configuration in place of whole versions

Eight whole versions are 40 MB at 3,700 client accounts and 4,800 endpoints (1,178 and 132 bytes each, measured), above the 32 MB that all control of a router may hold. The history holds the last eight steps as changes; the latest version is shared with the one in force.

--- a/components/router/src/configuration/spread/exchange.rs
+++ b/components/router/src/configuration/spread/exchange.rs
@@ -1,6 +1,6 @@
 //! Versions of the configuration as messages.
 
-use config::{Change, Config, diff_configs};
+use config::{Change, Config};
 use protocol::{ConfigAnswer, FRAME_MAX_BYTES};
 use thiserror::Error;
 use types::ConfigVersion;
@@ -37,8 +37,8 @@
 ) -> Result<ConfigAnswer, SpreadError> {
     let whole = serde_json::to_vec(current)?;
     let digest = Digest::from_content(&whole).as_bytes().to_vec();
-    let (base, content) = match history.find(base) {
-        Some(known) => (base.0, serde_json::to_vec(&diff_configs(known, current))?),
+    let (base, content) = match history.changes(base, current) {
+        Some(changes) => (base.0, serde_json::to_vec(&changes)?),
         None => (0, whole),
     };
     if content.len() > CONTENT_MAX_BYTES {
@@ -87,18 +87,18 @@
     #[test]
     fn router_gets_changes_where_its_version_is_known_and_the_whole_otherwise() {
         let mut history = ConfigHistory::default();
-        history.push(Arc::new(version(2)));
-        for (base, expected_base) in [(2, 2), (1, 0), (0, 0)] {
-            let answer = create_answer(&version(3), ConfigVersion(base), &history).unwrap();
+        [2, 3, 4].into_iter().for_each(|it| history.push(Arc::new(version(it))));
+        for (base, expected_base) in [(3, 3), (2, 2), (1, 0), (0, 0)] {
+            let answer = create_answer(&version(4), ConfigVersion(base), &history).unwrap();
             assert_eq!(answer.base, expected_base);
-            assert_eq!(read_answer(&answer, &version(base)).unwrap(), version(3));
+            assert_eq!(read_answer(&answer, &version(base)).unwrap(), version(4));
         }
     }
 
     #[test]
     fn answer_that_does_not_fit_is_refused() {
         let mut history = ConfigHistory::default();
-        history.push(Arc::new(version(2)));
+        [2, 3].into_iter().for_each(|it| history.push(Arc::new(version(it))));
         let answer = create_answer(&version(3), ConfigVersion(2), &history).unwrap();
         let other_base = read_answer(&answer, &version(1));
         assert!(matches!(other_base, Err(SpreadError::OtherBase(_))));
--- a/components/router/src/configuration/spread/history.rs
+++ b/components/router/src/configuration/spread/history.rs
@@ -1,31 +1,50 @@
-//! The versions that were in force lately.
+//! The changes between the versions that were in force lately.
 
 use std::{collections::VecDeque, sync::Arc};
 
-use config::Config;
+use config::{Change, Config, combine_changes, diff_configs};
 use types::ConfigVersion;
 
-/// Versions that are remembered, so that routers which have one of them get changes only.
-const REMEMBERED_VERSIONS: usize = 8;
+/// Steps that are remembered, so that routers which have a version before one of them get
+/// changes only.
+const REMEMBERED_STEPS: usize = 8;
 
-/// The versions that were in force lately on this router, the latest last.
+/// The changes between the versions that were in force lately on this router.
+///
+/// Only the latest version is held as a whole, and shared with the one in force.
 #[derive(Debug, Default)]
 pub(super) struct ConfigHistory {
-    /// The versions; entries that did not change are not shared between them.
-    versions: VecDeque<Arc<Config>>,
+    /// The latest version.
+    latest: Option<Arc<Config>>,
+    /// The steps that led to it, the last one at the end.
+    steps: VecDeque<Step>,
+}
+
+/// Step from one version to the next that was in force.
+#[derive(Debug)]
+struct Step {
+    /// The version before.
+    from: ConfigVersion,
+    /// What changed.
+    changes: Vec<Change>,
 }
 
 impl ConfigHistory {
     /// Adds a version that has come into force.
     pub(super) fn push(&mut self, cfg: Arc<Config>) {
-        if self.versions.len() == REMEMBERED_VERSIONS {
-            self.versions.pop_front();
+        if let Some(latest) = self.latest.replace(cfg.clone()) {
+            if self.steps.len() == REMEMBERED_STEPS {
+                self.steps.pop_front();
+            }
+            let changes = diff_configs(&latest, &cfg);
+            self.steps.push_back(Step { from: latest.version, changes });
         }
-        self.versions.push_back(cfg);
     }
 
-    /// Finds a version.
-    pub(super) fn find(&self, version: ConfigVersion) -> Option<&Arc<Config>> {
-        self.versions.iter().find(|it| it.version == version)
+    /// Returns the changes from version `base` to `current`, where both are known.
+    pub(super) fn changes(&self, base: ConfigVersion, current: &Config) -> Option<Vec<Change>> {
+        self.latest.as_ref().filter(|it| it.version == current.version)?;
+        let first = self.steps.iter().position(|it| it.from == base)?;
+        Some(combine_changes(self.steps.iter().skip(first).flat_map(|it| &it.changes)))
     }
 }
--- a/components/router/src/configuration/spread/spreader.rs
+++ b/components/router/src/configuration/spread/spreader.rs
@@ -83,7 +83,7 @@
     cfg: ConfigHandle,
     /// The other routers.
     peers: Arc<dyn Peers>,
-    /// Versions that were in force lately.
+    /// Changes between the versions that were in force lately.
     history: ConfigHistory,
     /// Latest version that is or was announced.
     announced: ConfigVersion,
