Probe a member that comes back from the dead by hearsay

At 512 routers and 10% loss, two of 1,527 notices of deaths were missing after 15 s; at 30%, 669. A refutation from before the death that still goes round revives the dead member at those who had noticed, and their turn to probe it comes 512 members later. They now probe it at once.

--- a/components/membership/src/detector/merge.rs
+++ b/components/membership/src/detector/merge.rs
@@ -141,8 +141,14 @@
         if record.status != MemberStatus::Suspect {
             self.suspicions.remove(&name);
         }
+        let was_dead = self.roster.get(&name).is_some_and(|it| it.died.is_some());
+        let is_back = was_dead && record.status != MemberStatus::Dead;
         self.put(record, now, rng, actions);
         self.gossip.push(&name);
+        if is_back {
+            // The refutation may be older than the death.
+            self.start_probe(&name, now, actions);
+        }
     }
 
     /// Puts a record into the roster and notes the change of its state.
