--- a/programs/auburncrank-bench/src/cmd/control/mod.rs
+++ b/programs/auburncrank-bench/src/cmd/control/mod.rs
@@ -4,15 +4,18 @@
 //! simulated, so that the same seed gives the same rows.
 
 mod fleet;
-mod fleet_peers;
 mod gated_table;
+mod network;
 mod observer;
 mod operators;
 mod scenario;
 
 use serde::Serialize;
 
-use self::scenario::{SCENARIOS, Scenario};
+use self::{
+    fleet::Way,
+    scenario::{SCENARIOS, Scenario},
+};
 use super::StudyError;
 use crate::{cli::StudyOptions, output::print_row};
 
@@ -50,17 +53,24 @@
 pub(crate) fn run(options: &StudyOptions) -> Result<(), StudyError> {
     for scenario in SCENARIOS.iter().filter(|scenario| options.includes(scenario.name)) {
         for routers in FLEETS {
-            print_row(&run_scenario(scenario, routers, options.seed)?);
+            for way in [Way::Polling, Way::Peers] {
+                print_row(&run_scenario(scenario, routers, way, options.seed)?);
+            }
         }
     }
     Ok(())
 }
 
-fn run_scenario(scenario: &Scenario, routers: usize, seed: u64) -> Result<ControlRow, StudyError> {
+fn run_scenario(
+    scenario: &Scenario,
+    routers: usize,
+    way: Way,
+    seed: u64,
+) -> Result<ControlRow, StudyError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
         .build()
         .map_err(|error| StudyError(error.to_string()))?;
-    runtime.block_on(scenario::run(scenario, routers, seed))
+    runtime.block_on(scenario::run(scenario, routers, way, seed))
 }
--- /dev/null
+++ b/programs/auburncrank-bench/src/cmd/control/network.rs
@@ -0,0 +1,160 @@
+//! The network between simulated routers.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use membership::{Member, MemberState, MembershipView};
+use protocol::PeerBody;
+use rand::Rng as _;
+use router::{
+    configuration::ConfigHandle,
+    peers::{PeerHandler, Peers},
+};
+use types::{ConfigVersion, FailureDomain, Incarnation, RouterId, RouterName};
+use utils::Rng;
+
+/// Shortest time of a message, in microseconds.
+const DELAY_MIN_US: u64 = 300;
+
+/// Longest time of a message, in microseconds.
+const DELAY_MAX_US: u64 = 2_000;
+
+/// Share of messages that are lost.
+const LOSS: f64 = 0.01;
+
+/// The network between simulated routers. Clones share it.
+#[derive(Clone)]
+pub(super) struct Network {
+    /// State shared by the clones.
+    shared: Arc<Mutex<Shared>>,
+}
+
+struct Shared {
+    /// The routers.
+    nodes: Vec<Node>,
+    /// Whether the two halves of the fleet are apart.
+    is_split: bool,
+    /// Draws delays and losses.
+    rng: Rng,
+}
+
+/// A router as the network knows it.
+struct Node {
+    /// Handlers of its present process.
+    handlers: Vec<Arc<dyn PeerHandler>>,
+    /// What it knows of the others from their heartbeats.
+    view: Arc<MembershipView>,
+}
+
+impl Network {
+    /// Creates the network of `routers` routers.
+    pub(super) fn new(routers: usize, seed: u64) -> Network {
+        let node = |local: usize| {
+            let others = (0..routers).filter(|&number| number != local).map(member);
+            let view = MembershipView { local: member(local), others: others.collect() };
+            Node { handlers: Vec::new(), view: Arc::new(view) }
+        };
+        let nodes = (0..routers).map(node).collect();
+        let shared = Shared { nodes, is_split: false, rng: utils::seeded_rng(seed) };
+        Network { shared: Arc::new(Mutex::new(shared)) }
+    }
+
+    /// Connects a new process of router `number`; its earlier one gets no more messages.
+    pub(super) fn connect(&self, number: usize) -> Arc<dyn Peers> {
+        self.lock().nodes[number].handlers.clear();
+        Arc::new(Connection { network: self.clone(), number })
+    }
+
+    /// Sets the two halves of the fleet apart, or joins them again.
+    pub(super) fn set_split(&self, is_split: bool) {
+        self.lock().is_split = is_split;
+    }
+
+    /// Lets every router hear the heartbeats of those that it can reach; `cfgs` are the
+    /// configurations in force on them.
+    pub(super) fn beat(&self, cfgs: &[ConfigHandle]) {
+        let mut shared = self.lock();
+        let count = shared.nodes.len();
+        for local in 0..count {
+            let mut view = MembershipView::clone(&shared.nodes[local].view);
+            for member in &mut view.others {
+                let number = number_of(&member.id.name);
+                if shared.is_connected(local, number) {
+                    member.config_version = cfgs[number].version();
+                }
+            }
+            shared.nodes[local].view = Arc::new(view);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().expect("no holder of the lock panics")
+    }
+}
+
+impl Shared {
+    fn is_connected(&self, one: usize, other: usize) -> bool {
+        let half = self.nodes.len() / 2;
+        !self.is_split || (one < half) == (other < half)
+    }
+}
+
+/// The network as one router uses it.
+struct Connection {
+    /// The network.
+    network: Network,
+    /// Number of the router.
+    number: usize,
+}
+
+impl Peers for Connection {
+    fn view(&self) -> Arc<MembershipView> {
+        self.network.lock().nodes[self.number].view.clone()
+    }
+
+    fn send(&self, to: &RouterName, body: PeerBody) {
+        let to = number_of(to);
+        let from = member(self.number).id;
+        let mut shared = self.network.lock();
+        let is_lost = shared.rng.random_bool(LOSS) || !shared.is_connected(self.number, to);
+        let delay = Duration::from_micros(shared.rng.random_range(DELAY_MIN_US..DELAY_MAX_US));
+        drop(shared);
+        if is_lost {
+            return;
+        }
+        let network = self.network.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            let handlers = network.lock().nodes[to].handlers.clone();
+            handlers.iter().for_each(|handler| handler.on_message(&from, &body));
+        });
+    }
+
+    fn subscribe(&self, handler: Arc<dyn PeerHandler>) {
+        self.network.lock().nodes[self.number].handlers.push(handler);
+    }
+
+    fn leave(&self) {}
+}
+
+fn member(number: usize) -> Member {
+    let name = RouterName::new(&format!("router-{number}")).expect("a name");
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Member {
+        id: RouterId::new(name, Incarnation(1)),
+        failure_domain: FailureDomain::new("zlin").expect("a name"),
+        caller_address: address,
+        peer_address: address,
+        state: MemberState::Alive,
+        load: 0,
+        config_version: ConfigVersion(0),
+    }
+}
+
+fn number_of(name: &RouterName) -> usize {
+    let number = name.as_str().strip_prefix("router-").and_then(|text| text.parse().ok());
+    number.expect("routers are numbered")
+}
--- a/programs/auburncrank-bench/src/cmd/control/observer.rs
+++ b/programs/auburncrank-bench/src/cmd/control/observer.rs
@@ -11,6 +11,9 @@
 /// Time between two looks at the routers.
 pub(super) const LOOK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time between two heartbeats of a router.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Longest time that is measured; a change that never came into force counts as it, in
 /// milliseconds.
 const TIME_MAX_MS: u64 = 3_600_000;
@@ -21,12 +24,14 @@
     seen: Vec<Vec<(ConfigVersion, Instant)>>,
     /// Times that a router had an older version in force than before.
     pub(super) reverts: usize,
+    /// When the routers hear each other's heartbeats next.
+    next_beat: Option<Instant>,
 }
 
 impl Observer {
     /// Creates an observer of `routers` routers.
     pub(super) fn new(routers: usize) -> Observer {
-        Observer { seen: vec![Vec::new(); routers], reverts: 0 }
+        Observer { seen: vec![Vec::new(); routers], reverts: 0, next_beat: None }
     }
 
     /// Looks at all routers. A router without any configuration takes no requests, so it
@@ -48,6 +53,10 @@
     pub(super) async fn watch(&mut self, fleet: &Fleet, span: Duration) {
         let end = Instant::now() + span;
         while Instant::now() < end {
+            if self.next_beat.is_none_or(|at| Instant::now() >= at) {
+                self.next_beat = Some(Instant::now() + HEARTBEAT_INTERVAL);
+                fleet.beat();
+            }
             self.look(fleet);
             tokio::time::sleep(LOOK_INTERVAL).await;
         }
--- a/programs/auburncrank-bench/src/cmd/control/operators.rs
+++ b/programs/auburncrank-bench/src/cmd/control/operators.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use config::{Account, Intent, Plan};
+use config::{Account, Config, Intent, Plan};
 use errors::ErrorKind;
 use platform::Table;
 use router::{
@@ -26,6 +26,8 @@
     pub(super) account: AccountName,
     /// Weight that it gave the account.
     pub(super) weight: u32,
+    /// The configuration with it.
+    pub(super) cfg: Arc<Config>,
 }
 
 /// Makes the plan that gives an account a weight.
@@ -60,7 +62,8 @@
             Ok(accepted) => {
                 let (version, at) = (accepted.version, Instant::now());
                 let account = account.clone();
-                return Some(AcceptedChange { version, at, account, weight });
+                let cfg = accepted.cfg;
+                return Some(AcceptedChange { version, at, account, weight, cfg });
             }
             Err(error) if may_repeat(&error) => {}
             Err(_) => return None,
--- a/programs/auburncrank-bench/src/cmd/control/scenario.rs
+++ b/programs/auburncrank-bench/src/cmd/control/scenario.rs
@@ -11,7 +11,7 @@
 
 use super::{
     ControlRow, StudyError,
-    fleet::Fleet,
+    fleet::{Fleet, Way},
     observer::Observer,
     operators::{AcceptedChange, confirm_weight, plan_weight},
 };
@@ -47,6 +47,9 @@
     Partition,
     /// All routers restart as soon as each change is accepted.
     RestartAll,
+    /// The table goes away as soon as each change is accepted, and from 2 s later on the
+    /// routers restart one after the other.
+    RollingRestart,
     /// Operators confirm at the same time, while some answers are lost.
     Racing,
 }
@@ -57,6 +60,7 @@
     Scenario { name: "store_away_after_acceptance", course: Course::StoreAway },
     Scenario { name: "partition_and_heal", course: Course::Partition },
     Scenario { name: "restart_of_all", course: Course::RestartAll },
+    Scenario { name: "rolling_restart_with_store_away", course: Course::RollingRestart },
     Scenario { name: "racing_operators", course: Course::Racing },
 ];
 
@@ -79,12 +83,13 @@
 pub(super) async fn run(
     scenario: &Scenario,
     routers: usize,
+    way: Way,
     seed: u64,
 ) -> Result<ControlRow, StudyError> {
     let table = MemoryTable::new(CallLimits::new(TABLE_READS, TABLE_WRITES), seed);
     let started = Instant::now();
     let mut run = Run {
-        fleet: Fleet::start(routers, &table, seed),
+        fleet: Fleet::start(routers, way, &table, seed),
         table,
         observer: Observer::new(routers),
         rng: utils::seeded_rng(seed),
@@ -99,7 +104,7 @@
     let elapsed = started.elapsed().as_secs_f64();
     Ok(ControlRow {
         scenario: scenario.name,
-        way: "polling",
+        way: way.name(),
         routers,
         accepted: run.accepted.len(),
         conflicts: run.conflicts,
@@ -145,6 +150,20 @@
                     self.watch(SETTLE).await;
                 }
             }
+            Course::RollingRestart => {
+                for number in 0..3 {
+                    self.accept(number).await?;
+                    self.set_faults(TableFaults { down: true, ..TableFaults::default() });
+                    self.watch(Duration::from_secs(2)).await;
+                    for router in 0..self.fleet.routers.len() {
+                        self.fleet.restart(router, Duration::from_secs(1));
+                        self.watch(Duration::from_millis(500)).await;
+                    }
+                    self.watch(SETTLE).await;
+                    self.set_faults(TableFaults::default());
+                    self.watch(SETTLE).await;
+                }
+            }
             Course::Racing => {
                 self.set_faults(TableFaults { lost_answers: 0.1, ..TableFaults::default() });
                 for round in 0..5 {
@@ -171,7 +190,11 @@
         let plan = plan_weight(&self.table, &account, weight).await;
         let plan = plan.ok_or_else(|| StudyError("no plan was made".to_owned()))?;
         let accepted = confirm_weight(&self.table, &plan, &account, weight).await;
-        self.accepted.extend(accepted);
+        if let Some(accepted) = accepted {
+            // The router that confirms brings the version into force at once.
+            self.fleet.routers[0].cfg.advance(accepted.cfg.clone());
+            self.accepted.push(accepted);
+        }
         Ok(())
     }
 
