--- a/components/router/src/accounting/ledger_task.rs
+++ b/components/router/src/accounting/ledger_task.rs
@@ -1,9 +1,6 @@
 //! The task on the control thread that owns the ledger and carries out its actions.
 
-use std::{
-    sync::Arc,
-    time::{Duration, SystemTime},
-};
+use std::{sync::Arc, time::Duration};
 
 use budget::{
     AccountSnapshot, Action, Answer, Bill, BudgetPeer, BudgetSettings, CallId, DeathPolicy, Event,
@@ -17,7 +14,7 @@
     sync::{mpsc, oneshot},
     time::MissedTickBehavior,
 };
-use types::{AccountName, Timestamp};
+use types::{AccountName, Timestamp, UnixMillis};
 use utils::{HashMap, Rng};
 
 use super::{ReserveRequest, in_doubt_gauge::InDoubtGauge};
@@ -92,7 +89,7 @@
         rng: Rng,
     ) -> LedgerTask {
         let mut settings = BudgetSettings::new(DeathPolicy::WitnessedCeilings);
-        settings.start_unix_ms = unix_ms().saturating_sub(clock.now().as_millis());
+        settings.start_unix_ms = UnixMillis::now().0.saturating_sub(clock.now().as_millis());
         let local = budget_peer(&peers.view().local);
         LedgerTask {
             ledger: Ledger::new(settings, local, rng),
@@ -278,8 +275,3 @@
         set(telemetry::BUDGET_WAITING_REQUESTS, it.waiting as u64);
     }
 }
-
-fn unix_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
--- a/components/router/src/registry/fleet.rs
+++ b/components/router/src/registry/fleet.rs
@@ -8,9 +8,9 @@
 use async_trait::async_trait;
 use errors::{Error, ErrorKind, Ran, Result};
 use platform::{Commit, ObjectStore, Table};
-use protocol::{PeerBody, RequestsBody};
+use protocol::RequestsBody;
 use requests::{
-    AnswerBody, Attempt, Claim, ClaimVerdict, EndState, IntentAdmission, IntentState, StoredAnswer,
+    Attempt, Claim, ClaimVerdict, EndState, IntentAdmission, IntentState, StoredAnswer,
 };
 use types::{RequestKey, RouterId, Timestamp};
 use utils::Digest;
@@ -21,17 +21,23 @@
     home_link::HomeLink,
     intents::{Intents, Refusal},
     kept_store::{KeptItem, KeptStore},
+    message_handler::MessageHandler,
+    open_guard::OpenGuard,
     relay::{Fetch, Relay},
+    stored::{stored_answer, write_stored},
 };
 use crate::{
     Clock,
-    answer::{AnswerEnd, AnswerHead, AnswerLog, KeptAnswer},
-    peers::{PeerHandler, Peers},
+    answer::{AnswerLog, KeptAnswer},
+    peers::Peers,
 };
 
 /// Time between two checks of the members and of the answers to be stored.
 const TICK: Duration = Duration::from_millis(500);
 
+/// Longest time from the arrival of a request to the end of the read of its row.
+const ADMISSION_TIME: Duration = Duration::from_millis(200);
+
 /// Claims that one begin makes before it gives up.
 const PLACE_TRIES: usize = 4;
 
@@ -53,15 +59,17 @@
 /// or has run; non-idempotent calls are decided by their intent rows alone.
 pub struct FleetRegistry {
     /// Requests of this router.
-    entries: Entries,
+    pub(super) entries: Entries,
     /// Home routers.
-    home: HomeLink,
+    pub(super) home: HomeLink,
     /// Intent rows.
     intents: Arc<Intents>,
     /// Answers of other routers.
     relay: Relay,
     /// Kept answers in the object store.
     kept: KeptStore,
+    /// Clock.
+    clock: Clock,
     /// Itself, for its tasks.
     this: Weak<FleetRegistry>,
 }
@@ -77,6 +85,7 @@
             kept: KeptStore::new(objects, &router),
             intents: Arc::new(Intents::new(router, table, clock)),
             relay: Relay::new(peers.clone()),
+            clock,
             this: this.clone(),
         });
         let handler = Arc::new(MessageHandler { registry: Arc::downgrade(&registry) });
@@ -86,6 +95,7 @@
     }
 
     async fn tick(&self) {
+        self.home.ask_promises();
         self.home.follow_members(|| self.entries.held());
         while let Some((object, items)) = self.kept.flush().await {
             for item in items {
@@ -95,8 +105,24 @@
         }
     }
 
+    /// Reads the intent row of a request that has just arrived. A row that says
+    /// "withdrawn" counts only where it was read at once: a refusal that is later than
+    /// the arrival must keep this attempt from running.
+    async fn read_intent(&self, req: &BeginRequest) -> Option<IntentAdmission> {
+        if req.idempotent {
+            return None;
+        }
+        let arrived = self.clock.now();
+        let admission = self.intents.admit(&req.key, &req.fingerprint).await.ok()?;
+        let is_late = self.clock.now().since(arrived) > ADMISSION_TIME;
+        let is_withdrawn =
+            matches!(&admission, IntentAdmission::Free(base) if base.revision.is_some());
+        (!is_late || !is_withdrawn).then_some(admission)
+    }
+
     /// Finds out where a request runs, or that it is to run here.
     async fn place(&self, req: &BeginRequest, entry: &Entry) -> Result<Begin> {
+        let intent = self.read_intent(req).await;
         let mut given_up = None;
         for _ in 0..PLACE_TRIES {
             let claim = Claim {
@@ -106,9 +132,9 @@
                 given_up: given_up.take(),
             };
             let (attempt, found) = match self.home.claim(&claim).await {
-                None => return self.admit(req, entry, Home::OutOfReach).await,
+                None => return self.admit(req, entry, Home::OutOfReach, intent),
                 Some(ClaimVerdict::Granted { is_first }) => {
-                    return self.admit(req, entry, Home::Granted { is_first }).await;
+                    return self.admit(req, entry, Home::Granted { is_first }, intent);
                 }
                 Some(ClaimVerdict::Reused) => return Err(reused()),
                 Some(ClaimVerdict::RunsAt(attempt)) => {
@@ -168,36 +194,37 @@
     }
 
     fn join_stored(&self, req: &BeginRequest, entry: &Entry, answer: &StoredAnswer) -> Begin {
-        let body = answer.body.as_bytes();
-        let content_type = answer.content_type.clone();
-        entry.log.start(AnswerHead { status: answer.status, content_type });
-        entry.log.push(bytes::Bytes::copy_from_slice(body));
-        let usage = engine_api::Usage::new(answer.prompt_tokens, answer.completion_tokens);
-        entry.log.finish(AnswerEnd { finish_reason: answer.finish_reason.clone(), usage });
-        self.entries.keep(&req.key, body.len());
+        let bytes = write_stored(answer, &entry.log);
+        self.entries.keep(&req.key, bytes);
         Begin::Join(entry.log.clone())
     }
 
     /// Admits a request that is to run here: a non-idempotent one by its intent row.
-    async fn admit(&self, req: &BeginRequest, entry: &Entry, home: Home) -> Result<Begin> {
+    fn admit(
+        &self,
+        req: &BeginRequest,
+        entry: &Entry,
+        home: Home,
+        intent: Option<IntentAdmission>,
+    ) -> Result<Begin> {
         let is_first = home == Home::Granted { is_first: true };
         self.entries.update(&req.key, |it| it.is_first = is_first);
         if req.idempotent {
             return Ok(Begin::Run(entry.log.clone()));
         }
-        match self.intents.admit(&req.key, &req.fingerprint).await {
-            Ok(IntentAdmission::Free(base)) => {
+        match intent {
+            Some(IntentAdmission::Free(base)) => {
                 self.entries.update(&req.key, |it| it.base = Some(base));
                 Ok(Begin::Run(entry.log.clone()))
             }
-            Ok(IntentAdmission::Answered(answer)) => Ok(self.join_stored(req, entry, &answer)),
-            Ok(IntentAdmission::Held(message)) => {
+            Some(IntentAdmission::Answered(answer)) => Ok(self.join_stored(req, entry, &answer)),
+            Some(IntentAdmission::Held(message)) => {
                 Err(Error::new(ErrorKind::OutcomeUnknown, message))
             }
-            Ok(IntentAdmission::Reused) => Err(reused()),
-            Err(_) if home != Home::OutOfReach => Ok(Begin::Run(entry.log.clone())),
-            Err(error) => {
-                let message = format!("neither the table nor the home router answers: {error}");
+            Some(IntentAdmission::Reused) => Err(reused()),
+            None if home != Home::OutOfReach => Ok(Begin::Run(entry.log.clone())),
+            None => {
+                let message = "neither the table nor the home router answers";
                 Err(Error::new(ErrorKind::StoreUnavailable, message).after_earlier_attempt())
             }
         }
@@ -233,7 +260,7 @@
         tokio::spawn(async move { intents.close(&key, &recorded, state).await });
     }
 
-    fn on_requests(&self, from: &RouterId, body: &RequestsBody) {
+    pub(super) fn on_requests(&self, from: &RouterId, body: &RequestsBody) {
         match body {
             RequestsBody::Claim(message) => self.home.on_claim(from, message),
             RequestsBody::Verdict(message) => self.home.on_verdict(message),
@@ -241,6 +268,8 @@
             RequestsBody::Held(message) => self.home.on_held(message),
             RequestsBody::Fetch(message) => self.relay.on_fetch(&self.entries, from, message),
             RequestsBody::Part(message) => self.relay.on_part(message),
+            RequestsBody::AskPromise(message) => self.home.on_ask_promise(from, message),
+            RequestsBody::Promise(message) => self.home.on_promise(from, message),
         }
     }
 }
@@ -358,56 +387,6 @@
     }
 }
 
-/// Removes the entry of a request that did not begin, also where its caller left
-/// meanwhile.
-struct OpenGuard<'a> {
-    /// Registry.
-    registry: &'a FleetRegistry,
-    /// Key of the request.
-    key: &'a RequestKey,
-    /// Its entry.
-    entry: &'a Entry,
-    /// Why it did not begin, if it did not; `None` as long as that is not known.
-    end: Option<Option<Error>>,
-}
-
-impl Drop for OpenGuard<'_> {
-    fn drop(&mut self) {
-        let error = match self.end.take() {
-            Some(None) => return,
-            Some(Some(error)) => error,
-            None => {
-                let message = "the first caller left; send the request again";
-                Error::new(ErrorKind::AttemptsFailed, message)
-            }
-        };
-        let state = match error.kind() {
-            ErrorKind::RequestIdReused => EndState::Forgotten,
-            ErrorKind::OutcomeUnknown => EndState::MayHaveRun,
-            _ => EndState::NotRun,
-        };
-        let Entry { fingerprint, attempt, log, .. } = self.entry;
-        self.registry.entries.remove(self.key, attempt);
-        self.registry.home.end(self.key, fingerprint, attempt, state);
-        log.fail(error);
-    }
-}
-
-/// Gets the messages of other routers for a registry.
-struct MessageHandler {
-    /// Registry.
-    registry: Weak<FleetRegistry>,
-}
-
-impl PeerHandler for MessageHandler {
-    fn on_message(&self, from: &RouterId, body: &PeerBody) {
-        let PeerBody::Requests(message) = body else { return };
-        if let (Some(registry), Some(body)) = (self.registry.upgrade(), &message.body) {
-            registry.on_requests(from, body);
-        }
-    }
-}
-
 async fn run_ticks(registry: Weak<FleetRegistry>) {
     loop {
         tokio::time::sleep(TICK).await;
@@ -419,14 +398,3 @@
 fn end_state(error: &Error) -> EndState {
     if error.ran() == Ran::Never { EndState::NotRun } else { EndState::MayHaveRun }
 }
-
-fn stored_answer(answer: &KeptAnswer) -> StoredAnswer {
-    StoredAnswer {
-        status: answer.head.status,
-        content_type: answer.head.content_type.clone(),
-        body: AnswerBody::from_bytes(&answer.body),
-        finish_reason: answer.end.finish_reason.clone(),
-        prompt_tokens: answer.end.usage.prompt_tokens,
-        completion_tokens: answer.end.usage.completion_tokens,
-    }
-}
