Limit the weight store's loads, and measure a router's memory for a stream

The stand-in of the weight store had no limit on the rate of loads, which the platform has. The study of the path had no figure for memory: it now samples the bytes held through the router and directly, and reports the difference.

--- a/components/standins/src/platform_server/server.rs
+++ b/components/standins/src/platform_server/server.rs
@@ -1,6 +1,6 @@
 //! HTTP interface of the platform's services.
 
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, time::Duration};
 
 use client::{
     CommitRequest, HostsResponse, LoadEstimate, ReadRequest, ReadResponse, ScanRequest,
@@ -84,8 +84,9 @@
 
 async fn serve_estimate(state: PlatformState, mut req: Request) -> Result<Response> {
     let weights: WeightId = req.json().await?;
-    let millis = state.load_time(&weights).map(|it| u64::try_from(it.as_millis()).unwrap_or(0));
-    Ok(Response::json(LoadEstimate { result: Ok(millis) })?)
+    let millis = |it: Duration| u64::try_from(it.as_millis()).unwrap_or(u64::MAX);
+    let result = state.load_time(&weights).map(|load_time| load_time.map(millis));
+    Ok(Response::json(LoadEstimate { result })?)
 }
 
 async fn put_object(state: PlatformState, mut req: Request) -> Result<Response> {
--- a/components/standins/src/platform_server/state.rs
+++ b/components/standins/src/platform_server/state.rs
@@ -5,10 +5,12 @@
     time::Duration,
 };
 
-use platform::{HostEntry, Key, WeightId};
+use platform::{HostEntry, Key, PlatformError, WeightId};
+use tokio::time::Instant;
+use types::Timestamp;
 use utils::HashMap;
 
-use crate::{CallLimits, MemoryTable};
+use crate::{Bucket, CallLimits, MemoryTable};
 
 /// What the platform's services hold. Clones share it.
 #[derive(Debug, Clone)]
@@ -17,6 +19,8 @@
     table: MemoryTable,
     /// The other services.
     shared: Arc<Mutex<Shared>>,
+    /// Start of the services' clock.
+    start: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -29,12 +33,18 @@
     hosts: Vec<HostEntry>,
     /// Weights and the time of their load.
     weights: HashMap<WeightId, Duration>,
+    /// Limit on loads; none where absent.
+    load_limit: Option<Bucket>,
 }
 
 impl PlatformState {
     /// Creates empty services; `seed` decides which of the table's answers are lost.
     pub fn new(limits: CallLimits, seed: u64) -> PlatformState {
-        PlatformState { table: MemoryTable::new(limits, seed), shared: Arc::default() }
+        PlatformState {
+            table: MemoryTable::new(limits, seed),
+            shared: Arc::default(),
+            start: Instant::now(),
+        }
     }
 
     /// Returns the table.
@@ -57,9 +67,23 @@
         self.lock().weights.insert(weights, load_time);
     }
 
-    /// Returns the time that a load of `weights` takes.
-    pub fn load_time(&self, weights: &WeightId) -> Option<Duration> {
-        self.lock().weights.get(weights).copied()
+    /// Limits the loads that may start to `rate` a second.
+    pub fn limit_loads(&self, rate: u32) {
+        self.lock().load_limit = Some(Bucket::new(rate));
+    }
+
+    /// Returns the time that a load of `weights` takes, or `None` where there are no such
+    /// weights.
+    ///
+    /// # Errors
+    /// [`PlatformError::RateLimited`] where no further load may start now.
+    pub fn load_time(&self, weights: &WeightId) -> Result<Option<Duration>, PlatformError> {
+        let now = Timestamp::ZERO + self.start.elapsed();
+        let mut shared = self.lock();
+        if shared.load_limit.as_mut().is_some_and(|limit| !limit.take(now)) {
+            return Err(PlatformError::RateLimited);
+        }
+        Ok(shared.weights.get(weights).copied())
     }
 
     /// Sets whether the object store refuses every call.
@@ -87,3 +111,27 @@
         self.shared.lock().expect("no holder of the lock panics")
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use types::{ModelName, ModelVersion};
+
+    use super::*;
+
+    #[tokio::test(start_paused = true)]
+    async fn weight_store_limits_the_rate_of_loads() {
+        let state = PlatformState::new(CallLimits::new(1, 1), 1);
+        let weights = WeightId {
+            model: ModelName::new("barrel-7b").unwrap(),
+            version: ModelVersion::new("v1").unwrap(),
+            adapter: None,
+        };
+        let load_time = Duration::from_secs(20);
+        state.add_weights(weights.clone(), load_time);
+        state.limit_loads(1);
+        assert_eq!(state.load_time(&weights), Ok(Some(load_time)));
+        assert_eq!(state.load_time(&weights), Err(PlatformError::RateLimited));
+        tokio::time::advance(Duration::from_secs(1)).await;
+        assert_eq!(state.load_time(&weights), Ok(Some(load_time)));
+    }
+}
--- a/programs/auburncrank-bench/src/cmd/path.rs
+++ b/programs/auburncrank-bench/src/cmd/path.rs
@@ -26,7 +26,7 @@
 use types::{AccountName, EndpointName, FailureDomain, ModelName, Priority, RouterName, Tokens};
 
 use super::StudyError;
-use crate::{cli::StudyOptions, output::print_row};
+use crate::{cli::StudyOptions, memory::PeakMemory, output::print_row};
 
 /// Numbers of concurrent streams.
 const STREAMS: [usize; 3] = [1, 64, 1_000];
@@ -62,6 +62,9 @@
     direct_tokens_per_s: f64,
     /// Their ratio.
     throughput_ratio: f64,
+    /// Most memory that a stream took more through the router than directly, in bytes;
+    /// kept answers and the router's connections are part of it.
+    router_bytes_per_stream: f64,
     /// Requests through the router that it refused, by code.
     refusals: BTreeMap<String, u64>,
     /// Answers through the router that were not whole.
@@ -99,6 +102,7 @@
         router_tokens_per_s: router.tokens_per_s,
         direct_tokens_per_s: direct.tokens_per_s,
         throughput_ratio: router.tokens_per_s / direct.tokens_per_s,
+        router_bytes_per_stream: (router.peak_bytes - direct.peak_bytes) / streams as f64,
         refusals: router.refusals,
         incomplete_answers: router.incomplete,
     })
@@ -146,6 +150,8 @@
     ttft_us: Histogram<u64>,
     /// Tokens a second over all streams.
     tokens_per_s: f64,
+    /// Most memory held at a time beside what was held before, in bytes.
+    peak_bytes: f64,
     /// Refused requests by code.
     refusals: BTreeMap<String, u64>,
     /// Answers that were not whole.
@@ -162,7 +168,9 @@
     let http = HttpClient::new(Connections::Kept);
     run_round(&http, concurrent, 1, server, &format!("{label}-first")).await;
     let rounds = STREAMS_MIN.div_ceil(concurrent).max(ROUNDS_MIN);
-    run_round(&http, concurrent, rounds, server, label).await
+    let peak = PeakMemory::start();
+    let result = run_round(&http, concurrent, rounds, server, label).await;
+    StreamsResult { peak_bytes: peak.stop().await, ..result }
 }
 
 async fn run_round(
@@ -202,7 +210,7 @@
     }
     let tokens = ttft_us.len() * ANSWER_TOKENS;
     let tokens_per_s = tokens as f64 / started.elapsed().as_secs_f64();
-    StreamsResult { ttft_us, tokens_per_s, refusals, incomplete }
+    StreamsResult { ttft_us, tokens_per_s, peak_bytes: 0.0, refusals, incomplete }
 }
 
 /// How a stream ended.
--- a/programs/auburncrank-bench/src/cmd/slopes/configuration.rs
+++ b/programs/auburncrank-bench/src/cmd/slopes/configuration.rs
@@ -8,8 +8,9 @@
 use types::{AccountName, ConfigVersion, EndpointName, ModelName, ModelVersion};
 use utils::Digest;
 
-use super::{fit::Slope, memory::HeldMemory};
+use super::fit::Slope;
 use crate::cmd::StudyError;
+use crate::memory::HeldMemory;
 
 /// Numbers of client accounts, and of endpoints.
 const SIZES: [u32; 4] = [1_000, 2_000, 4_000, 8_000];
--- a/programs/auburncrank-bench/src/cmd/slopes/membership.rs
+++ b/programs/auburncrank-bench/src/cmd/slopes/membership.rs
@@ -5,8 +5,9 @@
 use cpu_time::ThreadTime;
 use standins::{NodeTraffic, PeerNetwork};
 
-use super::{fit::Slope, memory::HeldMemory};
+use super::fit::Slope;
 use crate::cmd::StudyError;
+use crate::memory::HeldMemory;
 
 /// Numbers of routers.
 const ROUTERS: [usize; 4] = [32, 64, 128, 256];
--- a/programs/auburncrank-bench/src/cmd/slopes/mod.rs
+++ b/programs/auburncrank-bench/src/cmd/slopes/mod.rs
@@ -5,7 +5,6 @@
 mod configuration;
 mod fit;
 mod membership;
-mod memory;
 mod table;
 
 use crate::{cli::StudyOptions, cmd::StudyError, output::print_row};
--- a/programs/auburncrank-bench/src/cmd/slopes/table.rs
+++ b/programs/auburncrank-bench/src/cmd/slopes/table.rs
@@ -16,8 +16,9 @@
 use types::{AccountName, Incarnation, RequestId, RequestKey, RouterId, RouterName, Tokens};
 use utils::seeded_rng;
 
-use super::{alone::Alone, fit::Slope, memory::HeldMemory};
+use super::{alone::Alone, fit::Slope};
 use crate::cmd::StudyError;
+use crate::memory::HeldMemory;
 
 /// Numbers of client accounts, at [`RATE`].
 const ACCOUNTS: [u32; 4] = [8, 16, 32, 64];
--- a/programs/auburncrank-bench/src/main.rs
+++ b/programs/auburncrank-bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod cmd;
+mod memory;
 mod output;
 
 use std::process::ExitCode;
