Count connections in the memory of a stream

The first sample was taken after the first round, when the connections to the router stood already: 5,438 bytes a stream at 1,000 streams left them out.

--- a/programs/auburncrank-bench/src/cmd/path.rs
+++ b/programs/auburncrank-bench/src/cmd/path.rs
@@ -166,9 +166,10 @@
 
 async fn run_streams(concurrent: usize, server: SocketAddr, label: &str) -> StreamsResult {
     let http = HttpClient::new(Connections::Kept);
+    // Connections made in the first round count as well.
+    let peak = PeakMemory::start();
     run_round(&http, concurrent, 1, server, &format!("{label}-first")).await;
     let rounds = STREAMS_MIN.div_ceil(concurrent).max(ROUNDS_MIN);
-    let peak = PeakMemory::start();
     let result = run_round(&http, concurrent, rounds, server, label).await;
     StreamsResult { peak_bytes: peak.stop().await, ..result }
 }
