Queue more connections that wait to be accepted; tell broken from wrong streams

The study did not tell streams without their final mark, which a caller sends again, from wrong answers; it does now. The suspected cause is the listen queue of 128: 1,000 callers connect at once, and a connection that does not fit is retried by the system after 1 s, the caller's connect timeout. The queue now holds 4,096.

--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -6,6 +6,7 @@
 };
 
 use errors::{Error, ErrorKind, Result};
+use socket2::{Domain, Socket, Type};
 use tokio::runtime::{Builder, Runtime};
 
 use super::{
@@ -16,6 +17,10 @@
     http::{HttpContext, HttpServer, KEEP_ADDRESSES, LEAVE_SPREAD},
 };
 
+/// Connections that may wait to be accepted: callers that come back together, after a
+/// router or a failure domain was lost, all connect at once.
+const ACCEPT_QUEUE: i32 = 4_096;
+
 /// A router process. Dropping it without [`shut_down`](RouterProcess::shut_down) cuts
 /// off everything, as a crash does.
 pub struct RouterProcess {
@@ -138,10 +143,13 @@
 }
 
 fn listen(address: SocketAddr) -> std::result::Result<TcpListener, StartError> {
-    let bind = || {
-        let listener = TcpListener::bind(address)?;
-        listener.set_nonblocking(true)?;
-        Ok(listener)
+    let open = || {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(ACCEPT_QUEUE)?;
+        Ok(socket.into())
     };
-    bind().map_err(|source| StartError::Listen { address, source })
+    open().map_err(|source| StartError::Listen { address, source })
 }
--- a/programs/auburncrank-bench/src/cmd/path.rs
+++ b/programs/auburncrank-bench/src/cmd/path.rs
@@ -67,7 +67,10 @@
     router_bytes_per_stream: f64,
     /// Requests through the router that it refused, by code.
     refusals: BTreeMap<String, u64>,
-    /// Answers through the router that were not whole.
+    /// Streams through the router without their final mark, which a caller would send
+    /// again.
+    broken_streams: u64,
+    /// Answers through the router with their final mark that are not the expected ones.
     incomplete_answers: u64,
 }
 
@@ -104,6 +107,7 @@
         throughput_ratio: router.tokens_per_s / direct.tokens_per_s,
         router_bytes_per_stream: (router.peak_bytes - direct.peak_bytes) / streams as f64,
         refusals: router.refusals,
+        broken_streams: router.broken,
         incomplete_answers: router.incomplete,
     })
 }
@@ -154,7 +158,9 @@
     peak_bytes: f64,
     /// Refused requests by code.
     refusals: BTreeMap<String, u64>,
-    /// Answers that were not whole.
+    /// Streams without their final mark, which a caller would send again.
+    broken: u64,
+    /// Answers with their final mark that are not the expected ones.
     incomplete: u64,
 }
 
@@ -196,7 +202,7 @@
         })
         .collect();
     let mut ttft_us = Histogram::new(3).expect("3 is a valid precision");
-    let (mut incomplete, mut refusals) = (0, BTreeMap::new());
+    let (mut broken, mut incomplete, mut refusals) = (0, 0, BTreeMap::new());
     for worker in workers {
         for result in worker.await.unwrap_or_default() {
             match result {
@@ -205,13 +211,14 @@
                     ttft_us.record(micros.unwrap_or(u64::MAX)).expect("the histogram grows");
                 }
                 StreamEnd::Refused(code) => *refusals.entry(code).or_default() += 1,
+                StreamEnd::Broken => broken += 1,
                 StreamEnd::Incomplete => incomplete += 1,
             }
         }
     }
     let tokens = ttft_us.len() * ANSWER_TOKENS;
     let tokens_per_s = tokens as f64 / started.elapsed().as_secs_f64();
-    StreamsResult { ttft_us, tokens_per_s, peak_bytes: 0.0, refusals, incomplete }
+    StreamsResult { ttft_us, tokens_per_s, peak_bytes: 0.0, refusals, broken, incomplete }
 }
 
 /// How a stream ended.
@@ -220,7 +227,9 @@
     Whole(Duration),
     /// The router refused the request with this code.
     Refused(String),
-    /// The answer broke off or is not the expected one.
+    /// The connection was not made or broke, or the stream ended without its final mark.
+    Broken,
+    /// The answer came with its final mark and is not the expected one.
     Incomplete,
 }
 
@@ -230,15 +239,16 @@
     let body = encode_request(&text);
     let path = "/v1/chat/completions";
     let Ok(res) = http.send(server, Method::POST, path, headers(id), body).await else {
-        return StreamEnd::Incomplete;
+        return StreamEnd::Broken;
     };
     if let Some(code) = res.headers().get(ERROR_HEADER) {
         return StreamEnd::Refused(code.to_str().unwrap_or_default().to_owned());
     }
-    match read_answer(res, &text, started).await {
-        Some(first_token) => StreamEnd::Whole(first_token),
-        None => StreamEnd::Incomplete,
-    }
+    let Some((first_token, answer)) = read_answer(res, started).await else {
+        return StreamEnd::Broken;
+    };
+    let expected = expected_answer(&[ChatMessage::from_text("user", &text)], ANSWER_TOKENS);
+    if answer == expected { StreamEnd::Whole(first_token) } else { StreamEnd::Incomplete }
 }
 
 fn encode_request(text: &str) -> Bytes {
@@ -249,13 +259,9 @@
     body.to_string().into()
 }
 
-/// Reads an answer; returns the time to its first token, or `None` where the answer is
-/// not whole.
-async fn read_answer(
-    mut res: Response<Incoming>,
-    text: &str,
-    started: Instant,
-) -> Option<Duration> {
+/// Reads an answer; returns the time to its first token and its text, or `None` where the
+/// final mark did not come.
+async fn read_answer(mut res: Response<Incoming>, started: Instant) -> Option<(Duration, String)> {
     let mut decoder = SseDecoder::new();
     let (mut first_token, mut answer, mut is_done) = (None, String::new(), false);
     while let Some(frame) = res.body_mut().frame().await {
@@ -272,8 +278,7 @@
             }
         }
     }
-    let expected = expected_answer(&[ChatMessage::from_text("user", text)], ANSWER_TOKENS);
-    first_token.filter(|_| is_done && answer == expected)
+    first_token.filter(|_| is_done).map(|first_token| (first_token, answer))
 }
 
 fn headers(id: &str) -> HeaderMap {
