Publish the stand-in engine's cache events late

The platform's engines publish cache events late and with gaps; the stand-in had the gaps only. Events are now published with the lag of the load reports, which a test on paused time shows.

--- a/components/standins/src/engine/handlers.rs
+++ b/components/standins/src/engine/handlers.rs
@@ -45,7 +45,7 @@
 
 async fn serve_events(state: EngineState, req: Request) -> Result<Response> {
     let from: u64 = req.param("from")?;
-    let (first, events) = state.lock().core.cache().events_from(from);
+    let (first, events) = state.lock().lagging_events(from);
     Ok(Response::json(CacheEvents { first, events })?)
 }
 
--- a/components/standins/src/engine/prefix_cache.rs
+++ b/components/standins/src/engine/prefix_cache.rs
@@ -57,6 +57,11 @@
         (first, self.events.iter().skip(skipped).copied().collect())
     }
 
+    /// Returns the number after that of the last event.
+    pub fn events_end(&self) -> u64 {
+        self.first_event + self.events.len() as u64
+    }
+
     fn touch(&mut self, block: u64) {
         self.clock += 1;
         match self.used.insert(block, self.clock) {
--- a/components/standins/src/engine/process.rs
+++ b/components/standins/src/engine/process.rs
@@ -3,8 +3,8 @@
 use std::{collections::VecDeque, sync::Arc};
 
 use engine_api::{
-    ChatMessage, ChatRequest, LoadReport, LoadState, LoadedModel, Order, OrderKind, OrderOutcome,
-    prompt_blocks,
+    CacheEvent, ChatMessage, ChatRequest, LoadReport, LoadState, LoadedModel, Order, OrderKind,
+    OrderOutcome, prompt_blocks,
 };
 use tokio::{sync::watch, time::Instant};
 use types::{FencingNumber, ModelName, ModelVersion, Priority};
@@ -36,14 +36,25 @@
     pub(super) models: Vec<LoadedModel>,
     /// Highest fencing number seen.
     pub(super) fencing: FencingNumber,
-    /// Recent load reports, oldest first.
-    pub(super) reports: VecDeque<(Instant, LoadReport)>,
+    /// Recent reports, oldest first.
+    pub(super) reports: VecDeque<TimedReport>,
     /// Whether the engine is about to leave.
     pub(super) leaving: bool,
     /// Log.
     pub(super) log: EngineLog,
 }
 
+/// A report and when it was made.
+#[derive(Debug)]
+pub(super) struct TimedReport {
+    /// When it was made.
+    at: Instant,
+    /// Load.
+    report: LoadReport,
+    /// Number after that of the last cache event.
+    events_end: u64,
+}
+
 /// A job that runs or waits.
 #[derive(Debug)]
 pub(super) struct JobState {
@@ -153,17 +164,32 @@
             leaving: self.leaving,
             models: self.models.clone(),
         };
-        self.reports.push_back((Instant::now(), report));
+        let events_end = self.core.cache().events_end();
+        self.reports.push_back(TimedReport { at: Instant::now(), report, events_end });
     }
 
-    /// Returns the load as it was `report_lag` ago; loaded models are current.
-    pub(super) fn lagging_report(&mut self) -> LoadReport {
+    /// Returns the cache events from number `from` on as they were `report_lag` ago, with
+    /// the number of the first.
+    pub(super) fn lagging_events(&mut self, from: u64) -> (u64, Vec<CacheEvent>) {
+        let end = self.old_report().map_or(0, |old| old.events_end);
+        let (first, mut events) = self.core.cache().events_from(from);
+        let published = usize::try_from(end.saturating_sub(first)).unwrap_or(usize::MAX);
+        events.truncate(published);
+        (first, events)
+    }
+
+    /// Returns the newest report that is at least `report_lag` old.
+    fn old_report(&mut self) -> Option<&TimedReport> {
         let lag = self.settings.report_lag;
-        while self.reports.get(1).is_some_and(|(at, _)| at.elapsed() >= lag) {
+        while self.reports.get(1).is_some_and(|next| next.at.elapsed() >= lag) {
             self.reports.pop_front();
         }
-        let old = self.reports.front().filter(|(at, _)| at.elapsed() >= lag);
-        let report = old.map(|(_, report)| report.clone()).unwrap_or_default();
+        self.reports.front().filter(|report| report.at.elapsed() >= lag)
+    }
+
+    /// Returns the load as it was `report_lag` ago; loaded models are current.
+    pub(super) fn lagging_report(&mut self) -> LoadReport {
+        let report = self.old_report().map(|old| old.report.clone()).unwrap_or_default();
         LoadReport {
             max_batch: self.settings.max_batch,
             leaving: self.leaving,
@@ -225,3 +251,25 @@
     let tokens = text.split_whitespace().count() as u64;
     (prompt.to_vec().into(), tokens)
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use super::*;
+
+    #[tokio::test(start_paused = true)]
+    async fn cache_events_come_late() {
+        let settings =
+            EngineSettings { report_lag: Duration::from_secs(1), ..EngineSettings::default() };
+        let mut engine = EngineProcess::new(settings, Vec::new(), EngineLog::default());
+        engine.core.import_blocks(&[1, 2]);
+        engine.record_report(0);
+        engine.core.import_blocks(&[3]);
+        assert_eq!(engine.lagging_events(0), (0, Vec::new()));
+        tokio::time::advance(Duration::from_secs(1)).await;
+        let expected = vec![CacheEvent::Stored(1), CacheEvent::Stored(2)];
+        assert_eq!(engine.lagging_events(0), (0, expected));
+        assert_eq!(engine.lagging_events(2), (2, Vec::new()));
+    }
+}
