Start the demo and the daemon by one piece of code

Both programs read the command line, printed help and faults, and checked in the same lines. The start stands once in the settings component now.

--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -3,12 +3,14 @@
 mod fault;
 mod help;
 mod parser;
+mod program_start;
 mod spec;
 mod values;
 
 pub use self::{
     fault::{SettingFault, SettingFaults},
     parser::{ParsedArgs, parse_args},
+    program_start::ProgramStart,
     spec::{ProgramSpec, SettingSpec},
     values::SettingValues,
 };
--- a/programs/auburncrank-demo/src/cli.rs
+++ b/programs/auburncrank-demo/src/cli.rs
@@ -1,12 +1,7 @@
 //! Command line of the demo.
 
-use std::{env, process::ExitCode};
-
 use log::LevelFilter;
-use settings::{ProgramSpec, SettingFaults, SettingSpec, parse_args};
-
-/// Exit code for faults in the settings.
-const EXIT_BAD_SETTINGS: u8 = 2;
+use settings::{ProgramSpec, ProgramStart, SettingFaults, SettingSpec, SettingValues};
 
 const SPEC: ProgramSpec = ProgramSpec {
     name: "auburncrank-demo",
@@ -41,14 +36,6 @@
     ],
 };
 
-/// What the command line asks for.
-pub(crate) enum Command {
-    /// Run the demo.
-    Run(DemoSettings),
-    /// Exit at once.
-    Exit(ExitCode),
-}
-
 /// Settings of the demo.
 #[derive(Debug, Clone)]
 pub(crate) struct DemoSettings {
@@ -61,32 +48,13 @@
 }
 
 /// Reads the command line and the environment; prints help and faults.
-pub(crate) fn read_command_line() -> Command {
-    let parsed = match parse_args(&SPEC, env::args_os().skip(1), |name| env::var(name).ok()) {
-        Ok(parsed) => parsed,
-        Err(faults) => return report_faults(&faults),
-    };
-    if parsed.help {
-        print!("{}", SPEC.help());
-        return Command::Exit(ExitCode::SUCCESS);
-    }
-    let mut faults = SettingFaults::default();
-    if let Some(argument) = parsed.arguments.first() {
-        faults.push(argument, "unexpected argument");
-    }
-    let seed = parsed.values.parse("seed", &mut faults);
-    let log_level = parsed.values.parse("log-level", &mut faults);
-    let (Some(seed), Some(log_level), true) = (seed, log_level, faults.0.is_empty()) else {
-        return report_faults(&faults);
-    };
-    if parsed.check {
-        println!("The settings are sound.");
-        return Command::Exit(ExitCode::SUCCESS);
-    }
-    Command::Run(DemoSettings { seed, serve: parsed.values.is_on("serve"), log_level })
+pub(crate) fn read_command_line() -> ProgramStart<DemoSettings> {
+    SPEC.start(read_settings)
 }
 
-fn report_faults(faults: &SettingFaults) -> Command {
-    eprintln!("{faults}");
-    Command::Exit(ExitCode::from(EXIT_BAD_SETTINGS))
+fn read_settings(values: &SettingValues, faults: &mut SettingFaults) -> Option<DemoSettings> {
+    // Each setting is read before any is missed, so that all faults come together.
+    let seed = values.parse("seed", faults);
+    let log_level = values.parse("log-level", faults);
+    Some(DemoSettings { seed: seed?, serve: values.is_on("serve"), log_level: log_level? })
 }
--- a/programs/auburncrank-demo/src/main.rs
+++ b/programs/auburncrank-demo/src/main.rs
@@ -11,9 +11,11 @@
 
 use std::process::ExitCode;
 
+use settings::ProgramStart;
+
 fn main() -> ExitCode {
     match cli::read_command_line() {
-        cli::Command::Run(settings) => run::run_demo(&settings),
-        cli::Command::Exit(code) => code,
+        ProgramStart::Run(settings) => run::run_demo(&settings),
+        ProgramStart::Exit(code) => code,
     }
 }
--- a/programs/auburncrankd/src/cli.rs
+++ b/programs/auburncrankd/src/cli.rs
@@ -1,18 +1,13 @@
 //! Command line of the daemon.
 
-use std::{env, process::ExitCode};
-
 use config::KeyHash;
 use log::LevelFilter;
 use router::{HttpLimits, RouterSettings};
-use settings::{ProgramSpec, SettingFaults, SettingSpec, SettingValues, parse_args};
+use settings::{ProgramSpec, ProgramStart, SettingFaults, SettingSpec, SettingValues};
 use telemetry::LogFormat;
 use types::{FailureDomain, RouterName};
 use utils::Digest;
 
-/// Exit code for faults in the settings.
-const EXIT_BAD_SETTINGS: u8 = 2;
-
 const SPEC: ProgramSpec = ProgramSpec {
     name: "auburncrankd",
     about: "One router of an auburncrank fleet.",
@@ -129,14 +124,6 @@
     ],
 };
 
-/// What the command line asks for.
-pub(crate) enum Command {
-    /// Run the router.
-    Run(Box<DaemonSettings>),
-    /// Exit at once.
-    Exit(ExitCode),
-}
-
 /// Settings of the daemon.
 pub(crate) struct DaemonSettings {
     /// Settings of the router.
@@ -148,33 +135,8 @@
 }
 
 /// Reads the command line and the environment; prints help and faults.
-pub(crate) fn read_command_line() -> Command {
-    let parsed = match parse_args(&SPEC, env::args_os().skip(1), |name| env::var(name).ok()) {
-        Ok(parsed) => parsed,
-        Err(faults) => return report_faults(&faults),
-    };
-    if parsed.help {
-        print!("{}", SPEC.help());
-        return Command::Exit(ExitCode::SUCCESS);
-    }
-    let mut faults = SettingFaults::default();
-    if let Some(argument) = parsed.arguments.first() {
-        faults.push(argument, "unexpected argument");
-    }
-    let settings = read_settings(&parsed.values, &mut faults);
-    match settings.filter(|_| faults.0.is_empty()) {
-        Some(_) if parsed.check => {
-            println!("The settings are sound.");
-            Command::Exit(ExitCode::SUCCESS)
-        }
-        Some(settings) => Command::Run(Box::new(settings)),
-        None => report_faults(&faults),
-    }
-}
-
-fn report_faults(faults: &SettingFaults) -> Command {
-    eprintln!("{faults}");
-    Command::Exit(ExitCode::from(EXIT_BAD_SETTINGS))
+pub(crate) fn read_command_line() -> ProgramStart<DaemonSettings> {
+    SPEC.start(read_settings)
 }
 
 fn read_settings(values: &SettingValues, faults: &mut SettingFaults) -> Option<DaemonSettings> {
--- a/programs/auburncrankd/src/main.rs
+++ b/programs/auburncrankd/src/main.rs
@@ -5,9 +5,11 @@
 
 use std::process::ExitCode;
 
+use settings::ProgramStart;
+
 fn main() -> ExitCode {
     match cli::read_command_line() {
-        cli::Command::Run(settings) => run::run_daemon(*settings),
-        cli::Command::Exit(code) => code,
+        ProgramStart::Run(settings) => run::run_daemon(settings),
+        ProgramStart::Exit(code) => code,
     }
 }
