--- /dev/null
+++ b/components/relay/src/allowance/account.rs
@@ -0,0 +1,200 @@
+//! One router's tokens of one account.
+
+use std::time::Duration;
+
+use types::Timestamp;
+
+use super::row::AllowanceRow;
+
+/// Time that the drawn tokens should last, so that requests go on while the store is away.
+const HORIZON: Duration = Duration::from_secs(12);
+
+/// Time over which the rate of spending is averaged.
+const RATE_TIME: Duration = Duration::from_secs(4);
+
+/// Part of the prepaid tokens that a router draws before it knows the rate: one in this
+/// many, divided by the routers.
+const FIRST_DRAW_DIVISOR: u64 = 6;
+
+/// Part of an account's undrawn tokens that one router holds at most, divided by the
+/// routers.
+const POOL_DIVISOR: u64 = 2;
+
+/// Tokens of one account that this router holds.
+#[derive(Debug, Clone, Default)]
+pub struct AccountAllowance {
+    /// Prepaid tokens of the account.
+    limit: u64,
+    /// Version of the desired state that gave the limit.
+    limit_version: u64,
+    /// Tokens drawn and not yet spent; includes the reserved ones.
+    held: u64,
+    /// Tokens reserved by running requests; at most `held`.
+    reserved: u64,
+    /// Tokens spent and not yet reported to the row.
+    unreported: u64,
+    /// Tokens that wait for the outcome of a return.
+    returning: u64,
+    /// Most tokens that one request has reserved.
+    largest: u64,
+    /// Tokens that requests asked for in vain since the last commit.
+    wanted: u64,
+    /// Rate of spending, in tokens a second, at `rate_at`.
+    rate: f64,
+    /// Time of the last change of the rate.
+    rate_at: Timestamp,
+    /// Whether the row was read since the limit was lowered.
+    is_confirmed: bool,
+}
+
+/// Change of a row that a router wants to commit.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Change {
+    /// Tokens to draw.
+    pub(super) draw: u64,
+    /// Tokens to return.
+    pub(super) give_back: u64,
+    /// Spent tokens to report.
+    pub(super) spent: u64,
+}
+
+impl AccountAllowance {
+    /// Takes over the prepaid tokens of a version of the desired state.
+    pub(super) fn set_limit(&mut self, limit: u64, version: u64) {
+        if limit < self.limit {
+            self.is_confirmed = false;
+        }
+        self.limit = limit;
+        self.limit_version = version;
+    }
+
+    /// Returns the tokens that a request may still reserve.
+    pub fn available(&self) -> u64 {
+        if self.is_confirmed { self.held - self.reserved } else { 0 }
+    }
+
+    /// Returns the version of the desired state that gave the limit.
+    pub(super) fn limit_version(&self) -> u64 {
+        self.limit_version
+    }
+
+    /// Tells whether the row was read since the limit was lowered.
+    pub(super) fn is_confirmed(&self) -> bool {
+        self.is_confirmed
+    }
+
+    /// Returns the tokens held, reserved ones included.
+    pub fn held(&self) -> u64 {
+        self.held
+    }
+
+    /// Reserves tokens; false where fewer are available.
+    pub(super) fn reserve(&mut self, tokens: u64) -> bool {
+        self.largest = self.largest.max(tokens);
+        if tokens > self.available() {
+            self.wanted = self.wanted.max(tokens);
+            return false;
+        }
+        self.reserved += tokens;
+        true
+    }
+
+    /// Ends a reservation of which `used` tokens were spent.
+    pub(super) fn settle(&mut self, reserved: u64, used: u64, now: Timestamp) {
+        let used = used.min(reserved);
+        self.reserved -= reserved;
+        self.held -= used;
+        self.unreported += used;
+        let age = now.since(self.rate_at).as_secs_f64();
+        let time = RATE_TIME.as_secs_f64();
+        self.rate = self.rate * (-age / time).exp() + used as f64 / time;
+        self.rate_at = now;
+    }
+
+    /// Tells whether the tokens that the row leaves are fewer than `tokens`, however they
+    /// are spread over the routers.
+    pub(super) fn is_exhausted(&self, row: &AllowanceRow, tokens: u64) -> bool {
+        let left = self.limit.saturating_sub(row.spent).saturating_sub(self.unreported);
+        self.is_confirmed && tokens > left
+    }
+
+    /// Returns the change that the row needs; `None` where it can stay as it is.
+    pub(super) fn plan(
+        &self,
+        row: &AllowanceRow,
+        routers: u64,
+        is_leaving: bool,
+        now: Timestamp,
+    ) -> Option<Change> {
+        let free = self.held - self.reserved;
+        let mut change = Change { spent: self.unreported, ..Change::default() };
+        if is_leaving || row.drawn > self.limit {
+            change.give_back = free;
+            return (free > 0 || self.unreported > 0 && is_leaving).then_some(change);
+        }
+        if self.limit_version < row.limit_version {
+            return None;
+        }
+        let pool = self.limit - row.drawn;
+        let target = self.target(pool, routers, now);
+        if free < target / 2 || free < self.wanted {
+            let missing = target.max(self.wanted) - free;
+            change.draw = missing.min(pool);
+        } else if free > target * 2 && self.is_scarce(pool) {
+            change.give_back = free - target;
+        }
+        let needs_version = self.limit_version > row.limit_version && !self.is_confirmed;
+        (change.draw > 0 || change.give_back > 0 || needs_version).then_some(change)
+    }
+
+    /// Returns how many free tokens the router should hold.
+    fn target(&self, pool: u64, routers: u64, now: Timestamp) -> u64 {
+        let routers = routers.max(1);
+        let age = now.since(self.rate_at).as_secs_f64();
+        let rate = self.rate * (-age / RATE_TIME.as_secs_f64()).exp();
+        let first = self.limit / FIRST_DRAW_DIVISOR / routers;
+        let by_rate = (rate * HORIZON.as_secs_f64()).ceil() as u64 + 2 * self.largest;
+        let by_pool = (pool + self.held - self.reserved) / POOL_DIVISOR / routers;
+        by_rate.max(first).min(by_pool)
+    }
+
+    /// Tells whether so few tokens are undrawn that idle ones are better returned.
+    fn is_scarce(&self, pool: u64) -> bool {
+        pool < self.limit / 5
+    }
+
+    /// Sets tokens aside that a commit is about to return.
+    pub(super) fn start(&mut self, change: &Change) {
+        self.held -= change.give_back;
+        self.returning += change.give_back;
+    }
+
+    /// Ends a commit.
+    pub(super) fn finish(&mut self, change: &Change, is_applied: bool) {
+        self.returning -= change.give_back;
+        if is_applied {
+            self.held += change.draw;
+            self.unreported -= change.spent;
+            self.wanted = 0;
+        } else {
+            self.held += change.give_back;
+        }
+    }
+
+    /// Notes that the row was read.
+    pub(super) fn confirm(&mut self, row: &AllowanceRow) {
+        if row.drawn <= self.limit {
+            self.is_confirmed = true;
+        }
+    }
+}
+
+/// Returns the row as it is after a change.
+pub(super) fn changed_row(row: &AllowanceRow, change: &Change, version: u64) -> AllowanceRow {
+    AllowanceRow {
+        drawn: row.drawn + change.draw - change.give_back.min(row.drawn),
+        spent: row.spent + change.spent,
+        limit_version: row.limit_version.max(version),
+        marks: row.marks.clone(),
+    }
+}
--- /dev/null
+++ b/components/relay/src/endpoints/choice.rs
@@ -0,0 +1,198 @@
+//! Choice of an endpoint for a request.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use rand::Rng as _;
+use types::Timestamp;
+use utils::Rng;
+
+use super::{book::EndpointBook, endpoint::Endpoint, load::Load};
+use crate::model::{EndpointPhase, PromptPart, ServiceSpec, TokenDemand};
+
+/// Prompt tokens that an engine processes in a millisecond, for estimates only.
+const PROMPT_TOKENS_PER_MS: f64 = 30.0;
+
+/// Estimated delay that each running request adds to another, in milliseconds.
+const DELAY_PER_REQUEST_MS: f64 = 1.5;
+
+/// Delay that makes up for the price of traffic between failure domains, in milliseconds.
+const OTHER_DOMAIN_MS: f64 = 12.0;
+
+/// Delay that an endpoint whose requests all fail is worth, in milliseconds.
+const FAILURE_MS: f64 = 1_500.0;
+
+/// Endpoints that keep the same prompt part, so that a popular one has more than one place.
+const HOMES_PER_PART: usize = 2;
+
+/// Share of an engine's memory up to which requests are placed on it.
+const MEMORY_SHARE: f64 = 0.92;
+
+/// Differences of cost below this are drawn at random, in milliseconds.
+const TIE_MS: f64 = 2.0;
+
+/// What a request needs of an endpoint.
+#[derive(Debug, Clone)]
+pub struct Need<'a> {
+    /// Service.
+    pub service: &'a Arc<str>,
+    /// What the desired state says of the service.
+    pub spec: Option<&'a ServiceSpec>,
+    /// Declared tokens, for a model.
+    pub tokens: Option<TokenDemand>,
+    /// Parts of the prompt.
+    pub parts: &'a [PromptPart],
+    /// Endpoints that failed the request.
+    pub avoid: &'a [Arc<str>],
+    /// Failure domain of this router.
+    pub failure_domain: &'a str,
+    /// Share of an endpoint's places that requests of this urgency may fill, from 0 to 1.
+    pub fill_share: f64,
+}
+
+/// A place on an endpoint.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Placement {
+    /// Endpoint.
+    pub endpoint: Arc<str>,
+    /// Address.
+    pub address: SocketAddr,
+    /// Load of the request, to be given back when it ends.
+    pub load: Load,
+    /// Estimated time before the first token beyond the endpoint's own, in milliseconds.
+    pub wait_ms: f64,
+}
+
+/// Outcome of a choice.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Choice {
+    /// The request has a place.
+    Place(Placement),
+    /// All endpoints are full.
+    Full,
+    /// No endpoint serves it.
+    Absent,
+}
+
+/// An endpoint with its cost for a request.
+struct Candidate<'a> {
+    /// Endpoint.
+    endpoint: &'a Endpoint,
+    /// Load of the request there.
+    load: Load,
+    /// Estimated wait, in milliseconds.
+    wait_ms: f64,
+    /// What the choice compares, in milliseconds.
+    cost_ms: f64,
+}
+
+impl EndpointBook {
+    /// Chooses an endpoint for a request and notes its load there.
+    pub fn place(&mut self, need: &Need<'_>, now: Timestamp, rng: &mut Rng) -> Choice {
+        let choice = self.choose(need, now, rng);
+        if let Choice::Place(placement) = &choice {
+            self.start(&placement.endpoint, placement.load);
+        }
+        choice
+    }
+
+    fn choose(&self, need: &Need<'_>, now: Timestamp, rng: &mut Rng) -> Choice {
+        let of_service = |it: &&Endpoint| it.entry.service == *need.service;
+        let in_service = |it: &&Endpoint| it.entry.phase == EndpointPhase::Ready;
+        let serving: Vec<&Endpoint> =
+            self.endpoints.values().filter(of_service).filter(in_service).collect();
+        if serving.is_empty() {
+            return Choice::Absent;
+        }
+        let homes = homes_of(need.parts, &serving);
+        let candidates: Vec<Candidate<'_>> =
+            serving.iter().filter_map(|it| assess(it, need, &homes, now)).collect();
+        let Some(lowest) = candidates.iter().map(|it| it.cost_ms).min_by(f64::total_cmp) else {
+            return Choice::Full;
+        };
+        let ties: Vec<&Candidate<'_>> =
+            candidates.iter().filter(|it| it.cost_ms <= lowest + TIE_MS).collect();
+        let chosen = ties[rng.random_range(0..ties.len())];
+        Choice::Place(Placement {
+            endpoint: chosen.endpoint.entry.id.clone(),
+            address: chosen.endpoint.entry.address,
+            load: chosen.load,
+            wait_ms: chosen.wait_ms,
+        })
+    }
+}
+
+/// Returns the part that decides where a prompt's cache is: the last one that other
+/// requests share.
+fn shared_part(parts: &[PromptPart]) -> Option<&PromptPart> {
+    parts.len().checked_sub(2).and_then(|index| parts.get(index))
+}
+
+/// Returns the endpoints that keep the shared part of a prompt: those with the highest
+/// hashes of part and endpoint, so that all routers find the same without a word.
+fn homes_of(parts: &[PromptPart], serving: &[&Endpoint]) -> Vec<Arc<str>> {
+    let Some(part) = shared_part(parts) else { return Vec::new() };
+    let mut ranked: Vec<(u64, &Arc<str>)> =
+        serving.iter().map(|it| (rank(part.id, &it.entry.id), &it.entry.id)).collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.truncate(HOMES_PER_PART);
+    ranked.into_iter().map(|(_, id)| id.clone()).collect()
+}
+
+/// Mixes a part and an endpoint into a number that is the same on every router.
+fn rank(part: u64, endpoint: &str) -> u64 {
+    let mut hash = part ^ 0x9e37_79b9_7f4a_7c15;
+    for byte in endpoint.bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    }
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^ (hash >> 33)
+}
+
+/// Returns the cost of the request on an endpoint; `None` where the endpoint has no room.
+fn assess<'a>(
+    endpoint: &'a Endpoint,
+    need: &Need<'_>,
+    homes: &[Arc<str>],
+    now: Timestamp,
+) -> Option<Candidate<'a>> {
+    let entry = &endpoint.entry;
+    let total = endpoint.total_load(now);
+    let capacity = need.spec.and_then(|it| it.capacity).unwrap_or(entry.capacity).max(1);
+    let places = (f64::from(capacity) * need.fill_share).ceil();
+    if f64::from(total.requests) >= places {
+        return None;
+    }
+    let load = load_of(need, homes.contains(&entry.id));
+    let memory = need.spec.and_then(|it| it.memory_tokens);
+    if let Some(memory) = memory
+        && total.requests > 0
+        && (total.memory_tokens + load.memory_tokens) as f64 > memory as f64 * MEMORY_SHARE
+    {
+        return None;
+    }
+    let backlog = (total.prompt_tokens + load.prompt_tokens) as f64 / PROMPT_TOKENS_PER_MS;
+    let wait_ms = backlog + f64::from(total.requests) * DELAY_PER_REQUEST_MS;
+    let mut cost_ms = wait_ms + endpoint.health.failure_share(now) * FAILURE_MS;
+    if *entry.failure_domain != *need.failure_domain {
+        cost_ms += OTHER_DOMAIN_MS;
+    }
+    if endpoint.health.is_paused(now) || need.avoid.contains(&entry.id) {
+        cost_ms += 10.0 * FAILURE_MS;
+    }
+    Some(Candidate { endpoint, load, wait_ms, cost_ms })
+}
+
+/// Returns the load of a request on an endpoint that keeps its shared part, or not.
+fn load_of(need: &Need<'_>, is_home: bool) -> Load {
+    let Some(tokens) = need.tokens else {
+        return Load { requests: 1, ..Load::default() };
+    };
+    let own = need.parts.last().map_or(tokens.prompt, |it| it.tokens);
+    let missing = shared_part(need.parts).filter(|_| !is_home).map_or(0, |it| it.tokens);
+    Load {
+        requests: 1,
+        prompt_tokens: own + missing,
+        memory_tokens: own + missing + tokens.max_output,
+    }
+}
--- /dev/null
+++ b/components/relay/src/endpoints/mod.rs
@@ -0,0 +1,14 @@
+//! Endpoints: what is believed of them, their load, and the choice of one for a request.
+
+mod book;
+mod choice;
+mod endpoint;
+mod health;
+mod load;
+mod store_contact;
+
+pub use self::{
+    book::{EndpointBook, EndpointChange},
+    choice::{Choice, Need, Placement},
+    load::{Load, LoadShare},
+};
--- /dev/null
+++ b/components/relay/src/model/mod.rs
@@ -0,0 +1,13 @@
+//! What the relay knows: desired state, endpoints, and the head of a request.
+
+mod desired_state;
+mod endpoint_entry;
+mod request_head;
+mod route;
+
+pub use self::{
+    desired_state::{Account, CallerLimits, DesiredState, ServiceSpec},
+    endpoint_entry::{EndpointEntry, EndpointPhase},
+    request_head::{PromptPart, RequestHead, TokenDemand},
+    route::{Repeat, Route, RouteTarget},
+};
--- /dev/null
+++ b/components/relay/src/peers/gossip.rs
@@ -0,0 +1,170 @@
+//! Sends and receives the datagrams by which routers tell each other their state.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use prost::Message;
+use rand::seq::SliceRandom;
+use tokio::net::UdpSocket;
+
+use super::{CrashMessage, LoadMessage, Member, StatusMessage};
+use crate::context::RelayContext;
+
+/// Time between two messages to the same router.
+const INTERVAL: Duration = Duration::from_millis(300);
+
+/// Routers to which each round of messages goes at most, so that the cost for a router does
+/// not grow with the fleet.
+const FAN_OUT: usize = 16;
+
+/// Longest datagram that is read.
+const DATAGRAM_MAX_BYTES: usize = 60 * 1_024;
+
+/// Crash records in one message at most.
+const CRASHES_MAX: usize = 16;
+
+/// The socket for messages of routers.
+#[derive(Debug)]
+pub(crate) struct GossipSocket {
+    /// The socket.
+    socket: UdpSocket,
+    /// Crash records that were found lately, newest last.
+    crashes: Mutex<Vec<CrashMessage>>,
+}
+
+impl GossipSocket {
+    /// Binds the socket.
+    ///
+    /// # Errors
+    /// Where the address cannot be bound.
+    pub(crate) async fn bind(address: SocketAddr) -> io::Result<GossipSocket> {
+        let socket = UdpSocket::bind(address).await?;
+        Ok(GossipSocket { socket, crashes: Mutex::default() })
+    }
+
+    /// Adds a crash record to the messages from now on.
+    pub(crate) fn announce_crash(&self, crash: CrashMessage) {
+        let mut crashes = self.crashes.lock().expect("no panic while locked");
+        crashes.retain(|it| it.fingerprint != crash.fingerprint);
+        crashes.push(crash);
+        let excess = crashes.len().saturating_sub(CRASHES_MAX);
+        crashes.drain(..excess);
+    }
+
+    /// Sends the state of this router to others now.
+    pub(crate) async fn send_status(&self, cx: &RelayContext, wants_answer: bool) {
+        let mut targets = cx.lock_roster().peer_addresses();
+        for seed in &cx.settings.seeds {
+            if !targets.contains(seed) && *seed != cx.settings.peer_address {
+                targets.push(*seed);
+            }
+        }
+        targets.shuffle(&mut *cx.lock_rng());
+        targets.truncate(FAN_OUT);
+        let datagram = self.encode(cx, wants_answer);
+        for target in targets {
+            self.send(&datagram, target).await;
+        }
+    }
+
+    async fn send(&self, datagram: &[u8], target: SocketAddr) {
+        if let Err(error) = self.socket.send_to(datagram, target).await {
+            metrics::counter!(telemetry::PEER_MESSAGES_DROPPED_TOTAL, "reason" => "send")
+                .increment(1);
+            log::debug!(target:% = target; "message to a router not sent: {error}");
+        }
+    }
+
+    fn encode(&self, cx: &RelayContext, wants_answer: bool) -> Vec<u8> {
+        let own = cx.self_status();
+        let loads = cx.lock_endpoints().own_loads();
+        let message = StatusMessage {
+            name: own.name.to_string(),
+            process: own.process,
+            caller_address: own.caller_address.to_string(),
+            peer_address: own.peer_address.to_string(),
+            failure_domain: own.failure_domain.to_string(),
+            is_ready: own.is_ready,
+            config_version: own.config_version,
+            loads: loads.iter().map(LoadMessage::from_share).collect(),
+            crashes: self.crashes.lock().expect("no panic while locked").clone(),
+            wants_answer,
+        };
+        message.encode_to_vec()
+    }
+}
+
+/// Exchanges messages with other routers until the process ends.
+pub(crate) async fn run_gossip(cx: Arc<RelayContext>) {
+    tokio::join!(send_regularly(&cx), receive(&cx));
+}
+
+async fn send_regularly(cx: &RelayContext) {
+    cx.gossip.send_status(cx, true).await;
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        cx.gossip.send_status(cx, false).await;
+        let now = cx.now();
+        cx.lock_roster().expire(now);
+        cx.lock_endpoints().expire(now);
+    }
+}
+
+async fn receive(cx: &RelayContext) {
+    let mut buf = vec![0; DATAGRAM_MAX_BYTES];
+    loop {
+        let (len, sender) = match cx.gossip.socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!("no message of a router received: {error}");
+                continue;
+            }
+        };
+        let read = StatusMessage::decode(&buf[..len]).ok().and_then(|it| {
+            let member = read_member(&it)?;
+            Some((it, member))
+        });
+        let Some((message, member)) = read else {
+            metrics::counter!(telemetry::PEER_MESSAGES_MALFORMED_TOTAL).increment(1);
+            log::warn!(sender:% = sender; "message of a router cannot be read");
+            continue;
+        };
+        if member.name == cx.settings.name {
+            continue;
+        }
+        if message.wants_answer {
+            let datagram = cx.gossip.encode(cx, false);
+            cx.gossip.send(&datagram, member.peer_address).await;
+        }
+        take_over(cx, &message, member);
+    }
+}
+
+fn read_member(message: &StatusMessage) -> Option<Member> {
+    Some(Member {
+        name: Arc::from(message.name.as_str()),
+        process: message.process,
+        caller_address: message.caller_address.parse().ok()?,
+        peer_address: message.peer_address.parse().ok()?,
+        failure_domain: Arc::from(message.failure_domain.as_str()),
+        is_ready: message.is_ready,
+        config_version: message.config_version,
+    })
+}
+
+fn take_over(cx: &RelayContext, message: &StatusMessage, member: Member) {
+    let now = cx.now();
+    let shares: Vec<_> = message.loads.iter().map(LoadMessage::to_share).collect();
+    cx.lock_endpoints().apply_peer_loads(&member.name, &shares, now);
+    cx.note_config_seen(member.config_version);
+    cx.lock_roster().hear(member, now);
+    for record in message.crashes.iter().filter_map(CrashMessage::to_record) {
+        if cx.lock_quarantine().merge(&record, now) {
+            log::warn!(fingerprint:% = record.fingerprint, endpoints = record.endpoints.len(); "content that crashed endpoints learned from a router");
+        }
+    }
+}
--- /dev/null
+++ b/components/relay/src/peers/message.rs
@@ -0,0 +1,117 @@
+//! The message by which routers tell each other their state.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use prost::Message;
+use routing::CrashRecord;
+use types::EndpointName;
+use utils::Digest;
+
+use crate::endpoints::{Load, LoadShare};
+
+/// State of a router. A datagram holds one.
+#[derive(Clone, PartialEq, Message)]
+pub struct StatusMessage {
+    /// Name of the router.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Process of the router; drawn at its start.
+    #[prost(fixed64, tag = "2")]
+    pub process: u64,
+    /// Address for callers.
+    #[prost(string, tag = "3")]
+    pub caller_address: String,
+    /// Address for other routers.
+    #[prost(string, tag = "4")]
+    pub peer_address: String,
+    /// Failure domain.
+    #[prost(string, tag = "5")]
+    pub failure_domain: String,
+    /// Whether it takes new callers.
+    #[prost(bool, tag = "6")]
+    pub is_ready: bool,
+    /// Version of the desired state in force.
+    #[prost(uint64, tag = "7")]
+    pub config_version: u64,
+    /// Load of its requests on the endpoints.
+    #[prost(message, repeated, tag = "8")]
+    pub loads: Vec<LoadMessage>,
+    /// Contents that crashed endpoints lately.
+    #[prost(message, repeated, tag = "9")]
+    pub crashes: Vec<CrashMessage>,
+    /// Whether the receiver should answer with its own state at once.
+    #[prost(bool, tag = "10")]
+    pub wants_answer: bool,
+}
+
+/// Load of a router's requests on one endpoint.
+#[derive(Clone, PartialEq, Message)]
+pub struct LoadMessage {
+    /// Id of the endpoint.
+    #[prost(string, tag = "1")]
+    pub endpoint: String,
+    /// Requests in progress.
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
+    /// Prompt tokens that wait to be processed.
+    #[prost(uint64, tag = "3")]
+    pub prompt_tokens: u64,
+    /// Tokens of memory.
+    #[prost(uint64, tag = "4")]
+    pub memory_tokens: u64,
+}
+
+/// A content and the endpoints that it crashed.
+#[derive(Clone, PartialEq, Message)]
+pub struct CrashMessage {
+    /// Digest of the content, 32 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub fingerprint: Vec<u8>,
+    /// Ids of the endpoints.
+    #[prost(string, repeated, tag = "2")]
+    pub endpoints: Vec<String>,
+}
+
+impl LoadMessage {
+    /// Creates the message of a share.
+    pub fn from_share(share: &LoadShare) -> LoadMessage {
+        LoadMessage {
+            endpoint: share.endpoint.to_string(),
+            requests: share.load.requests,
+            prompt_tokens: share.load.prompt_tokens,
+            memory_tokens: share.load.memory_tokens,
+        }
+    }
+
+    /// Returns the share.
+    pub fn to_share(&self) -> LoadShare {
+        let load = Load {
+            requests: self.requests,
+            prompt_tokens: self.prompt_tokens,
+            memory_tokens: self.memory_tokens,
+        };
+        LoadShare { endpoint: Arc::from(self.endpoint.as_str()), load }
+    }
+}
+
+impl CrashMessage {
+    /// Creates the message of a record.
+    pub fn from_record(record: &CrashRecord) -> CrashMessage {
+        CrashMessage {
+            fingerprint: record.fingerprint.as_bytes().to_vec(),
+            endpoints: record.endpoints.iter().map(ToString::to_string).collect(),
+        }
+    }
+
+    /// Returns the record; `None` where the message is malformed.
+    pub fn to_record(&self) -> Option<CrashRecord> {
+        let names = self.endpoints.iter().map(|it| EndpointName::new(it).ok());
+        let endpoints: Option<BTreeSet<EndpointName>> = names.collect();
+        Some(CrashRecord {
+            fingerprint: Digest::from_bytes(&self.fingerprint)?,
+            endpoints: endpoints?,
+            was_alone: true,
+            needs_trial: false,
+        })
+    }
+}
--- /dev/null
+++ b/components/relay/src/peers/roster.rs
@@ -0,0 +1,124 @@
+//! The routers that this one knows, and when each was last heard.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use types::Timestamp;
+use utils::HashMap;
+
+/// Time without a message after which a router gets no new callers: four messages.
+const HEARD_TIME: Duration = Duration::from_millis(1_200);
+
+/// Time after which a router that is not heard is no longer counted.
+const FORGET_TIME: Duration = Duration::from_secs(20);
+
+/// Another router.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Name.
+    pub name: Arc<str>,
+    /// Process; another process of the same name has another one.
+    pub process: u64,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for other routers.
+    pub peer_address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// Whether it takes new callers.
+    pub is_ready: bool,
+    /// Version of the desired state in force there.
+    pub config_version: u64,
+}
+
+/// What a router says of itself: the same as of others.
+pub type SelfStatus = Member;
+
+/// A member with what is believed of it.
+#[derive(Debug)]
+struct Entry {
+    /// What it last said.
+    member: Member,
+    /// When it was last heard; `None` where only the table names it.
+    heard_at: Option<Timestamp>,
+    /// When it was first named.
+    named_at: Timestamp,
+    /// Whether it was silent at the last check.
+    is_silent: bool,
+}
+
+impl Entry {
+    fn is_heard(&self, now: Timestamp) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) <= HEARD_TIME)
+    }
+}
+
+/// The other routers that this one knows.
+#[derive(Debug, Default)]
+pub struct Roster {
+    /// Members by name.
+    entries: HashMap<Arc<str>, Entry>,
+}
+
+impl Roster {
+    /// Notes a message of a router.
+    pub fn hear(&mut self, member: Member, now: Timestamp) {
+        let entry = self.entries.entry(member.name.clone()).or_insert_with(|| {
+            log::info!(router:% = member.name, address:% = member.caller_address; "router found");
+            Entry { member: member.clone(), heard_at: None, named_at: now, is_silent: false }
+        });
+        if entry.is_silent {
+            log::info!(router:% = member.name; "router is back");
+        }
+        if entry.member.is_ready != member.is_ready {
+            log::info!(router:% = member.name, ready = member.is_ready; "router changed its readiness");
+        }
+        *entry = Entry { member, heard_at: Some(now), named_at: now, is_silent: false };
+    }
+
+    /// Notes a router that the table names.
+    pub fn name(&mut self, member: Member, now: Timestamp) {
+        let is_new = match self.entries.get(&member.name) {
+            None => true,
+            Some(entry) => entry.member.process != member.process && !entry.is_heard(now),
+        };
+        if is_new {
+            let entry = Entry { member, heard_at: None, named_at: now, is_silent: false };
+            self.entries.insert(entry.member.name.clone(), entry);
+        }
+    }
+
+    /// Logs routers that have fallen silent and drops those that are silent for long.
+    pub fn expire(&mut self, now: Timestamp) {
+        for (name, entry) in &mut self.entries {
+            if !entry.is_silent && entry.heard_at.is_some() && !entry.is_heard(now) {
+                entry.is_silent = true;
+                log::warn!(router:% = name; "router not heard any more");
+            }
+        }
+        self.entries.retain(|_, it| now.since(it.heard_at.unwrap_or(it.named_at)) < FORGET_TIME);
+    }
+
+    /// Returns the routers to which messages go.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        self.entries.values().map(|it| it.member.peer_address).collect()
+    }
+
+    /// Returns the routers that take new callers. Where none is heard, this router may be
+    /// the one that is cut off, and all known ones are returned.
+    pub fn ready_members(&self, now: Timestamp) -> Vec<&Member> {
+        let is_any_heard = self.entries.values().any(|it| it.is_heard(now));
+        let entries = self.entries.values();
+        let usable = entries.filter(|it| it.is_heard(now) || !is_any_heard);
+        usable.map(|it| &it.member).filter(|it| it.is_ready).collect()
+    }
+
+    /// Returns the number of routers, this one included, that are alive or may be.
+    pub fn count(&self) -> usize {
+        self.entries.len() + 1
+    }
+
+    /// Returns the highest version of the desired state that a router has in force.
+    pub fn newest_config(&self) -> u64 {
+        self.entries.values().map(|it| it.member.config_version).max().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/components/relay/src/process.rs
@@ -0,0 +1,137 @@
+//! The process: starts all tasks of the relay and ends them gracefully.
+
+use std::{
+    io,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use telemetry::MetricsHandle;
+use thiserror::Error;
+use tokio::{sync::watch, task::JoinHandle, time::Instant};
+
+use crate::{
+    context::{RelayContext, Surroundings},
+    peers::{GossipSocket, run_gossip},
+    serve::{SideCalls, bind, serve_callers, serve_side_calls},
+    settings::RelaySettings,
+    sync::{
+        remove_member_row, return_allowances, run_allowances, run_member_rows, watch_config,
+        watch_endpoints,
+    },
+};
+
+/// Time for which a leaving router still accepts callers that have an old list of addresses.
+const ACCEPT_AFTER_LEAVING: Duration = Duration::from_millis(2_500);
+
+/// Time kept at the end of the grace for the process to end.
+const END_RESERVE: Duration = Duration::from_millis(700);
+
+/// Time between two looks whether all requests have ended.
+const IDLE_CHECK: Duration = Duration::from_millis(50);
+
+/// Time between two prunings of idle connections.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Why the relay did not start.
+#[derive(Debug, Error)]
+#[error("address {address} not bound: {error}")]
+pub struct RelayStartError {
+    /// Address.
+    address: std::net::SocketAddr,
+    /// What the system says.
+    error: io::Error,
+}
+
+/// A running relay.
+pub struct RelayProcess {
+    cx: Arc<RelayContext>,
+    /// Set to true to end callers' connections.
+    stop: watch::Sender<bool>,
+    /// Task that serves callers.
+    callers: JoinHandle<()>,
+    /// Task that draws tokens.
+    allowances: JoinHandle<()>,
+}
+
+impl RelayProcess {
+    /// Binds all addresses and starts all tasks.
+    ///
+    /// # Errors
+    /// Where an address cannot be bound.
+    pub async fn start(
+        settings: RelaySettings,
+        surroundings: Surroundings,
+        metrics: MetricsHandle,
+    ) -> Result<RelayProcess, RelayStartError> {
+        let failed = |address| move |error| RelayStartError { address, error };
+        let listen = |address| bind(address).map_err(failed(address));
+        let caller_listener = listen(settings.caller_address)?;
+        let side_listeners = [
+            listen(settings.ready_address)?,
+            listen(settings.directory_address)?,
+            listen(settings.metrics_address)?,
+        ];
+        let peer_address = settings.peer_address;
+        let gossip = GossipSocket::bind(peer_address).await.map_err(failed(peer_address))?;
+        log::info!(router:% = settings.name, failure_domain:% = settings.failure_domain, callers:% = settings.caller_address; "router starts");
+        let cx = Arc::new(RelayContext::new(settings, surroundings, gossip));
+        let (stop, stopped) = watch::channel(false);
+        for listener in side_listeners {
+            let calls = SideCalls { cx: cx.clone(), metrics: metrics.clone() };
+            tokio::spawn(serve_side_calls(calls, listener));
+        }
+        tokio::spawn(watch_config(cx.clone()));
+        tokio::spawn(watch_endpoints(cx.clone()));
+        tokio::spawn(run_member_rows(cx.clone()));
+        tokio::spawn(run_gossip(cx.clone()));
+        tokio::spawn(prune_connections(cx.clone()));
+        let allowances = tokio::spawn(run_allowances(cx.clone()));
+        let callers = tokio::spawn(serve_callers(cx.clone(), caller_listener, stopped));
+        Ok(RelayProcess { cx, stop, callers, allowances })
+    }
+
+    /// Takes over what may change of the settings while the process runs: the limits on
+    /// retries. Addresses are taken over at the next start.
+    pub fn reload(&self, settings: &RelaySettings) {
+        self.cx.lock_retries().set_limits(settings.retries);
+        let has_new_addresses = settings.caller_address != self.cx.settings.caller_address;
+        log::info!(retry_ratio = settings.retries.ratio, retry_allowance = settings.retries.allowance, new_addresses = has_new_addresses; "settings reloaded");
+    }
+
+    /// Ends gracefully: no new callers, running requests end, tokens go back.
+    pub async fn shut_down(self) {
+        let started = Instant::now();
+        let cx = &self.cx;
+        let end_by = started + cx.settings.shutdown_grace.saturating_sub(END_RESERVE);
+        log::info!(running = cx.running.load(Ordering::Relaxed); "router leaves");
+        cx.is_leaving.store(true, Ordering::Relaxed);
+        cx.gossip.send_status(cx, false).await;
+        tokio::time::sleep(ACCEPT_AFTER_LEAVING).await;
+        let _ = self.stop.send(true);
+        while Instant::now() < end_by && !self.callers.is_finished() {
+            tokio::time::sleep(IDLE_CHECK).await;
+        }
+        self.allowances.abort();
+        let _ = tokio::time::timeout_at(end_by + END_RESERVE / 2, async {
+            return_allowances(cx).await;
+            remove_member_row(cx).await;
+        })
+        .await;
+        log::info!(running = cx.running.load(Ordering::Relaxed), after_ms = started.elapsed().as_millis() as u64; "router ended");
+    }
+}
+
+async fn prune_connections(cx: Arc<RelayContext>) {
+    loop {
+        tokio::time::sleep(PRUNE_INTERVAL).await;
+        let kept = cx.connections.endpoints();
+        let book = cx.lock_endpoints();
+        let known: utils::HashSet<_> =
+            kept.into_iter().filter(|it| book.is_in_service(it)).collect();
+        drop(book);
+        cx.connections.prune(|endpoint| known.contains(endpoint));
+        metrics::gauge!(telemetry::REQUESTS_IN_PROGRESS)
+            .set(cx.running.load(Ordering::Relaxed) as f64);
+    }
+}
--- /dev/null
+++ b/components/relay/src/serve/framing.rs
@@ -0,0 +1,67 @@
+//! Checks of how a request is framed.
+
+use errors::{Error, ErrorKind};
+use http::{
+    HeaderMap, HeaderName,
+    header::{
+        CONNECTION, CONTENT_LENGTH, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+        TRANSFER_ENCODING, UPGRADE,
+    },
+};
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+const HOP_HEADERS: [HeaderName; 9] = [
+    CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Removes the headers that concern one connection only, also those that it names itself.
+pub fn remove_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS) {
+        headers.remove(name);
+    }
+}
+
+/// Bytes of a header line beside name and value: colon, space and line end.
+const LINE_OVERHEAD_BYTES: usize = 4;
+
+/// Checks that the length of the body is given in one way only, so that no other reader of
+/// the same bytes finds another request in them.
+///
+/// # Errors
+/// Where it is given in two ways, or not in one that is known.
+pub(super) fn check_framing(headers: &HeaderMap) -> Result<(), Error> {
+    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
+    let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
+    let is_chunked = match (encodings.next(), encodings.next()) {
+        (None, _) => false,
+        (Some(only), None) if only.as_bytes().eq_ignore_ascii_case(b"chunked") => true,
+        _ => return Err(Error::new(ErrorKind::BadRequest, "unknown transfer encoding")),
+    };
+    if lengths > 1 || (lengths == 1 && is_chunked) {
+        return Err(Error::new(ErrorKind::BadRequest, "the length of the body is ambiguous"));
+    }
+    Ok(())
+}
+
+/// Returns the length of a head on the wire, about.
+pub(super) fn head_bytes(head: &http::request::Parts) -> usize {
+    let headers = head.headers.iter();
+    let lines: usize =
+        headers.map(|(name, value)| name.as_str().len() + value.len() + LINE_OVERHEAD_BYTES).sum();
+    lines + head.uri.path_and_query().map_or(0, |it| it.as_str().len())
+}
--- /dev/null
+++ b/components/relay/src/serve/handler.rs
@@ -0,0 +1,208 @@
+//! The way of a caller's request: read, authenticate, admit, reserve, relay.
+
+use std::{
+    convert::Infallible,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use errors::{Error, ErrorKind};
+use http::{HeaderValue, Request, Response, header::CONNECTION};
+use hyper::body::Incoming;
+use routing::Verdict;
+use utils::jitter;
+
+use super::{
+    body::AnswerBody,
+    exchange::Outgoing,
+    framing::{check_framing, head_bytes},
+    plain::relay_plain,
+    request_body::read_body,
+    run::Run,
+    stream_run::relay_stream,
+};
+use crate::{
+    allowance::{Reservation, Shortage},
+    context::{InForce, RelayContext},
+    model::{Account, RequestHead, Route},
+};
+
+/// Longest time for which a request waits for tokens that are being drawn: a few commits.
+const TOKENS_WAIT: Duration = Duration::from_millis(120);
+
+/// Time after which a caller may return whose tokens other routers hold: they return idle
+/// tokens within this time.
+const TOKENS_RETURN: Duration = Duration::from_millis(800);
+
+/// Time after which a caller may return to a router that has no desired state yet.
+const START_RETURN: Duration = Duration::from_millis(400);
+
+/// Handles one request; an error is answered here.
+pub(super) async fn handle(
+    cx: Arc<RelayContext>,
+    req: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let (head, body) = req.into_parts();
+    let read = cx.dialect.read_request(&head);
+    let id = read.as_ref().ok().map(|it| it.id.clone());
+    let result = match read {
+        Ok(request) => serve(&cx, head, request, body).await,
+        Err(error) => Err(error),
+    };
+    let mut res = result.unwrap_or_else(|error| {
+        metrics::counter!(telemetry::REFUSALS_TOTAL, "code" => error.kind().code()).increment(1);
+        log::info!(request:% = id.as_deref().unwrap_or(""), reason = error.kind().code(), ran:? = error.ran(), return_ms = error.retry_delay().unwrap_or_default().as_millis() as u64; "request refused: {error}");
+        let res = cx.dialect.write_error(&error, id.as_deref());
+        res.map(|bytes| AnswerBody::Whole(Some(bytes)))
+    });
+    if cx.is_leaving.load(Ordering::Relaxed) {
+        res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(res)
+}
+
+async fn serve(
+    cx: &Arc<RelayContext>,
+    head: http::request::Parts,
+    request: RequestHead,
+    body: Incoming,
+) -> Result<Response<AnswerBody>, Error> {
+    let received_at = cx.now();
+    metrics::counter!(telemetry::REQUESTS_TOTAL, "interface" => "relay").increment(1);
+    check_framing(&head.headers)?;
+    let Some(in_force) = cx.in_force.load_full() else {
+        let delay = jitter(START_RETURN, &mut cx.lock_rng());
+        let message = "no desired state is known yet";
+        return Err(Error::new(ErrorKind::StoreUnavailable, message).with_retry_delay(delay));
+    };
+    let limits = in_force.state.limits;
+    if head_bytes(&head) > limits.head_max_bytes {
+        return Err(Error::new(ErrorKind::HeadersTooLarge, "the headers are too long"));
+    }
+    // The body is read in any case, so that the connection can go on after a refusal.
+    let body = read_body(body, limits.body_max_bytes).await?;
+    // What came into force while the body arrived counts.
+    let in_force = cx.in_force.load_full().unwrap_or(in_force);
+    let (route, account) = authorize(&in_force, &request, head.uri.path())?;
+    let mut run = begin(cx, in_force, request, head, body, route, account, received_at)?;
+    refuse_crashing(&run)?;
+    run.reservation = reserve_tokens(&run).await?;
+    relay(run).await
+}
+
+/// Finds the route and the client account of a request.
+fn authorize(
+    in_force: &InForce,
+    request: &RequestHead,
+    path: &str,
+) -> Result<(Arc<Route>, Option<Arc<Account>>), Error> {
+    let state = &in_force.state;
+    let Some(route) = state.find_route(&request.host, path) else {
+        return Err(Error::new(ErrorKind::NotFound, "no route serves this path"));
+    };
+    let Some(accounts) = &state.accounts else { return Ok((route.clone(), None)) };
+    let account = request.key.as_ref().and_then(|key| accounts.get(key));
+    if account.is_none() && !route.is_anonymous {
+        return Err(Error::new(ErrorKind::Unauthorized, "the key is missing or unknown"));
+    }
+    Ok((route.clone(), account.cloned()))
+}
+
+#[expect(clippy::too_many_arguments, reason = "the parts of a request, each used once")]
+fn begin(
+    cx: &Arc<RelayContext>,
+    in_force: Arc<InForce>,
+    request: RequestHead,
+    head: http::request::Parts,
+    body: Bytes,
+    route: Arc<Route>,
+    account: Option<Arc<Account>>,
+    received_at: types::Timestamp,
+) -> Result<Run, Error> {
+    let service = route.draw_service(&mut cx.lock_rng()).cloned();
+    let service =
+        service.ok_or_else(|| Error::new(ErrorKind::NoEndpoint, "the route has no service"))?;
+    let patience = request.patience.unwrap_or(route.timeout).min(route.timeout);
+    cx.running.fetch_add(1, Ordering::Relaxed);
+    Ok(Run {
+        cx: cx.clone(),
+        in_force,
+        head: request,
+        route,
+        account,
+        service,
+        outgoing: Outgoing { method: head.method, uri: head.uri, headers: head.headers, body },
+        received_at,
+        limit_at: received_at + patience,
+        reservation: None,
+        attempts: 0,
+        arrivals: 0,
+        may_have_run: false,
+        avoid: Vec::new(),
+        events: 0,
+        first_event_at: None,
+        is_complete: false,
+        outcome: "caller_left",
+        endpoint: None,
+    })
+}
+
+/// Refuses a request whose content crashed endpoints.
+fn refuse_crashing(run: &Run) -> Result<(), Error> {
+    if run.cx.lock_quarantine().is_empty() {
+        return Ok(());
+    }
+    let fingerprint = run.fingerprint();
+    if run.cx.lock_quarantine().verdict(&fingerprint) != Verdict::Quarantined {
+        return Ok(());
+    }
+    log::warn!(request:% = run.head.id, fingerprint:% = fingerprint; "content crashed endpoints before");
+    Err(Error::new(ErrorKind::Quarantined, "the content crashed endpoints before"))
+}
+
+/// Reserves the most tokens that the request may use; waits a little for tokens that are
+/// being drawn.
+async fn reserve_tokens(run: &Run) -> Result<Option<Reservation>, Error> {
+    let (Some(tokens), Some(account)) = (run.head.tokens, &run.account) else { return Ok(None) };
+    if account.prepaid_tokens.is_none() {
+        return Ok(None);
+    }
+    let cx = &run.cx;
+    let until = cx.instant(cx.now() + TOKENS_WAIT);
+    loop {
+        let changed = cx.allowance_changed.notified();
+        let shortage = match cx.lock_allowances().reserve(&account.name, tokens.total()) {
+            Ok(reservation) => return Ok(Some(reservation)),
+            Err(shortage) => shortage,
+        };
+        if shortage == Shortage::Exhausted {
+            metrics::counter!(telemetry::BUDGET_REFUSALS_TOTAL, "reason" => "exhausted")
+                .increment(1);
+            return Err(Error::new(ErrorKind::BudgetExhausted, "the prepaid tokens are spent"));
+        }
+        cx.allowance_wanted.notify_one();
+        if tokio::time::timeout_at(until, changed).await.is_err() {
+            metrics::counter!(telemetry::BUDGET_REFUSALS_TOTAL, "reason" => "out_of_reach")
+                .increment(1);
+            let delay = jitter(TOKENS_RETURN, &mut cx.lock_rng());
+            let message = "the account's tokens are held by other routers";
+            return Err(Error::new(ErrorKind::BudgetShort, message).with_retry_delay(delay));
+        }
+    }
+}
+
+async fn relay(mut run: Run) -> Result<Response<AnswerBody>, Error> {
+    if run.route.repeat.is_stream() {
+        return relay_stream(run).await.map_err(|(error, run)| end_failed(error, run));
+    }
+    match relay_plain(&mut run).await {
+        Ok(res) => Ok(res),
+        Err(error) => Err(end_failed(error, run)),
+    }
+}
+
+fn end_failed(error: Error, mut run: Run) -> Error {
+    run.outcome = error.kind().code();
+    error
+}
--- /dev/null
+++ b/components/relay/src/serve/mod.rs
@@ -0,0 +1,22 @@
+//! Serves callers: from the accepted connection to the endpoint and back.
+
+mod body;
+mod connections;
+mod exchange;
+mod framing;
+mod handler;
+mod placing;
+mod plain;
+mod request_body;
+mod run;
+mod server;
+mod side_calls;
+mod stream_run;
+
+pub use self::framing::remove_hop_headers;
+
+pub(crate) use self::{
+    connections::EndpointConnections,
+    server::{bind, serve_callers, serve_side_calls},
+    side_calls::SideCalls,
+};
--- /dev/null
+++ b/components/relay/src/serve/side_calls.rs
@@ -0,0 +1,69 @@
+//! Calls beside callers' requests: readiness, addresses, metrics.
+
+use std::{convert::Infallible, sync::Arc};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header::CONTENT_TYPE};
+use hyper::body::Incoming;
+use telemetry::MetricsHandle;
+
+use super::body::AnswerBody;
+use crate::context::RelayContext;
+
+/// Addresses that an answer holds at most.
+const ADDRESSES_MAX: usize = 64;
+
+/// Serves the calls beside callers' requests, on any of the side addresses.
+#[derive(Clone)]
+pub(crate) struct SideCalls {
+    /// Shared state.
+    pub(crate) cx: Arc<RelayContext>,
+    /// Metrics of the process.
+    pub(crate) metrics: MetricsHandle,
+}
+
+impl SideCalls {
+    /// Serves one call.
+    pub(super) fn serve(&self, req: Request<Incoming>) -> Result<Response<AnswerBody>, Infallible> {
+        let (head, _) = req.into_parts();
+        let cx = &self.cx;
+        if cx.dialect.is_readiness_call(&head) {
+            let status =
+                if cx.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            return Ok(answer(status, "text/plain", Bytes::new()));
+        }
+        if let Some(failure_domain) = cx.dialect.read_address_call(&head) {
+            return Ok(self.serve_addresses(failure_domain.as_deref()));
+        }
+        if head.uri.path() == "/metrics" {
+            return Ok(answer(StatusCode::OK, "text/plain", self.metrics.render().into()));
+        }
+        Ok(answer(StatusCode::NOT_FOUND, "text/plain", Bytes::new()))
+    }
+
+    fn serve_addresses(&self, failure_domain: Option<&str>) -> Response<AnswerBody> {
+        metrics::counter!(telemetry::ADDRESS_ANSWERS_TOTAL).increment(1);
+        let cx = &self.cx;
+        let own = cx.self_status();
+        let roster = cx.lock_roster();
+        let mut members = roster.ready_members(cx.now());
+        if own.is_ready {
+            members.push(&own);
+        }
+        members.sort_by_key(|it| Some(&*it.failure_domain) != failure_domain);
+        let addresses: Vec<_> =
+            members.iter().take(ADDRESSES_MAX).map(|it| it.caller_address).collect();
+        if addresses.is_empty() {
+            return answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", Bytes::new());
+        }
+        let body = cx.dialect.write_addresses(&addresses, cx.settings.addresses_max_age);
+        answer(StatusCode::OK, "application/json", body)
+    }
+}
+
+fn answer(status: StatusCode, content_type: &'static str, body: Bytes) -> Response<AnswerBody> {
+    let mut res = Response::new(AnswerBody::Whole(Some(body)));
+    *res.status_mut() = status;
+    res.headers_mut().insert(CONTENT_TYPE, http::HeaderValue::from_static(content_type));
+    res
+}
--- /dev/null
+++ b/components/relay/src/sync/allowance_task.rs
@@ -0,0 +1,81 @@
+//! Draws and returns prepaid tokens.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use platform::{CommitOutcome, PlatformError};
+use utils::jitter;
+
+use super::backoff::Backoff;
+use crate::{allowance::KEY_PREFIX, context::RelayContext};
+
+/// Time between two checks whether tokens are to be drawn or returned.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time between two commits that requests in need of tokens may cause.
+const COMMIT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Draws and returns tokens until the process ends.
+pub(crate) async fn run_allowances(cx: Arc<RelayContext>) {
+    let mut backoff = Backoff::new("allowance rows");
+    loop {
+        let result = step(&cx).await;
+        match result {
+            Ok(true) => {
+                backoff.succeed();
+                tokio::time::sleep(COMMIT_PAUSE).await;
+            }
+            Ok(false) => {
+                backoff.succeed();
+                let pause = jitter(CHECK_INTERVAL, &mut cx.lock_rng());
+                tokio::select! {
+                    () = tokio::time::sleep(pause) => {}
+                    () = cx.allowance_wanted.notified() => {}
+                }
+            }
+            Err(error) => {
+                let delay = backoff.fail(&error, &mut cx.lock_rng());
+                tokio::time::sleep(delay).await;
+            }
+        }
+    }
+}
+
+/// Makes one read or commit, or both; returns whether another may be due at once.
+async fn step(cx: &RelayContext) -> Result<bool, PlatformError> {
+    if cx.in_force.load().is_none() {
+        return Ok(false);
+    }
+    if cx.lock_allowances().needs_read() {
+        let rows = cx.table.scan(KEY_PREFIX, None).await?;
+        cx.lock_allowances().apply_rows(&rows);
+    }
+    let is_leaving = cx.is_leaving.load(Ordering::Relaxed);
+    let routers = cx.lock_roster().count();
+    let is_resent = cx.lock_allowances().has_pending();
+    let commit = cx.lock_allowances().next_commit(routers, is_leaving, cx.now());
+    let Some(commit) = commit else { return Ok(false) };
+    let outcome = cx.table.commit(&commit).await;
+    log::info!(accounts = commit.writes.len(), resent = is_resent, outcome:? = outcome; "allowance commit");
+    cx.lock_allowances().on_outcome(&outcome, is_resent);
+    cx.allowance_changed.notify_waiters();
+    match outcome {
+        CommitOutcome::Committed(_) => Ok(false),
+        CommitOutcome::Conflict(_) => Ok(true),
+        CommitOutcome::NotApplied(error) => Err(error),
+        CommitOutcome::Unknown => Err(PlatformError::Unavailable),
+    }
+}
+
+/// Returns what is left of this router's tokens, before a planned end.
+pub(crate) async fn return_allowances(cx: &RelayContext) {
+    for _ in 0..3 {
+        match step(cx).await {
+            Ok(false) => return,
+            Ok(true) => {}
+            Err(error) => log::info!("tokens not returned: {error}"),
+        }
+    }
+}
--- /dev/null
+++ b/components/relay/src/sync/mod.rs
@@ -0,0 +1,14 @@
+//! Tasks that keep the relay's knowledge in step with the platform's store.
+
+mod allowance_task;
+mod backoff;
+mod config_watch;
+mod endpoint_watch;
+mod member_rows;
+
+pub(crate) use self::{
+    allowance_task::{return_allowances, run_allowances},
+    config_watch::watch_config,
+    endpoint_watch::watch_endpoints,
+    member_rows::{remove_member_row, run_member_rows},
+};
--- a/components/routing/src/quarantine.rs
+++ b/components/routing/src/quarantine.rs
@@ -94,6 +94,11 @@
         self.released = released;
     }
 
+    /// Tells whether no content is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty() && self.listed.is_empty()
+    }
+
     /// Returns the verdict on a content.
     pub fn verdict(&self, fingerprint: &Digest) -> Verdict {
         if self.listed.contains(fingerprint) {
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -4,10 +4,12 @@
 mod logs;
 mod metric_names;
 mod metrics_recorder;
+mod queued_output;
 
 pub use self::{
     log_format::LogFormat,
-    logs::{LogSetupError, set_up_logs},
+    logs::{LogSetupError, set_up_logs, set_up_queued_logs},
     metric_names::*,
     metrics_recorder::{MetricsHandle, set_up_metrics},
+    queued_output::{dropped_log_lines, flush_queued_logs},
 };
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -8,30 +8,50 @@
 };
 use thiserror::Error;
 
-use crate::LogFormat;
+use crate::{LogFormat, queued_output::QueuedOutput};
 
 /// Why logs were not set up.
 #[derive(Debug, Error)]
-#[error("logs are set up already")]
-pub struct LogSetupError;
+pub enum LogSetupError {
+    /// Logs were set up before in this process.
+    #[error("logs are set up already")]
+    SetUpAlready,
+    /// The thread that writes the lines was not started.
+    #[error("the thread that writes logs was not started: {0}")]
+    NoWriter(io::Error),
+}
 
 /// Sends log lines of `level` and above to the standard error stream.
 ///
 /// # Errors
 /// Where logs were set up before in this process.
 pub fn set_up_logs(level: LevelFilter, format: LogFormat) -> Result<(), LogSetupError> {
-    fern::Dispatch::new()
-        .level(level)
-        .format(move |out, _, record| {
-            let line = match format {
-                LogFormat::Text => format_text(SystemTime::now(), record),
-                LogFormat::Json => format_json(SystemTime::now(), record),
-            };
-            out.finish(format_args!("{line}"));
-        })
-        .chain(io::stderr())
-        .apply()
-        .map_err(|_| LogSetupError)
+    apply(dispatch(level, format).chain(io::stderr()))
+}
+
+/// Sends log lines of `level` and above to the standard output through a bounded queue:
+/// logging never waits, and drops lines that find the queue full.
+///
+/// # Errors
+/// Where logs were set up before in this process, or no thread could be started.
+pub fn set_up_queued_logs(level: LevelFilter, format: LogFormat) -> Result<(), LogSetupError> {
+    let output = QueuedOutput::start().map_err(LogSetupError::NoWriter)?;
+    let output: Box<dyn io::Write + Send> = Box::new(output);
+    apply(dispatch(level, format).chain(output))
+}
+
+fn dispatch(level: LevelFilter, format: LogFormat) -> fern::Dispatch {
+    fern::Dispatch::new().level(level).format(move |out, _, record| {
+        let line = match format {
+            LogFormat::Text => format_text(SystemTime::now(), record),
+            LogFormat::Json => format_json(SystemTime::now(), record),
+        };
+        out.finish(format_args!("{line}"));
+    })
+}
+
+fn apply(dispatch: fern::Dispatch) -> Result<(), LogSetupError> {
+    dispatch.apply().map_err(|_| LogSetupError::SetUpAlready)
 }
 
 fn format_text(now: SystemTime, record: &Record<'_>) -> String {
--- /dev/null
+++ b/programs/auburncrank-relay/src/cli.rs
@@ -0,0 +1,72 @@
+//! Command line of the relay.
+
+use std::path::PathBuf;
+
+use log::LevelFilter;
+use platform_adapter::PlatformSettings;
+use settings::{ProgramSpec, ProgramStart, SettingFaults, SettingSpec, SettingValues};
+use telemetry::LogFormat;
+
+const SPEC: ProgramSpec = ProgramSpec {
+    name: "auburncrank-relay",
+    about: "One router of an auburncrank fleet on the users' platform.",
+    arguments: "",
+    details: "Signals: SIGTERM or SIGINT ends the router gracefully; SIGHUP reads the settings file anew.\n\n\
+        Exit codes:\n  0  ended gracefully\n  1  could not start\n  2  faults in the settings",
+    settings: &[
+        SettingSpec {
+            flag: "settings-file",
+            env: "AUBURNCRANK_BOOT",
+            value: "PATH",
+            default: None,
+            help: "Settings file, as the platform fills it in.",
+        },
+        SettingSpec {
+            flag: "log-level",
+            env: "AUBURNCRANK_LOG_LEVEL",
+            value: "LEVEL",
+            default: Some("info"),
+            help: "Lowest level that is logged: error, warn, info, debug or trace.",
+        },
+        SettingSpec {
+            flag: "log-format",
+            env: "AUBURNCRANK_LOG_FORMAT",
+            value: "FORMAT",
+            default: Some("text"),
+            help: "Format of log lines: text or json.",
+        },
+    ],
+};
+
+/// Settings of the program.
+pub(crate) struct ProgramSettings {
+    /// Path of the settings file.
+    pub(crate) path: PathBuf,
+    /// What it says.
+    pub(crate) platform: PlatformSettings,
+    /// Lowest level that is logged.
+    pub(crate) log_level: LevelFilter,
+    /// Format of log lines.
+    pub(crate) log_format: LogFormat,
+}
+
+/// Reads the command line, the environment and the settings file; prints help and faults.
+pub(crate) fn read_command_line() -> ProgramStart<ProgramSettings> {
+    SPEC.start(read_settings)
+}
+
+fn read_settings(values: &SettingValues, faults: &mut SettingFaults) -> Option<ProgramSettings> {
+    let path = values.parse::<PathBuf>("settings-file", faults);
+    let log_level = values.parse("log-level", faults);
+    let log_format = values.parse("log-format", faults);
+    let path = path?;
+    let platform = PlatformSettings::read(&path)
+        .map_err(|error| faults.push("--settings-file", error.to_string()))
+        .ok();
+    Some(ProgramSettings {
+        path,
+        platform: platform?,
+        log_level: log_level?,
+        log_format: log_format?,
+    })
+}
