--- a/components/relay/src/allowance/account.rs
+++ b/components/relay/src/allowance/account.rs
@@ -18,7 +18,17 @@
 
 /// Part of an account's undrawn tokens that one router holds at most, divided by the
 /// routers.
-const POOL_DIVISOR: u64 = 2;
+const POOL_DIVISOR: u64 = 1;
+
+/// Time for which a lender keeps tokens for its own requests.
+const KEPT_TIME: Duration = Duration::from_secs(2);
+
+/// Share of the target below which tokens are drawn, as a divisor of what may be missing.
+const MISSING_DIVISOR: u64 = 4;
+
+/// Part of the prepaid tokens below which a change of the row is not worth its cost, as a
+/// divisor.
+const CHANGE_DIVISOR: u64 = 500;
 
 /// Tokens of one account that this router holds.
 #[derive(Debug, Clone, Default)]
@@ -73,6 +83,11 @@
         if self.is_confirmed { self.held - self.reserved } else { 0 }
     }
 
+    /// Returns the prepaid tokens of the account.
+    pub(super) fn limit(&self) -> u64 {
+        self.limit
+    }
+
     /// Returns the version of the desired state that gave the limit.
     pub(super) fn limit_version(&self) -> u64 {
         self.limit_version
@@ -105,9 +120,7 @@
         self.reserved -= reserved;
         self.held -= used;
         self.unreported += used;
-        let age = now.since(self.rate_at).as_secs_f64();
-        let time = RATE_TIME.as_secs_f64();
-        self.rate = self.rate * (-age / time).exp() + used as f64 / time;
+        self.rate = self.rate(now) + used as f64 / RATE_TIME.as_secs_f64();
         self.rate_at = now;
     }
 
@@ -118,6 +131,25 @@
         self.is_confirmed && tokens > left
     }
 
+    /// Returns the tokens that no router has drawn.
+    pub(super) fn undrawn(&self, row: &AllowanceRow) -> u64 {
+        self.limit.saturating_sub(row.drawn)
+    }
+
+    /// Takes tokens out to lend them to another router; returns how many.
+    pub(super) fn lend(&mut self, wanted: u64, now: Timestamp) -> u64 {
+        let available = self.available();
+        let kept = (self.rate(now) * KEPT_TIME.as_secs_f64()).ceil() as u64;
+        let lent = wanted.min(available - kept.min(available / 2));
+        self.held -= lent;
+        lent
+    }
+
+    /// Takes in tokens that another router lent.
+    pub(super) fn borrow(&mut self, tokens: u64) {
+        self.held += tokens;
+    }
+
     /// Returns the change that the row needs; `None` where it can stay as it is.
     pub(super) fn plan(
         &self,
@@ -137,10 +169,15 @@
         }
         let pool = self.limit - row.drawn;
         let target = self.target(pool, routers, now);
-        if free < target / 2 || free < self.wanted {
+        let is_worth_it = |tokens: u64| tokens > self.limit / CHANGE_DIVISOR;
+        if free < self.wanted {
+            // Fewer than a request needs are of no use here.
             let missing = target.max(self.wanted) - free;
-            change.draw = missing.min(pool);
-        } else if free > target * 2 && self.is_scarce(pool) {
+            change.draw = if self.wanted - free <= pool { missing.min(pool) } else { 0 };
+        } else if free < target && is_worth_it((target - free) * MISSING_DIVISOR) {
+            let is_due = target - free >= target / MISSING_DIVISOR;
+            change.draw = if is_due { (target - free).min(pool) } else { 0 };
+        } else if free > target * 2 && self.is_scarce(pool) && is_worth_it(free - target) {
             change.give_back = free - target;
         }
         let needs_version = self.limit_version > row.limit_version && !self.is_confirmed;
@@ -150,12 +187,18 @@
     /// Returns how many free tokens the router should hold.
     fn target(&self, pool: u64, routers: u64, now: Timestamp) -> u64 {
         let routers = routers.max(1);
-        let age = now.since(self.rate_at).as_secs_f64();
-        let rate = self.rate * (-age / RATE_TIME.as_secs_f64()).exp();
         let first = self.limit / FIRST_DRAW_DIVISOR / routers;
-        let by_rate = (rate * HORIZON.as_secs_f64()).ceil() as u64 + 2 * self.largest;
+        let by_rate = (self.rate(now) * HORIZON.as_secs_f64()).ceil() as u64 + 2 * self.largest;
         let by_pool = (pool + self.held - self.reserved) / POOL_DIVISOR / routers;
-        by_rate.max(first).min(by_pool)
+        let target = by_rate.max(first).min(by_pool);
+        // Where each router's part is less than a request, all is left to whoever needs it.
+        if target < self.largest { 0 } else { target }
+    }
+
+    /// Returns the rate of spending, in tokens a second.
+    fn rate(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.rate_at).as_secs_f64();
+        self.rate * (-age / RATE_TIME.as_secs_f64()).exp()
     }
 
     /// Tells whether so few tokens are undrawn that idle ones are better returned.
--- a/components/relay/src/allowance/book.rs
+++ b/components/relay/src/allowance/book.rs
@@ -55,6 +55,8 @@
     rows: HashMap<Arc<str>, (AllowanceRow, Option<Revision>)>,
     /// Whether the rows were ever read.
     is_loaded: bool,
+    /// Whether the last call to the store failed.
+    is_store_lost: bool,
     /// The commit in progress; there is one at most.
     pending: Option<Pending>,
 }
@@ -68,6 +70,7 @@
             accounts: HashMap::default(),
             rows: HashMap::default(),
             is_loaded: false,
+            is_store_lost: false,
             pending: None,
         }
     }
@@ -105,6 +108,32 @@
         }
     }
 
+    /// Tells whether the store will not give `tokens` of `account` soon: it does not answer,
+    /// or the account has too few undrawn ones.
+    pub fn needs_loan(&self, account: &str, tokens: u64) -> bool {
+        let undrawn = self.rows.get(account).zip(self.accounts.get(account));
+        let undrawn = undrawn.map_or(0, |((row, _), it)| it.undrawn(row));
+        self.is_store_lost || undrawn < tokens
+    }
+
+    /// Notes whether the store answers.
+    pub fn note_store(&mut self, is_answering: bool) {
+        self.is_store_lost = !is_answering;
+    }
+
+    /// Takes out tokens of `account` to lend them; returns how many. They count as drawn by
+    /// the borrower from here on: if it never gets them, they count as spent.
+    pub fn lend(&mut self, account: &str, wanted: u64, now: Timestamp) -> u64 {
+        self.accounts.get_mut(account).map_or(0, |it| it.lend(wanted, now))
+    }
+
+    /// Takes in tokens that another router lent.
+    pub fn borrow(&mut self, account: &str, tokens: u64) {
+        if let Some(allowance) = self.accounts.get_mut(account) {
+            allowance.borrow(tokens);
+        }
+    }
+
     /// Returns the tokens of an account.
     pub fn account(&self, name: &str) -> Option<&AccountAllowance> {
         self.accounts.get(name)
@@ -148,6 +177,7 @@
                 continue;
             };
             allowance.start(&change);
+            log::info!(account:% = name, draw = change.draw, give_back = change.give_back, report = change.spent, held = allowance.held(), drawn = row.drawn, limit = allowance.limit(); "allowance to change");
             let key = AllowanceRow::key(name);
             let mut next = changed_row(row, &change, allowance.limit_version());
             next.marks.insert(self.router.clone(), mark);
--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -8,6 +8,7 @@
 use super::{
     endpoint::Endpoint,
     load::{Load, LoadShare},
+    prompt_split::PromptSplit,
     store_contact::StoreContact,
 };
 use crate::model::{EndpointEntry, EndpointPhase};
@@ -26,6 +27,8 @@
 pub struct EndpointBook {
     /// Endpoints by id.
     pub(super) endpoints: HashMap<Arc<str>, Endpoint>,
+    /// Rates of long and short prompts, by service.
+    pub(super) splits: HashMap<Arc<str>, PromptSplit>,
     /// Contact to the store of the list.
     contact: StoreContact,
 }
--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -6,12 +6,14 @@
 use types::Timestamp;
 use utils::Rng;
 
-use super::{book::EndpointBook, endpoint::Endpoint, load::Load};
+use super::{
+    book::EndpointBook,
+    endpoint::Endpoint,
+    load::Load,
+    prompt_split::{PROMPT_TOKENS_PER_MS, is_long},
+};
 use crate::model::{EndpointPhase, PromptPart, ServiceSpec, TokenDemand};
 
-/// Prompt tokens that an engine processes in a millisecond, for estimates only.
-const PROMPT_TOKENS_PER_MS: f64 = 30.0;
-
 /// Estimated delay that each running request adds to another, in milliseconds.
 const DELAY_PER_REQUEST_MS: f64 = 1.5;
 
@@ -21,8 +23,18 @@
 /// Delay that an endpoint whose requests all fail is worth, in milliseconds.
 const FAILURE_MS: f64 = 1_500.0;
 
-/// Endpoints that keep the same prompt part, so that a popular one has more than one place.
-const HOMES_PER_PART: usize = 2;
+/// Delay that a short prompt on an endpoint of long ones is worth, in milliseconds: about
+/// one pause between its tokens.
+const SHORT_BESIDE_LONG_MS: f64 = 150.0;
+
+/// Delay that a long prompt on an endpoint of short ones is worth, in milliseconds: a pause
+/// for each of the requests that run there.
+const LONG_BESIDE_SHORT_MS: f64 = 450.0;
+
+/// Delay that a token of a shared part is worth which an endpoint has to process again, in
+/// milliseconds, beside its own time: the work delays all other requests there, and the
+/// part takes the place of another one in the cache.
+const SHARED_TOKEN_MS: f64 = 0.15;
 
 /// Share of an engine's memory up to which requests are placed on it.
 const MEMORY_SHARE: f64 = 0.92;
@@ -45,6 +57,8 @@
     pub avoid: &'a [Arc<str>],
     /// Failure domain of this router.
     pub failure_domain: &'a str,
+    /// Routers that place requests like this one.
+    pub routers: usize,
     /// Share of an endpoint's places that requests of this urgency may fill, from 0 to 1.
     pub fill_share: f64,
 }
@@ -88,6 +102,12 @@
 impl EndpointBook {
     /// Chooses an endpoint for a request and notes its load there.
     pub fn place(&mut self, need: &Need<'_>, now: Timestamp, rng: &mut Rng) -> Choice {
+        if let Some(tokens) = need.tokens {
+            let split = self.splits.entry(need.service.clone()).or_default();
+            split.note(own_tokens(need, tokens), now);
+            let serving = self.endpoints.values().filter(|it| it.entry.service == *need.service);
+            split.adapt(serving.count(), need.routers, now);
+        }
         let choice = self.choose(need, now, rng);
         if let Choice::Place(placement) = &choice {
             self.start(&placement.endpoint, placement.load);
@@ -103,9 +123,31 @@
         if serving.is_empty() {
             return Choice::Absent;
         }
-        let homes = homes_of(need.parts, &serving);
-        let candidates: Vec<Candidate<'_>> =
-            serving.iter().filter_map(|it| assess(it, need, &homes, now)).collect();
+        let ids: Vec<&Arc<str>> = serving.iter().map(|it| &it.entry.id).collect();
+        let long_ids = self
+            .splits
+            .get(need.service)
+            .map(|it| it.long_endpoints(&ids, now))
+            .unwrap_or_default();
+        let homes = homes_of(need.parts, if long_ids.is_empty() { &ids } else { &long_ids });
+        let is_long = need.tokens.is_some_and(|it| is_long(own_tokens(need, it)));
+        let other_kind_ms = |it: &Endpoint| {
+            if long_ids.is_empty() || long_ids.contains(&&it.entry.id) == is_long {
+                0.0
+            } else if is_long {
+                LONG_BESIDE_SHORT_MS
+            } else {
+                SHORT_BESIDE_LONG_MS
+            }
+        };
+        let candidates: Vec<Candidate<'_>> = serving
+            .iter()
+            .filter_map(|it| {
+                let mut candidate = assess(it, need, &homes, now)?;
+                candidate.cost_ms += other_kind_ms(it);
+                Some(candidate)
+            })
+            .collect();
         let Some(lowest) = candidates.iter().map(|it| it.cost_ms).min_by(f64::total_cmp) else {
             return Choice::Full;
         };
@@ -127,19 +169,23 @@
     parts.len().checked_sub(2).and_then(|index| parts.get(index))
 }
 
-/// Returns the endpoints that keep the shared part of a prompt: those with the highest
-/// hashes of part and endpoint, so that all routers find the same without a word.
-fn homes_of(parts: &[PromptPart], serving: &[&Endpoint]) -> Vec<Arc<str>> {
+/// Returns the endpoints that keep the shared part of a prompt, the first of them before
+/// the one that takes over where the first is busy: those with the highest hashes of part
+/// and endpoint, so that all routers find the same without a word.
+fn homes_of(parts: &[PromptPart], ids: &[&Arc<str>]) -> Vec<Arc<str>> {
     let Some(part) = shared_part(parts) else { return Vec::new() };
-    let mut ranked: Vec<(u64, &Arc<str>)> =
-        serving.iter().map(|it| (rank(part.id, &it.entry.id), &it.entry.id)).collect();
+    let mut ranked: Vec<(u64, &Arc<str>)> = ids.iter().map(|id| (rank(part.id, id), *id)).collect();
     ranked.sort_unstable_by(|a, b| b.cmp(a));
-    ranked.truncate(HOMES_PER_PART);
-    ranked.into_iter().map(|(_, id)| id.clone()).collect()
+    ranked.into_iter().take(2).map(|(_, id)| id.clone()).collect()
+}
+
+/// Returns the tokens of a prompt that are in no cache.
+fn own_tokens(need: &Need<'_>, tokens: TokenDemand) -> u64 {
+    need.parts.last().map_or(tokens.prompt, |it| it.tokens)
 }
 
 /// Mixes a part and an endpoint into a number that is the same on every router.
-fn rank(part: u64, endpoint: &str) -> u64 {
+pub(super) fn rank(part: u64, endpoint: &str) -> u64 {
     let mut hash = part ^ 0x9e37_79b9_7f4a_7c15;
     for byte in endpoint.bytes() {
         hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
@@ -163,7 +209,7 @@
     if f64::from(total.requests) >= places {
         return None;
     }
-    let load = load_of(need, homes.contains(&entry.id));
+    let load = load_of(need, homes.iter().position(|it| *it == entry.id));
     let memory = need.spec.and_then(|it| it.memory_tokens);
     if let Some(memory) = memory
         && total.requests > 0
@@ -173,7 +219,9 @@
     }
     let backlog = (total.prompt_tokens + load.prompt_tokens) as f64 / PROMPT_TOKENS_PER_MS;
     let wait_ms = backlog + f64::from(total.requests) * DELAY_PER_REQUEST_MS;
-    let mut cost_ms = wait_ms + endpoint.health.failure_share(now) * FAILURE_MS;
+    let shared_tokens = load.prompt_tokens - need.tokens.map_or(0, |it| own_tokens(need, it));
+    let mut cost_ms = wait_ms + shared_tokens as f64 * SHARED_TOKEN_MS;
+    cost_ms += endpoint.health.failure_share(now) * FAILURE_MS;
     if *entry.failure_domain != *need.failure_domain {
         cost_ms += OTHER_DOMAIN_MS;
     }
@@ -183,13 +231,19 @@
     Some(Candidate { endpoint, load, wait_ms, cost_ms })
 }
 
-/// Returns the load of a request on an endpoint that keeps its shared part, or not.
-fn load_of(need: &Need<'_>, is_home: bool) -> Load {
+/// Returns the load of a request on an endpoint that is the home of its shared part of this
+/// rank, if it is one. The second home has the part cached about half of the time.
+fn load_of(need: &Need<'_>, home_rank: Option<usize>) -> Load {
     let Some(tokens) = need.tokens else {
         return Load { requests: 1, ..Load::default() };
     };
-    let own = need.parts.last().map_or(tokens.prompt, |it| it.tokens);
-    let missing = shared_part(need.parts).filter(|_| !is_home).map_or(0, |it| it.tokens);
+    let own = own_tokens(need, tokens);
+    let shared = shared_part(need.parts).map_or(0, |it| it.tokens);
+    let missing = match home_rank {
+        Some(0) => 0,
+        Some(_) => shared / 2,
+        None => shared,
+    };
     Load {
         requests: 1,
         prompt_tokens: own + missing,
--- a/components/relay/src/endpoints/mod.rs
+++ b/components/relay/src/endpoints/mod.rs
@@ -5,6 +5,7 @@
 mod endpoint;
 mod health;
 mod load;
+mod prompt_split;
 mod store_contact;
 
 pub use self::{
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -3,7 +3,7 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -11,7 +11,9 @@
 use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
 
-use super::{CrashMessage, LoadMessage, Member, StatusMessage};
+use super::{
+    CrashMessage, LoadMessage, LoanMessage, Loans, Member, PeerContent, PeerMessage, StatusMessage,
+};
 use crate::context::RelayContext;
 
 /// Time between two messages to the same router.
@@ -24,6 +26,9 @@
 /// Longest datagram that is read.
 const DATAGRAM_MAX_BYTES: usize = 60 * 1_024;
 
+/// Routers that are asked for a loan at a time.
+const LENDERS_ASKED: usize = 8;
+
 /// Crash records in one message at most.
 const CRASHES_MAX: usize = 16;
 
@@ -34,6 +39,8 @@
     socket: UdpSocket,
     /// Crash records that were found lately, newest last.
     crashes: Mutex<Vec<CrashMessage>>,
+    /// Tokens that this router has asked for.
+    loans: Mutex<Loans>,
 }
 
 impl GossipSocket {
@@ -43,7 +50,7 @@
     /// Where the address cannot be bound.
     pub(crate) async fn bind(address: SocketAddr) -> io::Result<GossipSocket> {
         let socket = UdpSocket::bind(address).await?;
-        Ok(GossipSocket { socket, crashes: Mutex::default() })
+        Ok(GossipSocket { socket, crashes: Mutex::default(), loans: Mutex::default() })
     }
 
     /// Adds a crash record to the messages from now on.
@@ -71,6 +78,23 @@
         }
     }
 
+    /// Asks some routers to lend tokens of `account`.
+    pub(crate) async fn ask_for_loan(&self, cx: &RelayContext, account: &str, tokens: u64) {
+        let now = cx.now();
+        let mut lenders = cx.lock_roster().heard_addresses(now);
+        lenders.shuffle(&mut *cx.lock_rng());
+        lenders.truncate(LENDERS_ASKED);
+        for lender in lenders {
+            let number = self.lock_loans().begin(now, &mut cx.lock_rng());
+            let message = LoanMessage { number, account: account.to_owned(), tokens };
+            self.send(&encode(PeerContent::LoanRequest(message)), lender).await;
+        }
+    }
+
+    fn lock_loans(&self) -> MutexGuard<'_, Loans> {
+        self.loans.lock().expect("no panic while locked")
+    }
+
     async fn send(&self, datagram: &[u8], target: SocketAddr) {
         if let Err(error) = self.socket.send_to(datagram, target).await {
             metrics::counter!(telemetry::PEER_MESSAGES_DROPPED_TOTAL, "reason" => "send")
@@ -94,7 +118,7 @@
             crashes: self.crashes.lock().expect("no panic while locked").clone(),
             wants_answer,
         };
-        message.encode_to_vec()
+        encode(PeerContent::Status(message))
     }
 }
 
@@ -114,6 +138,10 @@
     }
 }
 
+fn encode(content: PeerContent) -> Vec<u8> {
+    PeerMessage { content: Some(content) }.encode_to_vec()
+}
+
 async fn receive(cx: &RelayContext) {
     let mut buf = vec![0; DATAGRAM_MAX_BYTES];
     loop {
@@ -124,26 +152,61 @@
                 continue;
             }
         };
-        let read = StatusMessage::decode(&buf[..len]).ok().and_then(|it| {
-            let member = read_member(&it)?;
-            Some((it, member))
-        });
-        let Some((message, member)) = read else {
+        let content = PeerMessage::decode(&buf[..len]).ok().and_then(|it| it.content);
+        let is_read = match content {
+            Some(PeerContent::Status(message)) => take_status(cx, &message).await,
+            Some(PeerContent::LoanRequest(request)) => {
+                lend(cx, request, sender).await;
+                true
+            }
+            Some(PeerContent::Loan(loan)) => {
+                borrow(cx, &loan, sender);
+                true
+            }
+            None => false,
+        };
+        if !is_read {
             metrics::counter!(telemetry::PEER_MESSAGES_MALFORMED_TOTAL).increment(1);
             log::warn!(sender:% = sender; "message of a router cannot be read");
-            continue;
-        };
-        if member.name == cx.settings.name {
-            continue;
-        }
-        if message.wants_answer {
-            let datagram = cx.gossip.encode(cx, false);
-            cx.gossip.send(&datagram, member.peer_address).await;
         }
-        take_over(cx, &message, member);
     }
 }
 
+/// Takes over a router's state; false where it cannot be read.
+async fn take_status(cx: &RelayContext, message: &StatusMessage) -> bool {
+    let Some(member) = read_member(message) else { return false };
+    if member.name == cx.settings.name {
+        return true;
+    }
+    if message.wants_answer {
+        let datagram = cx.gossip.encode(cx, false);
+        cx.gossip.send(&datagram, member.peer_address).await;
+    }
+    take_over(cx, message, member);
+    true
+}
+
+/// Lends tokens to a router that asks. They are taken out before the answer is sent.
+async fn lend(cx: &RelayContext, request: LoanMessage, borrower: SocketAddr) {
+    let tokens = cx.lock_allowances().lend(&request.account, request.tokens, cx.now());
+    if tokens == 0 {
+        return;
+    }
+    log::info!(account = request.account.as_str(), tokens, wanted = request.tokens, borrower:% = borrower; "tokens lent");
+    let loan = LoanMessage { tokens, ..request };
+    cx.gossip.send(&encode(PeerContent::Loan(loan)), borrower).await;
+}
+
+fn borrow(cx: &RelayContext, loan: &LoanMessage, lender: SocketAddr) {
+    if !cx.gossip.lock_loans().take(loan.number) {
+        log::warn!(account = loan.account.as_str(), tokens = loan.tokens, lender:% = lender; "loan that was not asked for, or came twice, ignored");
+        return;
+    }
+    log::info!(account = loan.account.as_str(), tokens = loan.tokens, lender:% = lender; "tokens borrowed");
+    cx.lock_allowances().borrow(&loan.account, loan.tokens);
+    cx.allowance_changed.notify_waiters();
+}
+
 fn read_member(message: &StatusMessage) -> Option<Member> {
     Some(Member {
         name: Arc::from(message.name.as_str()),
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -2,14 +2,50 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use prost::Message;
+use prost::{Message, Oneof};
 use routing::CrashRecord;
 use types::EndpointName;
 use utils::Digest;
 
 use crate::endpoints::{Load, LoadShare};
 
-/// State of a router. A datagram holds one.
+/// What a datagram holds.
+#[derive(Clone, PartialEq, Message)]
+pub struct PeerMessage {
+    /// The message.
+    #[prost(oneof = "PeerContent", tags = "1, 2, 3")]
+    pub content: Option<PeerContent>,
+}
+
+/// Kinds of messages between routers.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum PeerContent {
+    /// State of the sender.
+    #[prost(message, tag = "1")]
+    Status(StatusMessage),
+    /// The sender asks for tokens.
+    #[prost(message, tag = "2")]
+    LoanRequest(LoanMessage),
+    /// The sender has given up tokens for the receiver.
+    #[prost(message, tag = "3")]
+    Loan(LoanMessage),
+}
+
+/// Tokens of an account, wanted or lent.
+#[derive(Clone, PartialEq, Message)]
+pub struct LoanMessage {
+    /// Number that the borrower drew for the one lender it asked.
+    #[prost(fixed64, tag = "1")]
+    pub number: u64,
+    /// Account.
+    #[prost(string, tag = "2")]
+    pub account: String,
+    /// Tokens.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+}
+
+/// State of a router.
 #[derive(Clone, PartialEq, Message)]
 pub struct StatusMessage {
     /// Name of the router.
--- a/components/relay/src/peers/mod.rs
+++ b/components/relay/src/peers/mod.rs
@@ -1,11 +1,13 @@
 //! Routers that tell each other their state by datagrams.
 
 mod gossip;
+mod loans;
 mod message;
 mod roster;
 
 pub(crate) use self::gossip::{GossipSocket, run_gossip};
+pub use self::loans::Loans;
 pub use self::{
-    message::{CrashMessage, LoadMessage, StatusMessage},
+    message::{CrashMessage, LoadMessage, LoanMessage, PeerContent, PeerMessage, StatusMessage},
     roster::{Member, Roster, SelfStatus},
 };
--- a/components/relay/src/peers/roster.rs
+++ b/components/relay/src/peers/roster.rs
@@ -103,6 +103,12 @@
         self.entries.values().map(|it| it.member.peer_address).collect()
     }
 
+    /// Returns the addresses of the routers that are heard.
+    pub fn heard_addresses(&self, now: Timestamp) -> Vec<SocketAddr> {
+        let heard = self.entries.values().filter(|it| it.is_heard(now));
+        heard.map(|it| it.member.peer_address).collect()
+    }
+
     /// Returns the routers that take new callers. Where none is heard, this router may be
     /// the one that is cut off, and all known ones are returned.
     pub fn ready_members(&self, now: Timestamp) -> Vec<&Member> {
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -11,6 +11,7 @@
 use http::{HeaderValue, Request, Response, header::CONNECTION};
 use hyper::body::Incoming;
 use routing::Verdict;
+use tokio::time::Instant;
 use utils::jitter;
 
 use super::{
@@ -31,6 +32,9 @@
 /// Longest time for which a request waits for tokens that are being drawn: a few commits.
 const TOKENS_WAIT: Duration = Duration::from_millis(120);
 
+/// Time that the store has to give tokens before other routers are asked.
+const STORE_WAIT: Duration = Duration::from_millis(40);
+
 /// Time after which a caller may return whose tokens other routers hold: they return idle
 /// tokens within this time.
 const TOKENS_RETURN: Duration = Duration::from_millis(800);
@@ -86,8 +90,13 @@
     let in_force = cx.in_force.load_full().unwrap_or(in_force);
     let (route, account) = authorize(&in_force, &request, head.uri.path())?;
     let mut run = begin(cx, in_force, request, head, body, route, account, received_at)?;
-    refuse_crashing(&run)?;
-    run.reservation = reserve_tokens(&run).await?;
+    if let Err(error) = refuse_crashing(&run) {
+        return Err(end_failed(error, run));
+    }
+    match reserve_tokens(&run).await {
+        Ok(reservation) => run.reservation = reservation,
+        Err(error) => return Err(end_failed(error, run)),
+    }
     relay(run).await
 }
 
@@ -170,6 +179,8 @@
     }
     let cx = &run.cx;
     let until = cx.instant(cx.now() + TOKENS_WAIT);
+    let mut ask_at = cx.instant(cx.now() + STORE_WAIT);
+    let mut is_asked = false;
     loop {
         let changed = cx.allowance_changed.notified();
         let shortage = match cx.lock_allowances().reserve(&account.name, tokens.total()) {
@@ -182,7 +193,15 @@
             return Err(Error::new(ErrorKind::BudgetExhausted, "the prepaid tokens are spent"));
         }
         cx.allowance_wanted.notify_one();
-        if tokio::time::timeout_at(until, changed).await.is_err() {
+        if cx.lock_allowances().needs_loan(&account.name, tokens.total()) {
+            ask_at = Instant::now();
+        }
+        if !is_asked && Instant::now() >= ask_at {
+            is_asked = true;
+            cx.gossip.ask_for_loan(cx, &account.name, tokens.total()).await;
+        }
+        let wait_until = if is_asked { until } else { ask_at };
+        if tokio::time::timeout_at(wait_until, changed).await.is_err() && is_asked {
             metrics::counter!(telemetry::BUDGET_REFUSALS_TOTAL, "reason" => "out_of_reach")
                 .increment(1);
             let delay = jitter(TOKENS_RETURN, &mut cx.lock_rng());
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -65,6 +65,7 @@
 }
 
 fn choose(run: &Run) -> Choice {
+    let routers = run.cx.lock_roster().count();
     let fill_share = if run.priority() == 0 { 1.0 } else { FILL_SHARE_BULK };
     let need = Need {
         service: &run.service,
@@ -73,6 +74,7 @@
         parts: &run.head.parts,
         avoid: &run.avoid,
         failure_domain: &run.cx.settings.failure_domain,
+        routers,
         fill_share,
     };
     let now = run.cx.now();
--- a/components/relay/src/sync/allowance_task.rs
+++ b/components/relay/src/sync/allowance_task.rs
@@ -22,6 +22,7 @@
     let mut backoff = Backoff::new("allowance rows");
     loop {
         let result = step(&cx).await;
+        cx.lock_allowances().note_store(result.is_ok());
         match result {
             Ok(true) => {
                 backoff.succeed();
