--- a/components/platform/src/table.rs
+++ b/components/platform/src/table.rs
@@ -1,5 +1,7 @@
 //! The transactional table service.
 
+use std::time::Duration;
+
 use async_trait::async_trait;
 
 use crate::{Commit, CommitOutcome, Key, PlatformError, Row};
@@ -7,6 +9,15 @@
 /// Most rows that one scan returns.
 pub const SCAN_MAX_ROWS: usize = 1_000;
 
+/// A time of the table's steady clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreTime {
+    /// The time, in milliseconds.
+    pub millis: u64,
+    /// How long ago it was received; the clock has gone on for at least as long.
+    pub age: Duration,
+}
+
 /// The platform's transactional table service. Calls are linearizable.
 #[async_trait]
 pub trait Table: Send + Sync {
@@ -26,4 +37,9 @@
     /// Commits `commit`. An [`Unknown`](CommitOutcome::Unknown) outcome is settled by
     /// reading back a row that only this commit writes.
     async fn commit(&self, commit: &Commit) -> CommitOutcome;
+
+    /// Returns the latest time that the table has told; `None` where it has no clock.
+    fn store_time(&self) -> Option<StoreTime> {
+        None
+    }
 }
--- a/components/relay/src/allowance/account.rs
+++ b/components/relay/src/allowance/account.rs
@@ -4,10 +4,14 @@
 
 use types::Timestamp;
 
-use super::row::AllowanceRow;
+use super::{
+    ceiling::Ceilings,
+    rows::{AllowanceRow, Holding},
+};
+use crate::rate::Rate;
 
 /// Time that the drawn tokens should last, so that requests go on while the store is away.
-const HORIZON: Duration = Duration::from_secs(12);
+const HORIZON: Duration = Duration::from_secs(11);
 
 /// Time over which the rate of spending is averaged.
 const RATE_TIME: Duration = Duration::from_secs(4);
@@ -30,8 +34,12 @@
 /// divisor.
 const CHANGE_DIVISOR: u64 = 500;
 
+/// Time of spending that a declaration allows for; more is declared on demand. What is
+/// allowed and not spent is lost at a crash.
+const CEILING_TIME: Duration = Duration::from_millis(1_200);
+
 /// Tokens of one account that this router holds.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct AccountAllowance {
     /// Prepaid tokens of the account.
     limit: u64,
@@ -43,18 +51,18 @@
     reserved: u64,
     /// Tokens spent and not yet reported to the row.
     unreported: u64,
-    /// Tokens that wait for the outcome of a return.
-    returning: u64,
+    /// How much of the held tokens may leave.
+    ceilings: Ceilings,
     /// Most tokens that one request has reserved.
     largest: u64,
     /// Tokens that requests asked for in vain since the last commit.
     wanted: u64,
-    /// Rate of spending, in tokens a second, at `rate_at`.
-    rate: f64,
-    /// Time of the last change of the rate.
-    rate_at: Timestamp,
+    /// Rate of reserving, in tokens a second.
+    rate: Rate,
     /// Whether the row was read since the limit was lowered.
     is_confirmed: bool,
+    /// Fewest tokens that were in vain asked for, and until when that counts.
+    shortage: Option<(u64, Timestamp)>,
 }
 
 /// Change of a row that a router wants to commit.
@@ -68,6 +76,24 @@
     pub(super) spent: u64,
 }
 
+impl Default for AccountAllowance {
+    fn default() -> AccountAllowance {
+        AccountAllowance {
+            limit: 0,
+            limit_version: 0,
+            held: 0,
+            reserved: 0,
+            unreported: 0,
+            ceilings: Ceilings::default(),
+            largest: 0,
+            wanted: 0,
+            rate: Rate::new(RATE_TIME),
+            is_confirmed: false,
+            shortage: None,
+        }
+    }
+}
+
 impl AccountAllowance {
     /// Takes over the prepaid tokens of a version of the desired state.
     pub(super) fn set_limit(&mut self, limit: u64, version: u64) {
@@ -79,8 +105,12 @@
     }
 
     /// Returns the tokens that a request may still reserve.
-    pub fn available(&self) -> u64 {
-        if self.is_confirmed { self.held - self.reserved } else { 0 }
+    pub fn available(&self, now: Timestamp) -> u64 {
+        if !self.is_confirmed {
+            return 0;
+        }
+        let may_leave = self.ceilings.left(now).unwrap_or(u64::MAX);
+        self.held.min(may_leave).saturating_sub(self.reserved)
     }
 
     /// Returns the prepaid tokens of the account.
@@ -104,9 +134,10 @@
     }
 
     /// Reserves tokens; false where fewer are available.
-    pub(super) fn reserve(&mut self, tokens: u64) -> bool {
+    pub(super) fn reserve(&mut self, tokens: u64, now: Timestamp) -> bool {
         self.largest = self.largest.max(tokens);
-        if tokens > self.available() {
+        self.rate.add(tokens as f64, now);
+        if tokens > self.available(now) {
             self.wanted = self.wanted.max(tokens);
             return false;
         }
@@ -114,14 +145,23 @@
         true
     }
 
+    /// Notes that so many tokens were asked for in vain.
+    pub(super) fn note_shortage(&mut self, tokens: u64, until: Timestamp) {
+        self.shortage = Some((tokens, until));
+    }
+
+    /// Tells whether no more tokens than these were asked for in vain a moment ago.
+    pub(super) fn is_short(&self, tokens: u64, now: Timestamp) -> bool {
+        self.shortage.is_some_and(|(asked, until)| tokens >= asked && now < until)
+    }
+
     /// Ends a reservation of which `used` tokens were spent.
-    pub(super) fn settle(&mut self, reserved: u64, used: u64, now: Timestamp) {
+    pub(super) fn settle(&mut self, reserved: u64, used: u64) {
         let used = used.min(reserved);
         self.reserved -= reserved;
         self.held -= used;
+        self.ceilings.take(used);
         self.unreported += used;
-        self.rate = self.rate(now) + used as f64 / RATE_TIME.as_secs_f64();
-        self.rate_at = now;
     }
 
     /// Tells whether the tokens that the row leaves are fewer than `tokens`, however they
@@ -138,16 +178,18 @@
 
     /// Takes tokens out to lend them to another router; returns how many.
     pub(super) fn lend(&mut self, wanted: u64, now: Timestamp) -> u64 {
-        let available = self.available();
-        let kept = (self.rate(now) * KEPT_TIME.as_secs_f64()).ceil() as u64;
+        let available = self.available(now);
+        let kept = (self.rate.get(now) * KEPT_TIME.as_secs_f64()).ceil() as u64;
         let lent = wanted.min(available - kept.min(available / 2));
         self.held -= lent;
+        self.ceilings.take(lent);
         lent
     }
 
     /// Takes in tokens that another router lent.
     pub(super) fn borrow(&mut self, tokens: u64) {
         self.held += tokens;
+        self.ceilings.add(tokens);
     }
 
     /// Returns the change that the row needs; `None` where it can stay as it is.
@@ -188,17 +230,11 @@
     fn target(&self, pool: u64, routers: u64, now: Timestamp) -> u64 {
         let routers = routers.max(1);
         let first = self.limit / FIRST_DRAW_DIVISOR / routers;
-        let by_rate = (self.rate(now) * HORIZON.as_secs_f64()).ceil() as u64 + 2 * self.largest;
+        let expected = (self.rate.get(now) * HORIZON.as_secs_f64()).ceil() as u64;
+        // Routers lend each other what one alone has too little of.
+        let by_rate = expected + 2 * self.largest / routers;
         let by_pool = (pool + self.held - self.reserved) / POOL_DIVISOR / routers;
-        let target = by_rate.max(first).min(by_pool);
-        // Where each router's part is less than a request, all is left to whoever needs it.
-        if target < self.largest { 0 } else { target }
-    }
-
-    /// Returns the rate of spending, in tokens a second.
-    fn rate(&self, now: Timestamp) -> f64 {
-        let age = now.since(self.rate_at).as_secs_f64();
-        self.rate * (-age / RATE_TIME.as_secs_f64()).exp()
+        by_rate.max(first).min(by_pool)
     }
 
     /// Tells whether so few tokens are undrawn that idle ones are better returned.
@@ -206,15 +242,36 @@
         pool < self.limit / 5
     }
 
-    /// Sets tokens aside that a commit is about to return.
-    pub(super) fn start(&mut self, change: &Change) {
+    /// Returns what to declare with a change: the tokens after it, and how many of them may
+    /// leave until the declaration no longer binds.
+    pub(super) fn declare(&self, change: &Change, now: Timestamp) -> Holding {
+        let held = self.held + change.draw - change.give_back;
+        let expected = (self.rate.get(now) * CEILING_TIME.as_secs_f64()).ceil() as u64;
+        let ceiling = self.reserved + expected.max(self.wanted);
+        Holding { held, ceiling: ceiling.min(held) }
+    }
+
+    /// Tells whether a request waits for tokens that are held but may not leave before the
+    /// next declaration.
+    pub(super) fn needs_declaration(&self, now: Timestamp) -> bool {
+        self.wanted > self.available(now) && self.wanted <= self.held - self.reserved
+    }
+
+    /// Sets tokens aside that a commit is about to return, and keeps to its declaration.
+    pub(super) fn start(
+        &mut self,
+        change: &Change,
+        declared: Holding,
+        number: u64,
+        binds_until: Timestamp,
+    ) {
         self.held -= change.give_back;
-        self.returning += change.give_back;
+        self.ceilings.begin(number, declared.ceiling, binds_until);
     }
 
     /// Ends a commit.
-    pub(super) fn finish(&mut self, change: &Change, is_applied: bool) {
-        self.returning -= change.give_back;
+    pub(super) fn finish(&mut self, change: &Change, number: u64, is_applied: bool) {
+        self.ceilings.finish(number, is_applied);
         if is_applied {
             self.held += change.draw;
             self.unreported -= change.spent;
@@ -224,6 +281,11 @@
         }
     }
 
+    /// Takes over tokens that an earlier process of this router held.
+    pub(super) fn adopt(&mut self, tokens: u64) {
+        self.held += tokens;
+    }
+
     /// Notes that the row was read.
     pub(super) fn confirm(&mut self, row: &AllowanceRow) {
         if row.drawn <= self.limit {
@@ -238,6 +300,5 @@
         drawn: row.drawn + change.draw - change.give_back.min(row.drawn),
         spent: row.spent + change.spent,
         limit_version: row.limit_version.max(version),
-        marks: row.marks.clone(),
     }
 }
--- a/components/relay/src/allowance/book.rs
+++ b/components/relay/src/allowance/book.rs
@@ -1,17 +1,29 @@
 //! All accounts' tokens on one router, and the commits that move them.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use platform::{Commit, CommitOutcome, Precondition, Revision, Row, Write};
+use platform::{Commit, CommitOutcome, Precondition, Revision, Row, StoreTime, Write};
 use types::Timestamp;
 use utils::HashMap;
 
 use super::{
     account::{AccountAllowance, Change, changed_row},
-    row::{AllowanceRow, KEY_PREFIX, Mark},
+    ceiling::{BINDING_TIME, binds_until},
+    rows::{ACCOUNT_PREFIX, AllowanceRow, HoldingsRow, Mark},
 };
 use crate::model::Account;
 
+/// Time between two declarations: what was spent since the last one need not be feared
+/// lost.
+const DECLARATION_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time for which a request is refused at once after one that asked for no more tokens was
+/// refused for want of them.
+const SHORTAGE_TIME: Duration = Duration::from_millis(250);
+
+/// Accounts in one commit at most; the store takes a hundred rows.
+const COMMIT_ACCOUNTS_MAX: usize = 40;
+
 /// Why a request gets no tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Shortage {
@@ -19,6 +31,8 @@
     Exhausted,
     /// Other routers hold the tokens, or the store did not answer yet.
     OutOfReach,
+    /// A moment ago neither the store nor another router had as many.
+    NoneInSight,
 }
 
 /// Tokens reserved for one request; to be settled exactly once.
@@ -31,15 +45,30 @@
     pub tokens: u64,
 }
 
+/// What the next commit depends on.
+#[derive(Debug, Clone, Copy)]
+pub struct CommitInputs {
+    /// Routers that share the accounts.
+    pub routers: usize,
+    /// Whether this router is ending.
+    pub is_leaving: bool,
+    /// Latest known time of the store.
+    pub store_time: Option<StoreTime>,
+    /// Present time.
+    pub now: Timestamp,
+}
+
 /// A commit whose outcome is not known yet.
 #[derive(Debug, Clone)]
 struct Pending {
     /// The commit.
     commit: Commit,
-    /// Its mark in the rows.
-    mark: Mark,
-    /// Changes by account.
-    changes: Vec<(Arc<str>, Change)>,
+    /// The row of this router that it writes.
+    holdings: HoldingsRow,
+    /// Changes by account, with the accounts' rows after them.
+    changes: Vec<(Arc<str>, Change, Option<AllowanceRow>)>,
+    /// Tokens to take over from an earlier process, by account.
+    adopted: Vec<(Arc<str>, u64)>,
 }
 
 /// All accounts' tokens on one router.
@@ -51,12 +80,16 @@
     mark: Mark,
     /// Tokens by account.
     accounts: HashMap<Arc<str>, AccountAllowance>,
-    /// Rows as they were last read or written, with their revisions.
-    rows: HashMap<Arc<str>, (AllowanceRow, Option<Revision>)>,
-    /// Whether the rows were ever read.
+    /// Accounts' rows as they were last read or written, with their revisions.
+    rows: HashMap<Arc<str>, (AllowanceRow, Revision)>,
+    /// This router's row as it was last read or written.
+    holdings: Option<(HoldingsRow, Revision)>,
+    /// Whether the rows are known.
     is_loaded: bool,
     /// Whether the last call to the store failed.
     is_store_lost: bool,
+    /// When this router's row was last written.
+    declared_at: Option<Timestamp>,
     /// The commit in progress; there is one at most.
     pending: Option<Pending>,
 }
@@ -69,8 +102,10 @@
             mark: Mark { process, number: 0 },
             accounts: HashMap::default(),
             rows: HashMap::default(),
+            holdings: None,
             is_loaded: false,
             is_store_lost: false,
+            declared_at: None,
             pending: None,
         }
     }
@@ -89,30 +124,48 @@
     ///
     /// # Errors
     /// Where they are not available on this router.
-    pub fn reserve(&mut self, account: &Arc<str>, tokens: u64) -> Result<Reservation, Shortage> {
+    pub fn reserve(
+        &mut self,
+        account: &Arc<str>,
+        tokens: u64,
+        now: Timestamp,
+    ) -> Result<Reservation, Shortage> {
         let row = self.rows.get(account).map(|(row, _)| row);
         let allowance = self.accounts.entry(account.clone()).or_default();
-        if allowance.reserve(tokens) {
+        if allowance.reserve(tokens, now) {
             return Ok(Reservation { account: account.clone(), tokens });
         }
         match row {
             Some(row) if allowance.is_exhausted(row, tokens) => Err(Shortage::Exhausted),
+            _ if allowance.is_short(tokens, now) => Err(Shortage::NoneInSight),
             _ => Err(Shortage::OutOfReach),
         }
     }
 
+    /// Notes that a request was refused that neither the store nor other routers had enough
+    /// tokens for. Returns whether the account has undrawn tokens, which may come in reach.
+    pub fn note_refusal(&mut self, account: &str, tokens: u64, now: Timestamp) -> bool {
+        let Some(allowance) = self.accounts.get_mut(account) else { return false };
+        let row = self.rows.get(account).map(|(row, _)| row);
+        let is_in_sight = row.is_none_or(|row| allowance.undrawn(row) >= tokens);
+        if !is_in_sight {
+            allowance.note_shortage(tokens, now + SHORTAGE_TIME);
+        }
+        is_in_sight
+    }
+
     /// Ends a reservation of which `used` tokens were spent.
-    pub fn settle(&mut self, reservation: Reservation, used: u64, now: Timestamp) {
+    pub fn settle(&mut self, reservation: Reservation, used: u64) {
         if let Some(allowance) = self.accounts.get_mut(&reservation.account) {
-            allowance.settle(reservation.tokens, used, now);
+            allowance.settle(reservation.tokens, used);
         }
     }
 
     /// Tells whether the store will not give `tokens` of `account` soon: it does not answer,
     /// or the account has too few undrawn ones.
     pub fn needs_loan(&self, account: &str, tokens: u64) -> bool {
-        let undrawn = self.rows.get(account).zip(self.accounts.get(account));
-        let undrawn = undrawn.map_or(0, |((row, _), it)| it.undrawn(row));
+        let known = self.rows.get(account).zip(self.accounts.get(account));
+        let undrawn = known.map_or(0, |((row, _), it)| it.undrawn(row));
         self.is_store_lost || undrawn < tokens
     }
 
@@ -139,11 +192,6 @@
         self.accounts.get(name)
     }
 
-    /// Returns all accounts' names and the tokens held.
-    pub fn holdings(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
-        self.accounts.iter().map(|(name, it)| (name, it.held()))
-    }
-
     /// Tells whether the rows are to be read before a commit can be made.
     pub fn needs_read(&self) -> bool {
         let is_unsure = self.accounts.values().any(|it| !it.is_confirmed());
@@ -157,96 +205,180 @@
 
     /// Returns the next commit; `None` where no row needs a change. A commit whose outcome
     /// is unknown is returned again: only one of its copies can take effect.
-    pub fn next_commit(
-        &mut self,
-        routers: usize,
-        is_leaving: bool,
-        now: Timestamp,
-    ) -> Option<Commit> {
+    pub fn next_commit(&mut self, inputs: &CommitInputs) -> Option<Commit> {
         if let Some(pending) = &self.pending {
             return Some(pending.commit.clone());
         }
         if !self.is_loaded {
             return None;
         }
-        let mark = Mark { number: self.mark.number + 1, ..self.mark };
-        let (mut commit, mut changes) = (Commit::default(), Vec::new());
-        for (name, allowance) in &mut self.accounts {
-            let (row, revision) = self.rows.entry(name.clone()).or_default();
-            let Some(change) = allowance.plan(row, routers as u64, is_leaving, now) else {
-                continue;
-            };
-            allowance.start(&change);
-            log::info!(account:% = name, draw = change.draw, give_back = change.give_back, report = change.spent, held = allowance.held(), drawn = row.drawn, limit = allowance.limit(); "allowance to change");
-            let key = AllowanceRow::key(name);
-            let mut next = changed_row(row, &change, allowance.limit_version());
-            next.marks.insert(self.router.clone(), mark);
-            commit.preconditions.push(match revision {
-                Some(revision) => Precondition::Revision(key.clone(), *revision),
-                None => Precondition::Absent(key.clone()),
-            });
-            commit.writes.push(Write::put(key, &next));
-            changes.push((name.clone(), change));
-        }
-        if changes.is_empty() {
+        let adopted = self.adoptable(inputs);
+        // What is taken over changes this router's row only, which no other router writes.
+        let changes = if adopted.is_empty() { self.plan(inputs) } else { Vec::new() };
+        let now = inputs.now;
+        let is_old = self.declared_at.is_none_or(|at| now.since(at) >= DECLARATION_INTERVAL);
+        let is_due = is_old || self.accounts.values().any(|it| it.needs_declaration(now));
+        if changes.is_empty() && !is_due {
             return None;
         }
-        self.mark = mark;
-        self.pending = Some(Pending { commit: commit.clone(), mark, changes });
+        let pending = self.prepare(changes, adopted, inputs);
+        let commit = pending.commit.clone();
+        self.pending = Some(pending);
         Some(commit)
     }
 
+    fn plan(&mut self, inputs: &CommitInputs) -> Vec<(Arc<str>, Change)> {
+        let mut changes = Vec::new();
+        for (name, allowance) in &self.accounts {
+            let row = self.rows.get(name).map(|(row, _)| row.clone()).unwrap_or_default();
+            let routers = inputs.routers as u64;
+            let change = allowance.plan(&row, routers, inputs.is_leaving, inputs.now);
+            if let Some(change) = change {
+                changes.push((name.clone(), change));
+            }
+            if changes.len() == COMMIT_ACCOUNTS_MAX {
+                break;
+            }
+        }
+        changes
+    }
+
+    /// Makes the commit of some changes and keeps to what it declares.
+    fn prepare(
+        &mut self,
+        changes: Vec<(Arc<str>, Change)>,
+        adopted: Vec<(Arc<str>, u64)>,
+        inputs: &CommitInputs,
+    ) -> Pending {
+        let now = inputs.now;
+        self.mark.number += 1;
+        let number = self.mark.number;
+        let known_at = inputs.store_time.map(|it| now - it.age);
+        let binds_until = known_at.map_or(Timestamp::ZERO, binds_until);
+        let mut holdings = HoldingsRow {
+            mark: self.mark,
+            known_store_ms: inputs.store_time.map(|it| it.millis),
+            ..HoldingsRow::default()
+        };
+        for (name, allowance) in &mut self.accounts {
+            let change = changes.iter().find(|(it, _)| it == name).map(|(_, it)| *it);
+            let change = change.unwrap_or_default();
+            let mut declared = allowance.declare(&change, now);
+            allowance.start(&change, declared, number, binds_until);
+            let taken_over = adopted.iter().find(|(it, _)| it == name).map_or(0, |(_, it)| *it);
+            declared.held += taken_over;
+            if declared.held > 0 {
+                holdings.accounts.insert(name.clone(), declared);
+            }
+        }
+        let mut commit = Commit::default();
+        let key = HoldingsRow::key(&self.router);
+        let revision = self.holdings.as_ref().map(|(_, revision)| *revision);
+        commit.preconditions.push(expect(key.clone(), revision));
+        commit.writes.push(Write::put(key, &holdings));
+        let changes = changes.into_iter().map(|(name, change)| {
+            let next = self.add_account_write(&mut commit, &name, &change);
+            (name, change, next)
+        });
+        let changes = changes.collect();
+        Pending { commit, holdings, changes, adopted }
+    }
+
+    fn add_account_write(
+        &self,
+        commit: &mut Commit,
+        name: &Arc<str>,
+        change: &Change,
+    ) -> Option<AllowanceRow> {
+        let allowance = self.accounts.get(name)?;
+        let known = self.rows.get(name);
+        let row = known.map(|(row, _)| row.clone()).unwrap_or_default();
+        log::info!(account:% = name, draw = change.draw, give_back = change.give_back, report = change.spent, held = allowance.held(), drawn = row.drawn, limit = allowance.limit(); "allowance to change");
+        let next = changed_row(&row, change, allowance.limit_version());
+        let key = AllowanceRow::key(name);
+        commit.preconditions.push(expect(key.clone(), known.map(|(_, revision)| *revision)));
+        commit.writes.push(Write::put(key, &next));
+        Some(next)
+    }
+
+    /// Returns the tokens that an earlier process of this router has certainly not spent.
+    fn adoptable(&self, inputs: &CommitInputs) -> Vec<(Arc<str>, u64)> {
+        let Some((row, _)) = &self.holdings else { return Vec::new() };
+        if row.mark.process == self.mark.process {
+            return Vec::new();
+        }
+        // The earlier process has ended, so that its ceilings bound it until its end if
+        // they bind now.
+        let ages = inputs.store_time.zip(row.known_store_ms);
+        let age_ms = ages.map(|(time, known)| time.millis.saturating_sub(known));
+        if age_ms.is_none_or(|it| u128::from(it) >= BINDING_TIME.as_millis()) {
+            log::warn!(age_ms = age_ms.unwrap_or_default(), accounts = row.accounts.len(); "tokens of the earlier process count as spent");
+            return Vec::new();
+        }
+        let rest = row.accounts.iter().map(|(name, it)| (name.clone(), it.held - it.ceiling));
+        let rest: Vec<_> =
+            rest.filter(|(name, tokens)| *tokens > 0 && self.accounts.contains_key(name)).collect();
+        let tokens: u64 = rest.iter().map(|(_, tokens)| tokens).sum();
+        log::info!(age_ms = age_ms.unwrap_or_default(), accounts = rest.len(), tokens; "tokens of the earlier process taken over");
+        rest
+    }
+
     /// Takes the outcome of the commit that [`next_commit`](Self::next_commit) returned.
-    /// `was_sent_before` says that an earlier copy of it may still take effect.
-    pub fn on_outcome(&mut self, outcome: &CommitOutcome, was_sent_before: bool) {
+    /// `is_resent` says that an earlier copy of it may have taken effect or may still do so.
+    pub fn on_outcome(&mut self, outcome: &CommitOutcome, is_resent: bool, now: Timestamp) {
         match outcome {
-            CommitOutcome::Committed(revision) => self.apply(*revision),
-            CommitOutcome::NotApplied(_) if !was_sent_before => self.finish(false),
-            // A conflict of a copy may be with the copy before: the rows tell.
+            CommitOutcome::Committed(revision) => self.apply(*revision, now),
+            CommitOutcome::NotApplied(_) if !is_resent => self.finish(false),
+            // The rows tell which one it is with; it may be a copy of this commit.
             CommitOutcome::Conflict(_) => self.is_loaded = false,
             CommitOutcome::NotApplied(_) | CommitOutcome::Unknown => {}
         }
     }
 
-    /// Takes over the rows as they were read.
-    pub fn apply_rows(&mut self, rows: &[Row]) {
+    /// Takes over all accounts' rows and routers' rows as they were read.
+    pub fn apply_rows(&mut self, accounts: &[Row], holdings: &[Row], now: Timestamp) {
         self.is_loaded = true;
-        for row in rows {
-            let Some(name) = row.key.as_str().strip_prefix(KEY_PREFIX) else { continue };
-            let name = name.trim_start_matches('/');
+        for row in accounts {
+            let Some(name) = name_in(row.key.as_str(), ACCOUNT_PREFIX) else { continue };
             match row.decode::<AllowanceRow>() {
                 Ok(read) => {
-                    if let Some(allowance) = self.accounts.get_mut(name) {
-                        allowance.confirm(&read);
-                    }
-                    self.rows.insert(name.into(), (read, Some(row.revision)));
+                    self.rows.insert(name.into(), (read, row.revision));
                 }
                 Err(error) => log::error!("{error}"),
             }
         }
-        let (accounts, known) = (&mut self.accounts, &self.rows);
-        for (name, allowance) in accounts.iter_mut() {
-            match known.get(name) {
-                Some((row, _)) => allowance.confirm(row),
-                None => allowance.confirm(&AllowanceRow::default()),
-            }
+        for (name, allowance) in &mut self.accounts {
+            let row = self.rows.get(name).map(|(row, _)| row.clone()).unwrap_or_default();
+            allowance.confirm(&row);
         }
-        self.resolve_pending();
+        let own = HoldingsRow::key(&self.router);
+        let read = holdings.iter().find(|row| row.key == own);
+        let decoded = read.map(|row| (row.decode::<HoldingsRow>(), row.revision));
+        self.holdings = match decoded {
+            None => None,
+            Some((Ok(row), revision)) => Some((row, revision)),
+            Some((Err(error), revision)) => {
+                log::error!("{error}");
+                Some((HoldingsRow::default(), revision))
+            }
+        };
+        self.resolve_pending(now);
     }
 
     /// Decides the commit in progress by the rows that were read.
-    fn resolve_pending(&mut self) {
+    fn resolve_pending(&mut self, now: Timestamp) {
         let Some(pending) = &self.pending else { return };
-        let Some((first, _)) = pending.changes.first() else { return };
-        let read = self.rows.get(first);
-        let found = read.and_then(|(row, _)| row.marks.get(&self.router));
-        if found == Some(&pending.mark) {
+        if self.holdings.as_ref().is_some_and(|(row, _)| row.mark == pending.holdings.mark) {
+            self.note_declared(now);
             self.finish(true);
             return;
         }
         let is_replaced = pending.commit.preconditions.iter().any(|it| {
-            let name = it.key().as_str().trim_start_matches(KEY_PREFIX).trim_start_matches('/');
-            let revision = self.rows.get(name).and_then(|(_, revision)| *revision);
+            let key = it.key().as_str();
+            let revision = match name_in(key, ACCOUNT_PREFIX) {
+                Some(name) => self.rows.get(name).map(|(_, revision)| *revision),
+                None => self.holdings.as_ref().map(|(_, revision)| *revision),
+            };
             match it {
                 Precondition::Absent(_) => revision.is_some(),
                 Precondition::Revision(_, expected) => revision != Some(*expected),
@@ -258,29 +390,50 @@
         }
     }
 
-    fn apply(&mut self, revision: Revision) {
+    fn apply(&mut self, revision: Revision, now: Timestamp) {
         let Some(pending) = &self.pending else { return };
-        for ((name, _), write) in pending.changes.iter().zip(&pending.commit.writes) {
-            let value = write.value.as_deref().unwrap_or_default();
-            match serde_json::from_str::<AllowanceRow>(value) {
-                Ok(row) => {
-                    if let Some(allowance) = self.accounts.get_mut(name) {
-                        allowance.confirm(&row);
-                    }
-                    self.rows.insert(name.clone(), (row, Some(revision)));
-                }
-                Err(error) => log::error!("own row of {name} cannot be read: {error}"),
+        self.holdings = Some((pending.holdings.clone(), revision));
+        for (name, _, row) in &pending.changes {
+            let Some(row) = row else { continue };
+            if let Some(allowance) = self.accounts.get_mut(name) {
+                allowance.confirm(row);
             }
+            self.rows.insert(name.clone(), (row.clone(), revision));
         }
+        self.note_declared(now);
         self.finish(true);
     }
 
+    fn note_declared(&mut self, now: Timestamp) {
+        self.declared_at = Some(now);
+    }
+
     fn finish(&mut self, is_applied: bool) {
         let Some(pending) = self.pending.take() else { return };
-        for (name, change) in &pending.changes {
-            if let Some(allowance) = self.accounts.get_mut(name) {
-                allowance.finish(change, is_applied);
+        let number = pending.holdings.mark.number;
+        for (name, allowance) in &mut self.accounts {
+            let change = pending.changes.iter().find(|(it, ..)| it == name);
+            let change = change.map(|(_, change, _)| *change).unwrap_or_default();
+            allowance.finish(&change, number, is_applied);
+        }
+        if is_applied {
+            for (name, tokens) in &pending.adopted {
+                if let Some(allowance) = self.accounts.get_mut(name) {
+                    allowance.adopt(*tokens);
+                }
             }
         }
     }
 }
+
+fn expect(key: platform::Key, revision: Option<Revision>) -> Precondition {
+    match revision {
+        Some(revision) => Precondition::Revision(key, revision),
+        None => Precondition::Absent(key),
+    }
+}
+
+/// Returns the name in a key that starts with `prefix`.
+fn name_in<'a>(key: &'a str, prefix: &str) -> Option<&'a str> {
+    key.strip_prefix(prefix)?.strip_prefix('/')
+}
--- a/components/relay/src/allowance/mod.rs
+++ b/components/relay/src/allowance/mod.rs
@@ -1,14 +1,18 @@
 //! Prepaid tokens: each router draws part of an account's tokens and spends only those.
 //!
 //! The row of an account says how many tokens were drawn in all. Drawn tokens belong to one
-//! router until it spends or returns them; those of a router that is lost count as spent.
+//! router until it spends, lends or returns them. The row of a router declares what it holds
+//! and how much of that may leave it before its next declaration, so that its next process
+//! takes over the rest after a crash.
 
 mod account;
 mod book;
-mod row;
+mod ceiling;
+mod rows;
 
 pub use self::{
     account::AccountAllowance,
-    book::{AllowanceBook, Reservation, Shortage},
-    row::{AllowanceRow, KEY_PREFIX, Mark},
+    book::{AllowanceBook, CommitInputs, Reservation, Shortage},
+    ceiling::BINDING_TIME,
+    rows::{ACCOUNT_PREFIX, AllowanceRow, HOLDINGS_PREFIX, Holding, HoldingsRow, Mark},
 };
--- a/components/relay/src/endpoints/prompt_split.rs
+++ b/components/relay/src/endpoints/prompt_split.rs
@@ -9,6 +9,7 @@
 use types::Timestamp;
 
 use super::choice::rank;
+use crate::rate::Rate;
 
 /// Prompt tokens that an engine processes in a millisecond, for estimates only.
 pub(super) const PROMPT_TOKENS_PER_MS: f64 = 30.0;
@@ -44,26 +45,6 @@
     tokens >= LONG_PROMPT_TOKENS
 }
 
-/// A rate that forgets.
-#[derive(Debug, Clone, Copy, Default)]
-struct Rate {
-    /// Amount a second at `at`.
-    value: f64,
-    /// Time of the last change.
-    at: Timestamp,
-}
-
-impl Rate {
-    fn add(&mut self, amount: f64, now: Timestamp) {
-        self.value = self.get(now) + amount / RATE_TIME.as_secs_f64();
-        self.at = now;
-    }
-
-    fn get(&self, now: Timestamp) -> f64 {
-        self.value * (-now.since(self.at).as_secs_f64() / RATE_TIME.as_secs_f64()).exp()
-    }
-}
-
 /// Rates of long and short prompts to one service, as this router sees them.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PromptSplit {
@@ -79,7 +60,7 @@
 
 impl Default for PromptSplit {
     fn default() -> PromptSplit {
-        let rate = Rate::default();
+        let rate = Rate::new(RATE_TIME);
         PromptSplit { long: rate, long_tokens: rate, short: rate, share: LARGE_SHARE }
     }
 }
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod peers;
 mod ports;
 mod process;
+mod rate;
 mod serve;
 mod settings;
 pub mod stream;
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -35,6 +35,13 @@
 /// Time that the store has to give tokens before other routers are asked.
 const STORE_WAIT: Duration = Duration::from_millis(40);
 
+/// Part of the latency target for which a request waits for tokens at most, as a divisor.
+const TOKENS_WAIT_DIVISOR: u32 = 9;
+
+/// Time after which a caller may return to an account that has no tokens left that any
+/// router could give, until an operator adds some.
+const TOKENS_RETURN_LATE: Duration = Duration::from_secs(20);
+
 /// Time after which a caller may return whose tokens other routers hold: they return idle
 /// tokens within this time.
 const TOKENS_RETURN: Duration = Duration::from_millis(800);
@@ -171,46 +178,55 @@
 }
 
 /// Reserves the most tokens that the request may use; waits a little for tokens that are
-/// being drawn.
+/// being drawn or lent.
 async fn reserve_tokens(run: &Run) -> Result<Option<Reservation>, Error> {
     let (Some(tokens), Some(account)) = (run.head.tokens, &run.account) else { return Ok(None) };
     if account.prepaid_tokens.is_none() {
         return Ok(None);
     }
-    let cx = &run.cx;
-    let until = cx.instant(cx.now() + TOKENS_WAIT);
-    let mut ask_at = cx.instant(cx.now() + STORE_WAIT);
+    let (cx, name, needed) = (&run.cx, &account.name, tokens.total());
+    let wait = TOKENS_WAIT.min(run.route.latency_target / TOKENS_WAIT_DIVISOR);
+    let until = cx.instant(cx.now() + wait);
+    let mut ask_at = cx.instant(cx.now() + STORE_WAIT.min(wait / 2));
     let mut is_asked = false;
     loop {
         let changed = cx.allowance_changed.notified();
-        let shortage = match cx.lock_allowances().reserve(&account.name, tokens.total()) {
+        let reserved = cx.lock_allowances().reserve(name, needed, cx.now());
+        match reserved {
             Ok(reservation) => return Ok(Some(reservation)),
-            Err(shortage) => shortage,
-        };
-        if shortage == Shortage::Exhausted {
-            metrics::counter!(telemetry::BUDGET_REFUSALS_TOTAL, "reason" => "exhausted")
-                .increment(1);
-            return Err(Error::new(ErrorKind::BudgetExhausted, "the prepaid tokens are spent"));
+            Err(Shortage::Exhausted) => return Err(exhausted()),
+            Err(Shortage::NoneInSight) => return Err(out_of_reach(run, TOKENS_RETURN_LATE)),
+            Err(Shortage::OutOfReach) => {}
         }
         cx.allowance_wanted.notify_one();
-        if cx.lock_allowances().needs_loan(&account.name, tokens.total()) {
+        if cx.lock_allowances().needs_loan(name, needed) {
             ask_at = Instant::now();
         }
         if !is_asked && Instant::now() >= ask_at {
             is_asked = true;
-            cx.gossip.ask_for_loan(cx, &account.name, tokens.total()).await;
+            cx.gossip.ask_for_loan(cx, name, needed).await;
         }
         let wait_until = if is_asked { until } else { ask_at };
         if tokio::time::timeout_at(wait_until, changed).await.is_err() && is_asked {
-            metrics::counter!(telemetry::BUDGET_REFUSALS_TOTAL, "reason" => "out_of_reach")
-                .increment(1);
-            let delay = jitter(TOKENS_RETURN, &mut cx.lock_rng());
-            let message = "the account's tokens are held by other routers";
-            return Err(Error::new(ErrorKind::BudgetShort, message).with_retry_delay(delay));
+            let is_in_sight = cx.lock_allowances().note_refusal(name, needed, cx.now());
+            let delay = if is_in_sight { TOKENS_RETURN } else { TOKENS_RETURN_LATE };
+            return Err(out_of_reach(run, delay));
         }
     }
 }
 
+fn exhausted() -> Error {
+    metrics::counter!(telemetry::BUDGET_REFUSALS_TOTAL, "reason" => "exhausted").increment(1);
+    Error::new(ErrorKind::BudgetExhausted, "the prepaid tokens are spent")
+}
+
+fn out_of_reach(run: &Run, mean_delay: Duration) -> Error {
+    metrics::counter!(telemetry::BUDGET_REFUSALS_TOTAL, "reason" => "out_of_reach").increment(1);
+    let delay = jitter(mean_delay, &mut run.cx.lock_rng());
+    let message = "the account's tokens are out of reach";
+    Error::new(ErrorKind::BudgetShort, message).with_retry_delay(delay)
+}
+
 async fn relay(mut run: Run) -> Result<Response<AnswerBody>, Error> {
     if run.route.repeat.is_stream() {
         return relay_stream(run).await.map_err(|(error, run)| end_failed(error, run));
--- a/components/relay/src/serve/run.rs
+++ b/components/relay/src/serve/run.rs
@@ -15,8 +15,8 @@
     model::{Account, RequestHead, Route},
 };
 
-/// Events of a stream that may be on the way when it breaks; they count as delivered.
-const EVENTS_IN_FLIGHT: u64 = 4;
+/// Events of a stream that may be delivered in part when it breaks.
+const EVENTS_IN_FLIGHT: u64 = 1;
 
 /// One request in progress. Settles its tokens and logs its end when dropped.
 pub(super) struct Run {
@@ -101,7 +101,7 @@
         let now = self.cx.now();
         let spent = self.spent_tokens();
         if let Some(reservation) = self.reservation.take() {
-            self.cx.lock_allowances().settle(reservation, spent, now);
+            self.cx.lock_allowances().settle(reservation, spent);
         }
         self.cx.running.fetch_sub(1, Ordering::Relaxed);
         let total = now.since(self.received_at);
@@ -118,6 +118,8 @@
             attempts = self.attempts,
             arrivals = self.arrivals,
             events = self.events,
+            prompt = self.head.tokens.map_or(0, |it| it.prompt),
+            max_output = self.head.tokens.map_or(0, |it| it.max_output),
             tokens = spent,
             first_ms = first_ms.unwrap_or_default(),
             total_ms = total.as_millis() as u64,
--- a/components/relay/src/sync/allowance_task.rs
+++ b/components/relay/src/sync/allowance_task.rs
@@ -9,10 +9,13 @@
 use utils::jitter;
 
 use super::backoff::Backoff;
-use crate::{allowance::KEY_PREFIX, context::RelayContext};
+use crate::{
+    allowance::{ACCOUNT_PREFIX, CommitInputs, HOLDINGS_PREFIX},
+    context::RelayContext,
+};
 
 /// Time between two checks whether tokens are to be drawn or returned.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+const CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Time between two commits that requests in need of tokens may cause.
 const COMMIT_PAUSE: Duration = Duration::from_millis(20);
@@ -26,7 +29,8 @@
         match result {
             Ok(true) => {
                 backoff.succeed();
-                tokio::time::sleep(COMMIT_PAUSE).await;
+                let pause = jitter(COMMIT_PAUSE, &mut cx.lock_rng());
+                tokio::time::sleep(pause).await;
             }
             Ok(false) => {
                 backoff.succeed();
@@ -50,17 +54,24 @@
         return Ok(false);
     }
     if cx.lock_allowances().needs_read() {
-        let rows = cx.table.scan(KEY_PREFIX, None).await?;
-        cx.lock_allowances().apply_rows(&rows);
+        let accounts = cx.table.scan(ACCOUNT_PREFIX, None).await?;
+        let holdings = cx.table.scan(HOLDINGS_PREFIX, None).await?;
+        cx.lock_allowances().apply_rows(&accounts, &holdings, cx.now());
     }
-    let is_leaving = cx.is_leaving.load(Ordering::Relaxed);
-    let routers = cx.lock_roster().count();
+    let inputs = CommitInputs {
+        routers: cx.lock_roster().count(),
+        is_leaving: cx.is_leaving.load(Ordering::Relaxed),
+        store_time: cx.table.store_time(),
+        now: cx.now(),
+    };
     let is_resent = cx.lock_allowances().has_pending();
-    let commit = cx.lock_allowances().next_commit(routers, is_leaving, cx.now());
+    let commit = cx.lock_allowances().next_commit(&inputs);
     let Some(commit) = commit else { return Ok(false) };
     let outcome = cx.table.commit(&commit).await;
-    log::info!(accounts = commit.writes.len(), resent = is_resent, outcome:? = outcome; "allowance commit");
-    cx.lock_allowances().on_outcome(&outcome, is_resent);
+    if commit.writes.len() > 1 || !matches!(outcome, CommitOutcome::Committed(_)) {
+        log::info!(rows = commit.writes.len(), resent = is_resent, outcome:? = outcome; "allowance commit");
+    }
+    cx.lock_allowances().on_outcome(&outcome, is_resent, cx.now());
     cx.allowance_changed.notify_waiters();
     match outcome {
         CommitOutcome::Committed(_) => Ok(false),
