--- a/components/relay/src/allowance/account.rs
+++ b/components/relay/src/allowance/account.rs
@@ -36,7 +36,7 @@
 
 /// Time of spending that a declaration allows for; more is declared on demand. What is
 /// allowed and not spent is lost at a crash.
-const CEILING_TIME: Duration = Duration::from_millis(1_200);
+const CEILING_TIME: Duration = Duration::from_millis(1_600);
 
 /// Tokens of one account that this router holds.
 #[derive(Debug, Clone)]
@@ -136,12 +136,12 @@
     /// Reserves tokens; false where fewer are available.
     pub(super) fn reserve(&mut self, tokens: u64, now: Timestamp) -> bool {
         self.largest = self.largest.max(tokens);
-        self.rate.add(tokens as f64, now);
         if tokens > self.available(now) {
             self.wanted = self.wanted.max(tokens);
             return false;
         }
         self.reserved += tokens;
+        self.rate.add(tokens as f64, now);
         true
     }
 
@@ -176,6 +176,17 @@
         self.limit.saturating_sub(row.drawn)
     }
 
+    /// Allows in the next declaration for lending `wanted` tokens; false where that would
+    /// not help.
+    pub(super) fn want_to_lend(&mut self, wanted: u64, now: Timestamp) -> bool {
+        let free = self.held - self.reserved;
+        let is_bound = self.is_confirmed && self.available(now) < wanted.min(free);
+        if is_bound {
+            self.wanted = self.wanted.max(wanted.min(free));
+        }
+        is_bound
+    }
+
     /// Takes tokens out to lend them to another router; returns how many.
     pub(super) fn lend(&mut self, wanted: u64, now: Timestamp) -> u64 {
         let available = self.available(now);
@@ -264,9 +275,22 @@
         declared: Holding,
         number: u64,
         binds_until: Timestamp,
+        has_witness: bool,
     ) {
         self.held -= change.give_back;
-        self.ceilings.begin(number, declared.ceiling, binds_until);
+        self.ceilings.begin(number, declared.ceiling, binds_until, has_witness);
+    }
+
+    /// Declares to the witness what is kept; returns how many tokens that are.
+    pub(super) fn declare_to_witness(&mut self, number: u64, now: Timestamp) -> u64 {
+        let declared = self.declare(&Change::default(), now);
+        self.ceilings.begin_witnessed(number, declared.ceiling);
+        declared.held - declared.ceiling
+    }
+
+    /// Notes that the witness has confirmed a declaration.
+    pub(super) fn confirm_witnessed(&mut self, number: u64) {
+        self.ceilings.confirm_witnessed(number);
     }
 
     /// Ends a commit.
--- a/components/relay/src/allowance/book.rs
+++ b/components/relay/src/allowance/book.rs
@@ -10,6 +10,7 @@
     account::{AccountAllowance, Change, changed_row},
     ceiling::{BINDING_TIME, binds_until},
     rows::{ACCOUNT_PREFIX, AllowanceRow, HoldingsRow, Mark},
+    witness::{RouterProcess, WitnessDeclaration, WitnessWord},
 };
 use crate::model::Account;
 
@@ -21,6 +22,12 @@
 /// refused for want of them.
 const SHORTAGE_TIME: Duration = Duration::from_millis(250);
 
+/// Age of the last declaration to the store from which the witness is told too.
+const WITNESS_AFTER: Duration = Duration::from_millis(1_300);
+
+/// Longest time for which a new process waits for the word of its predecessor's witness.
+const WORD_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Accounts in one commit at most; the store takes a hundred rows.
 const COMMIT_ACCOUNTS_MAX: usize = 40;
 
@@ -71,6 +78,17 @@
     adopted: Vec<(Arc<str>, u64)>,
 }
 
+/// What is known of the tokens that the predecessor of this process held.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Inheritance {
+    /// Its row was not looked at yet.
+    Unknown,
+    /// Its witness is asked since then.
+    Asked(RouterProcess, Timestamp),
+    /// These are certainly unspent.
+    Certain(Vec<(Arc<str>, u64)>),
+}
+
 /// All accounts' tokens on one router.
 #[derive(Debug)]
 pub struct AllowanceBook {
@@ -92,6 +110,12 @@
     declared_at: Option<Timestamp>,
     /// The commit in progress; there is one at most.
     pending: Option<Pending>,
+    /// Router that takes declarations while the store is away.
+    witness: Option<RouterProcess>,
+    /// Number of the last declaration to the witness.
+    witness_number: u64,
+    /// What the predecessor of this process left.
+    inheritance: Inheritance,
 }
 
 impl AllowanceBook {
@@ -107,6 +131,9 @@
             is_store_lost: false,
             declared_at: None,
             pending: None,
+            witness: None,
+            witness_number: 0,
+            inheritance: Inheritance::Unknown,
         }
     }
 
@@ -169,6 +196,26 @@
         self.is_store_lost || undrawn < tokens
     }
 
+    /// Tells whether a request of `account` waits for tokens that are held but must not
+    /// leave before the next declaration.
+    pub fn needs_declaration(&self, account: &str, now: Timestamp) -> bool {
+        self.accounts.get(account).is_some_and(|it| it.needs_declaration(now))
+    }
+
+    /// Tells whether more of `wanted` tokens can be lent after a declaration to the witness,
+    /// which it then allows for.
+    pub fn is_bound_below(&mut self, account: &str, wanted: u64, now: Timestamp) -> bool {
+        let is_witnessed = self.declares_to_witness(now);
+        let allowance = self.accounts.get_mut(account);
+        is_witnessed && allowance.is_some_and(|it| it.want_to_lend(wanted, now))
+    }
+
+    /// Tells whether declarations go to the witness now.
+    fn declares_to_witness(&self, now: Timestamp) -> bool {
+        let is_old = self.declared_at.is_some_and(|at| now.since(at) >= WITNESS_AFTER);
+        is_old && self.holdings.as_ref().is_some_and(|(row, _)| row.witness.is_some())
+    }
+
     /// Notes whether the store answers.
     pub fn note_store(&mut self, is_answering: bool) {
         self.is_store_lost = !is_answering;
@@ -212,7 +259,7 @@
         if !self.is_loaded {
             return None;
         }
-        let adopted = self.adoptable(inputs);
+        let adopted = self.inherited(inputs)?;
         // What is taken over changes this router's row only, which no other router writes.
         let changes = if adopted.is_empty() { self.plan(inputs) } else { Vec::new() };
         let now = inputs.now;
@@ -258,13 +305,15 @@
         let mut holdings = HoldingsRow {
             mark: self.mark,
             known_store_ms: inputs.store_time.map(|it| it.millis),
+            witness: self.witness.clone(),
             ..HoldingsRow::default()
         };
         for (name, allowance) in &mut self.accounts {
             let change = changes.iter().find(|(it, _)| it == name).map(|(_, it)| *it);
             let change = change.unwrap_or_default();
             let mut declared = allowance.declare(&change, now);
-            allowance.start(&change, declared, number, binds_until);
+            let has_witness = holdings.witness.is_some();
+            allowance.start(&change, declared, number, binds_until, has_witness);
             let taken_over = adopted.iter().find(|(it, _)| it == name).map_or(0, |(_, it)| *it);
             declared.held += taken_over;
             if declared.held > 0 {
@@ -301,26 +350,127 @@
         Some(next)
     }
 
-    /// Returns the tokens that an earlier process of this router has certainly not spent.
-    fn adoptable(&self, inputs: &CommitInputs) -> Vec<(Arc<str>, u64)> {
-        let Some((row, _)) = &self.holdings else { return Vec::new() };
-        if row.mark.process == self.mark.process {
-            return Vec::new();
+    /// Returns the tokens that the predecessor of this process has certainly not spent;
+    /// `None` while its witness is asked.
+    fn inherited(&mut self, inputs: &CommitInputs) -> Option<Vec<(Arc<str>, u64)>> {
+        let row = self.holdings.as_ref().map(|(row, _)| row);
+        let Some(row) = row.filter(|it| it.mark.process != self.mark.process) else {
+            return Some(Vec::new());
+        };
+        match &self.inheritance {
+            Inheritance::Certain(tokens) => return Some(tokens.clone()),
+            Inheritance::Asked(_, since) if inputs.now.since(*since) < WORD_TIMEOUT => {
+                return None;
+            }
+            Inheritance::Asked(witness, _) => {
+                log::warn!(witness:% = witness.router; "tokens of the earlier process count as spent: no word of its witness");
+                return Some(self.settle_inheritance(Vec::new()));
+            }
+            Inheritance::Unknown => {}
         }
         // The earlier process has ended, so that its ceilings bound it until its end if
         // they bind now.
         let ages = inputs.store_time.zip(row.known_store_ms);
         let age_ms = ages.map(|(time, known)| time.millis.saturating_sub(known));
-        if age_ms.is_none_or(|it| u128::from(it) >= BINDING_TIME.as_millis()) {
-            log::warn!(age_ms = age_ms.unwrap_or_default(), accounts = row.accounts.len(); "tokens of the earlier process count as spent");
-            return Vec::new();
+        if age_ms.is_some_and(|it| u128::from(it) < BINDING_TIME.as_millis()) {
+            let tokens = row.kept();
+            log::info!(age_ms = age_ms.unwrap_or_default(), accounts = tokens.len(); "tokens of the earlier process taken over");
+            return Some(self.settle_inheritance(tokens));
+        }
+        if let Some(witness) = row.witness.clone() {
+            log::info!(age_ms = age_ms.unwrap_or_default(), witness:% = witness.router; "witness of the earlier process asked");
+            self.inheritance = Inheritance::Asked(witness, inputs.now);
+            return None;
+        }
+        log::warn!(age_ms = age_ms.unwrap_or_default(), accounts = row.accounts.len(); "tokens of the earlier process count as spent: its row is old");
+        Some(self.settle_inheritance(Vec::new()))
+    }
+
+    fn settle_inheritance(&mut self, tokens: Vec<(Arc<str>, u64)>) -> Vec<(Arc<str>, u64)> {
+        let mut tokens = tokens;
+        tokens.retain(|(name, it)| *it > 0 && self.accounts.contains_key(name));
+        self.inheritance = Inheritance::Certain(tokens.clone());
+        tokens
+    }
+
+    /// Returns the witness to ask, and about which process.
+    pub fn witness_question(&self) -> Option<(RouterProcess, RouterProcess)> {
+        let Inheritance::Asked(witness, _) = &self.inheritance else { return None };
+        let (row, _) = self.holdings.as_ref()?;
+        let about = RouterProcess { router: self.router.clone(), process: row.mark.process };
+        Some((witness.clone(), about))
+    }
+
+    /// Takes the word of `witness` about `about`.
+    pub fn on_witness_word(
+        &mut self,
+        witness: &RouterProcess,
+        about: &RouterProcess,
+        word: &WitnessWord,
+    ) {
+        if self.witness_question() != Some((witness.clone(), about.clone())) {
+            return;
+        }
+        let Some((row, _)) = &self.holdings else { return };
+        let mut tokens = row.kept();
+        match word {
+            WitnessWord::Nothing => {}
+            WitnessWord::Declared(it) if it.last_commit < row.mark.number => {}
+            WitnessWord::Declared(it) => {
+                for (name, kept) in &mut tokens {
+                    *kept = (*kept).min(it.kept.get(name).copied().unwrap_or_default());
+                }
+            }
+            WitnessWord::Forgotten => tokens.clear(),
+        }
+        let total: u64 = tokens.iter().map(|(_, it)| it).sum();
+        log::info!(witness:% = witness.router, accounts = tokens.len(), total; "tokens of the earlier process taken over by the word of its witness");
+        self.settle_inheritance(tokens);
+    }
+
+    /// Sets the router that is to take declarations while the store is away. It is kept
+    /// while it is among `heard`.
+    pub fn choose_witness(&mut self, heard: &[RouterProcess]) {
+        if self.witness.as_ref().is_none_or(|it| !heard.contains(it)) {
+            self.witness = heard.first().cloned();
+        }
+    }
+
+    /// Returns what is to be declared to the witness of the last declaration to the store;
+    /// `None` while the store takes declarations.
+    pub fn witness_declaration(
+        &mut self,
+        now: Timestamp,
+    ) -> Option<(RouterProcess, WitnessDeclaration)> {
+        if !self.declares_to_witness(now) {
+            return None;
+        }
+        let (row, _) = self.holdings.as_ref()?;
+        let witness = row.witness.clone()?;
+        // A commit in progress names the same witness, or what it declares binds as well.
+        if self.pending.as_ref().is_some_and(|it| it.holdings.witness != row.witness) {
+            return None;
+        }
+        self.witness_number += 1;
+        let number = self.witness_number;
+        let kept = self
+            .accounts
+            .iter_mut()
+            .map(|(name, it)| (name.clone(), it.declare_to_witness(number, now)))
+            .filter(|(_, kept)| *kept > 0);
+        let kept = kept.collect();
+        Some((witness, WitnessDeclaration { number, last_commit: self.mark.number, kept }))
+    }
+
+    /// Notes that the witness keeps a declaration.
+    pub fn on_witness_confirmed(&mut self, witness: &RouterProcess, number: u64) {
+        let named = self.holdings.as_ref().and_then(|(row, _)| row.witness.as_ref());
+        if named != Some(witness) {
+            return;
+        }
+        for allowance in self.accounts.values_mut() {
+            allowance.confirm_witnessed(number);
         }
-        let rest = row.accounts.iter().map(|(name, it)| (name.clone(), it.held - it.ceiling));
-        let rest: Vec<_> =
-            rest.filter(|(name, tokens)| *tokens > 0 && self.accounts.contains_key(name)).collect();
-        let tokens: u64 = rest.iter().map(|(_, tokens)| tokens).sum();
-        log::info!(age_ms = age_ms.unwrap_or_default(), accounts = rest.len(), tokens; "tokens of the earlier process taken over");
-        rest
     }
 
     /// Takes the outcome of the commit that [`next_commit`](Self::next_commit) returned.
--- a/components/relay/src/allowance/mod.rs
+++ b/components/relay/src/allowance/mod.rs
@@ -3,16 +3,19 @@
 //! The row of an account says how many tokens were drawn in all. Drawn tokens belong to one
 //! router until it spends, lends or returns them. The row of a router declares what it holds
 //! and how much of that may leave it before its next declaration, so that its next process
-//! takes over the rest after a crash.
+//! takes over the rest after a crash. While the
+//! store is away it declares the same to another router, its witness.
 
 mod account;
 mod book;
 mod ceiling;
 mod rows;
+mod witness;
 
 pub use self::{
     account::AccountAllowance,
     book::{AllowanceBook, CommitInputs, Reservation, Shortage},
     ceiling::BINDING_TIME,
     rows::{ACCOUNT_PREFIX, AllowanceRow, HOLDINGS_PREFIX, Holding, HoldingsRow, Mark},
+    witness::{RouterProcess, WitnessDeclaration, WitnessRecords, WitnessWord},
 };
--- a/components/relay/src/allowance/rows.rs
+++ b/components/relay/src/allowance/rows.rs
@@ -5,6 +5,8 @@
 use platform::Key;
 use serde::{Deserialize, Serialize};
 
+use super::witness::RouterProcess;
+
 /// Start of the keys of accounts' rows.
 pub const ACCOUNT_PREFIX: &str = "allowance";
 
@@ -59,6 +61,8 @@
     /// Time of the store, in milliseconds, that was known when it was written: at most the
     /// time of the write. The ceilings bind for a while from here.
     pub known_store_ms: Option<u64>,
+    /// Router that takes declarations while the store is away.
+    pub witness: Option<RouterProcess>,
     /// Holdings by account.
     pub accounts: BTreeMap<Arc<str>, Holding>,
 }
@@ -69,3 +73,11 @@
         Key::from_parts(&[HOLDINGS_PREFIX, router])
     }
 }
+
+impl HoldingsRow {
+    /// Returns the tokens that may not leave before the next declaration, by account.
+    pub fn kept(&self) -> Vec<(Arc<str>, u64)> {
+        let kept = self.accounts.iter();
+        kept.map(|(name, it)| (name.clone(), it.held.saturating_sub(it.ceiling))).collect()
+    }
+}
--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -16,7 +16,7 @@
 use utils::Rng;
 
 use crate::{
-    allowance::AllowanceBook,
+    allowance::{AllowanceBook, WitnessRecords},
     endpoints::EndpointBook,
     limits::RetryWindow,
     model::DesiredState,
@@ -74,6 +74,7 @@
     allowances: Mutex<AllowanceBook>,
     retries: Mutex<RetryWindow>,
     quarantine: Mutex<Quarantine>,
+    witness_records: Mutex<WitnessRecords>,
     rng: Mutex<Rng>,
 }
 
@@ -117,6 +118,7 @@
             allowances: Mutex::new(AllowanceBook::new(settings.name.clone(), process)),
             retries: Mutex::new(RetryWindow::new(settings.retries)),
             quarantine: Mutex::default(),
+            witness_records: Mutex::default(),
             rng: Mutex::new(rng),
             settings,
         }
@@ -188,6 +190,11 @@
         self.quarantine.lock().expect("no panic while locked")
     }
 
+    /// Locks the declarations of other routers.
+    pub(crate) fn lock_witness_records(&self) -> MutexGuard<'_, WitnessRecords> {
+        self.witness_records.lock().expect("no panic while locked")
+    }
+
     /// Locks the generator of random numbers.
     pub(crate) fn lock_rng(&self) -> MutexGuard<'_, Rng> {
         self.rng.lock().expect("no panic while locked")
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -13,6 +13,7 @@
 
 use super::{
     CrashMessage, LoadMessage, LoanMessage, Loans, Member, PeerContent, PeerMessage, StatusMessage,
+    witnessing,
 };
 use crate::context::RelayContext;
 
@@ -29,6 +30,9 @@
 /// Routers that are asked for a loan at a time.
 const LENDERS_ASKED: usize = 8;
 
+/// Requests for a loan that wait for a declaration at most.
+const KEPT_LOANS_MAX: usize = 256;
+
 /// Crash records in one message at most.
 const CRASHES_MAX: usize = 16;
 
@@ -41,6 +45,8 @@
     crashes: Mutex<Vec<CrashMessage>>,
     /// Tokens that this router has asked for.
     loans: Mutex<Loans>,
+    /// Requests for tokens that wait for a declaration, with their senders.
+    kept_loans: Mutex<Vec<(LoanMessage, SocketAddr)>>,
 }
 
 impl GossipSocket {
@@ -50,7 +56,12 @@
     /// Where the address cannot be bound.
     pub(crate) async fn bind(address: SocketAddr) -> io::Result<GossipSocket> {
         let socket = UdpSocket::bind(address).await?;
-        Ok(GossipSocket { socket, crashes: Mutex::default(), loans: Mutex::default() })
+        Ok(GossipSocket {
+            socket,
+            crashes: Mutex::default(),
+            loans: Mutex::default(),
+            kept_loans: Mutex::default(),
+        })
     }
 
     /// Adds a crash record to the messages from now on.
@@ -91,11 +102,27 @@
         }
     }
 
+    /// Declares to the witness what this router keeps, where the store does not take it.
+    pub(crate) async fn declare_to_witness(&self, cx: &RelayContext) {
+        witnessing::declare(cx).await;
+    }
+
+    fn keep_loan_request(&self, request: LoanMessage, borrower: SocketAddr) {
+        let mut kept = self.lock_kept_loans();
+        if kept.len() < KEPT_LOANS_MAX {
+            kept.push((request, borrower));
+        }
+    }
+
+    fn lock_kept_loans(&self) -> MutexGuard<'_, Vec<(LoanMessage, SocketAddr)>> {
+        self.kept_loans.lock().expect("no panic while locked")
+    }
+
     fn lock_loans(&self) -> MutexGuard<'_, Loans> {
         self.loans.lock().expect("no panic while locked")
     }
 
-    async fn send(&self, datagram: &[u8], target: SocketAddr) {
+    pub(super) async fn send(&self, datagram: &[u8], target: SocketAddr) {
         if let Err(error) = self.socket.send_to(datagram, target).await {
             metrics::counter!(telemetry::PEER_MESSAGES_DROPPED_TOTAL, "reason" => "send")
                 .increment(1);
@@ -132,13 +159,14 @@
     loop {
         tokio::time::sleep(INTERVAL).await;
         cx.gossip.send_status(cx, false).await;
+        witnessing::send_due(cx).await;
         let now = cx.now();
         cx.lock_roster().expire(now);
         cx.lock_endpoints().expire(now);
     }
 }
 
-fn encode(content: PeerContent) -> Vec<u8> {
+pub(super) fn encode(content: PeerContent) -> Vec<u8> {
     PeerMessage { content: Some(content) }.encode_to_vec()
 }
 
@@ -163,6 +191,22 @@
                 borrow(cx, &loan, sender);
                 true
             }
+            Some(PeerContent::Declaration(it)) => {
+                witnessing::keep(cx, it, sender).await;
+                true
+            }
+            Some(PeerContent::DeclarationKept(it)) => {
+                witnessing::confirm(cx, &it).await;
+                true
+            }
+            Some(PeerContent::Question(it)) => {
+                witnessing::answer(cx, &it, sender).await;
+                true
+            }
+            Some(PeerContent::Word(it)) => {
+                witnessing::take_word(cx, &it);
+                true
+            }
             None => false,
         };
         if !is_read {
@@ -186,8 +230,29 @@
     true
 }
 
-/// Lends tokens to a router that asks. They are taken out before the answer is sent.
+/// Lends tokens to a router that asks. Where they must not leave before a declaration, it
+/// is made first and the request is kept until then.
 async fn lend(cx: &RelayContext, request: LoanMessage, borrower: SocketAddr) {
+    let now = cx.now();
+    let is_bound = cx.lock_allowances().is_bound_below(&request.account, request.tokens, now);
+    if is_bound {
+        cx.gossip.keep_loan_request(request, borrower);
+        witnessing::declare(cx).await;
+    } else {
+        send_loan(cx, request, borrower).await;
+    }
+}
+
+/// Serves the requests that waited for a declaration.
+pub(super) async fn serve_kept_loans(cx: &RelayContext) {
+    let kept = std::mem::take(&mut *cx.gossip.lock_kept_loans());
+    for (request, borrower) in kept {
+        send_loan(cx, request, borrower).await;
+    }
+}
+
+/// Lends what is available. The tokens are taken out before the answer is sent.
+async fn send_loan(cx: &RelayContext, request: LoanMessage, borrower: SocketAddr) {
     let tokens = cx.lock_allowances().lend(&request.account, request.tokens, cx.now());
     if tokens == 0 {
         return;
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -1,19 +1,25 @@
 //! The message by which routers tell each other their state.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use prost::{Message, Oneof};
 use routing::CrashRecord;
 use types::EndpointName;
 use utils::Digest;
 
-use crate::endpoints::{Load, LoadShare};
+use crate::{
+    allowance::{RouterProcess, WitnessDeclaration, WitnessWord},
+    endpoints::{Load, LoadShare},
+};
 
 /// What a datagram holds.
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerMessage {
     /// The message.
-    #[prost(oneof = "PeerContent", tags = "1, 2, 3")]
+    #[prost(oneof = "PeerContent", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub content: Option<PeerContent>,
 }
 
@@ -29,6 +35,120 @@
     /// The sender has given up tokens for the receiver.
     #[prost(message, tag = "3")]
     Loan(LoanMessage),
+    /// The sender declares what it keeps.
+    #[prost(message, tag = "4")]
+    Declaration(DeclarationMessage),
+    /// The sender keeps a declaration of the receiver.
+    #[prost(message, tag = "5")]
+    DeclarationKept(DeclarationMessage),
+    /// The sender asks what its earlier process declared.
+    #[prost(message, tag = "6")]
+    Question(DeclarationMessage),
+    /// The answer to a question.
+    #[prost(message, tag = "7")]
+    Word(DeclarationMessage),
+}
+
+/// A declaration to a witness, a question about one, or an answer to either.
+#[derive(Clone, PartialEq, Message)]
+pub struct DeclarationMessage {
+    /// Router that declares.
+    #[prost(string, tag = "1")]
+    pub router: String,
+    /// Its process.
+    #[prost(fixed64, tag = "2")]
+    pub process: u64,
+    /// Number of the declaration.
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+    /// Last commit that the process had sent to the store.
+    #[prost(uint64, tag = "4")]
+    pub last_commit: u64,
+    /// Kept tokens by account.
+    #[prost(btree_map = "string, uint64", tag = "5")]
+    pub kept: BTreeMap<String, u64>,
+    /// Router that is the witness, in answers.
+    #[prost(string, tag = "6")]
+    pub witness: String,
+    /// Its process, in answers.
+    #[prost(fixed64, tag = "7")]
+    pub witness_process: u64,
+    /// Whether the witness has a declaration, in answers to questions.
+    #[prost(bool, tag = "8")]
+    pub is_found: bool,
+    /// Whether the witness may have forgotten one, in answers to questions.
+    #[prost(bool, tag = "9")]
+    pub is_forgotten: bool,
+}
+
+impl DeclarationMessage {
+    /// Creates the message of a declaration.
+    pub fn new(declarer: &RouterProcess, declaration: &WitnessDeclaration) -> DeclarationMessage {
+        let kept = declaration.kept.iter();
+        DeclarationMessage {
+            number: declaration.number,
+            last_commit: declaration.last_commit,
+            kept: kept.map(|(name, tokens)| (name.to_string(), *tokens)).collect(),
+            is_found: true,
+            ..DeclarationMessage::question(declarer)
+        }
+    }
+
+    /// Creates the message of a question about a process.
+    pub fn question(about: &RouterProcess) -> DeclarationMessage {
+        DeclarationMessage {
+            router: about.router.to_string(),
+            process: about.process,
+            ..DeclarationMessage::default()
+        }
+    }
+
+    /// Creates the answer to a question.
+    pub fn word(about: &RouterProcess, word: &WitnessWord) -> DeclarationMessage {
+        match word {
+            WitnessWord::Nothing => DeclarationMessage::question(about),
+            WitnessWord::Declared(it) => DeclarationMessage::new(about, it),
+            WitnessWord::Forgotten => {
+                DeclarationMessage { is_forgotten: true, ..DeclarationMessage::question(about) }
+            }
+        }
+    }
+
+    /// Adds the witness that answers.
+    pub fn from_witness(mut self, witness: &RouterProcess) -> DeclarationMessage {
+        self.witness = witness.router.to_string();
+        self.witness_process = witness.process;
+        self
+    }
+
+    /// Returns the process that declares.
+    pub fn declarer(&self) -> RouterProcess {
+        RouterProcess { router: self.router.as_str().into(), process: self.process }
+    }
+
+    /// Returns the witness that answers.
+    pub fn answering_witness(&self) -> RouterProcess {
+        RouterProcess { router: self.witness.as_str().into(), process: self.witness_process }
+    }
+
+    /// Returns the declaration.
+    pub fn to_declaration(&self) -> WitnessDeclaration {
+        let kept = self.kept.iter();
+        WitnessDeclaration {
+            number: self.number,
+            last_commit: self.last_commit,
+            kept: kept.map(|(name, tokens)| (Arc::from(name.as_str()), *tokens)).collect(),
+        }
+    }
+
+    /// Returns the answer to a question.
+    pub fn to_word(&self) -> WitnessWord {
+        match (self.is_forgotten, self.is_found) {
+            (true, _) => WitnessWord::Forgotten,
+            (false, true) => WitnessWord::Declared(self.to_declaration()),
+            (false, false) => WitnessWord::Nothing,
+        }
+    }
 }
 
 /// Tokens of an account, wanted or lent.
--- a/components/relay/src/peers/mod.rs
+++ b/components/relay/src/peers/mod.rs
@@ -4,10 +4,14 @@
 mod loans;
 mod message;
 mod roster;
+mod witnessing;
 
 pub(crate) use self::gossip::{GossipSocket, run_gossip};
 pub use self::loans::Loans;
 pub use self::{
-    message::{CrashMessage, LoadMessage, LoanMessage, PeerContent, PeerMessage, StatusMessage},
+    message::{
+        CrashMessage, DeclarationMessage, LoadMessage, LoanMessage, PeerContent, PeerMessage,
+        StatusMessage,
+    },
     roster::{Member, Roster, SelfStatus},
 };
--- a/components/relay/src/peers/roster.rs
+++ b/components/relay/src/peers/roster.rs
@@ -5,6 +5,8 @@
 use types::Timestamp;
 use utils::HashMap;
 
+use crate::allowance::RouterProcess;
+
 /// Time without a message after which a router gets no new callers: four messages.
 const HEARD_TIME: Duration = Duration::from_millis(1_200);
 
@@ -109,6 +111,21 @@
         heard.map(|it| it.member.peer_address).collect()
     }
 
+    /// Returns the processes of the routers that are heard, in the order of their names.
+    pub fn heard_processes(&self, now: Timestamp) -> Vec<RouterProcess> {
+        let heard = self.entries.values().filter(|it| it.is_heard(now));
+        let mut processes: Vec<RouterProcess> = heard
+            .map(|it| RouterProcess { router: it.member.name.clone(), process: it.member.process })
+            .collect();
+        processes.sort_by(|a, b| a.router.cmp(&b.router));
+        processes
+    }
+
+    /// Returns the address of a router for messages.
+    pub fn peer_address(&self, router: &str) -> Option<SocketAddr> {
+        self.entries.get(router).map(|it| it.member.peer_address)
+    }
+
     /// Returns the routers that take new callers. Where none is heard, this router may be
     /// the one that is cut off, and all known ones are returned.
     pub fn ready_members(&self, now: Timestamp) -> Vec<&Member> {
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -199,6 +199,9 @@
             Err(Shortage::OutOfReach) => {}
         }
         cx.allowance_wanted.notify_one();
+        if cx.lock_allowances().needs_declaration(name, cx.now()) {
+            cx.gossip.declare_to_witness(cx).await;
+        }
         if cx.lock_allowances().needs_loan(name, needed) {
             ask_at = Instant::now();
         }
