--- /dev/null
+++ b/components/relay/tests/allowance_takeover.rs
@@ -0,0 +1,186 @@
+//! What the next process of a router takes over after a crash, step by step.
+
+use std::{sync::Arc, time::Duration};
+
+use platform::{Commit, CommitOutcome, Precondition, Revision, Row, StoreTime};
+use relay::{
+    allowance::{
+        AllowanceBook, BINDING_TIME, CommitInputs, RouterProcess, Shortage, WitnessRecords,
+        WitnessWord,
+    },
+    model::Account,
+};
+use types::Timestamp;
+use utils::HashMap;
+
+const ACCOUNT: &str = "school";
+const LIMIT: u64 = 60_000;
+
+fn witness() -> RouterProcess {
+    RouterProcess { router: "router-2".into(), process: 2 }
+}
+
+fn book(process: u64) -> AllowanceBook {
+    let account = Account { name: ACCOUNT.into(), priority: None, prepaid_tokens: Some(LIMIT) };
+    let accounts: HashMap<Arc<str>, Arc<Account>> =
+        [(Arc::from("key"), Arc::new(account))].into_iter().collect();
+    let mut book = AllowanceBook::new("router-1".into(), process);
+    book.set_accounts(&accounts, 1);
+    book
+}
+
+/// The rows of the store, and its revision.
+#[derive(Default)]
+struct Store {
+    rows: Vec<Row>,
+    revision: u64,
+}
+
+impl Store {
+    fn commit(&mut self, commit: &Commit) -> CommitOutcome {
+        for it in &commit.preconditions {
+            let found = self.rows.iter().find(|row| row.key == *it.key()).map(|row| row.revision);
+            let expected = match it {
+                Precondition::Absent(_) => None,
+                Precondition::Revision(_, revision) => Some(*revision),
+            };
+            if found != expected {
+                return CommitOutcome::Conflict(it.key().clone());
+            }
+        }
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        for write in &commit.writes {
+            self.rows.retain(|row| row.key != write.key);
+            let value = write.value.clone().expect("nothing is deleted here");
+            self.rows.push(Row { key: write.key.clone(), revision, value });
+        }
+        CommitOutcome::Committed(revision)
+    }
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+/// Lets a process read the rows and commit what is due; the store's clock is the tests'.
+fn exchange(book: &mut AllowanceBook, store: &mut Store, millis: u64) -> bool {
+    if book.needs_read() {
+        book.apply_rows(&store.rows, &store.rows, at(millis));
+    }
+    let inputs = CommitInputs {
+        routers: 1,
+        is_leaving: false,
+        store_time: Some(StoreTime { millis, age: Duration::ZERO }),
+        now: at(millis),
+    };
+    let Some(commit) = book.next_commit(&inputs) else { return false };
+    let outcome = store.commit(&commit);
+    book.on_outcome(&outcome, false, at(millis));
+    true
+}
+
+/// A process that has drawn tokens, declared them and named its witness.
+fn started(store: &mut Store) -> AllowanceBook {
+    let mut book = book(1);
+    book.choose_witness(&[witness()]);
+    for millis in [0, 10, 600] {
+        exchange(&mut book, store, millis);
+    }
+    book
+}
+
+#[test]
+fn process_that_starts_soon_takes_over_what_was_kept() {
+    let mut store = Store::default();
+    let first = started(&mut store);
+    let held = first.account(ACCOUNT).unwrap().held();
+    let mut second = book(3);
+    exchange(&mut second, &mut store, 1_500);
+    assert_eq!(second.account(ACCOUNT).unwrap().held(), held);
+}
+
+#[test]
+fn process_that_starts_late_waits_for_the_word_of_the_witness() {
+    let mut store = Store::default();
+    let first = started(&mut store);
+    let held = first.account(ACCOUNT).unwrap().held();
+    let late = 600 + BINDING_TIME.as_millis() as u64;
+    let mut second = book(3);
+    assert!(!exchange(&mut second, &mut store, late));
+    let (asked, about) = second.witness_question().expect("the witness is asked");
+    assert_eq!(asked, witness());
+    second.on_witness_word(&asked, &about, &WitnessWord::Nothing);
+    exchange(&mut second, &mut store, late + 10);
+    assert_eq!(second.account(ACCOUNT).unwrap().held(), held);
+}
+
+#[test]
+fn without_a_word_all_counts_as_spent() {
+    let mut store = Store::default();
+    started(&mut store);
+    let late = 600 + BINDING_TIME.as_millis() as u64;
+    for word in [None, Some(WitnessWord::Forgotten)] {
+        let mut second = book(3);
+        exchange(&mut second, &mut store, late);
+        if let (Some(word), Some((asked, about))) = (word, second.witness_question()) {
+            second.on_witness_word(&asked, &about, &word);
+        }
+        let mut copy = Store { rows: store.rows.clone(), revision: store.revision };
+        exchange(&mut second, &mut copy, late + 2_000);
+        let inherited = second.account(ACCOUNT).unwrap().held();
+        let drawn_anew = inherited;
+        assert!(drawn_anew <= LIMIT - 10_000, "{inherited}");
+    }
+}
+
+#[test]
+fn nothing_leaves_after_the_binding_time_before_the_witness_confirms() {
+    let mut store = Store::default();
+    let mut first = started(&mut store);
+    let account = Arc::from(ACCOUNT);
+    let later = at(700 + BINDING_TIME.as_millis() as u64 * 2);
+    assert_eq!(first.reserve(&account, 500, later), Err(Shortage::OutOfReach));
+    let (_, declaration) = first.witness_declaration(later).expect("the store is away");
+    assert_eq!(first.reserve(&account, 500, later), Err(Shortage::OutOfReach));
+    first.on_witness_confirmed(&witness(), declaration.number);
+    assert!(first.reserve(&account, 500, later).is_ok());
+}
+
+#[test]
+fn word_of_the_witness_bounds_what_is_taken_over() {
+    let mut store = Store::default();
+    let mut first = started(&mut store);
+    let account: Arc<str> = Arc::from(ACCOUNT);
+    let later = at(700 + BINDING_TIME.as_millis() as u64 * 2);
+    let held = first.account(ACCOUNT).unwrap().held();
+    let _ = first.reserve(&account, 4_000, later);
+    let (_, declaration) = first.witness_declaration(later).expect("the store is away");
+    first.on_witness_confirmed(&witness(), declaration.number);
+    let reservation = first.reserve(&account, 4_000, later).unwrap();
+    first.settle(reservation, 4_000);
+
+    let mut records = WitnessRecords::default();
+    let declarer = RouterProcess { router: "router-1".into(), process: 1 };
+    assert!(records.keep(declarer, declaration));
+    let mut second = book(3);
+    assert!(!exchange(&mut second, &mut store, 9_000));
+    let (asked, about) = second.witness_question().unwrap();
+    second.on_witness_word(&asked, &about, &records.word(&about));
+    exchange(&mut second, &mut store, 9_010);
+    let taken_over = second.account(ACCOUNT).unwrap().held();
+    assert!(taken_over <= held - 4_000, "{taken_over} of {held}");
+    assert!(taken_over > 0);
+}
+
+#[test]
+fn loan_is_out_before_it_is_in() {
+    let mut store = Store::default();
+    let mut lender = started(&mut store);
+    let before = lender.account(ACCOUNT).unwrap().held();
+    let _ = lender.reserve(&Arc::from(ACCOUNT), 2_000, at(650));
+    exchange(&mut lender, &mut store, 1_200);
+    let lent = lender.lend(ACCOUNT, 1_000, at(1_210));
+    assert!(lent > 0);
+    assert_eq!(lender.account(ACCOUNT).unwrap().held(), before - lent);
+}
