--- a/components/relay/src/allowance/book.rs
+++ b/components/relay/src/allowance/book.rs
@@ -22,10 +22,13 @@
 /// refused for want of them.
 const SHORTAGE_TIME: Duration = Duration::from_millis(250);
 
-/// Age of the last declaration to the store from which the witness is told too.
+/// Age of the last declaration to the store from which the witnesses are told too.
 const WITNESS_AFTER: Duration = Duration::from_millis(1_300);
 
-/// Longest time for which a new process waits for the word of its predecessor's witness.
+/// Witnesses of a router: with two, one of them may be lost while the store is away.
+const WITNESSES: usize = 2;
+
+/// Longest time for which a new process waits for the words of its predecessor's witnesses.
 const WORD_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Accounts in one commit at most; the store takes a hundred rows.
@@ -83,8 +86,15 @@
 enum Inheritance {
     /// Its row was not looked at yet.
     Unknown,
-    /// Its witness is asked since then.
-    Asked(RouterProcess, Timestamp),
+    /// Its witnesses are asked.
+    Asked {
+        /// Witnesses that have not answered.
+        silent: Vec<RouterProcess>,
+        /// What is kept by the words so far.
+        kept: Vec<(Arc<str>, u64)>,
+        /// Since when they are asked.
+        since: Timestamp,
+    },
     /// These are certainly unspent.
     Certain(Vec<(Arc<str>, u64)>),
 }
@@ -110,9 +120,9 @@
     declared_at: Option<Timestamp>,
     /// The commit in progress; there is one at most.
     pending: Option<Pending>,
-    /// Router that takes declarations while the store is away.
-    witness: Option<RouterProcess>,
-    /// Number of the last declaration to the witness.
+    /// Routers that take declarations while the store is away.
+    witnesses: Vec<RouterProcess>,
+    /// Number of the last declaration to the witnesses.
     witness_number: u64,
     /// What the predecessor of this process left.
     inheritance: Inheritance,
@@ -131,7 +141,7 @@
             is_store_lost: false,
             declared_at: None,
             pending: None,
-            witness: None,
+            witnesses: Vec::new(),
             witness_number: 0,
             inheritance: Inheritance::Unknown,
         }
@@ -213,7 +223,7 @@
     /// Tells whether declarations go to the witness now.
     fn declares_to_witness(&self, now: Timestamp) -> bool {
         let is_old = self.declared_at.is_some_and(|at| now.since(at) >= WITNESS_AFTER);
-        is_old && self.holdings.as_ref().is_some_and(|(row, _)| row.witness.is_some())
+        is_old && self.holdings.as_ref().is_some_and(|(row, _)| !row.witnesses.is_empty())
     }
 
     /// Notes whether the store answers.
@@ -305,14 +315,14 @@
         let mut holdings = HoldingsRow {
             mark: self.mark,
             known_store_ms: inputs.store_time.map(|it| it.millis),
-            witness: self.witness.clone(),
+            witnesses: self.witnesses.clone(),
             ..HoldingsRow::default()
         };
         for (name, allowance) in &mut self.accounts {
             let change = changes.iter().find(|(it, _)| it == name).map(|(_, it)| *it);
             let change = change.unwrap_or_default();
             let mut declared = allowance.declare(&change, now);
-            let has_witness = holdings.witness.is_some();
+            let has_witness = !holdings.witnesses.is_empty();
             allowance.start(&change, declared, number, binds_until, has_witness);
             let taken_over = adopted.iter().find(|(it, _)| it == name).map_or(0, |(_, it)| *it);
             declared.held += taken_over;
@@ -359,11 +369,11 @@
         };
         match &self.inheritance {
             Inheritance::Certain(tokens) => return Some(tokens.clone()),
-            Inheritance::Asked(_, since) if inputs.now.since(*since) < WORD_TIMEOUT => {
+            Inheritance::Asked { since, .. } if inputs.now.since(*since) < WORD_TIMEOUT => {
                 return None;
             }
-            Inheritance::Asked(witness, _) => {
-                log::warn!(witness:% = witness.router; "tokens of the earlier process count as spent: no word of its witness");
+            Inheritance::Asked { silent, .. } => {
+                log::warn!(silent:? = silent; "tokens of the earlier process count as spent: no word of its witnesses");
                 return Some(self.settle_inheritance(Vec::new()));
             }
             Inheritance::Unknown => {}
@@ -377,9 +387,10 @@
             log::info!(age_ms = age_ms.unwrap_or_default(), accounts = tokens.len(); "tokens of the earlier process taken over");
             return Some(self.settle_inheritance(tokens));
         }
-        if let Some(witness) = row.witness.clone() {
-            log::info!(age_ms = age_ms.unwrap_or_default(), witness:% = witness.router; "witness of the earlier process asked");
-            self.inheritance = Inheritance::Asked(witness, inputs.now);
+        if !row.witnesses.is_empty() {
+            log::info!(age_ms = age_ms.unwrap_or_default(), witnesses = row.witnesses.len(); "witnesses of the earlier process asked");
+            let (silent, kept) = (row.witnesses.clone(), row.kept());
+            self.inheritance = Inheritance::Asked { silent, kept, since: inputs.now };
             return None;
         }
         log::warn!(age_ms = age_ms.unwrap_or_default(), accounts = row.accounts.len(); "tokens of the earlier process count as spent: its row is old");
@@ -393,12 +404,12 @@
         tokens
     }
 
-    /// Returns the witness to ask, and about which process.
-    pub fn witness_question(&self) -> Option<(RouterProcess, RouterProcess)> {
-        let Inheritance::Asked(witness, _) = &self.inheritance else { return None };
+    /// Returns the witnesses to ask, and about which process.
+    pub fn witness_question(&self) -> Option<(Vec<RouterProcess>, RouterProcess)> {
+        let Inheritance::Asked { silent, .. } = &self.inheritance else { return None };
         let (row, _) = self.holdings.as_ref()?;
         let about = RouterProcess { router: self.router.clone(), process: row.mark.process };
-        Some((witness.clone(), about))
+        Some((silent.clone(), about))
     }
 
     /// Takes the word of `witness` about `about`.
@@ -408,47 +419,58 @@
         about: &RouterProcess,
         word: &WitnessWord,
     ) {
-        if self.witness_question() != Some((witness.clone(), about.clone())) {
-            return;
-        }
-        let Some((row, _)) = &self.holdings else { return };
-        let mut tokens = row.kept();
+        let is_asked = self
+            .witness_question()
+            .is_some_and(|(silent, asked_about)| silent.contains(witness) && asked_about == *about);
+        let Some((row, _)) = self.holdings.as_ref().filter(|_| is_asked) else { return };
+        let last_commit = row.mark.number;
+        let Inheritance::Asked { silent, kept, .. } = &mut self.inheritance else { return };
+        silent.retain(|it| it != witness);
         match word {
             WitnessWord::Nothing => {}
-            WitnessWord::Declared(it) if it.last_commit < row.mark.number => {}
+            WitnessWord::Declared(it) if it.last_commit < last_commit => {}
             WitnessWord::Declared(it) => {
-                for (name, kept) in &mut tokens {
-                    *kept = (*kept).min(it.kept.get(name).copied().unwrap_or_default());
+                for (name, tokens) in kept.iter_mut() {
+                    *tokens = (*tokens).min(it.kept.get(name).copied().unwrap_or_default());
                 }
             }
-            WitnessWord::Forgotten => tokens.clear(),
+            WitnessWord::Forgotten => kept.clear(),
+        }
+        if silent.is_empty() {
+            let tokens = std::mem::take(kept);
+            log::info!(witness:% = witness.router, accounts = tokens.len(); "tokens of the earlier process taken over by the word of its witnesses");
+            self.settle_inheritance(tokens);
         }
-        let total: u64 = tokens.iter().map(|(_, it)| it).sum();
-        log::info!(witness:% = witness.router, accounts = tokens.len(), total; "tokens of the earlier process taken over by the word of its witness");
-        self.settle_inheritance(tokens);
     }
 
-    /// Sets the router that is to take declarations while the store is away. It is kept
-    /// while it is among `heard`.
-    pub fn choose_witness(&mut self, heard: &[RouterProcess]) {
-        if self.witness.as_ref().is_none_or(|it| !heard.contains(it)) {
-            self.witness = heard.first().cloned();
+    /// Sets the routers that are to take declarations while the store is away. They are kept
+    /// while they are among `heard`.
+    pub fn choose_witnesses(&mut self, heard: &[RouterProcess]) {
+        self.witnesses.retain(|it| heard.contains(it));
+        for it in heard {
+            if self.witnesses.len() < WITNESSES && !self.witnesses.contains(it) {
+                self.witnesses.push(it.clone());
+            }
         }
     }
 
-    /// Returns what is to be declared to the witness of the last declaration to the store;
+    /// Returns what is to be declared to the witnesses of the last declaration to the store;
     /// `None` while the store takes declarations.
     pub fn witness_declaration(
         &mut self,
         now: Timestamp,
-    ) -> Option<(RouterProcess, WitnessDeclaration)> {
+    ) -> Option<(Vec<RouterProcess>, WitnessDeclaration)> {
         if !self.declares_to_witness(now) {
             return None;
         }
         let (row, _) = self.holdings.as_ref()?;
-        let witness = row.witness.clone()?;
-        // A commit in progress names the same witness, or what it declares binds as well.
-        if self.pending.as_ref().is_some_and(|it| it.holdings.witness != row.witness) {
+        let mut witnesses = row.witnesses.clone();
+        // The next process may find the row of the commit in progress, and asks only the
+        // witnesses that it names.
+        if let Some(pending) = &self.pending {
+            witnesses.retain(|it| pending.holdings.witnesses.contains(it));
+        }
+        if witnesses.is_empty() {
             return None;
         }
         self.witness_number += 1;
@@ -459,13 +481,15 @@
             .map(|(name, it)| (name.clone(), it.declare_to_witness(number, now)))
             .filter(|(_, kept)| *kept > 0);
         let kept = kept.collect();
-        Some((witness, WitnessDeclaration { number, last_commit: self.mark.number, kept }))
+        Some((witnesses, WitnessDeclaration { number, last_commit: self.mark.number, kept }))
     }
 
     /// Notes that the witness keeps a declaration.
     pub fn on_witness_confirmed(&mut self, witness: &RouterProcess, number: u64) {
-        let named = self.holdings.as_ref().and_then(|(row, _)| row.witness.as_ref());
-        if named != Some(witness) {
+        let names = |row: &HoldingsRow| row.witnesses.contains(witness);
+        let is_named = self.holdings.as_ref().is_some_and(|(row, _)| names(row))
+            && self.pending.as_ref().is_none_or(|it| names(&it.holdings));
+        if !is_named {
             return;
         }
         for allowance in self.accounts.values_mut() {
--- a/components/relay/src/allowance/mod.rs
+++ b/components/relay/src/allowance/mod.rs
@@ -4,7 +4,7 @@
 //! router until it spends, lends or returns them. The row of a router declares what it holds
 //! and how much of that may leave it before its next declaration, so that its next process
 //! takes over the rest after a crash. While the
-//! store is away it declares the same to another router, its witness.
+//! store is away it declares the same to other routers, its witnesses.
 
 mod account;
 mod book;
--- a/components/relay/src/allowance/rows.rs
+++ b/components/relay/src/allowance/rows.rs
@@ -61,8 +61,9 @@
     /// Time of the store, in milliseconds, that was known when it was written: at most the
     /// time of the write. The ceilings bind for a while from here.
     pub known_store_ms: Option<u64>,
-    /// Router that takes declarations while the store is away.
-    pub witness: Option<RouterProcess>,
+    /// Routers that take declarations while the store is away. One that keeps a declaration
+    /// is enough for the declarer; its next process asks all.
+    pub witnesses: Vec<RouterProcess>,
     /// Holdings by account.
     pub accounts: BTreeMap<Arc<str>, Holding>,
 }
--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -58,6 +58,8 @@
     pub(crate) newest_seen: AtomicU64,
     /// Woken when a router has a newer desired state, or the settings changed.
     pub(crate) config_hint: Notify,
+    /// Woken when a desired state was put in force.
+    pub(crate) started: Notify,
     /// Woken when tokens are wanted.
     pub(crate) allowance_wanted: Notify,
     /// Woken when tokens have arrived.
@@ -107,6 +109,7 @@
             in_force: ArcSwapOption::empty(),
             newest_seen: AtomicU64::new(0),
             config_hint: Notify::new(),
+            started: Notify::new(),
             allowance_wanted: Notify::new(),
             allowance_changed: Notify::new(),
             place_freed: Notify::new(),
--- a/components/relay/src/peers/witnessing.rs
+++ b/components/relay/src/peers/witnessing.rs
@@ -21,28 +21,30 @@
     let mut heard = cx.lock_roster().heard_processes(now);
     // Witnesses are spread over the routers.
     heard.shuffle(&mut *cx.lock_rng());
-    cx.lock_allowances().choose_witness(&heard);
+    cx.lock_allowances().choose_witnesses(&heard);
     declare(cx).await;
     let question = cx.lock_allowances().witness_question();
-    if let Some((witness, about)) = question {
+    if let Some((witnesses, about)) = question {
         let message = DeclarationMessage::question(&about);
-        send_to(cx, &witness, PeerContent::Question(message)).await;
+        send_to(cx, &witnesses, &PeerContent::Question(message)).await;
     }
 }
 
 /// Declares to the witness what this router keeps, where the store does not take it.
 pub(super) async fn declare(cx: &RelayContext) {
     let declaration = cx.lock_allowances().witness_declaration(cx.now());
-    if let Some((witness, declaration)) = declaration {
+    if let Some((witnesses, declaration)) = declaration {
         let message = DeclarationMessage::new(&own_process(cx), &declaration);
-        send_to(cx, &witness, PeerContent::Declaration(message)).await;
+        send_to(cx, &witnesses, &PeerContent::Declaration(message)).await;
     }
 }
 
-async fn send_to(cx: &RelayContext, witness: &RouterProcess, content: PeerContent) {
-    let address = cx.lock_roster().peer_address(&witness.router);
-    if let Some(address) = address {
-        cx.gossip.send(&encode(content), address).await;
+async fn send_to(cx: &RelayContext, witnesses: &[RouterProcess], content: &PeerContent) {
+    for witness in witnesses {
+        let address = cx.lock_roster().peer_address(&witness.router);
+        if let Some(address) = address {
+            cx.gossip.send(&encode(content.clone()), address).await;
+        }
     }
 }
 
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -47,6 +47,10 @@
 /// tokens within this time.
 const TOKENS_RETURN: Duration = Duration::from_millis(800);
 
+/// Time for which a request waits for what a new process reads at its start: a few answers
+/// of the store.
+const START_WAIT: Duration = Duration::from_millis(60);
+
 /// Time after which a caller may return to a router that has no desired state yet.
 const START_RETURN: Duration = Duration::from_millis(400);
 
@@ -83,7 +87,7 @@
     let received_at = cx.now();
     metrics::counter!(telemetry::REQUESTS_TOTAL, "interface" => "relay").increment(1);
     check_framing(&head.headers)?;
-    let Some(in_force) = cx.in_force.load_full() else {
+    let Some(in_force) = wait_for_state(cx).await else {
         let delay = jitter(START_RETURN, &mut cx.lock_rng());
         let message = "no desired state is known yet";
         return Err(Error::new(ErrorKind::StoreUnavailable, message).with_retry_delay(delay));
@@ -108,6 +112,20 @@
     relay(run).await
 }
 
+/// Returns the desired state in force; waits a little for the first one.
+async fn wait_for_state(cx: &RelayContext) -> Option<Arc<InForce>> {
+    let until = cx.instant(cx.now() + START_WAIT);
+    loop {
+        let changed = cx.started.notified();
+        if let Some(in_force) = cx.in_force.load_full() {
+            return Some(in_force);
+        }
+        if tokio::time::timeout_at(until, changed).await.is_err() {
+            return None;
+        }
+    }
+}
+
 /// Finds the route and the client account of a request.
 fn authorize(
     in_force: &InForce,
--- a/components/relay/src/sync/endpoint_watch.rs
+++ b/components/relay/src/sync/endpoint_watch.rs
@@ -41,6 +41,7 @@
         let mut endpoints = cx.lock_endpoints();
         endpoints.note_contact(true, now);
         endpoints.apply_list(entries, now);
+        cx.place_freed.notify_waiters();
         return Ok(Some(cursor));
     };
     match cx.source.endpoints_after(cursor).await? {
--- a/components/relay/tests/allowance_faults.rs
+++ b/components/relay/tests/allowance_faults.rs
@@ -365,16 +365,20 @@
             .filter(|&other| other != index && live(&self.routers[other]))
             .map(|other| self.routers[other].identity())
             .collect();
-        self.routers[index].book.choose_witness(&heard);
+        self.routers[index].book.choose_witnesses(&heard);
         let declared = self.routers[index].book.witness_declaration(now);
-        if let Some((witness, declaration)) = declared {
-            self.declare(index, &witness, declaration);
+        if let Some((witnesses, declaration)) = declared {
+            for witness in &witnesses {
+                self.declare(index, witness, declaration.clone());
+            }
         }
-        let Some((witness, about)) = self.routers[index].book.witness_question() else { return };
-        let asked = self.routers.iter().find(|it| live(it) && it.identity() == witness);
-        let word = asked.map(|it| it.records.word(&about));
-        if let Some(word) = word.filter(|_| self.rng.random_bool(0.5)) {
-            self.routers[index].book.on_witness_word(&witness, &about, &word);
+        let Some((asked, about)) = self.routers[index].book.witness_question() else { return };
+        for witness in asked {
+            let found = self.routers.iter().find(|it| live(it) && it.identity() == witness);
+            let word = found.map(|it| it.records.word(&about));
+            if let Some(word) = word.filter(|_| self.rng.random_bool(0.5)) {
+                self.routers[index].book.on_witness_word(&witness, &about, &word);
+            }
         }
     }
 
--- a/components/relay/tests/allowance_takeover.rs
+++ b/components/relay/tests/allowance_takeover.rs
@@ -26,6 +26,10 @@
     RouterProcess { router: "router-2".into(), process: 2 }
 }
 
+fn other_witness() -> RouterProcess {
+    RouterProcess { router: "router-3".into(), process: 3 }
+}
+
 fn book(process: u64) -> AllowanceBook {
     let account = Account { name: ACCOUNT.into(), priority: None, prepaid_tokens: Some(LIMIT) };
     let accounts: HashMap<Arc<str>, Arc<Account>> =
@@ -94,7 +98,7 @@
 /// A process that has drawn tokens, declared them and named its witness.
 fn started(store: &mut Store) -> AllowanceBook {
     let mut book = book(1);
-    book.choose_witness(&[witness()]);
+    book.choose_witnesses(&[witness(), other_witness()]);
     for millis in [0, 10, 600] {
         exchange(&mut book, store, millis);
     }
@@ -119,9 +123,11 @@
     let late = 600 + BINDING_TIME.as_millis() as u64;
     let mut second = book(3);
     assert!(!exchange(&mut second, &mut store, late));
-    let (asked, about) = second.witness_question().expect("the witness is asked");
-    assert_eq!(asked, witness());
-    second.on_witness_word(&asked, &about, &WitnessWord::Nothing);
+    let (asked, about) = second.witness_question().expect("the witnesses are asked");
+    assert_eq!(asked, [witness(), other_witness()]);
+    second.on_witness_word(&witness(), &about, &WitnessWord::Nothing);
+    assert!(!exchange(&mut second, &mut store, late + 5), "one word is not enough");
+    second.on_witness_word(&other_witness(), &about, &WitnessWord::Nothing);
     exchange(&mut second, &mut store, late + 10);
     assert_eq!(second.account(ACCOUNT).unwrap().held(), kept_of(held));
 }
@@ -135,7 +141,7 @@
         let mut second = book(3);
         exchange(&mut second, &mut store, late);
         if let (Some(word), Some((asked, about))) = (word, second.witness_question()) {
-            second.on_witness_word(&asked, &about, &word);
+            asked.iter().for_each(|it| second.on_witness_word(it, &about, &word));
         }
         let mut copy = Store { rows: store.rows.clone(), revision: store.revision };
         exchange(&mut second, &mut copy, late + 2_000);
@@ -158,6 +164,18 @@
     assert!(first.reserve(&account, 500, later).is_ok());
 }
 
+#[test]
+fn one_of_two_witnesses_is_enough_to_go_on() {
+    let mut store = Store::default();
+    let mut first = started(&mut store);
+    let later = at(700 + BINDING_TIME.as_millis() as u64 * 2);
+    let _ = first.reserve(&Arc::from(ACCOUNT), 500, later);
+    let (witnesses, declaration) = first.witness_declaration(later).expect("the store is away");
+    assert_eq!(witnesses.len(), 2);
+    first.on_witness_confirmed(&other_witness(), declaration.number);
+    assert!(first.reserve(&Arc::from(ACCOUNT), 500, later).is_ok());
+}
+
 #[test]
 fn word_of_the_witness_bounds_what_is_taken_over() {
     let mut store = Store::default();
@@ -177,7 +195,10 @@
     let mut second = book(3);
     assert!(!exchange(&mut second, &mut store, 9_000));
     let (asked, about) = second.witness_question().unwrap();
-    second.on_witness_word(&asked, &about, &records.word(&about));
+    assert_eq!(asked.len(), 2);
+    // The declaration reached one of the two only.
+    second.on_witness_word(&witness(), &about, &records.word(&about));
+    second.on_witness_word(&other_witness(), &about, &WitnessWord::Nothing);
     exchange(&mut second, &mut store, 9_010);
     let taken_over = second.account(ACCOUNT).unwrap().held();
     assert!(taken_over <= held - 4_000, "{taken_over} of {held}");
