--- a/components/relay/src/rate.rs
+++ b/components/relay/src/rate.rs
@@ -6,7 +6,7 @@
 
 /// Least share of the averaging time that counts as observed, so that the first amount does
 /// not pass for a high rate.
-const OBSERVED_MIN: f64 = 0.2;
+const OBSERVED_MIN: f64 = 0.5;
 
 /// Mean amount a second, in which older amounts count less.
 #[derive(Debug, Clone, Copy)]
