--- a/components/relay/src/allowance/account.rs
+++ b/components/relay/src/allowance/account.rs
@@ -30,13 +30,17 @@
 /// Share of the target below which tokens are drawn, as a divisor of what may be missing.
 const MISSING_DIVISOR: u64 = 4;
 
+/// Part of the prepaid tokens, as a divisor, of which the last undrawn ones are left to
+/// requests that need them.
+const LAST_TOKENS_DIVISOR: u64 = 50;
+
 /// Part of the prepaid tokens below which a change of the row is not worth its cost, as a
 /// divisor.
 const CHANGE_DIVISOR: u64 = 500;
 
 /// Time of spending that a declaration allows for; more is declared on demand. What is
 /// allowed and not spent is lost at a crash.
-const CEILING_TIME: Duration = Duration::from_millis(1_600);
+const CEILING_TIME: Duration = Duration::from_millis(2_800);
 
 /// Part of the held tokens that may leave in any case, as a divisor, so that a router
 /// without requests of late serves the first ones when the store goes away.
@@ -231,9 +235,10 @@
             // Fewer than a request needs are of no use here.
             let missing = target.max(self.wanted) - free;
             change.draw = if self.wanted - free <= pool { missing.min(pool) } else { 0 };
-        } else if free < target && is_worth_it((target - free) * MISSING_DIVISOR) {
-            let is_due = target - free >= target / MISSING_DIVISOR;
-            change.draw = if is_due { (target - free).min(pool) } else { 0 };
+        } else if free < target && pool > self.limit / LAST_TOKENS_DIVISOR {
+            let missing = target - free;
+            let is_due = missing >= target / MISSING_DIVISOR && is_worth_it(missing);
+            change.draw = if is_due { missing.min(pool) } else { 0 };
         } else if free > target * 2 && self.is_scarce(pool) && is_worth_it(free - target) {
             change.give_back = free - target;
         }
--- a/components/relay/src/allowance/book.rs
+++ b/components/relay/src/allowance/book.rs
@@ -16,14 +16,14 @@
 
 /// Time between two declarations: what was spent since the last one need not be feared
 /// lost.
-const DECLARATION_INTERVAL: Duration = Duration::from_millis(500);
+const DECLARATION_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time for which a request is refused at once after one that asked for no more tokens was
 /// refused for want of them.
 const SHORTAGE_TIME: Duration = Duration::from_millis(250);
 
 /// Age of the last declaration to the store from which the witnesses are told too.
-const WITNESS_AFTER: Duration = Duration::from_millis(1_300);
+const WITNESS_AFTER: Duration = Duration::from_millis(1_000);
 
 /// Witnesses of a router: with two, one of them may be lost while the store is away.
 const WITNESSES: usize = 2;
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -25,8 +25,8 @@
 /// Time for which a leaving router still accepts callers that have an old list of addresses.
 const ACCEPT_AFTER_LEAVING: Duration = Duration::from_millis(2_500);
 
-/// Time kept at the end of the grace for the process to end.
-const END_RESERVE: Duration = Duration::from_millis(700);
+/// Part of the grace that is kept for the process to end, as a divisor.
+const END_RESERVE_DIVISOR: u32 = 6;
 
 /// Time between two looks whether all requests have ended.
 const IDLE_CHECK: Duration = Duration::from_millis(50);
@@ -104,7 +104,8 @@
     pub async fn shut_down(self) {
         let started = Instant::now();
         let cx = &self.cx;
-        let end_by = started + cx.settings.shutdown_grace.saturating_sub(END_RESERVE);
+        let reserve = cx.settings.shutdown_grace / END_RESERVE_DIVISOR;
+        let end_by = started + cx.settings.shutdown_grace - reserve;
         log::info!(running = cx.running.load(Ordering::Relaxed); "router leaves");
         cx.is_leaving.store(true, Ordering::Relaxed);
         cx.gossip.send_status(cx, false).await;
@@ -114,7 +115,7 @@
             tokio::time::sleep(IDLE_CHECK).await;
         }
         self.allowances.abort();
-        let _ = tokio::time::timeout_at(end_by + END_RESERVE / 2, async {
+        let _ = tokio::time::timeout_at(end_by + reserve / 2, async {
             return_allowances(cx).await;
             remove_member_row(cx).await;
         })
--- a/components/relay/src/sync/allowance_task.rs
+++ b/components/relay/src/sync/allowance_task.rs
@@ -15,7 +15,7 @@
 };
 
 /// Time between two checks whether tokens are to be drawn or returned.
-const CHECK_INTERVAL: Duration = Duration::from_millis(400);
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time between two commits that requests in need of tokens may cause.
 const COMMIT_PAUSE: Duration = Duration::from_millis(20);
