--- /dev/null
+++ b/components/relay/src/allowance/book/mod.rs
@@ -0,0 +1,118 @@
+//! All accounts' tokens on one router, and the commits that move them.
+
+mod commits;
+mod inheritance;
+mod requests;
+mod witnesses;
+
+use std::sync::Arc;
+
+use platform::{Revision, StoreTime};
+use types::Timestamp;
+use utils::HashMap;
+
+use self::{commits::Pending, inheritance::Inheritance};
+use super::{
+    account::AccountAllowance,
+    rows::{AllowanceRow, HoldingsRow, Mark},
+    witness::RouterProcess,
+};
+use crate::model::Account;
+
+/// Why a request gets no tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shortage {
+    /// The account has spent so much that the request does not fit any more.
+    Exhausted,
+    /// Other routers hold the tokens, or the store did not answer yet.
+    OutOfReach,
+    /// A moment ago neither the store nor another router had as many.
+    NoneInSight,
+}
+
+/// Tokens reserved for one request; to be settled exactly once.
+#[derive(Debug, PartialEq, Eq)]
+#[must_use = "a reservation is to be settled"]
+pub struct Reservation {
+    /// Account.
+    pub account: Arc<str>,
+    /// Tokens.
+    pub tokens: u64,
+}
+
+/// What the next commit depends on.
+#[derive(Debug, Clone, Copy)]
+pub struct CommitInputs {
+    /// Routers that share the accounts.
+    pub routers: usize,
+    /// Whether this router is ending.
+    pub is_leaving: bool,
+    /// Latest known time of the store.
+    pub store_time: Option<StoreTime>,
+    /// Present time.
+    pub now: Timestamp,
+}
+
+/// All accounts' tokens on one router.
+#[derive(Debug)]
+pub struct AllowanceBook {
+    /// Name of this router.
+    router: Arc<str>,
+    /// Mark of the last commit.
+    mark: Mark,
+    /// Tokens by account.
+    accounts: HashMap<Arc<str>, AccountAllowance>,
+    /// Accounts' rows as they were last read or written, with their revisions.
+    rows: HashMap<Arc<str>, (AllowanceRow, Revision)>,
+    /// This router's row as it was last read or written.
+    holdings: Option<(HoldingsRow, Revision)>,
+    /// Whether the rows are known.
+    is_loaded: bool,
+    /// Whether the last call to the store failed.
+    is_store_lost: bool,
+    /// When this router's row was last written.
+    declared_at: Option<Timestamp>,
+    /// The commit in progress; there is one at most.
+    pending: Option<Pending>,
+    /// Routers that take declarations while the store is away.
+    witnesses: Vec<RouterProcess>,
+    /// Number of the last declaration to the witnesses.
+    witness_number: u64,
+    /// What the predecessor of this process left.
+    inheritance: Inheritance,
+}
+
+impl AllowanceBook {
+    /// Creates the book of a router; `process` differs in each process of its name.
+    pub fn new(router: Arc<str>, process: u64) -> AllowanceBook {
+        AllowanceBook {
+            router,
+            mark: Mark { process, number: 0 },
+            accounts: HashMap::default(),
+            rows: HashMap::default(),
+            holdings: None,
+            is_loaded: false,
+            is_store_lost: false,
+            declared_at: None,
+            pending: None,
+            witnesses: Vec::new(),
+            witness_number: 0,
+            inheritance: Inheritance::Unknown,
+        }
+    }
+
+    /// Takes over the accounts of a version of the desired state.
+    pub fn set_accounts(&mut self, accounts: &HashMap<Arc<str>, Arc<Account>>, version: u64) {
+        for account in accounts.values() {
+            if let Some(limit) = account.prepaid_tokens {
+                let allowance = self.accounts.entry(account.name.clone()).or_default();
+                allowance.set_limit(limit, version);
+            }
+        }
+    }
+
+    /// Returns the tokens of an account.
+    pub fn account(&self, name: &str) -> Option<&AccountAllowance> {
+        self.accounts.get(name)
+    }
+}
