Limit connections to endpoints by the router's share; gauges of beliefs

Found by a test: where the last endpoint was gone, a request waited and was told that all were full; the wait is now for a list that was never read only.

--- a/components/relay/src/allowance/account.rs
+++ b/components/relay/src/allowance/account.rs
@@ -315,6 +315,11 @@
         }
     }
 
+    /// Returns the tokens reserved by running requests.
+    pub fn reserved(&self) -> u64 {
+        self.reserved
+    }
+
     /// Takes over tokens that an earlier process of this router held.
     pub(super) fn adopt(&mut self, tokens: u64) {
         self.held += tokens;
--- a/components/relay/src/allowance/book/mod.rs
+++ b/components/relay/src/allowance/book/mod.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// Returns each account's tokens that are held, and those of them that are reserved.
+    pub fn holdings(&self) -> impl Iterator<Item = (&Arc<str>, u64, u64)> {
+        self.accounts.iter().map(|(name, it)| (name, it.held(), it.reserved()))
+    }
+
     /// Returns the tokens of an account.
     pub fn account(&self, name: &str) -> Option<&AccountAllowance> {
         self.accounts.get(name)
--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -32,6 +32,8 @@
     pub(super) endpoints: HashMap<Arc<str>, Endpoint>,
     /// Rates of long and short prompts, by service.
     pub(super) splits: HashMap<Arc<str>, PromptSplit>,
+    /// Whether the list was read since the start.
+    has_list: bool,
     /// Contact to the store of the list.
     contact: StoreContact,
 }
@@ -44,6 +46,7 @@
 
     /// Takes over the whole list.
     pub fn apply_list(&mut self, entries: Vec<EndpointEntry>, now: Timestamp) {
+        self.has_list = true;
         let listed: HashSet<Arc<str>> = entries.iter().map(|it| it.id.clone()).collect();
         let missing: Vec<Arc<str>> =
             self.endpoints.keys().filter(|id| !listed.contains(*id)).cloned().collect();
@@ -138,24 +141,20 @@
         }
     }
 
-    /// Tells whether any endpoint of `service` is known.
-    pub fn knows_service(&self, service: &str) -> bool {
-        self.endpoints.values().any(|it| &*it.entry.service == service)
-    }
-
     /// Tells whether the endpoint may get new work.
     pub fn is_in_service(&self, id: &str) -> bool {
         self.endpoints.get(id).is_some_and(|it| it.entry.phase == EndpointPhase::Ready)
     }
 
-    /// Returns the number of endpoints.
-    pub fn len(&self) -> usize {
-        self.endpoints.len()
+    /// Returns the numbers of endpoints that take new work, and of all.
+    pub fn counts(&self) -> (usize, usize) {
+        let ready = |it: &&Endpoint| it.entry.phase == EndpointPhase::Ready;
+        (self.endpoints.values().filter(ready).count(), self.endpoints.len())
     }
 
-    /// Tells whether no endpoint is known.
-    pub fn is_empty(&self) -> bool {
-        self.endpoints.is_empty()
+    /// Tells whether the list was read since the start.
+    pub fn has_list(&self) -> bool {
+        self.has_list
     }
 
     fn write(&mut self, entry: EndpointEntry) {
--- a/components/relay/src/model/desired_state.rs
+++ b/components/relay/src/model/desired_state.rs
@@ -13,8 +13,6 @@
     pub head_max_bytes: usize,
     /// Longest body, in bytes.
     pub body_max_bytes: usize,
-    /// Time for a head to arrive.
-    pub head_timeout: Duration,
     /// Time after which an idle connection of a caller is closed.
     pub idle_timeout: Duration,
 }
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -258,6 +258,7 @@
         return;
     }
     log::info!(account = request.account.as_str(), tokens, wanted = request.tokens, borrower:% = borrower; "tokens lent");
+    metrics::counter!(telemetry::LOANED_TOKENS_TOTAL, "direction" => "lent").increment(tokens);
     let loan = LoanMessage { tokens, ..request };
     cx.gossip.send(&encode(PeerContent::Loan(loan)), borrower).await;
 }
@@ -268,6 +269,8 @@
         return;
     }
     log::info!(account = loan.account.as_str(), tokens = loan.tokens, lender:% = lender; "tokens borrowed");
+    metrics::counter!(telemetry::LOANED_TOKENS_TOTAL, "direction" => "borrowed")
+        .increment(loan.tokens);
     cx.lock_allowances().borrow(&loan.account, loan.tokens);
     cx.allowance_changed.notify_waiters();
 }
--- a/components/relay/src/peers/roster.rs
+++ b/components/relay/src/peers/roster.rs
@@ -139,9 +139,4 @@
     pub fn count(&self) -> usize {
         self.entries.len() + 1
     }
-
-    /// Returns the highest version of the desired state that a router has in force.
-    pub fn newest_config(&self) -> u64 {
-        self.entries.values().map(|it| it.member.config_version).max().unwrap_or_default()
-    }
 }
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -133,7 +133,22 @@
             kept.into_iter().filter(|it| book.is_in_service(it)).collect();
         drop(book);
         cx.connections.prune(|endpoint| known.contains(endpoint));
-        metrics::gauge!(telemetry::REQUESTS_IN_PROGRESS)
-            .set(cx.running.load(Ordering::Relaxed) as f64);
+        report_gauges(&cx);
+    }
+}
+
+/// Reports what the router holds and believes.
+fn report_gauges(cx: &RelayContext) {
+    metrics::gauge!(telemetry::REQUESTS_IN_PROGRESS).set(cx.running.load(Ordering::Relaxed) as f64);
+    metrics::gauge!(telemetry::LOG_LINES_DROPPED).set(telemetry::dropped_log_lines() as f64);
+    let (ready, all) = cx.lock_endpoints().counts();
+    metrics::gauge!(telemetry::ENDPOINTS, "state" => "serving").set(ready as f64);
+    metrics::gauge!(telemetry::ENDPOINTS, "state" => "leaving").set((all - ready) as f64);
+    let heard = cx.lock_roster().ready_members(cx.now()).len();
+    metrics::gauge!(telemetry::MEMBERS, "state" => "ready").set(heard as f64);
+    for (account, held, reserved) in cx.lock_allowances().holdings() {
+        let account = account.to_string();
+        metrics::gauge!(telemetry::GRANTED_TOKENS, "account" => account.clone()).set(held as f64);
+        metrics::gauge!(telemetry::RESERVED_TOKENS, "account" => account).set(reserved as f64);
     }
 }
--- a/components/relay/src/serve/connections.rs
+++ b/components/relay/src/serve/connections.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -36,6 +39,9 @@
     /// The endpoint refused it.
     #[error("connection failed: {0}")]
     Failed(std::io::Error),
+    /// This router has as many connections to the endpoint as it may.
+    #[error("too many connections are open")]
+    TooMany,
     /// The HTTP client refused it.
     #[error("connection unusable: {0}")]
     Unusable(hyper::Error),
@@ -54,6 +60,27 @@
     idle_limit: Duration,
     /// Task that drives the connection; ended on drop.
     driver: Driver,
+    /// Counts it among the endpoint's.
+    _counted: Counted,
+}
+
+/// Counts an open connection until dropped.
+#[derive(Debug)]
+struct Counted(Arc<AtomicUsize>);
+
+impl Counted {
+    /// Counts one more connection; `None` where there are `max` already.
+    fn begin(open: &Arc<AtomicUsize>, max: usize) -> Option<Counted> {
+        let count = open.fetch_add(1, Ordering::Relaxed);
+        let counted = Counted(open.clone());
+        (count < max).then_some(counted)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// Ends the task of a connection when dropped.
@@ -88,10 +115,12 @@
 pub(crate) struct EndpointConnections {
     /// Idle connections, the most recently used last.
     idle: Mutex<HashMap<Arc<str>, Vec<Idle>>>,
+    /// Numbers of open connections.
+    open: Mutex<HashMap<Arc<str>, Arc<AtomicUsize>>>,
 }
 
 impl EndpointConnections {
-    /// Returns a connection that is kept, or makes one.
+    /// Returns a connection that is kept, or makes one where fewer than `max` are open.
     ///
     /// # Errors
     /// Where none was kept and none could be made.
@@ -99,22 +128,26 @@
         &self,
         endpoint: &Arc<str>,
         address: SocketAddr,
+        max: usize,
     ) -> Result<Connection, ConnectError> {
         match self.take_idle(endpoint) {
             Some(connection) => Ok(connection),
-            None => self.connect(endpoint, address).await,
+            None => self.connect(endpoint, address, max).await,
         }
     }
 
-    /// Makes a new connection.
+    /// Makes a new connection where fewer than `max` are open.
     ///
     /// # Errors
-    /// Where the endpoint did not accept it.
+    /// Where as many are open, or the endpoint did not accept it.
     pub(super) async fn connect(
         &self,
         endpoint: &Arc<str>,
         address: SocketAddr,
+        max: usize,
     ) -> Result<Connection, ConnectError> {
+        let open = self.lock_open().entry(endpoint.clone()).or_default().clone();
+        let counted = Counted::begin(&open, max).ok_or(ConnectError::TooMany)?;
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| ConnectError::TimedOut)?
@@ -135,6 +168,7 @@
             endpoint: endpoint.clone(),
             idle_limit: IDLE_TIME,
             driver: Driver(task.abort_handle()),
+            _counted: counted,
         })
     }
 
@@ -158,6 +192,8 @@
             kept.retain(is_usable);
         }
         idle.retain(|endpoint, kept| !kept.is_empty() && is_known(endpoint));
+        drop(idle);
+        self.lock_open().retain(|_, open| open.load(Ordering::Relaxed) > 0);
     }
 
     /// Returns the endpoints to which connections are kept.
@@ -165,6 +201,10 @@
         self.idle.lock().expect("no panic while locked").keys().cloned().collect()
     }
 
+    fn lock_open(&self) -> MutexGuard<'_, HashMap<Arc<str>, Arc<AtomicUsize>>> {
+        self.open.lock().expect("no panic while locked")
+    }
+
     fn take_idle(&self, endpoint: &Arc<str>) -> Option<Connection> {
         let mut idle = self.idle.lock().expect("no panic while locked");
         let kept = idle.get_mut(endpoint)?;
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -26,6 +26,8 @@
     pub(super) headers: HeaderMap,
     /// Body.
     pub(super) body: Bytes,
+    /// Connections that this router may have to one endpoint.
+    pub(super) connections_max: usize,
 }
 
 /// A place on an endpoint, given back on drop.
@@ -140,9 +142,9 @@
     // A kept connection may be closed just as it is taken; a new one may not.
     for is_fresh in [false, true] {
         let opened = if is_fresh {
-            cx.connections.connect(endpoint, address).await
+            cx.connections.connect(endpoint, address, outgoing.connections_max).await
         } else {
-            cx.connections.open(endpoint, address).await
+            cx.connections.open(endpoint, address, outgoing.connections_max).await
         };
         let mut connection = match opened {
             Ok(connection) => connection,
@@ -207,7 +209,8 @@
 /// Tells whether the process of an endpoint has ended, by a new connection.
 pub(super) async fn has_crashed(cx: &RelayContext, placement: &Placement) -> bool {
     tokio::time::sleep(CRASH_CHECK_DELAY).await;
-    let connected = cx.connections.connect(&placement.endpoint, placement.address).await;
+    let connected =
+        cx.connections.connect(&placement.endpoint, placement.address, usize::MAX).await;
     match connected {
         Ok(connection) => {
             cx.connections.keep(connection);
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -51,6 +51,9 @@
 /// of the store.
 const START_WAIT: Duration = Duration::from_millis(60);
 
+/// Connections to an endpoint that a router has in any case, however many routers share it.
+const CONNECTIONS_MIN: usize = 2;
+
 /// Time after which a caller may return to a router that has no desired state yet.
 const START_RETURN: Duration = Duration::from_millis(400);
 
@@ -159,6 +162,9 @@
     let service =
         service.ok_or_else(|| Error::new(ErrorKind::NoEndpoint, "the route has no service"))?;
     let patience = request.patience.unwrap_or(route.timeout).min(route.timeout);
+    let spec = in_force.state.services.get(&service);
+    let connections = spec.map_or(CONNECTIONS_MIN, |it| it.max_connections as usize);
+    let connections_max = (connections / cx.lock_roster().count()).max(CONNECTIONS_MIN);
     cx.running.fetch_add(1, Ordering::Relaxed);
     Ok(Run {
         cx: cx.clone(),
@@ -167,7 +173,13 @@
         route,
         account,
         service,
-        outgoing: Outgoing { method: head.method, uri: head.uri, headers: head.headers, body },
+        outgoing: Outgoing {
+            method: head.method,
+            uri: head.uri,
+            headers: head.headers,
+            body,
+            connections_max,
+        },
         received_at,
         limit_at: received_at + patience,
         reservation: None,
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -51,7 +51,7 @@
         match choose(run) {
             Choice::Place(placement) => return Ok(Placed::new(run.cx.clone(), placement)),
             // A new process has not read the list yet.
-            Choice::Absent if run.cx.lock_endpoints().is_empty() => {}
+            Choice::Absent if !run.cx.lock_endpoints().has_list() => {}
             Choice::Absent => {
                 let message = "no endpoint serves the request";
                 return Err(come_back(run, ErrorKind::NoEndpoint, message, RETURN_AFTER));
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -120,6 +120,10 @@
 /// Gauge that is 1 where another process with a higher incarnation uses this router's name.
 pub const ROUTER_SUPERSEDED: &str = "auburncrank_router_superseded";
 
+/// Gauge of log lines that were dropped because their reader was too slow.
+pub const LOG_LINES_DROPPED: &str = "auburncrank_log_lines_dropped";
+/// Counter of tokens lent between routers, by `direction`: `lent` or `borrowed`.
+pub const LOANED_TOKENS_TOTAL: &str = "auburncrank_loaned_tokens_total";
 /// Gauge of rollouts of model versions that are halted, on the holder of the controller
 /// lease.
 pub const HALTED_ROLLOUTS: &str = "auburncrank_halted_rollouts";
