--- a/components/relay/src/allowance/account.rs
+++ b/components/relay/src/allowance/account.rs
@@ -5,6 +5,7 @@
 use types::Timestamp;
 
 use super::{
+    book::Stage,
     ceiling::Ceilings,
     rows::{AllowanceRow, Holding},
 };
@@ -59,6 +60,9 @@
     reserved: u64,
     /// Tokens spent and not yet reported to the row.
     unreported: u64,
+    /// Tokens taken out of the held ones by a commit whose outcome is not known: returned
+    /// or, if it does not take effect, held again. Certainly unspent.
+    returning: u64,
     /// How much of the held tokens may leave.
     ceilings: Ceilings,
     /// Most tokens that one request has reserved.
@@ -92,6 +96,7 @@
             held: 0,
             reserved: 0,
             unreported: 0,
+            returning: 0,
             ceilings: Ceilings::default(),
             largest: 0,
             wanted: 0,
@@ -216,20 +221,24 @@
         &self,
         row: &AllowanceRow,
         routers: u64,
-        is_leaving: bool,
+        stage: Stage,
         now: Timestamp,
     ) -> Option<Change> {
         let free = self.held - self.reserved;
         let mut change = Change { spent: self.unreported, ..Change::default() };
-        if is_leaving || row.drawn > self.limit {
+        let is_over = stage == Stage::Ended;
+        if is_over || row.drawn > self.limit {
             change.give_back = free;
-            return (free > 0 || self.unreported > 0 && is_leaving).then_some(change);
+            return (free > 0 || self.unreported > 0 && is_over).then_some(change);
         }
         if self.limit_version < row.limit_version {
             return None;
         }
         let pool = self.limit - row.drawn;
-        let target = self.target(pool, routers, now);
+        let target = match stage {
+            Stage::Serving => self.target(pool, routers, now),
+            Stage::Leaving | Stage::Ended => self.rate.expected(KEPT_TIME, now),
+        };
         let is_worth_it = |tokens: u64| tokens > self.limit / CHANGE_DIVISOR;
         if free < self.wanted {
             // Fewer than a request needs are of no use here.
@@ -239,7 +248,10 @@
             let missing = target - free;
             let is_due = missing >= target / MISSING_DIVISOR && is_worth_it(missing);
             change.draw = if is_due { missing.min(pool) } else { 0 };
-        } else if free > target * 2 && self.is_scarce(pool) && is_worth_it(free - target) {
+        } else if free > target * 2
+            && (stage == Stage::Leaving || self.is_scarce(pool))
+            && is_worth_it(free - target)
+        {
             change.give_back = free - target;
         }
         let needs_version = self.limit_version > row.limit_version && !self.is_confirmed;
@@ -288,6 +300,7 @@
         has_witness: bool,
     ) {
         self.held -= change.give_back;
+        self.returning += change.give_back;
         self.ceilings.begin(number, declared.ceiling, binds_until, has_witness);
     }
 
@@ -295,7 +308,7 @@
     pub(super) fn declare_to_witness(&mut self, number: u64, now: Timestamp) -> u64 {
         let declared = self.declare(&Change::default(), now);
         self.ceilings.begin_witnessed(number, declared.ceiling);
-        declared.held - declared.ceiling
+        declared.held - declared.ceiling + self.returning
     }
 
     /// Notes that the witness has confirmed a declaration.
@@ -306,6 +319,7 @@
     /// Ends a commit.
     pub(super) fn finish(&mut self, change: &Change, number: u64, is_applied: bool) {
         self.ceilings.finish(number, is_applied);
+        self.returning -= change.give_back;
         if is_applied {
             self.held += change.draw;
             self.unreported -= change.spent;
--- a/components/relay/src/allowance/book/commits.rs
+++ b/components/relay/src/allowance/book/commits.rs
@@ -73,7 +73,7 @@
         for (name, allowance) in &self.accounts {
             let row = self.rows.get(name).map(|(row, _)| row.clone()).unwrap_or_default();
             let routers = inputs.routers as u64;
-            let change = allowance.plan(&row, routers, inputs.is_leaving, inputs.now);
+            let change = allowance.plan(&row, routers, inputs.stage, inputs.now);
             if let Some(change) = change {
                 changes.push((name.clone(), change));
             }
--- a/components/relay/src/allowance/book/mod.rs
+++ b/components/relay/src/allowance/book/mod.rs
@@ -40,13 +40,24 @@
     pub tokens: u64,
 }
 
+/// How far a router is on its way out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// It serves.
+    Serving,
+    /// It serves callers that have not learned yet that it is leaving.
+    Leaving,
+    /// Its last request has ended.
+    Ended,
+}
+
 /// What the next commit depends on.
 #[derive(Debug, Clone, Copy)]
 pub struct CommitInputs {
     /// Routers that share the accounts.
     pub routers: usize,
-    /// Whether this router is ending.
-    pub is_leaving: bool,
+    /// Whether this router serves, leaves or has ended its requests.
+    pub stage: Stage,
     /// Latest known time of the store.
     pub store_time: Option<StoreTime>,
     /// Present time.
--- a/components/relay/src/allowance/mod.rs
+++ b/components/relay/src/allowance/mod.rs
@@ -14,7 +14,7 @@
 
 pub use self::{
     account::AccountAllowance,
-    book::{AllowanceBook, CommitInputs, Reservation, Shortage},
+    book::{AllowanceBook, CommitInputs, Reservation, Shortage, Stage},
     ceiling::BINDING_TIME,
     rows::{ACCOUNT_PREFIX, AllowanceRow, HOLDINGS_PREFIX, Holding, HoldingsRow, Mark},
     witness::{RouterProcess, WitnessDeclaration, WitnessRecords, WitnessWord},
--- a/components/relay/src/sync/allowance_task.rs
+++ b/components/relay/src/sync/allowance_task.rs
@@ -10,7 +10,7 @@
 
 use super::backoff::Backoff;
 use crate::{
-    allowance::{ACCOUNT_PREFIX, CommitInputs, HOLDINGS_PREFIX},
+    allowance::{ACCOUNT_PREFIX, CommitInputs, HOLDINGS_PREFIX, Stage},
     context::RelayContext,
 };
 
@@ -20,11 +20,16 @@
 /// Time between two commits that requests in need of tokens may cause.
 const COMMIT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Pause between two attempts to return all tokens.
+const RETURN_PAUSE: Duration = Duration::from_millis(60);
+
 /// Draws and returns tokens until the process ends.
 pub(crate) async fn run_allowances(cx: Arc<RelayContext>) {
     let mut backoff = Backoff::new("allowance rows");
     loop {
-        let result = step(&cx).await;
+        let stage =
+            if cx.is_leaving.load(Ordering::Relaxed) { Stage::Leaving } else { Stage::Serving };
+        let result = step(&cx, stage).await;
         cx.lock_allowances().note_store(result.is_ok());
         match result {
             Ok(true) => {
@@ -49,7 +54,7 @@
 }
 
 /// Makes one read or commit, or both; returns whether another may be due at once.
-async fn step(cx: &RelayContext) -> Result<bool, PlatformError> {
+async fn step(cx: &RelayContext, stage: Stage) -> Result<bool, PlatformError> {
     if cx.in_force.load().is_none() {
         return Ok(false);
     }
@@ -60,7 +65,7 @@
     }
     let inputs = CommitInputs {
         routers: cx.lock_roster().count(),
-        is_leaving: cx.is_leaving.load(Ordering::Relaxed),
+        stage,
         store_time: cx.table.store_time(),
         now: cx.now(),
     };
@@ -81,13 +86,15 @@
     }
 }
 
-/// Returns what is left of this router's tokens, before a planned end.
+/// Returns what is left of this router's tokens, after its last request. Goes on until the
+/// store has taken them.
 pub(crate) async fn return_allowances(cx: &RelayContext) {
-    for _ in 0..3 {
-        match step(cx).await {
-            Ok(false) => return,
-            Ok(true) => {}
+    loop {
+        match step(cx, Stage::Ended).await {
+            Ok(false) if !cx.lock_allowances().has_pending() => return,
+            Ok(_) => {}
             Err(error) => log::info!("tokens not returned: {error}"),
         }
+        tokio::time::sleep(RETURN_PAUSE).await;
     }
 }
--- a/components/relay/tests/allowance_faults.rs
+++ b/components/relay/tests/allowance_faults.rs
@@ -14,7 +14,7 @@
 use relay::{
     allowance::{
         AllowanceBook, AllowanceRow, CommitInputs, HOLDINGS_PREFIX, HoldingsRow, Reservation,
-        RouterProcess, WitnessDeclaration, WitnessRecords,
+        RouterProcess, Stage, WitnessDeclaration, WitnessRecords,
     },
     model::Account,
 };
@@ -323,7 +323,7 @@
         }
         let inputs = CommitInputs {
             routers: ROUTERS,
-            is_leaving: false,
+            stage: Stage::Serving,
             store_time: router
                 .store_time
                 .map(|(millis, at)| StoreTime { millis, age: STEP * (step - at) as u32 }),
--- a/components/relay/tests/allowance_takeover.rs
+++ b/components/relay/tests/allowance_takeover.rs
@@ -11,7 +11,7 @@
 use platform::{Commit, CommitOutcome, Precondition, Revision, Row, StoreTime};
 use relay::{
     allowance::{
-        AllowanceBook, BINDING_TIME, CommitInputs, RouterProcess, Shortage, WitnessRecords,
+        AllowanceBook, BINDING_TIME, CommitInputs, RouterProcess, Shortage, Stage, WitnessRecords,
         WitnessWord,
     },
     model::Account,
@@ -73,17 +73,21 @@
     Timestamp::from_millis(millis)
 }
 
+fn inputs(millis: u64, stage: Stage) -> CommitInputs {
+    CommitInputs {
+        routers: 1,
+        stage,
+        store_time: Some(StoreTime { millis, age: Duration::ZERO }),
+        now: at(millis),
+    }
+}
+
 /// Lets a process read the rows and commit what is due; the store's clock is the tests'.
 fn exchange(book: &mut AllowanceBook, store: &mut Store, millis: u64) -> bool {
+    let inputs = inputs(millis, Stage::Serving);
     if book.needs_read() {
         book.apply_rows(&store.rows, &store.rows, at(millis));
     }
-    let inputs = CommitInputs {
-        routers: 1,
-        is_leaving: false,
-        store_time: Some(StoreTime { millis, age: Duration::ZERO }),
-        now: at(millis),
-    };
     let Some(commit) = book.next_commit(&inputs) else { return false };
     let outcome = store.commit(&commit);
     book.on_outcome(&outcome, false, at(millis));
@@ -216,3 +220,23 @@
     assert!(lent > 0);
     assert_eq!(lender.account(ACCOUNT).unwrap().held(), before - lent);
 }
+
+#[test]
+fn tokens_in_an_unanswered_return_are_not_lost() {
+    let mut store = Store::default();
+    let mut first = started(&mut store);
+    let held = first.account(ACCOUNT).unwrap().held();
+    // The router ends; the commit that returns its tokens gets lost on the way.
+    assert!(first.next_commit(&inputs(1_000, Stage::Ended)).is_some());
+    first.on_outcome(&CommitOutcome::Unknown, false, at(1_000));
+    let (_, declaration) = first.witness_declaration(at(5_000)).expect("the store is away");
+    let mut records = WitnessRecords::default();
+    let declarer = RouterProcess { router: "router-1".into(), process: 1 };
+    assert!(records.keep(declarer, declaration));
+    let mut second = book(3);
+    assert!(!exchange(&mut second, &mut store, 9_000));
+    let (asked, about) = second.witness_question().unwrap();
+    asked.iter().for_each(|it| second.on_witness_word(it, &about, &records.word(&about)));
+    exchange(&mut second, &mut store, 9_010);
+    assert_eq!(second.account(ACCOUNT).unwrap().held(), kept_of(held));
+}
