--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -20,7 +20,7 @@
     framing::{check_framing, head_bytes},
     plain::relay_plain,
     request_body::read_body,
-    run::Run,
+    run::{CALLER_LEFT, Run},
     stream_run::relay_stream,
 };
 use crate::{
@@ -190,7 +190,7 @@
         events: 0,
         first_event_at: None,
         is_complete: false,
-        outcome: "caller_left",
+        outcome: CALLER_LEFT,
         endpoint: None,
     })
 }
--- a/components/relay/src/serve/run.rs
+++ b/components/relay/src/serve/run.rs
@@ -19,6 +19,9 @@
 /// Events of a stream that may be delivered in part when it breaks.
 const EVENTS_IN_FLIGHT: u64 = 1;
 
+/// Outcome of a request whose caller left, and of one in progress.
+pub(super) const CALLER_LEFT: &str = "caller_left";
+
 /// One request in progress. Settles its tokens and logs its end when dropped.
 pub(super) struct Run {
     /// Shared state.
@@ -80,11 +83,17 @@
         self.account.as_ref().and_then(|it| it.priority).unwrap_or(self.route.priority)
     }
 
+    /// Tells whether the caller left before the first event. A model engine begins to run a
+    /// request with its first token, and the run was cancelled before that was seen.
+    fn has_left_before_run(&self) -> bool {
+        self.outcome == CALLER_LEFT && self.route.repeat.is_stream() && self.events == 0
+    }
+
     /// Returns the tokens that count as spent. Where the end of the answer is not known,
     /// events on the way are counted too.
     fn spent_tokens(&self) -> u64 {
         let Some(tokens) = self.head.tokens.filter(|_| self.arrivals > 0) else { return 0 };
-        if !self.may_have_run {
+        if !self.may_have_run || self.has_left_before_run() {
             return 0;
         }
         let spec = self.in_force.state.services.get(&self.service);
--- a/components/relay/src/serve/stream_run.rs
+++ b/components/relay/src/serve/stream_run.rs
@@ -14,7 +14,7 @@
     connections::Connection,
     exchange::{Answer, Placed},
     placing::{note_loss, obtain_answer, take_retry},
-    run::Run,
+    run::{CALLER_LEFT, Run},
 };
 use crate::{model::Repeat, stream::EventSplitter};
 
@@ -80,7 +80,7 @@
         run.outcome = "endpoint_failed";
         return Ok(Response::from_parts(res_head, AnswerBody::Parts(copy_bytes(run, source))));
     }
-    run.outcome = "caller_left";
+    run.outcome = CALLER_LEFT;
     let splitter = EventSplitter::after(last_event);
     let state = StreamRun { run, source: Some(source), splitter };
     let parts = stream::unfold(state, |mut state| async move {
@@ -272,7 +272,7 @@
         self.splitter = EventSplitter::after(last_event);
         let Answer { body, connection, placed, .. } = answer;
         self.source = Some(Source { body, connection, placed });
-        self.run.outcome = "caller_left";
+        self.run.outcome = CALLER_LEFT;
         Ok(())
     }
 }
