--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -1,6 +1,8 @@
 //! Logs and metrics: set-up and the names of all metrics.
 
 mod log_format;
+mod log_line;
+mod log_story;
 mod logs;
 mod metric_names;
 mod metrics_recorder;
@@ -8,8 +10,10 @@
 
 pub use self::{
     log_format::LogFormat,
+    log_line::LogLine,
+    log_story::LogStory,
     logs::{LogSetupError, set_up_logs, set_up_queued_logs},
     metric_names::*,
     metrics_recorder::{MetricsHandle, set_up_metrics},
-    queued_output::{dropped_log_lines, flush_queued_logs},
+    queued_output::{QueuedOutput, dropped_log_lines, flush_queued_logs},
 };
--- /dev/null
+++ b/components/telemetry/src/log_line.rs
@@ -0,0 +1,74 @@
+//! Log lines as this project writes them, read back.
+
+use std::time::SystemTime;
+
+use serde_json::Value;
+
+/// One log line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogLine {
+    /// When it was written.
+    pub time: SystemTime,
+    /// What stands before the time, such as the name of the router; empty where nothing does.
+    pub source: String,
+    /// Message, without its fields.
+    pub message: String,
+    /// Fields, in the order of the line.
+    pub fields: Vec<(String, String)>,
+}
+
+impl LogLine {
+    /// Reads a line in either format; `None` where it is none of this project's.
+    pub fn parse(line: &str) -> Option<LogLine> {
+        match line.find('{') {
+            Some(at) if line[at..].starts_with("{\"") => parse_json(&line[..at], &line[at..]),
+            _ => parse_text(line),
+        }
+    }
+
+    /// Returns the value of a field.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields.iter().find(|(it, _)| it == name).map(|(_, value)| value.as_str())
+    }
+}
+
+fn parse_json(source: &str, text: &str) -> Option<LogLine> {
+    let Value::Object(object) = serde_json::from_str(text).ok()? else { return None };
+    let text_of = |value: &Value| value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+    let fixed = ["time", "level", "target", "message"];
+    let fields = object.iter().filter(|(name, _)| !fixed.contains(&name.as_str()));
+    Some(LogLine {
+        time: humantime::parse_rfc3339(object.get("time")?.as_str()?).ok()?,
+        source: source.trim().to_owned(),
+        message: object.get("message")?.as_str()?.to_owned(),
+        fields: fields.map(|(name, value)| (name.clone(), text_of(value))).collect(),
+    })
+}
+
+fn parse_text(line: &str) -> Option<LogLine> {
+    let words: Vec<&str> = line.split_whitespace().collect();
+    let at = words.iter().position(|word| humantime::parse_rfc3339(word).is_ok())?;
+    let time = humantime::parse_rfc3339(words[at]).ok()?;
+    // The word after the time is the level.
+    let rest = words.get(at + 2..)?;
+    let is_field = |word: &&str| {
+        word.split_once('=').is_some_and(|(name, _)| {
+            !name.is_empty() && name.chars().all(|c| c.is_ascii_alphanumeric() || c == '_')
+        })
+    };
+    let first = rest.iter().position(|word| is_field(word)).unwrap_or(rest.len());
+    let mut fields: Vec<(String, String)> = Vec::new();
+    for word in &rest[first..] {
+        match word.split_once('=') {
+            Some((name, value)) if is_field(word) => fields.push((name.into(), value.into())),
+            // A value with spaces goes on.
+            _ => {
+                if let Some((_, value)) = fields.last_mut() {
+                    value.push(' ');
+                    value.push_str(word);
+                }
+            }
+        }
+    }
+    Some(LogLine { time, source: words[..at].join(" "), message: rest[..first].join(" "), fields })
+}
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -35,7 +35,7 @@
 /// # Errors
 /// Where logs were set up before in this process, or no thread could be started.
 pub fn set_up_queued_logs(level: LevelFilter, format: LogFormat) -> Result<(), LogSetupError> {
-    let output = QueuedOutput::start().map_err(LogSetupError::NoWriter)?;
+    let output = QueuedOutput::start(Box::new(io::stdout())).map_err(LogSetupError::NoWriter)?;
     let output: Box<dyn io::Write + Send> = Box::new(output);
     apply(dispatch(level, format).chain(output))
 }
--- a/components/telemetry/src/queued_output.rs
+++ b/components/telemetry/src/queued_output.rs
@@ -27,24 +27,30 @@
 static FLUSH: OnceLock<SyncSender<Item>> = OnceLock::new();
 
 /// What the queue holds.
-pub(crate) enum Item {
+enum Item {
     /// A line with its line end.
     Line(Vec<u8>),
     /// Answered once all lines before it are written.
     Flush(SyncSender<()>),
 }
 
-/// Writes lines to a queue that a thread empties to the standard output.
-pub(crate) struct QueuedOutput {
+/// Writes lines to a queue that a thread empties. Writing never waits: lines that find the
+/// queue full are dropped and counted.
+pub struct QueuedOutput {
     /// The queue.
     lines: SyncSender<Item>,
 }
 
 impl QueuedOutput {
-    /// Starts the thread that writes.
-    pub(crate) fn start() -> io::Result<QueuedOutput> {
+    /// Starts the thread that writes the lines to `out`.
+    ///
+    /// # Errors
+    /// Where no thread could be started.
+    pub fn start(out: Box<dyn Write + Send>) -> io::Result<QueuedOutput> {
         let (lines, queued) = sync_channel(QUEUE_LINES);
-        thread::Builder::new().name("log-writer".to_owned()).spawn(move || write_lines(&queued))?;
+        thread::Builder::new()
+            .name("log-writer".to_owned())
+            .spawn(move || write_lines(&queued, out))?;
         let _ = FLUSH.set(lines.clone());
         Ok(QueuedOutput { lines })
     }
@@ -67,7 +73,7 @@
 }
 
 /// Writes queued lines in batches. A reader that closed its end is not waited for.
-fn write_lines(queued: &Receiver<Item>) {
+fn write_lines(queued: &Receiver<Item>, mut out: Box<dyn Write + Send>) {
     let mut reported = 0;
     while let Ok(first) = queued.recv() {
         let mut batch = Vec::new();
@@ -83,9 +89,7 @@
             batch.extend_from_slice(format!("log lines dropped total={dropped}\n").as_bytes());
             reported = dropped;
         }
-        let mut out = io::stdout().lock();
         let _ = out.write_all(&batch).and_then(|()| out.flush());
-        drop(out);
         for done in &flushed {
             let _ = done.try_send(());
         }
--- /dev/null
+++ b/components/telemetry/tests/log_story.rs
@@ -0,0 +1,49 @@
+//! The story of a request is found in the lines of several routers.
+
+#![allow(clippy::unwrap_used, reason = "a test ends where it cannot go on")]
+
+use telemetry::{LogLine, LogStory};
+
+const LINES: &str = "\
+r1 2026-01-01T00:00:00.100Z INFO  dependency lost: not reachable dependency=allowance rows\n\
+r1 2026-01-01T00:00:01.000Z INFO  request sent request=a1 endpoint=e1 wait_ms=3\n\
+r2 2026-01-01T00:00:01.000Z INFO  request sent request=b2 endpoint=e1 wait_ms=3\n\
+r2 2026-01-01T00:00:01.002Z INFO  endpoint gone: entry removed endpoint=e1 service=s\n\
+r2 2026-01-01T00:00:01.003Z INFO  tokens lent account=school tokens=5\n\
+r1 2026-01-01T00:00:01.004Z INFO  tokens borrowed account=school tokens=5\n\
+r1 2026-01-01T00:00:01.005Z INFO  attempt failed: Lost(\"x y\") request=a1 endpoint=e1 failure=lost\n\
+r1 2026-01-01T00:00:01.010Z INFO  request ended request=a1 account=school total_ms=12 outcome=outcome_unknown\n\
+r1 2026-01-01T00:00:09.000Z INFO  tokens borrowed account=school tokens=9\n\
+no line of ours\n";
+
+fn lines(text: &str) -> Vec<LogLine> {
+    text.lines().filter_map(LogLine::parse).collect()
+}
+
+#[test]
+fn story_has_the_request_and_what_changed_around_it() {
+    let story = LogStory::of_request("a1", &lines(LINES));
+    insta::assert_snapshot!(story.render(), @r#"
+         -910 ms  r1  dependency lost: not reachable dependency=allowance rows
+    *     -10 ms  r1  request sent endpoint=e1 wait_ms=3
+           -8 ms  r2  endpoint gone: entry removed endpoint=e1 service=s
+           -6 ms  r1  tokens borrowed account=school tokens=5
+    *      -5 ms  r1  attempt failed: Lost("x y") endpoint=e1 failure=lost
+    *      +0 ms  r1  request ended account=school total_ms=12 outcome=outcome_unknown
+    "#);
+}
+
+#[test]
+fn both_formats_are_read() {
+    let text = LogLine::parse("2026-01-01T00:00:00.000Z INFO  tokens lent account=school tokens=5");
+    let json = LogLine::parse(
+        r#"{"level":"INFO","message":"tokens lent","account":"school","tokens":"5","target":"relay","time":"2026-01-01T00:00:00.000Z"}"#,
+    );
+    assert_eq!(text, json);
+    assert_eq!(text.unwrap().field("tokens"), Some("5"));
+}
+
+#[test]
+fn unknown_request_has_no_story() {
+    assert_eq!(LogStory::of_request("zz", &lines(LINES)), LogStory::default());
+}
--- /dev/null
+++ b/programs/auburncrank/src/cmd/explain.rs
@@ -0,0 +1,37 @@
+//! `explain`: prints the story of one request from log files.
+
+use std::fs;
+
+use telemetry::{LogLine, LogStory};
+
+use crate::{context::CommandContext, exit::CommandError};
+
+/// Forms of the arguments.
+pub(super) const USAGE: &[&str] = &["explain REQUEST-ID FILE..."];
+
+/// What the command does.
+pub(super) const ABOUT: &str = "Prints the story of a request from routers' logs: its own lines marked with '*', and what changed around it.";
+
+/// Runs the command.
+pub(super) async fn run(cx: &CommandContext) -> Result<(), CommandError> {
+    let Some((id, files)) = cx.arguments.split_first().filter(|(_, files)| !files.is_empty())
+    else {
+        return Err(CommandError::Usage(format!("usage: {}", USAGE[0])));
+    };
+    let mut lines = Vec::new();
+    for file in files {
+        let text = fs::read(file)
+            .map_err(|error| CommandError::Usage(format!("{file} cannot be read: {error}")))?;
+        let text = String::from_utf8_lossy(&text);
+        lines.extend(text.lines().filter_map(LogLine::parse));
+    }
+    let story = LogStory::of_request(id, &lines);
+    if story.decisions.is_empty() {
+        return Err(CommandError::Refused(format!(
+            "no line of {} names request {id}",
+            lines.len()
+        )));
+    }
+    print!("{}", story.render());
+    Ok(())
+}
--- a/programs/auburncrank/src/cmd/mod.rs
+++ b/programs/auburncrank/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod confirm;
 mod entries;
+mod explain;
 mod in_doubt;
 mod key;
 mod keys_of_account;
@@ -88,4 +89,5 @@
     command!("version", version),
     command!("audit", audit),
     command!("send", send),
+    command!("explain", explain),
 ];
