--- a/components/relay/src/allowance/book/commits.rs
+++ b/components/relay/src/allowance/book/commits.rs
@@ -16,6 +16,10 @@
 /// lost.
 const DECLARATION_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Declarations of all routers together in a second: less than half of the transactions
+/// that one part of the table takes.
+const DECLARATIONS_PER_S: u32 = 60;
+
 /// Accounts in one commit at most; the store takes a hundred rows.
 const COMMIT_ACCOUNTS_MAX: usize = 40;
 
@@ -57,7 +61,10 @@
         // What is taken over changes this router's row only, which no other router writes.
         let changes = if adopted.is_empty() { self.plan(inputs) } else { Vec::new() };
         let now = inputs.now;
-        let is_old = self.declared_at.is_none_or(|at| now.since(at) >= DECLARATION_INTERVAL);
+        let shared = Duration::from_secs(1) * u32::try_from(inputs.routers).unwrap_or(u32::MAX)
+            / DECLARATIONS_PER_S;
+        self.interval = DECLARATION_INTERVAL.max(shared);
+        let is_old = self.declared_at.is_none_or(|at| now.since(at) >= self.interval);
         let is_due = is_old || self.accounts.values().any(|it| it.needs_declaration(now));
         if changes.is_empty() && !is_due {
             return None;
--- a/components/relay/src/allowance/book/mod.rs
+++ b/components/relay/src/allowance/book/mod.rs
@@ -5,7 +5,7 @@
 mod requests;
 mod witnesses;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use platform::{Revision, StoreTime};
 use types::Timestamp;
@@ -81,6 +81,8 @@
     is_loaded: bool,
     /// Whether the last call to the store failed.
     is_store_lost: bool,
+    /// Time between two declarations to the store; longer in larger fleets.
+    interval: Duration,
     /// When this router's row was last written.
     declared_at: Option<Timestamp>,
     /// The commit in progress; there is one at most.
@@ -104,6 +106,7 @@
             holdings: None,
             is_loaded: false,
             is_store_lost: false,
+            interval: Duration::ZERO,
             declared_at: None,
             pending: None,
             witnesses: Vec::new(),
--- a/components/relay/src/allowance/book/witnesses.rs
+++ b/components/relay/src/allowance/book/witnesses.rs
@@ -30,7 +30,8 @@
 
     /// Tells whether declarations go to the witness now.
     pub(super) fn declares_to_witness(&self, now: Timestamp) -> bool {
-        let is_old = self.declared_at.is_some_and(|at| now.since(at) >= WITNESS_AFTER);
+        let due = WITNESS_AFTER.max(2 * self.interval);
+        let is_old = self.declared_at.is_some_and(|at| now.since(at) >= due);
         is_old && self.holdings.as_ref().is_some_and(|(row, _)| !row.witnesses.is_empty())
     }
 
--- a/components/relay/src/endpoints/endpoint.rs
+++ b/components/relay/src/endpoints/endpoint.rs
@@ -9,7 +9,7 @@
 use crate::model::EndpointEntry;
 
 /// Age above which what another router said of its load no longer counts.
-const PEER_LOAD_MAX_AGE: Duration = Duration::from_millis(1_500);
+const PEER_LOAD_MAX_AGE: Duration = Duration::from_millis(3_000);
 
 /// One endpoint.
 #[derive(Debug)]
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -12,8 +12,8 @@
 use tokio::net::UdpSocket;
 
 use super::{
-    CrashMessage, LoadMessage, LoanMessage, Loans, Member, PeerContent, PeerMessage, StatusMessage,
-    witnessing,
+    CrashMessage, HeardMessage, LoadMessage, LoanMessage, Loans, Member, PeerContent, PeerMessage,
+    StatusMessage, witnessing,
 };
 use crate::context::RelayContext;
 
@@ -28,7 +28,7 @@
 const DATAGRAM_MAX_BYTES: usize = 60 * 1_024;
 
 /// Routers that are asked for a loan at a time.
-const LENDERS_ASKED: usize = 8;
+const LENDERS_ASKED: usize = 16;
 
 /// Requests for a loan that wait for a declaration at most.
 const KEPT_LOANS_MAX: usize = 256;
@@ -89,6 +89,23 @@
         }
     }
 
+    /// Returns what this router has heard of others, where messages do not reach all of them
+    /// each time.
+    fn heard(&self, cx: &RelayContext) -> Vec<HeardMessage> {
+        let now = cx.now();
+        let roster = cx.lock_roster();
+        if roster.count() <= FAN_OUT {
+            return Vec::new();
+        }
+        let heard = roster.heard(now).map(|(member, age)| HeardMessage {
+            name: member.name.to_string(),
+            process: member.process,
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            is_ready: member.is_ready,
+        });
+        heard.collect()
+    }
+
     /// Asks some routers to lend tokens of `account`.
     pub(crate) async fn ask_for_loan(&self, cx: &RelayContext, account: &str, tokens: u64) {
         let now = cx.now();
@@ -144,6 +161,7 @@
             loads: loads.iter().map(LoadMessage::from_share).collect(),
             crashes: self.crashes.lock().expect("no panic while locked").clone(),
             wants_answer,
+            heard: self.heard(cx),
         };
         encode(PeerContent::Status(message))
     }
@@ -292,7 +310,13 @@
     let shares: Vec<_> = message.loads.iter().map(LoadMessage::to_share).collect();
     cx.lock_endpoints().apply_peer_loads(&member.name, &shares, now);
     cx.note_config_seen(member.config_version);
-    cx.lock_roster().hear(member, now);
+    let mut roster = cx.lock_roster();
+    roster.hear(member, now);
+    for it in &message.heard {
+        let age = Duration::from_millis(u64::from(it.age_ms));
+        roster.hear_of(&it.name, it.process, age, it.is_ready, now);
+    }
+    drop(roster);
     for record in message.crashes.iter().filter_map(CrashMessage::to_record) {
         if cx.lock_quarantine().merge(&record, now) {
             log::warn!(fingerprint:% = record.fingerprint, endpoints = record.endpoints.len(); "content that crashed endpoints learned from a router");
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -198,6 +198,26 @@
     /// Whether the receiver should answer with its own state at once.
     #[prost(bool, tag = "10")]
     pub wants_answer: bool,
+    /// Other routers that the sender has heard, directly or through others.
+    #[prost(message, repeated, tag = "11")]
+    pub heard: Vec<HeardMessage>,
+}
+
+/// A router that another one has heard.
+#[derive(Clone, PartialEq, Message)]
+pub struct HeardMessage {
+    /// Name of the router.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Its process.
+    #[prost(fixed64, tag = "2")]
+    pub process: u64,
+    /// Time since it was heard, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+    /// Whether it took new callers then.
+    #[prost(bool, tag = "4")]
+    pub is_ready: bool,
 }
 
 /// Load of a router's requests on one endpoint.
--- a/components/relay/src/peers/mod.rs
+++ b/components/relay/src/peers/mod.rs
@@ -10,8 +10,8 @@
 pub use self::loans::Loans;
 pub use self::{
     message::{
-        CrashMessage, DeclarationMessage, LoadMessage, LoanMessage, PeerContent, PeerMessage,
-        StatusMessage,
+        CrashMessage, DeclarationMessage, HeardMessage, LoadMessage, LoanMessage, PeerContent,
+        PeerMessage, StatusMessage,
     },
     roster::{Member, Roster, SelfStatus},
 };
--- a/components/relay/src/peers/roster.rs
+++ b/components/relay/src/peers/roster.rs
@@ -77,6 +77,32 @@
         *entry = Entry { member, heard_at: Some(now), named_at: now, is_silent: false };
     }
 
+    /// Notes what another router has heard: that the process `process` of `name` was alive
+    /// `age` ago. Older news and news of other processes change nothing.
+    pub fn hear_of(
+        &mut self,
+        name: &str,
+        process: u64,
+        age: Duration,
+        is_ready: bool,
+        now: Timestamp,
+    ) {
+        let Some(entry) = self.entries.get_mut(name) else { return };
+        let heard_at = now - age;
+        let is_news = entry.heard_at.is_none_or(|known| known < heard_at);
+        if is_news && entry.member.process == process && age <= HEARD_TIME {
+            entry.heard_at = Some(heard_at);
+            entry.member.is_ready = is_ready;
+            entry.is_silent = false;
+        }
+    }
+
+    /// Returns the routers that are heard, with the time since.
+    pub fn heard(&self, now: Timestamp) -> impl Iterator<Item = (&Member, Duration)> {
+        let entries = self.entries.values().filter(move |it| it.is_heard(now));
+        entries.filter_map(move |it| Some((&it.member, now.since(it.heard_at?))))
+    }
+
     /// Notes a router that the table names.
     pub fn name(&mut self, member: Member, now: Timestamp) {
         let is_new = match self.entries.get(&member.name) {
--- a/components/relay/tests/allowance_takeover.rs
+++ b/components/relay/tests/allowance_takeover.rs
@@ -240,3 +240,21 @@
     exchange(&mut second, &mut store, 9_010);
     assert_eq!(second.account(ACCOUNT).unwrap().held(), kept_of(held));
 }
+
+#[test]
+fn declarations_of_a_large_fleet_are_spaced() {
+    let mut store = Store::default();
+    let mut book = started(&mut store);
+    let due = |book: &mut AllowanceBook, routers: usize, millis: u64| {
+        let inputs = CommitInputs { routers, ..inputs(millis, Stage::Serving) };
+        let commit = book.next_commit(&inputs);
+        if let Some(commit) = &commit {
+            let outcome = store.commit(commit);
+            book.on_outcome(&outcome, false, at(millis));
+        }
+        commit.is_some()
+    };
+    assert!(due(&mut book, 8, 900));
+    assert!(!due(&mut book, 600, 2_000), "600 routers declare every ten seconds each");
+    assert!(due(&mut book, 600, 11_000));
+}
--- a/components/relay/tests/roster.rs
+++ b/components/relay/tests/roster.rs
@@ -6,7 +6,7 @@
     reason = "a test ends where it cannot go on, and its numbers are small"
 )]
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use relay::peers::{Member, Roster};
 use types::Timestamp;
@@ -58,3 +58,27 @@
     roster.name(member(1, true), Timestamp::from_millis(100));
     assert!(ready(&roster, 100).is_empty());
 }
+
+#[test]
+fn what_others_heard_keeps_a_router_alive() {
+    let mut roster = Roster::default();
+    roster.hear(member(1, true), Timestamp::ZERO);
+    roster.hear(member(2, true), Timestamp::from_millis(3_000));
+    assert_eq!(ready(&roster, 3_000), ["router-2"]);
+    let now = Timestamp::from_millis(3_000);
+    roster.hear_of("router-1", 1, Duration::from_millis(500), true, now);
+    assert_eq!(ready(&roster, 3_000), ["router-1", "router-2"]);
+    assert_eq!(ready(&roster, 3_800), ["router-2"], "news ages like a message of its own");
+    roster.hear_of("router-1", 1, Duration::from_millis(400), false, now);
+    assert_eq!(ready(&roster, 3_000), ["router-2"], "it leaves");
+}
+
+#[test]
+fn news_of_an_earlier_process_changes_nothing() {
+    let mut roster = Roster::default();
+    roster.hear(member(1, true), Timestamp::ZERO);
+    let now = Timestamp::from_millis(3_000);
+    roster.hear_of("router-1", 99, Duration::ZERO, true, now);
+    roster.hear(member(2, true), now);
+    assert_eq!(ready(&roster, 3_000), ["router-2"]);
+}
--- a/components/telemetry/src/log_line.rs
+++ b/components/telemetry/src/log_line.rs
@@ -9,7 +9,7 @@
 pub struct LogLine {
     /// When it was written.
     pub time: SystemTime,
-    /// What stands before the time, such as the name of the router; empty where nothing does.
+    /// Word before the time, such as the name of the router; empty where there is none.
     pub source: String,
     /// Message, without its fields.
     pub message: String,
@@ -51,7 +51,7 @@
     let time = humantime::parse_rfc3339(words[at]).ok()?;
     // The word after the time is the level.
     let rest = words.get(at + 2..)?;
-    let is_field = |word: &&str| {
+    let is_field = |word: &str| {
         word.split_once('=').is_some_and(|(name, _)| {
             !name.is_empty() && name.chars().all(|c| c.is_ascii_alphanumeric() || c == '_')
         })
@@ -70,5 +70,10 @@
             }
         }
     }
-    Some(LogLine { time, source: words[..at].join(" "), message: rest[..first].join(" "), fields })
+    Some(LogLine {
+        time,
+        source: words[..at].last().copied().unwrap_or_default().to_owned(),
+        message: rest[..first].join(" "),
+        fields,
+    })
 }
--- a/programs/auburncrank/src/cmd/explain.rs
+++ b/programs/auburncrank/src/cmd/explain.rs
@@ -23,7 +23,12 @@
         let text = fs::read(file)
             .map_err(|error| CommandError::Usage(format!("{file} cannot be read: {error}")))?;
         let text = String::from_utf8_lossy(&text);
-        lines.extend(text.lines().filter_map(LogLine::parse));
+        lines.extend(text.lines().filter_map(LogLine::parse).map(|mut line| {
+            if line.source.is_empty() {
+                line.source.clone_from(file);
+            }
+            line
+        }));
     }
     let story = LogStory::of_request(id, &lines);
     if story.decisions.is_empty() {
