--- a/components/relay/tests/allowance_takeover.rs
+++ b/components/relay/tests/allowance_takeover.rs
@@ -245,7 +245,7 @@
 fn declarations_of_a_large_fleet_are_spaced() {
     let mut store = Store::default();
     let mut book = started(&mut store);
-    let due = |book: &mut AllowanceBook, routers: usize, millis: u64| {
+    let mut due = |book: &mut AllowanceBook, routers: usize, millis: u64| {
         let inputs = CommitInputs { routers, ..inputs(millis, Stage::Serving) };
         let commit = book.next_commit(&inputs);
         if let Some(commit) = &commit {
