--- a/programs/auburncrank-relay/src/run.rs
+++ b/programs/auburncrank-relay/src/run.rs
@@ -1,6 +1,10 @@
 //! Runs the relay until a signal ends it.
 
-use std::{path::Path, process::ExitCode};
+use std::{
+    path::Path,
+    process::ExitCode,
+    time::{Duration, SystemTime},
+};
 
 use platform_adapter::{PlatformSettings, connect};
 use relay::RelayProcess;
@@ -12,6 +16,10 @@
 
 use crate::cli::ProgramSettings;
 
+/// Time between two looks whether the settings file has changed; the system has no way to
+/// be told on these hosts.
+const FILE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Runs the relay; returns its exit code.
 pub(crate) fn run_relay(settings: ProgramSettings) -> ExitCode {
     if let Err(error) = set_up_queued_logs(settings.log_level, settings.log_format) {
@@ -54,7 +62,8 @@
     ExitCode::SUCCESS
 }
 
-/// Waits for the signal to end; reads the settings anew at each hang-up.
+/// Waits for the signal to end; reads the settings anew at each hang-up, and where the file
+/// has changed without one.
 async fn wait_for_end(
     terminate: &mut Signal,
     interrupt: &mut Signal,
@@ -62,15 +71,29 @@
     path: &Path,
     process: &RelayProcess,
 ) {
+    let mut known = modified_at(path);
     loop {
         tokio::select! {
             _ = terminate.recv() => return,
             _ = interrupt.recv() => return,
-            _ = hangup.recv() => reload(path, process),
+            _ = hangup.recv() => {}
+            () = tokio::time::sleep(FILE_CHECK_INTERVAL) => {
+                if modified_at(path) == known {
+                    continue;
+                }
+            }
         }
+        known = modified_at(path);
+        reload(path, process);
     }
 }
 
+/// Returns when a file was last modified; `None` where the system does not tell, which
+/// reads as "not changed" until it does.
+fn modified_at(path: &Path) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|it| it.modified()).ok()
+}
+
 fn reload(path: &Path, process: &RelayProcess) {
     match PlatformSettings::read(path) {
         Ok(settings) => process.reload(&settings.relay),
