Require declared tokens on paid streams, and ignore absurd ones

Found in reading: a stream to a model engine without declared tokens ran without a reservation, and a demand near the largest number made later sums overflow.

--- a/components/relay/src/allowance/account.rs
+++ b/components/relay/src/allowance/account.rs
@@ -148,11 +148,14 @@
 
     /// Reserves tokens; false where fewer are available.
     pub(super) fn reserve(&mut self, tokens: u64, now: Timestamp) -> bool {
-        self.largest = self.largest.max(tokens);
         if tokens > self.available(now) {
-            self.wanted = self.wanted.max(tokens);
+            // What the account never has is not worth waiting for.
+            if tokens <= self.limit {
+                self.wanted = self.wanted.max(tokens);
+            }
             return false;
         }
+        self.largest = self.largest.max(tokens);
         self.reserved += tokens;
         self.rate.add(tokens as f64, now);
         true
--- a/components/relay/src/model/desired_state.rs
+++ b/components/relay/src/model/desired_state.rs
@@ -30,6 +30,13 @@
     pub tokens_per_event: Option<u64>,
 }
 
+impl ServiceSpec {
+    /// Tells whether the service is one of model engines, whose requests use tokens.
+    pub fn is_engine(&self) -> bool {
+        self.memory_tokens.is_some() || self.tokens_per_event.is_some()
+    }
+}
+
 /// One client account.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Account {
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use routing::Verdict;
 use tokio::time::Instant;
+use types::Timestamp;
 use utils::jitter;
 
 use super::{
@@ -26,7 +27,7 @@
 use crate::{
     allowance::{Reservation, Shortage},
     context::{InForce, RelayContext},
-    model::{Account, RequestHead, Route},
+    model::{Account, RequestHead, Route, ServiceSpec},
     units::millis,
 };
 
@@ -103,8 +104,8 @@
     let body = read_body(body, limits.body_max_bytes).await?;
     // What came into force while the body arrived counts.
     let in_force = cx.in_force.load_full().unwrap_or(in_force);
-    let (route, account) = authorize(&in_force, &request, head.uri.path())?;
-    let mut run = begin(cx, in_force, request, head, body, route, account, received_at)?;
+    let admission = authorize(in_force, &request, head.uri.path())?;
+    let mut run = begin(cx, admission, request, received_at, (head, body))?;
     if let Err(error) = refuse_crashing(&run) {
         return Err(end_failed(error, run));
     }
@@ -129,40 +130,55 @@
     }
 }
 
+/// What allows a request.
+struct Admission {
+    /// Desired state by which it is handled.
+    in_force: Arc<InForce>,
+    /// Route.
+    route: Arc<Route>,
+    /// Client account; none where the route or the state asks for none.
+    account: Option<Arc<Account>>,
+}
+
 /// Finds the route and the client account of a request.
 fn authorize(
-    in_force: &InForce,
+    in_force: Arc<InForce>,
     request: &RequestHead,
     path: &str,
-) -> Result<(Arc<Route>, Option<Arc<Account>>), Error> {
+) -> Result<Admission, Error> {
     let state = &in_force.state;
-    let Some(route) = state.find_route(&request.host, path) else {
+    let Some(route) = state.find_route(&request.host, path).cloned() else {
         return Err(Error::new(ErrorKind::NotFound, "no route serves this path"));
     };
-    let Some(accounts) = &state.accounts else { return Ok((route.clone(), None)) };
-    let account = request.key.as_ref().and_then(|key| accounts.get(key));
+    let Some(accounts) = &state.accounts else {
+        return Ok(Admission { in_force, route, account: None });
+    };
+    let account = request.key.as_ref().and_then(|key| accounts.get(key)).cloned();
     if account.is_none() && !route.is_anonymous {
         return Err(Error::new(ErrorKind::Unauthorized, "the key is missing or unknown"));
     }
-    Ok((route.clone(), account.cloned()))
+    Ok(Admission { in_force, route, account })
 }
 
-#[expect(clippy::too_many_arguments, reason = "the parts of a request, each used once")]
+/// Begins to handle a request that is allowed.
 fn begin(
     cx: &Arc<RelayContext>,
-    in_force: Arc<InForce>,
+    admission: Admission,
     request: RequestHead,
-    head: http::request::Parts,
-    body: Bytes,
-    route: Arc<Route>,
-    account: Option<Arc<Account>>,
-    received_at: types::Timestamp,
+    received_at: Timestamp,
+    (head, body): (http::request::Parts, Bytes),
 ) -> Result<Run, Error> {
+    let Admission { in_force, route, account } = admission;
     let service = route.draw_service(&mut cx.lock_rng()).cloned();
     let service =
         service.ok_or_else(|| Error::new(ErrorKind::NoEndpoint, "the route has no service"))?;
     let patience = request.patience.unwrap_or(route.timeout).min(route.timeout);
     let spec = in_force.state.services.get(&service);
+    let is_paid = account.as_ref().is_some_and(|it| it.prepaid_tokens.is_some());
+    let uses_tokens = route.repeat.is_stream() && spec.is_some_and(ServiceSpec::is_engine);
+    if is_paid && uses_tokens && request.tokens.is_none() {
+        return Err(Error::new(ErrorKind::BadRequest, "the declared tokens are missing"));
+    }
     let connections = spec.map_or(CONNECTIONS_MIN, |it| it.max_connections as usize);
     let connections_max = (connections / cx.lock_roster().count()).max(CONNECTIONS_MIN);
     cx.running.fetch_add(1, Ordering::Relaxed);
