--- a/components/relay/src/allowance/account.rs
+++ b/components/relay/src/allowance/account.rs
@@ -21,10 +21,6 @@
 /// many, divided by the routers.
 const FIRST_DRAW_DIVISOR: u64 = 6;
 
-/// Part of an account's undrawn tokens that one router holds at most, divided by the
-/// routers.
-const POOL_DIVISOR: u64 = 1;
-
 /// Time for which a lender keeps tokens for its own requests.
 const KEPT_TIME: Duration = Duration::from_secs(2);
 
@@ -269,7 +265,7 @@
         let expected = self.rate.expected(HORIZON, now);
         // Routers lend each other what one alone has too little of.
         let by_rate = expected + 2 * self.largest / routers;
-        let by_pool = (pool + self.held - self.reserved) / POOL_DIVISOR / routers;
+        let by_pool = (pool + self.held - self.reserved) / routers;
         by_rate.max(first).min(by_pool)
     }
 
--- a/components/relay/src/allowance/book/inheritance.rs
+++ b/components/relay/src/allowance/book/inheritance.rs
@@ -7,11 +7,11 @@
 use super::{AllowanceBook, CommitInputs};
 use crate::allowance::{
     ceiling::BINDING_TIME,
-    witness::{RouterProcess, WitnessWord},
+    witness::{RouterProcess, WitnessStatement},
 };
 
-/// Longest time for which a new process waits for the words of its predecessor's witnesses.
-const WORD_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest time for which a new process waits for the statements of its predecessor's witnesses.
+const STATEMENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// What is known of the tokens that the predecessor of this process held.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -22,7 +22,7 @@
     Asked {
         /// Witnesses that have not answered.
         silent: Vec<RouterProcess>,
-        /// What is kept by the words so far.
+        /// What is kept by the statements so far.
         kept: Vec<(Arc<str>, u64)>,
         /// Since when they are asked.
         since: Timestamp,
@@ -41,11 +41,11 @@
         };
         match &self.inheritance {
             Inheritance::Certain(tokens) => return Some(tokens.clone()),
-            Inheritance::Asked { since, .. } if inputs.now.since(*since) < WORD_TIMEOUT => {
+            Inheritance::Asked { since, .. } if inputs.now.since(*since) < STATEMENT_TIMEOUT => {
                 return None;
             }
             Inheritance::Asked { silent, .. } => {
-                log::warn!(silent:? = silent; "tokens of the earlier process count as spent: no word of its witnesses");
+                log::warn!(silent:? = silent; "tokens of the earlier process count as spent: no statement of its witnesses");
                 return Some(self.settle_inheritance(Vec::new()));
             }
             Inheritance::Unknown => {}
@@ -84,12 +84,12 @@
         Some((silent.clone(), about))
     }
 
-    /// Takes the word of `witness` about `about`.
-    pub fn on_witness_word(
+    /// Takes the statement of `witness` about `about`.
+    pub fn on_witness_statement(
         &mut self,
         witness: &RouterProcess,
         about: &RouterProcess,
-        word: &WitnessWord,
+        statement: &WitnessStatement,
     ) {
         let is_asked = self
             .witness_question()
@@ -98,19 +98,19 @@
         let last_commit = row.mark.number;
         let Inheritance::Asked { silent, kept, .. } = &mut self.inheritance else { return };
         silent.retain(|it| it != witness);
-        match word {
-            WitnessWord::Nothing => {}
-            WitnessWord::Declared(it) if it.last_commit < last_commit => {}
-            WitnessWord::Declared(it) => {
+        match statement {
+            WitnessStatement::Nothing => {}
+            WitnessStatement::Declared(it) if it.last_commit < last_commit => {}
+            WitnessStatement::Declared(it) => {
                 for (name, tokens) in kept.iter_mut() {
                     *tokens = (*tokens).min(it.kept.get(name).copied().unwrap_or_default());
                 }
             }
-            WitnessWord::Forgotten => kept.clear(),
+            WitnessStatement::Forgotten => kept.clear(),
         }
         if silent.is_empty() {
             let tokens = std::mem::take(kept);
-            log::info!(witness:% = witness.router, accounts = tokens.len(); "tokens of the earlier process taken over by the word of its witnesses");
+            log::info!(witness:% = witness.router, accounts = tokens.len(); "tokens of the earlier process taken over by the statements of its witnesses");
             self.settle_inheritance(tokens);
         }
     }
--- a/components/relay/src/allowance/mod.rs
+++ b/components/relay/src/allowance/mod.rs
@@ -17,5 +17,5 @@
     book::{AllowanceBook, CommitInputs, Reservation, Shortage, Stage},
     ceiling::BINDING_TIME,
     rows::{ACCOUNT_PREFIX, AllowanceRow, HOLDINGS_PREFIX, Holding, HoldingsRow, Mark},
-    witness::{RouterProcess, WitnessDeclaration, WitnessRecords, WitnessWord},
+    witness::{RouterProcess, WitnessDeclaration, WitnessRecords, WitnessStatement},
 };
--- a/components/relay/src/allowance/witness.rs
+++ b/components/relay/src/allowance/witness.rs
@@ -34,7 +34,7 @@
 
 /// A witness's answer about a process that has ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum WitnessWord {
+pub enum WitnessStatement {
     /// The process declared nothing.
     Nothing,
     /// The last declaration of the process.
@@ -70,11 +70,11 @@
     }
 
     /// Tells what a process has declared.
-    pub fn word(&self, declarer: &RouterProcess) -> WitnessWord {
+    pub fn statement(&self, declarer: &RouterProcess) -> WitnessStatement {
         match self.records.get(declarer) {
-            Some(declaration) => WitnessWord::Declared(declaration.clone()),
-            None if self.is_full => WitnessWord::Forgotten,
-            None => WitnessWord::Nothing,
+            Some(declaration) => WitnessStatement::Declared(declaration.clone()),
+            None if self.is_full => WitnessStatement::Forgotten,
+            None => WitnessStatement::Nothing,
         }
     }
 }
--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -171,7 +171,7 @@
 
 /// Returns the endpoints that keep the shared part of a prompt, the first of them before
 /// the one that takes over where the first is busy: those with the highest hashes of part
-/// and endpoint, so that all routers find the same without a word.
+/// and endpoint, so that all routers find the same without a message.
 fn homes_of(parts: &[PromptPart], ids: &[&Arc<str>]) -> Vec<Arc<str>> {
     let Some(part) = shared_part(parts) else { return Vec::new() };
     let mut ranked: Vec<(u64, &Arc<str>)> = ids.iter().map(|id| (rank(part.id, id), *id)).collect();
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -221,8 +221,8 @@
                 witnessing::answer(cx, &it, sender).await;
                 true
             }
-            Some(PeerContent::Word(it)) => {
-                witnessing::take_word(cx, &it);
+            Some(PeerContent::Statement(it)) => {
+                witnessing::take_statement(cx, &it);
                 true
             }
             None => false,
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -11,7 +11,7 @@
 use utils::Digest;
 
 use crate::{
-    allowance::{RouterProcess, WitnessDeclaration, WitnessWord},
+    allowance::{RouterProcess, WitnessDeclaration, WitnessStatement},
     endpoints::{Load, LoadShare},
 };
 
@@ -46,7 +46,7 @@
     Question(DeclarationMessage),
     /// The answer to a question.
     #[prost(message, tag = "7")]
-    Word(DeclarationMessage),
+    Statement(DeclarationMessage),
 }
 
 /// A declaration to a witness, a question about one, or an answer to either.
@@ -104,11 +104,11 @@
     }
 
     /// Creates the answer to a question.
-    pub fn word(about: &RouterProcess, word: &WitnessWord) -> DeclarationMessage {
-        match word {
-            WitnessWord::Nothing => DeclarationMessage::question(about),
-            WitnessWord::Declared(it) => DeclarationMessage::new(about, it),
-            WitnessWord::Forgotten => {
+    pub fn statement(about: &RouterProcess, statement: &WitnessStatement) -> DeclarationMessage {
+        match statement {
+            WitnessStatement::Nothing => DeclarationMessage::question(about),
+            WitnessStatement::Declared(it) => DeclarationMessage::new(about, it),
+            WitnessStatement::Forgotten => {
                 DeclarationMessage { is_forgotten: true, ..DeclarationMessage::question(about) }
             }
         }
@@ -142,11 +142,11 @@
     }
 
     /// Returns the answer to a question.
-    pub fn to_word(&self) -> WitnessWord {
+    pub fn to_statement(&self) -> WitnessStatement {
         match (self.is_forgotten, self.is_found) {
-            (true, _) => WitnessWord::Forgotten,
-            (false, true) => WitnessWord::Declared(self.to_declaration()),
-            (false, false) => WitnessWord::Nothing,
+            (true, _) => WitnessStatement::Forgotten,
+            (false, true) => WitnessStatement::Declared(self.to_declaration()),
+            (false, false) => WitnessStatement::Nothing,
         }
     }
 }
--- a/components/relay/src/peers/witnessing.rs
+++ b/components/relay/src/peers/witnessing.rs
@@ -73,15 +73,15 @@
 /// Answers the question of a new process about its predecessor.
 pub(super) async fn answer(cx: &RelayContext, message: &DeclarationMessage, sender: SocketAddr) {
     let about = message.declarer();
-    let word = cx.lock_witness_records().word(&about);
-    log::info!(router:% = about.router, word:? = word; "word given about an earlier process");
-    let answer = DeclarationMessage::word(&about, &word).from_witness(&own_process(cx));
-    cx.gossip.send(&encode(PeerContent::Word(answer)), sender).await;
+    let statement = cx.lock_witness_records().statement(&about);
+    log::info!(router:% = about.router, statement:? = statement; "statement given about an earlier process");
+    let answer = DeclarationMessage::statement(&about, &statement).from_witness(&own_process(cx));
+    cx.gossip.send(&encode(PeerContent::Statement(answer)), sender).await;
 }
 
 /// Takes the answer to the question of this process.
-pub(super) fn take_word(cx: &RelayContext, message: &DeclarationMessage) {
+pub(super) fn take_statement(cx: &RelayContext, message: &DeclarationMessage) {
     let (witness, about) = (message.answering_witness(), message.declarer());
-    cx.lock_allowances().on_witness_word(&witness, &about, &message.to_word());
+    cx.lock_allowances().on_witness_statement(&witness, &about, &message.to_statement());
     cx.allowance_wanted.notify_one();
 }
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -38,7 +38,7 @@
 const ATTEMPT_TIME_FACTOR: u32 = 2;
 
 /// Returns an error that sends the caller away for a while.
-pub(super) fn come_back(run: &Run, kind: ErrorKind, message: &str, mean: Duration) -> Error {
+pub(super) fn refuse_for_now(run: &Run, kind: ErrorKind, message: &str, mean: Duration) -> Error {
     let delay = jitter(mean, &mut run.cx.lock_rng());
     let error = Error::new(kind, message).with_retry_delay(delay);
     if run.may_have_run { error.after_earlier_attempt() } else { error }
@@ -54,7 +54,7 @@
             Choice::Absent if !run.cx.lock_endpoints().has_list() => {}
             Choice::Absent => {
                 let message = "no endpoint serves the request";
-                return Err(come_back(run, ErrorKind::NoEndpoint, message, RETURN_AFTER));
+                return Err(refuse_for_now(run, ErrorKind::NoEndpoint, message, RETURN_AFTER));
             }
             Choice::Full => {}
         }
@@ -62,7 +62,7 @@
         let waited = tokio::time::timeout_at(run.cx.instant(wait_until), freed).await;
         if waited.is_err() {
             let message = "all endpoints are full";
-            return Err(come_back(run, ErrorKind::Overloaded, message, RETURN_AFTER));
+            return Err(refuse_for_now(run, ErrorKind::Overloaded, message, RETURN_AFTER));
         }
     }
 }
@@ -238,7 +238,7 @@
     } else {
         ErrorKind::DeadlineBeforeRun
     };
-    come_back(run, kind, "the time of the request has passed", RETURN_AFTER)
+    refuse_for_now(run, kind, "the time of the request has passed", RETURN_AFTER)
 }
 
 fn give_up(run: &Run, failure: &Failure) -> Error {
@@ -251,12 +251,17 @@
             _ => ErrorKind::NoEndpoint,
         };
         let quick = run.cx.lock_rng().random_range(0.3..1.0);
-        return come_back(run, kind, "no endpoint took the request", RETURN_AFTER.mul_f64(quick));
+        return refuse_for_now(
+            run,
+            kind,
+            "no endpoint took the request",
+            RETURN_AFTER.mul_f64(quick),
+        );
     }
     let kind = match (failure, run.route.repeat.may_run_again()) {
         (Failure::TimedOut, _) => ErrorKind::DeadlineWhileRunning,
         (_, true) => ErrorKind::AttemptsFailed,
         (_, false) => ErrorKind::OutcomeUnknown,
     };
-    come_back(run, kind, "the endpoint gave no usable answer", RETURN_AFTER)
+    refuse_for_now(run, kind, "the endpoint gave no usable answer", RETURN_AFTER)
 }
--- a/components/relay/src/serve/plain.rs
+++ b/components/relay/src/serve/plain.rs
@@ -10,7 +10,7 @@
 use super::{
     body::AnswerBody,
     exchange::{Answer, Failure},
-    placing::{come_back, note_loss, obtain_answer, take_retry},
+    placing::{note_loss, obtain_answer, refuse_for_now, take_retry},
     run::Run,
 };
 
@@ -75,7 +75,7 @@
     } else {
         ErrorKind::OutcomeUnknown
     };
-    come_back(run, kind, "the endpoint's answer was broken", RETURN_AFTER_FAILURE)
+    refuse_for_now(run, kind, "the endpoint's answer was broken", RETURN_AFTER_FAILURE)
 }
 
 async fn read_answer(run: &Run, answer: Answer) -> Result<(response::Parts, Bytes), Failure> {
--- a/components/relay/tests/allowance_faults/world.rs
+++ b/components/relay/tests/allowance_faults/world.rs
@@ -207,9 +207,9 @@
         let Some((asked, about)) = self.routers[index].book.witness_question() else { return };
         for witness in asked {
             let found = self.routers.iter().find(|it| live(it) && it.identity() == witness);
-            let word = found.map(|it| it.records.word(&about));
-            if let Some(word) = word.filter(|_| self.rng.random_bool(0.5)) {
-                self.routers[index].book.on_witness_word(&witness, &about, &word);
+            let statement = found.map(|it| it.records.statement(&about));
+            if let Some(statement) = statement.filter(|_| self.rng.random_bool(0.5)) {
+                self.routers[index].book.on_witness_statement(&witness, &about, &statement);
             }
         }
     }
--- a/components/relay/tests/allowance_takeover.rs
+++ b/components/relay/tests/allowance_takeover.rs
@@ -12,7 +12,7 @@
 use relay::{
     allowance::{
         AllowanceBook, BINDING_TIME, CommitInputs, RouterProcess, Shortage, Stage, WitnessRecords,
-        WitnessWord,
+        WitnessStatement,
     },
     model::Account,
 };
@@ -120,7 +120,7 @@
 }
 
 #[test]
-fn process_that_starts_late_waits_for_the_word_of_the_witness() {
+fn process_that_starts_late_waits_for_the_statements_of_the_witnesses() {
     let mut store = Store::default();
     let first = started(&mut store);
     let held = first.account(ACCOUNT).unwrap().held();
@@ -129,23 +129,23 @@
     assert!(!exchange(&mut second, &mut store, late));
     let (asked, about) = second.witness_question().expect("the witnesses are asked");
     assert_eq!(asked, [witness(), other_witness()]);
-    second.on_witness_word(&witness(), &about, &WitnessWord::Nothing);
-    assert!(!exchange(&mut second, &mut store, late + 5), "one word is not enough");
-    second.on_witness_word(&other_witness(), &about, &WitnessWord::Nothing);
+    second.on_witness_statement(&witness(), &about, &WitnessStatement::Nothing);
+    assert!(!exchange(&mut second, &mut store, late + 5), "one statement is not enough");
+    second.on_witness_statement(&other_witness(), &about, &WitnessStatement::Nothing);
     exchange(&mut second, &mut store, late + 10);
     assert_eq!(second.account(ACCOUNT).unwrap().held(), kept_of(held));
 }
 
 #[test]
-fn without_a_word_all_counts_as_spent() {
+fn without_a_statement_all_counts_as_spent() {
     let mut store = Store::default();
     started(&mut store);
     let late = 600 + BINDING_TIME.as_millis() as u64;
-    for word in [None, Some(WitnessWord::Forgotten)] {
+    for statement in [None, Some(WitnessStatement::Forgotten)] {
         let mut second = book(3);
         exchange(&mut second, &mut store, late);
-        if let (Some(word), Some((asked, about))) = (word, second.witness_question()) {
-            asked.iter().for_each(|it| second.on_witness_word(it, &about, &word));
+        if let (Some(statement), Some((asked, about))) = (statement, second.witness_question()) {
+            asked.iter().for_each(|it| second.on_witness_statement(it, &about, &statement));
         }
         let mut copy = Store { rows: store.rows.clone(), revision: store.revision };
         exchange(&mut second, &mut copy, late + 2_000);
@@ -181,7 +181,7 @@
 }
 
 #[test]
-fn word_of_the_witness_bounds_what_is_taken_over() {
+fn statement_of_the_witness_bounds_what_is_taken_over() {
     let mut store = Store::default();
     let mut first = started(&mut store);
     let account: Arc<str> = Arc::from(ACCOUNT);
@@ -201,8 +201,8 @@
     let (asked, about) = second.witness_question().unwrap();
     assert_eq!(asked.len(), 2);
     // The declaration reached one of the two only.
-    second.on_witness_word(&witness(), &about, &records.word(&about));
-    second.on_witness_word(&other_witness(), &about, &WitnessWord::Nothing);
+    second.on_witness_statement(&witness(), &about, &records.statement(&about));
+    second.on_witness_statement(&other_witness(), &about, &WitnessStatement::Nothing);
     exchange(&mut second, &mut store, 9_010);
     let taken_over = second.account(ACCOUNT).unwrap().held();
     assert!(taken_over <= held - 4_000, "{taken_over} of {held}");
@@ -236,7 +236,7 @@
     let mut second = book(3);
     assert!(!exchange(&mut second, &mut store, 9_000));
     let (asked, about) = second.witness_question().unwrap();
-    asked.iter().for_each(|it| second.on_witness_word(it, &about, &records.word(&about)));
+    asked.iter().for_each(|it| second.on_witness_statement(it, &about, &records.statement(&about)));
     exchange(&mut second, &mut store, 9_010);
     assert_eq!(second.account(ACCOUNT).unwrap().held(), kept_of(held));
 }
