--- a/components/relay/src/allowance/account.rs
+++ b/components/relay/src/allowance/account.rs
@@ -39,6 +39,13 @@
 /// allowed and not spent is lost at a crash.
 const CEILING_TIME: Duration = Duration::from_millis(2_800);
 
+/// The same where few tokens are left: then a loss at a crash is worse than a shortage at
+/// the start of an outage.
+const CEILING_TIME_LOW: Duration = Duration::from_millis(1_000);
+
+/// Part of the prepaid tokens, as a divisor, below which the undrawn ones are few.
+const LOW_DIVISOR: u64 = 8;
+
 /// Part of the held tokens that may leave in any case, as a divisor, so that a router
 /// without requests of late serves the first ones when the store goes away.
 const CEILING_DIVISOR: u64 = 16;
@@ -276,9 +283,12 @@
 
     /// Returns what to declare with a change: the tokens after it, and how many of them may
     /// leave until the declaration no longer binds.
-    pub(super) fn declare(&self, change: &Change, now: Timestamp) -> Holding {
+    pub(super) fn declare(&self, change: &Change, undrawn: u64, now: Timestamp) -> Holding {
         let held = self.held + change.draw - change.give_back;
-        let expected = self.rate.expected(CEILING_TIME, now);
+        let is_low = undrawn < self.limit / LOW_DIVISOR;
+        let (span, floor) =
+            if is_low { (CEILING_TIME_LOW, 0) } else { (CEILING_TIME, held / CEILING_DIVISOR) };
+        let expected = self.rate.expected(span, now);
         let margin = expected.max(self.wanted).max(held / CEILING_DIVISOR);
         let ceiling = self.reserved + margin;
         Holding { held, ceiling: ceiling.min(held) }
@@ -305,8 +315,8 @@
     }
 
     /// Declares to the witness what is kept; returns how many tokens that are.
-    pub(super) fn declare_to_witness(&mut self, number: u64, now: Timestamp) -> u64 {
-        let declared = self.declare(&Change::default(), now);
+    pub(super) fn declare_to_witness(&mut self, number: u64, undrawn: u64, now: Timestamp) -> u64 {
+        let declared = self.declare(&Change::default(), undrawn, now);
         self.ceilings.begin_witnessed(number, declared.ceiling);
         declared.held - declared.ceiling + self.returning
     }
--- a/components/relay/src/allowance/book/commits.rs
+++ b/components/relay/src/allowance/book/commits.rs
@@ -112,7 +112,9 @@
         for (name, allowance) in &mut self.accounts {
             let change = changes.iter().find(|(it, _)| it == name).map(|(_, it)| *it);
             let change = change.unwrap_or_default();
-            let mut declared = allowance.declare(&change, now);
+            let known = self.rows.get(name).map(|(row, _)| row);
+            let undrawn = known.map_or(0, |row| allowance.undrawn(row));
+            let mut declared = allowance.declare(&change, undrawn, now);
             let has_witness = !holdings.witnesses.is_empty();
             allowance.start(&change, declared, number, binds_until, has_witness);
             let taken_over = adopted.iter().find(|(it, _)| it == name).map_or(0, |(_, it)| *it);
--- a/components/relay/src/allowance/book/witnesses.rs
+++ b/components/relay/src/allowance/book/witnesses.rs
@@ -59,7 +59,11 @@
         let kept = self
             .accounts
             .iter_mut()
-            .map(|(name, it)| (name.clone(), it.declare_to_witness(number, now)))
+            .map(|(name, it)| {
+                let known = self.rows.get(name).map(|(row, _)| row);
+                let undrawn = known.map_or(0, |row| it.undrawn(row));
+                (name.clone(), it.declare_to_witness(number, undrawn, now))
+            })
             .filter(|(_, kept)| *kept > 0);
         let kept = kept.collect();
         Some((witnesses, WitnessDeclaration { number, last_commit: self.mark.number, kept }))
