--- a/components/relay/src/allowance/account.rs
+++ b/components/relay/src/allowance/account.rs
@@ -286,8 +286,7 @@
     pub(super) fn declare(&self, change: &Change, undrawn: u64, now: Timestamp) -> Holding {
         let held = self.held + change.draw - change.give_back;
         let is_low = undrawn < self.limit / LOW_DIVISOR;
-        let (span, floor) =
-            if is_low { (CEILING_TIME_LOW, 0) } else { (CEILING_TIME, held / CEILING_DIVISOR) };
+        let span = if is_low { CEILING_TIME_LOW } else { CEILING_TIME };
         let expected = self.rate.expected(span, now);
         let margin = expected.max(self.wanted).max(held / CEILING_DIVISOR);
         let ceiling = self.reserved + margin;
