--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng as _;
 use types::Timestamp;
-use utils::Rng;
+use utils::{Rng, stable_hash};
 
 use super::{
     book::EndpointBook,
@@ -184,15 +184,9 @@
     need.parts.last().map_or(tokens.prompt, |it| it.tokens)
 }
 
-/// Mixes a part and an endpoint into a number that is the same on every router.
+/// Returns the rank of an endpoint for a part; the same on every router.
 pub(super) fn rank(part: u64, endpoint: &str) -> u64 {
-    let mut hash = part ^ 0x9e37_79b9_7f4a_7c15;
-    for byte in endpoint.bytes() {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    }
-    hash ^= hash >> 33;
-    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
-    hash ^ (hash >> 33)
+    stable_hash(&[&part.to_le_bytes(), endpoint.as_bytes()])
 }
 
 /// Returns the cost of the request on an endpoint; `None` where the endpoint has no room.
