--- a/components/relay/src/serve/framing.rs
+++ b/components/relay/src/serve/framing.rs
@@ -2,11 +2,12 @@
 
 use errors::{Error, ErrorKind};
 use http::{
-    HeaderMap, HeaderName,
+    Extensions, HeaderMap, HeaderName, Version,
     header::{
         CONNECTION, CONTENT_LENGTH, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
         TRANSFER_ENCODING, UPGRADE,
     },
+    response,
 };
 
 /// Headers that concern one connection only (RFC 9110, section 7.6.1).
@@ -39,6 +40,16 @@
 /// Bytes of a header line beside name and value: colon, space and line end.
 const LINE_OVERHEAD_BYTES: usize = 4;
 
+/// Returns the head of an endpoint's answer for the caller, without what concerns one
+/// connection only; the answer gets a framing of this router's.
+pub(super) fn caller_head(mut head: response::Parts) -> response::Parts {
+    remove_hop_headers(&mut head.headers);
+    head.headers.remove(CONTENT_LENGTH);
+    head.version = Version::HTTP_11;
+    head.extensions = Extensions::new();
+    head
+}
+
 /// Checks that the length of the body is given in one way that is known. Where a length
 /// comes beside chunks, the HTTP library reads the chunks and closes the connection after
 /// the answer (RFC 9112, section 6.3), and requests go on with a framing of this router's.
--- a/components/relay/src/serve/plain.rs
+++ b/components/relay/src/serve/plain.rs
@@ -4,12 +4,13 @@
 
 use bytes::Bytes;
 use errors::{Error, ErrorKind};
-use http::{Response, header::CONTENT_LENGTH, response};
+use http::{Response, response};
 use http_body_util::{BodyExt, Limited};
 
 use super::{
     body::AnswerBody,
     exchange::{Answer, Failure},
+    framing::caller_head,
     placing::{note_loss, obtain_answer, refuse_for_now, take_retry},
     run::Run,
 };
@@ -99,10 +100,6 @@
 }
 
 /// Returns the answer for the caller, without what concerns one connection only.
-fn respond(mut head: response::Parts, body: Bytes) -> Response<AnswerBody> {
-    super::framing::remove_hop_headers(&mut head.headers);
-    head.headers.remove(CONTENT_LENGTH);
-    head.version = http::Version::HTTP_11;
-    head.extensions = http::Extensions::new();
-    Response::from_parts(head, AnswerBody::Whole(Some(body)))
+fn respond(head: response::Parts, body: Bytes) -> Response<AnswerBody> {
+    Response::from_parts(caller_head(head), AnswerBody::Whole(Some(body)))
 }
--- a/components/relay/src/serve/stream_run.rs
+++ b/components/relay/src/serve/stream_run.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use errors::Error;
 use futures::{StreamExt, stream};
-use http::{Response, header::CONTENT_LENGTH, header::CONTENT_TYPE, response};
+use http::{Response, header::CONTENT_TYPE, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -13,6 +13,7 @@
     body::AnswerBody,
     connections::Connection,
     exchange::{Answer, Placed},
+    framing::caller_head,
     placing::{note_loss, obtain_answer, take_retry},
     run::{CALLER_LEFT, Run},
 };
@@ -95,14 +96,6 @@
     head.status.is_success() && content_type.is_some_and(|it| it.starts_with("text/event-stream"))
 }
 
-fn caller_head(mut head: response::Parts) -> response::Parts {
-    super::framing::remove_hop_headers(&mut head.headers);
-    head.headers.remove(CONTENT_LENGTH);
-    head.version = http::Version::HTTP_11;
-    head.extensions = http::Extensions::new();
-    head
-}
-
 /// Copies an answer that is not a stream of events as it is.
 fn copy_bytes(run: Run, source: Source) -> stream::BoxStream<'static, io::Result<Bytes>> {
     let until = run.cx.instant(run.limit_at);
