Let eight holders draw accounts' tokens, and lend them to the other routers

Ruled out: engines (4,596 arrivals, no preemption), the store's rate (no call refused for it).

- At most eight routers, those with the most processor, spread over failure domains, draw tokens; the others borrow what a request lacks, report what they have spent through their lenders and give back what they do not use.
Only holders declare.
Up to eight routers nothing changes in who draws.
- Where few tokens of an account are left, one holder keeps them together.

--- a/components/relay/src/allowance/account.rs
+++ b/components/relay/src/allowance/account.rs
@@ -7,6 +7,7 @@
 use super::{
     book::Stage,
     ceiling::Ceilings,
+    holders::Role,
     rows::{AllowanceRow, Holding},
 };
 use crate::rate::Rate;
@@ -46,10 +47,29 @@
 /// Part of the prepaid tokens, as a divisor, below which the undrawn ones are few.
 const LOW_DIVISOR: u64 = 8;
 
+/// Part of the prepaid tokens, as a divisor, above which the undrawn ones are not few any
+/// more. More than all routers together return.
+const PLENTY_DIVISOR: u64 = 2;
+
+/// Time that the last tokens of an account should last on their holder.
+const HORIZON_LOW: Duration = Duration::from_secs(4);
+
 /// Part of the held tokens that may leave in any case, as a divisor, so that a router
 /// without requests of late serves the first ones when the store goes away.
 const CEILING_DIVISOR: u64 = 16;
 
+/// Largest requests for which a borrower keeps tokens that it has no use for now.
+const BORROWERS_SPARE: u64 = 2;
+
+/// Time without a request of an account after which a borrower gives its tokens back.
+const IDLE_TIME: Duration = Duration::from_secs(2);
+
+/// The same where few tokens are left: others wait for them.
+const IDLE_TIME_LOW: Duration = Duration::from_millis(200);
+
+/// Tokens that go back by message at most, in the unit of the smallest change of a row.
+const MESSAGE_SHARES: u64 = 4;
+
 /// Tokens of one account that this router holds.
 #[derive(Debug, Clone)]
 pub struct AccountAllowance {
@@ -68,7 +88,7 @@
     returning: u64,
     /// How much of the held tokens may leave.
     ceilings: Ceilings,
-    /// Most tokens that one request has reserved.
+    /// Most tokens that one request has asked for.
     largest: u64,
     /// Tokens that requests asked for in vain since the last commit.
     wanted: u64,
@@ -76,6 +96,14 @@
     rate: Rate,
     /// Whether the row was read since the limit was lowered.
     is_confirmed: bool,
+    /// Whether few tokens are undrawn, so that one holder keeps the last ones together.
+    is_low: bool,
+    /// Whether a borrower draws from the store what its lenders do not give.
+    draws_alone: bool,
+    /// When tokens were last asked for.
+    asked_at: Timestamp,
+    /// Most spent tokens that a holder has reported of the row. The row's only grow.
+    heard_spent: u64,
     /// Fewest tokens that were in vain asked for, and until when that counts.
     shortage: Option<(u64, Timestamp)>,
 }
@@ -103,6 +131,10 @@
             ceilings: Ceilings::default(),
             largest: 0,
             wanted: 0,
+            is_low: false,
+            draws_alone: false,
+            asked_at: Timestamp::ZERO,
+            heard_spent: 0,
             rate: Rate::new(RATE_TIME),
             is_confirmed: false,
             shortage: None,
@@ -151,15 +183,18 @@
 
     /// Reserves tokens; false where fewer are available.
     pub(super) fn reserve(&mut self, tokens: u64, now: Timestamp) -> bool {
+        self.asked_at = now;
         if tokens > self.available(now) {
             // What the account never has is not worth waiting for.
             if tokens <= self.limit {
                 self.wanted = self.wanted.max(tokens);
+                self.largest = self.largest.max(tokens);
             }
             return false;
         }
         self.largest = self.largest.max(tokens);
         self.reserved += tokens;
+        self.draws_alone = false;
         self.rate.add(tokens as f64, now);
         true
     }
@@ -186,7 +221,7 @@
     /// Tells whether the tokens that the row leaves are fewer than `tokens`, however they
     /// are spread over the routers.
     pub(super) fn is_exhausted(&self, row: &AllowanceRow, tokens: u64) -> bool {
-        let left = self.limit.saturating_sub(row.spent).saturating_sub(self.unreported);
+        let left = self.limit.saturating_sub(self.known_spent(row));
         self.is_confirmed && tokens > left
     }
 
@@ -206,16 +241,93 @@
         is_bound
     }
 
-    /// Takes tokens out to lend them to another router; returns how many.
-    pub(super) fn lend(&mut self, wanted: u64, now: Timestamp) -> u64 {
+    /// Takes tokens out to lend them to another router; returns how many. Loans for use, to
+    /// a router that draws none, count as this router's own spending.
+    pub(super) fn lend(&mut self, wanted: u64, for_use: bool, now: Timestamp) -> u64 {
         let available = self.available(now);
-        let kept = self.rate.expected(KEPT_TIME, now);
-        let lent = wanted.min(available - kept.min(available / 2));
+        let lent = if for_use {
+            wanted.min(available)
+        } else {
+            let kept = self.rate.expected(KEPT_TIME, now);
+            wanted.min(available - kept.min(available / 2))
+        };
+        if for_use {
+            self.rate.add(lent as f64, now);
+        }
         self.held -= lent;
         self.ceilings.take(lent);
         lent
     }
 
+    /// Notes that a holder needs `wanted` tokens for a loan from the store; false where it
+    /// has them, or the store has not.
+    pub(super) fn want_to_draw(&mut self, row: &AllowanceRow, wanted: u64, now: Timestamp) -> bool {
+        let available = self.available(now);
+        let can_draw = available < wanted && self.undrawn(row) >= wanted - available;
+        if can_draw {
+            self.wanted = self.wanted.max(wanted);
+        }
+        can_draw
+    }
+
+    /// Lets a borrower draw from the store what a request waits for.
+    pub(super) fn draw_alone(&mut self) {
+        self.draws_alone = true;
+    }
+
+    /// Notes how many tokens no router has drawn. Few ones are kept together until an
+    /// operator adds some; what other holders return then makes no difference.
+    pub(super) fn note_undrawn(&mut self, undrawn: u64) {
+        if undrawn < self.limit / LOW_DIVISOR {
+            self.is_low = true;
+        } else if undrawn > self.limit / PLENTY_DIVISOR {
+            self.is_low = false;
+        }
+    }
+
+    /// Tells whether one holder keeps the last tokens together.
+    pub fn is_low(&self) -> bool {
+        self.is_low
+    }
+
+    /// Takes out the free tokens that a borrower has no use for, to give them back to a
+    /// holder.
+    pub(super) fn take_surplus(&mut self, now: Timestamp) -> u64 {
+        let available = self.available(now);
+        let (idle_time, spare) =
+            if self.is_low { (IDLE_TIME_LOW, 1) } else { (IDLE_TIME, BORROWERS_SPARE) };
+        let is_idle = now.since(self.asked_at) >= idle_time;
+        let kept = if is_idle { 0 } else { spare * self.largest };
+        let surplus = available.saturating_sub(kept);
+        // A message may get lost; more than this goes back through the store.
+        if surplus > self.limit / CHANGE_DIVISOR * MESSAGE_SHARES {
+            return 0;
+        }
+        self.held -= surplus;
+        self.ceilings.take(surplus);
+        surplus
+    }
+
+    /// Takes the spent tokens that are not reported yet, to report them through a holder.
+    pub(super) fn take_unreported(&mut self) -> u64 {
+        std::mem::take(&mut self.unreported)
+    }
+
+    /// Takes over spent tokens that a borrower reports.
+    pub(super) fn report_for_borrower(&mut self, spent: u64) {
+        self.unreported += spent;
+    }
+
+    /// Notes the spent tokens that a holder knows of.
+    pub(super) fn hear_spent(&mut self, spent: u64) {
+        self.heard_spent = self.heard_spent.max(spent);
+    }
+
+    /// Returns the spent tokens of all routers that this one knows of.
+    pub(super) fn known_spent(&self, row: &AllowanceRow) -> u64 {
+        row.spent.max(self.heard_spent) + self.unreported
+    }
+
     /// Takes in tokens that another router lent.
     pub(super) fn borrow(&mut self, tokens: u64) {
         self.held += tokens;
@@ -226,7 +338,7 @@
     pub(super) fn plan(
         &self,
         row: &AllowanceRow,
-        routers: u64,
+        (role, drawers): (Role, u64),
         stage: Stage,
         now: Timestamp,
     ) -> Option<Change> {
@@ -241,22 +353,25 @@
             return None;
         }
         let pool = self.limit - row.drawn;
-        let target = match stage {
-            Stage::Serving => self.target(pool, routers, now),
-            Stage::Leaving | Stage::Ended => self.rate.expected(KEPT_TIME, now),
+        let target = match (stage, role) {
+            (Stage::Serving, Role::Holder) => self.target(pool, drawers, now),
+            (Stage::Serving, Role::Undecided) => 0,
+            _ => self.rate.expected(KEPT_TIME, now),
         };
+        let draws = role != Role::Borrower || self.draws_alone;
         let is_worth_it = |tokens: u64| tokens > self.limit / CHANGE_DIVISOR;
-        if free < self.wanted {
+        if free < self.wanted && draws {
             // Fewer than a request needs are of no use here.
-            let wanted = if self.is_scarce(pool) { self.wanted } else { 2 * self.wanted };
+            let is_plenty = role == Role::Holder && !self.is_scarce(pool);
+            let wanted = if is_plenty { 2 * self.wanted } else { self.wanted };
             let missing = target.max(wanted) - free;
             change.draw = if self.wanted - free <= pool { missing.min(pool) } else { 0 };
-        } else if free < target && pool > self.limit / LAST_TOKENS_DIVISOR {
+        } else if free < target && role == Role::Holder && pool > self.limit / LAST_TOKENS_DIVISOR {
             let missing = target - free;
             let is_due = missing >= target / MISSING_DIVISOR && is_worth_it(missing);
             change.draw = if is_due { missing.min(pool) } else { 0 };
-        } else if free > target * 2
-            && (stage == Stage::Leaving || self.is_scarce(pool))
+        } else if free > target * 2 + self.borrowers_spare(role)
+            && (stage == Stage::Leaving || role == Role::Borrower || self.is_scarce(pool))
             && is_worth_it(free - target)
         {
             change.give_back = free - target;
@@ -265,11 +380,18 @@
         (change.draw > 0 || change.give_back > 0 || needs_version).then_some(change)
     }
 
+    /// Returns what a borrower keeps from its last loans; the rest goes back to holders by
+    /// message, and to the store only what is left of its time as a holder.
+    fn borrowers_spare(&self, role: Role) -> u64 {
+        if role == Role::Borrower { BORROWERS_SPARE * self.largest } else { 0 }
+    }
+
     /// Returns how many free tokens the router should hold.
     fn target(&self, pool: u64, routers: u64, now: Timestamp) -> u64 {
         let routers = routers.max(1);
         let first = self.limit / FIRST_DRAW_DIVISOR / routers;
-        let expected = self.rate.expected(HORIZON, now);
+        let horizon = if self.is_low { HORIZON_LOW } else { HORIZON };
+        let expected = self.rate.expected(horizon, now);
         // Routers lend each other what one alone has too little of.
         let by_rate = expected + 2 * self.largest / routers;
         let by_pool = (pool + self.held - self.reserved) / routers;
@@ -283,8 +405,17 @@
 
     /// Returns what to declare with a change: the tokens after it, and how many of them may
     /// leave until the declaration no longer binds.
-    pub(super) fn declare(&self, change: &Change, undrawn: u64, now: Timestamp) -> Holding {
+    pub(super) fn declare(
+        &self,
+        change: &Change,
+        role: Role,
+        undrawn: u64,
+        now: Timestamp,
+    ) -> Holding {
         let held = self.held + change.draw - change.give_back;
+        if role == Role::Borrower {
+            return Holding { held, ceiling: held };
+        }
         let is_low = undrawn < self.limit / LOW_DIVISOR;
         let span = if is_low { CEILING_TIME_LOW } else { CEILING_TIME };
         let expected = self.rate.expected(span, now);
@@ -314,8 +445,14 @@
     }
 
     /// Declares to the witness what is kept; returns how many tokens that are.
-    pub(super) fn declare_to_witness(&mut self, number: u64, undrawn: u64, now: Timestamp) -> u64 {
-        let declared = self.declare(&Change::default(), undrawn, now);
+    pub(super) fn declare_to_witness(
+        &mut self,
+        number: u64,
+        role: Role,
+        undrawn: u64,
+        now: Timestamp,
+    ) -> u64 {
+        let declared = self.declare(&Change::default(), role, undrawn, now);
         self.ceilings.begin_witnessed(number, declared.ceiling);
         declared.held - declared.ceiling + self.returning
     }
@@ -333,6 +470,7 @@
             self.held += change.draw;
             self.unreported -= change.spent;
             self.wanted = 0;
+            self.draws_alone = false;
         } else {
             self.held += change.give_back;
         }
--- a/components/relay/src/allowance/book/commits.rs
+++ b/components/relay/src/allowance/book/commits.rs
@@ -9,16 +9,18 @@
 use crate::allowance::{
     account::{Change, changed_row},
     ceiling::binds_until,
+    holders::Role,
     rows::{ACCOUNT_PREFIX, AllowanceRow, HoldingsRow},
 };
 
 /// Time between two declarations: what was spent since the last one need not be feared
-/// lost.
+/// lost. At most `HOLDERS_MAX` routers declare, which is a quarter of the transactions that
+/// one part of the table takes.
 const DECLARATION_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Declarations of all routers together in a second: less than half of the transactions
-/// that one part of the table takes.
-const DECLARATIONS_PER_S: u32 = 60;
+/// Age of the accounts' rows after which a holder reads them anew, so that it learns that few
+/// tokens are left. Short beside the time in which an account is used up.
+const ROWS_MAX_AGE: Duration = Duration::from_secs(2);
 
 /// Accounts in one commit at most; the store takes a hundred rows.
 const COMMIT_ACCOUNTS_MAX: usize = 40;
@@ -38,9 +40,11 @@
 
 impl AllowanceBook {
     /// Tells whether the rows are to be read before a commit can be made.
-    pub fn needs_read(&self) -> bool {
+    pub fn needs_read(&self, now: Timestamp) -> bool {
         let is_unsure = self.accounts.values().any(|it| !it.is_confirmed());
-        !self.is_loaded || self.pending.is_some() || is_unsure
+        let is_old = || self.read_at.is_none_or(|at| now.since(at) >= ROWS_MAX_AGE);
+        let is_stale = self.role == Role::Holder && is_old();
+        !self.is_loaded || self.pending.is_some() || is_unsure || is_stale
     }
 
     /// Tells whether the outcome of a commit is not known.
@@ -60,12 +64,7 @@
         let adopted = self.inherited(inputs)?;
         // What is taken over changes this router's row only, which no other router writes.
         let changes = if adopted.is_empty() { self.plan(inputs) } else { Vec::new() };
-        let now = inputs.now;
-        let shared = Duration::from_secs(1) * u32::try_from(inputs.routers).unwrap_or(u32::MAX)
-            / DECLARATIONS_PER_S;
-        self.interval = DECLARATION_INTERVAL.max(shared);
-        let is_old = self.declared_at.is_none_or(|at| now.since(at) >= self.interval);
-        let is_due = is_old || self.accounts.values().any(|it| it.needs_declaration(now));
+        let is_due = !adopted.is_empty() || self.is_declaration_due(inputs.now);
         if changes.is_empty() && !is_due {
             return None;
         }
@@ -75,12 +74,38 @@
         Some(commit)
     }
 
+    /// Tells whether the row of this router is to be written though no account's row changes.
+    fn is_declaration_due(&self, now: Timestamp) -> bool {
+        if self.accounts.values().any(|it| it.needs_declaration(now)) {
+            return true;
+        }
+        if self.role != Role::Holder && self.declares_nothing() {
+            return false;
+        }
+        self.declared_at.is_none_or(|at| now.since(at) >= DECLARATION_INTERVAL)
+    }
+
+    /// Tells whether the row of this router binds it to nothing: it keeps no tokens and
+    /// names no witnesses.
+    fn declares_nothing(&self) -> bool {
+        let Some((row, _)) = &self.holdings else { return true };
+        let is_own = row.mark.process == self.mark.process;
+        is_own && row.witnesses.is_empty() && row.kept().iter().all(|(_, kept)| *kept == 0)
+    }
+
     fn plan(&mut self, inputs: &CommitInputs) -> Vec<(Arc<str>, Change)> {
         let mut changes = Vec::new();
+        for (name, (row, _)) in &self.rows {
+            if let Some(allowance) = self.accounts.get_mut(name) {
+                allowance.note_undrawn(allowance.undrawn(row));
+            }
+        }
         for (name, allowance) in &self.accounts {
             let row = self.rows.get(name).map(|(row, _)| row.clone()).unwrap_or_default();
-            let routers = inputs.routers as u64;
-            let change = allowance.plan(&row, routers, inputs.stage, inputs.now);
+            let is_low = allowance.is_low();
+            let role = self.role_where(name, is_low);
+            let drawers = AllowanceBook::drawers(inputs.routers, is_low);
+            let change = allowance.plan(&row, (role, drawers), inputs.stage, inputs.now);
             if let Some(change) = change {
                 changes.push((name.clone(), change));
             }
@@ -106,7 +131,11 @@
         let mut holdings = HoldingsRow {
             mark: self.mark,
             known_store_ms: inputs.store_time.map(|it| it.millis),
-            witnesses: self.witnesses.clone(),
+            witnesses: if self.role == Role::Borrower {
+                Vec::new()
+            } else {
+                self.witnesses.clone()
+            },
             ..HoldingsRow::default()
         };
         for (name, allowance) in &mut self.accounts {
@@ -114,7 +143,7 @@
             let change = change.unwrap_or_default();
             let known = self.rows.get(name).map(|(row, _)| row);
             let undrawn = known.map_or(0, |row| allowance.undrawn(row));
-            let mut declared = allowance.declare(&change, undrawn, now);
+            let mut declared = allowance.declare(&change, self.role, undrawn, now);
             let has_witness = !holdings.witnesses.is_empty();
             allowance.start(&change, declared, number, binds_until, has_witness);
             let taken_over = adopted.iter().find(|(it, _)| it == name).map_or(0, |(_, it)| *it);
@@ -168,6 +197,7 @@
     /// Takes over all accounts' rows and routers' rows as they were read.
     pub fn apply_rows(&mut self, accounts: &[Row], holdings: &[Row], now: Timestamp) {
         self.is_loaded = true;
+        self.read_at = Some(now);
         for row in accounts {
             let Some(name) = name_in(row.key.as_str(), ACCOUNT_PREFIX) else { continue };
             match row.decode::<AllowanceRow>() {
--- a/components/relay/src/allowance/book/mod.rs
+++ b/components/relay/src/allowance/book/mod.rs
@@ -5,15 +5,17 @@
 mod requests;
 mod witnesses;
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use platform::{Revision, StoreTime};
 use types::Timestamp;
 use utils::HashMap;
 
+pub use self::requests::LoanStep;
 use self::{commits::Pending, inheritance::Inheritance};
 use super::{
     account::AccountAllowance,
+    holders::{HOLDERS_MAX, Role, last_holder},
     rows::{AllowanceRow, HoldingsRow, Mark},
     witness::RouterProcess,
 };
@@ -79,10 +81,10 @@
     holdings: Option<(HoldingsRow, Revision)>,
     /// Whether the rows are known.
     is_loaded: bool,
+    /// When the rows were last read.
+    read_at: Option<Timestamp>,
     /// Whether the last call to the store failed.
     is_store_lost: bool,
-    /// Time between two declarations to the store; longer in larger fleets.
-    interval: Duration,
     /// When this router's row was last written.
     declared_at: Option<Timestamp>,
     /// The commit in progress; there is one at most.
@@ -93,6 +95,10 @@
     witness_number: u64,
     /// What the predecessor of this process left.
     inheritance: Inheritance,
+    /// What this router does about tokens that it lacks.
+    role: Role,
+    /// Holders, in the order in which this router asks them; it may be one itself.
+    holders: Vec<Arc<str>>,
 }
 
 impl AllowanceBook {
@@ -105,16 +111,70 @@
             rows: HashMap::default(),
             holdings: None,
             is_loaded: false,
+            read_at: None,
             is_store_lost: false,
-            interval: Duration::ZERO,
             declared_at: None,
             pending: None,
             witnesses: Vec::new(),
             witness_number: 0,
             inheritance: Inheritance::Unknown,
+            role: Role::default(),
+            holders: Vec::new(),
         }
     }
 
+    /// Leaves the role of this router open until [`set_holders`](Self::set_holders).
+    pub fn leave_role_open(&mut self) {
+        self.role = Role::Undecided;
+    }
+
+    /// Sets the holders, in the order in which this router asks them. Returns its role where
+    /// that has changed.
+    pub fn set_holders(&mut self, holders: &[Arc<str>]) -> Option<Role> {
+        let is_holder = holders.contains(&self.router);
+        let role = if is_holder { Role::Holder } else { Role::Borrower };
+        self.holders = holders.to_vec();
+        let is_changed = self.role != role;
+        self.role = role;
+        is_changed.then_some(role)
+    }
+
+    /// Returns what this router does about tokens that it lacks.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Returns what this router does about tokens of an account that it lacks.
+    pub fn role_for(&self, account: &str) -> Role {
+        let is_low = self.accounts.get(account).is_some_and(AccountAllowance::is_low);
+        self.role_where(account, is_low)
+    }
+
+    fn role_where(&self, account: &str, is_low: bool) -> Role {
+        let is_last = || last_holder(account, &self.holders).is_none_or(|it| *it == self.router);
+        match self.role {
+            Role::Holder if is_low && !is_last() => Role::Borrower,
+            role => role,
+        }
+    }
+
+    /// Returns the holders other than this router, in the order in which it asks them for
+    /// tokens of an account.
+    pub fn lenders(&self, account: &str) -> Vec<Arc<str>> {
+        let is_low = self.accounts.get(account).is_some_and(AccountAllowance::is_low);
+        let mut lenders = self.holders.clone();
+        if is_low && let Some(last) = last_holder(account, &self.holders) {
+            lenders.sort_by_key(|it| it != last);
+        }
+        lenders.retain(|it| *it != self.router);
+        lenders
+    }
+
+    /// Returns the number of routers that draw an account's tokens.
+    fn drawers(routers: usize, is_low: bool) -> u64 {
+        if is_low { 1 } else { routers.clamp(1, HOLDERS_MAX) as u64 }
+    }
+
     /// Takes over the accounts of a version of the desired state.
     pub fn set_accounts(&mut self, accounts: &HashMap<Arc<str>, Arc<Account>>, version: u64) {
         for account in accounts.values() {
--- a/components/relay/src/allowance/book/witnesses.rs
+++ b/components/relay/src/allowance/book/witnesses.rs
@@ -30,8 +30,7 @@
 
     /// Tells whether declarations go to the witness now.
     pub(super) fn declares_to_witness(&self, now: Timestamp) -> bool {
-        let due = WITNESS_AFTER.max(2 * self.interval);
-        let is_old = self.declared_at.is_some_and(|at| now.since(at) >= due);
+        let is_old = self.declared_at.is_some_and(|at| now.since(at) >= WITNESS_AFTER);
         is_old && self.holdings.as_ref().is_some_and(|(row, _)| !row.witnesses.is_empty())
     }
 
@@ -55,14 +54,14 @@
             return None;
         }
         self.witness_number += 1;
-        let number = self.witness_number;
+        let (number, role) = (self.witness_number, self.role);
         let kept = self
             .accounts
             .iter_mut()
             .map(|(name, it)| {
                 let known = self.rows.get(name).map(|(row, _)| row);
                 let undrawn = known.map_or(0, |row| it.undrawn(row));
-                (name.clone(), it.declare_to_witness(number, undrawn, now))
+                (name.clone(), it.declare_to_witness(number, role, undrawn, now))
             })
             .filter(|(_, kept)| *kept > 0);
         let kept = kept.collect();
--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -99,6 +99,8 @@
     ) -> RelayContext {
         let mut rng = utils::new_rng();
         let process = rand::Rng::random(&mut rng);
+        let mut allowances = AllowanceBook::new(settings.name.clone(), process);
+        allowances.leave_role_open();
         RelayContext {
             dialect: surroundings.dialect,
             source: surroundings.source,
@@ -118,7 +120,7 @@
             start: Instant::now(),
             endpoints: Mutex::default(),
             roster: Mutex::default(),
-            allowances: Mutex::new(AllowanceBook::new(settings.name.clone(), process)),
+            allowances: Mutex::new(allowances),
             retries: Mutex::new(RetryWindow::new(settings.retries)),
             quarantine: Mutex::default(),
             witness_records: Mutex::default(),
@@ -152,6 +154,7 @@
             failure_domain: self.settings.failure_domain.clone(),
             is_ready: self.is_ready(),
             config_version: self.config_version(),
+            processor_millis: self.settings.processor_millis,
         }
     }
 
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
+    time::Duration,
 };
 
 use prost::{Message, Oneof};
@@ -10,6 +11,7 @@
 use types::EndpointName;
 use utils::Digest;
 
+use super::Heard;
 use crate::{
     allowance::{RouterProcess, WitnessDeclaration, WitnessStatement},
     endpoints::{Load, LoadShare},
@@ -19,7 +21,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerMessage {
     /// The message.
-    #[prost(oneof = "PeerContent", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "PeerContent", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub content: Option<PeerContent>,
 }
 
@@ -47,6 +49,9 @@
     /// The answer to a question.
     #[prost(message, tag = "7")]
     Statement(DeclarationMessage),
+    /// The sender gives tokens back that it has borrowed.
+    #[prost(message, tag = "8")]
+    Return(LoanMessage),
 }
 
 /// A declaration to a witness, a question about one, or an answer to either.
@@ -163,6 +168,16 @@
     /// Tokens.
     #[prost(uint64, tag = "3")]
     pub tokens: u64,
+    /// Whether the borrower draws no tokens itself, in requests.
+    #[prost(bool, tag = "4")]
+    pub for_use: bool,
+    /// In requests and returns, tokens that the sender has spent and not reported before; in
+    /// loans, all spent tokens of the account that the lender knows of.
+    #[prost(uint64, tag = "5")]
+    pub spent: u64,
+    /// In loans, tokens of the account that no router has drawn, as the lender knows it.
+    #[prost(uint64, tag = "6")]
+    pub undrawn: u64,
 }
 
 /// State of a router.
@@ -199,25 +214,58 @@
     #[prost(bool, tag = "10")]
     pub wants_answer: bool,
     /// Other routers that the sender has heard, directly or through others.
-    #[prost(message, repeated, tag = "11")]
-    pub heard: Vec<HeardMessage>,
+    #[prost(message, optional, tag = "11")]
+    pub heard: Option<HeardMessage>,
+    /// Processor of the router, in thousandths of a core.
+    #[prost(uint32, tag = "12")]
+    pub processor_millis: u32,
 }
 
-/// A router that another one has heard.
+/// Routers that another one has heard. The lists have the same length; each router has the
+/// same place in all of them, so that it takes eleven bytes.
 #[derive(Clone, PartialEq, Message)]
 pub struct HeardMessage {
-    /// Name of the router.
-    #[prost(string, tag = "1")]
-    pub name: String,
-    /// Its process.
-    #[prost(fixed64, tag = "2")]
-    pub process: u64,
-    /// Time since it was heard, in milliseconds.
-    #[prost(uint32, tag = "3")]
-    pub age_ms: u32,
-    /// Whether it took new callers then.
-    #[prost(bool, tag = "4")]
-    pub is_ready: bool,
+    /// Keys of their processes.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub keys: Vec<u64>,
+    /// Times since they were heard, in hundredths of a second.
+    #[prost(uint32, repeated, tag = "2")]
+    pub ages: Vec<u32>,
+    /// Whether they took new callers then.
+    #[prost(bool, repeated, tag = "3")]
+    pub are_ready: Vec<bool>,
+}
+
+/// Unit of the ages in [`HeardMessage`].
+const AGE_UNIT: Duration = Duration::from_millis(10);
+
+impl HeardMessage {
+    /// Creates the message of what was heard.
+    pub fn new(heard: impl Iterator<Item = Heard>) -> HeardMessage {
+        let mut message = HeardMessage::default();
+        for it in heard {
+            // Rounded up, so that news does not get younger on its way.
+            let age = it.age.as_millis().div_ceil(AGE_UNIT.as_millis());
+            message.keys.push(it.process_key);
+            message.ages.push(u32::try_from(age).unwrap_or(u32::MAX));
+            message.are_ready.push(it.is_ready);
+        }
+        message
+    }
+
+    /// Returns what was heard; nothing where the lists do not belong together.
+    pub fn heard(&self) -> Vec<Heard> {
+        if self.ages.len() != self.keys.len() || self.are_ready.len() != self.keys.len() {
+            return Vec::new();
+        }
+        let places = self.keys.iter().zip(&self.ages).zip(&self.are_ready);
+        let heard = places.map(|((key, age), is_ready)| Heard {
+            process_key: *key,
+            age: AGE_UNIT * *age,
+            is_ready: *is_ready,
+        });
+        heard.collect()
+    }
 }
 
 /// Load of a router's requests on one endpoint.
--- a/components/relay/src/peers/roster.rs
+++ b/components/relay/src/peers/roster.rs
@@ -3,9 +3,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use types::Timestamp;
-use utils::HashMap;
+use utils::{HashMap, HashSet, stable_hash};
 
-use crate::allowance::RouterProcess;
+use crate::allowance::{HolderCandidate, RouterProcess};
 
 /// Time without a message after which a router gets no new callers: four messages.
 const HEARD_TIME: Duration = Duration::from_millis(1_200);
@@ -30,11 +30,30 @@
     pub is_ready: bool,
     /// Version of the desired state in force there.
     pub config_version: u64,
+    /// Processor that it has, in thousandths of a core.
+    pub processor_millis: u32,
 }
 
 /// What a router says of itself: the same as of others.
 pub type SelfStatus = Member;
 
+/// What a router has heard of another one, for other routers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Heard {
+    /// Key of the process that was heard; see [`process_key`].
+    pub process_key: u64,
+    /// Time since.
+    pub age: Duration,
+    /// Whether it took new callers then.
+    pub is_ready: bool,
+}
+
+/// Returns a short key of a router's process, for messages about it. Two processes of a
+/// fleet practically never have the same; if so, one passes for alive with the other.
+pub fn process_key(member: &Member) -> u64 {
+    stable_hash(&[member.name.as_bytes(), &member.process.to_le_bytes()])
+}
+
 /// A member with what is believed of it.
 #[derive(Debug)]
 struct Entry {
@@ -59,6 +78,8 @@
 pub struct Roster {
     /// Members by name.
     entries: HashMap<Arc<str>, Entry>,
+    /// Names by the keys of their present processes; may hold keys of earlier ones.
+    names: HashMap<u64, Arc<str>>,
 }
 
 impl Roster {
@@ -74,33 +95,42 @@
         if entry.member.is_ready != member.is_ready {
             log::info!(router:% = member.name, ready = member.is_ready; "router changed its readiness");
         }
+        self.names.insert(process_key(&member), member.name.clone());
         *entry = Entry { member, heard_at: Some(now), named_at: now, is_silent: false };
     }
 
-    /// Notes what another router has heard: that the process `process` of `name` was alive
-    /// `age` ago. Older news and news of other processes change nothing.
-    pub fn hear_of(
-        &mut self,
-        name: &str,
-        process: u64,
-        age: Duration,
-        is_ready: bool,
-        now: Timestamp,
-    ) {
-        let Some(entry) = self.entries.get_mut(name) else { return };
-        let heard_at = now - age;
+    /// Notes what another router has heard. Older news, and news of processes that this
+    /// router does not know, change nothing.
+    pub fn hear_of(&mut self, heard: &Heard, now: Timestamp) {
+        let name = self.names.get(&heard.process_key);
+        let Some(entry) = name.and_then(|it| self.entries.get_mut(it)) else { return };
+        let heard_at = now - heard.age;
         let is_news = entry.heard_at.is_none_or(|known| known < heard_at);
-        if is_news && entry.member.process == process && age <= HEARD_TIME {
+        let is_same = process_key(&entry.member) == heard.process_key;
+        if is_news && is_same && heard.age <= HEARD_TIME {
             entry.heard_at = Some(heard_at);
-            entry.member.is_ready = is_ready;
+            entry.member.is_ready = heard.is_ready;
             entry.is_silent = false;
         }
     }
 
-    /// Returns the routers that are heard, with the time since.
-    pub fn heard(&self, now: Timestamp) -> impl Iterator<Item = (&Member, Duration)> {
+    /// Returns what this router has heard, directly or through others.
+    pub fn heard(&self, now: Timestamp) -> impl Iterator<Item = Heard> {
         let entries = self.entries.values().filter(move |it| it.is_heard(now));
-        entries.filter_map(move |it| Some((&it.member, now.since(it.heard_at?))))
+        entries.filter_map(move |it| {
+            Some(Heard {
+                process_key: process_key(&it.member),
+                age: now.since(it.heard_at?),
+                is_ready: it.member.is_ready,
+            })
+        })
+    }
+
+    /// Returns the addresses of the routers in a failure domain.
+    pub fn addresses_in(&self, failure_domain: &str) -> HashSet<SocketAddr> {
+        let members = self.entries.values().map(|it| &it.member);
+        let near = members.filter(|it| *it.failure_domain == *failure_domain);
+        near.map(|it| it.peer_address).collect()
     }
 
     /// Notes a router that the table names.
@@ -110,6 +140,7 @@
             Some(entry) => entry.member.process != member.process && !entry.is_heard(now),
         };
         if is_new {
+            self.names.insert(process_key(&member), member.name.clone());
             let entry = Entry { member, heard_at: None, named_at: now, is_silent: false };
             self.entries.insert(entry.member.name.clone(), entry);
         }
@@ -124,6 +155,7 @@
             }
         }
         self.entries.retain(|_, it| now.since(it.heard_at.unwrap_or(it.named_at)) < FORGET_TIME);
+        self.names.retain(|_, name| self.entries.contains_key(name));
     }
 
     /// Returns the routers to which messages go.
@@ -147,6 +179,22 @@
         processes
     }
 
+    /// Returns the routers that are heard and stay, as candidates for holders.
+    pub fn holder_candidates(&self, now: Timestamp) -> Vec<HolderCandidate> {
+        let staying = self.entries.values().filter(|it| it.is_heard(now) && it.member.is_ready);
+        let candidates = staying.map(|it| HolderCandidate {
+            name: it.member.name.clone(),
+            failure_domain: it.member.failure_domain.clone(),
+            processor_millis: it.member.processor_millis,
+        });
+        candidates.collect()
+    }
+
+    /// Returns the failure domain of a router.
+    pub fn failure_domain(&self, router: &str) -> Option<&Arc<str>> {
+        self.entries.get(router).map(|it| &it.member.failure_domain)
+    }
+
     /// Returns the address of a router for messages.
     pub fn peer_address(&self, router: &str) -> Option<SocketAddr> {
         self.entries.get(router).map(|it| it.member.peer_address)
--- a/components/relay/src/peers/witnessing.rs
+++ b/components/relay/src/peers/witnessing.rs
@@ -4,10 +4,7 @@
 
 use rand::seq::SliceRandom;
 
-use super::{
-    DeclarationMessage, PeerContent,
-    gossip::{encode, serve_kept_loans},
-};
+use super::{DeclarationMessage, PeerContent, gossip::encode, lending::serve_kept_loans};
 use crate::{allowance::RouterProcess, context::RelayContext};
 
 /// Returns this process.
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -11,7 +11,6 @@
 use http::{HeaderValue, Request, Response, header::CONNECTION};
 use hyper::body::Incoming;
 use routing::Verdict;
-use tokio::time::Instant;
 use types::Timestamp;
 use utils::jitter;
 
@@ -23,31 +22,14 @@
     request_body::read_body,
     run::{CALLER_LEFT, Run},
     stream_run::relay_stream,
+    tokens::reserve_tokens,
 };
 use crate::{
-    allowance::{Reservation, Shortage},
     context::{InForce, RelayContext},
     model::{Account, RequestHead, Route, ServiceSpec},
     units::millis,
 };
 
-/// Longest time for which a request waits for tokens that are being drawn: a few commits.
-const TOKENS_WAIT: Duration = Duration::from_millis(120);
-
-/// Time that the store has to give tokens before other routers are asked.
-const STORE_WAIT: Duration = Duration::from_millis(15);
-
-/// Part of the latency target for which a request waits for tokens at most, as a divisor.
-const TOKENS_WAIT_DIVISOR: u32 = 9;
-
-/// Time after which a caller may return to an account that has no tokens left that any
-/// router could give, until an operator adds some.
-const TOKENS_RETURN_LATE: Duration = Duration::from_secs(20);
-
-/// Time after which a caller may return whose tokens other routers hold: they return idle
-/// tokens within this time.
-const TOKENS_RETURN: Duration = Duration::from_millis(800);
-
 /// Time for which a request waits for what a new process reads at its start: a few answers
 /// of the store.
 const START_WAIT: Duration = Duration::from_millis(60);
@@ -224,59 +206,6 @@
     Err(Error::new(ErrorKind::Quarantined, "the content crashed endpoints before"))
 }
 
-/// Reserves the most tokens that the request may use; waits a little for tokens that are
-/// being drawn or lent.
-async fn reserve_tokens(run: &Run) -> Result<Option<Reservation>, Error> {
-    let (Some(tokens), Some(account)) = (run.head.tokens, &run.account) else { return Ok(None) };
-    if account.prepaid_tokens.is_none() {
-        return Ok(None);
-    }
-    let (cx, name, needed) = (&run.cx, &account.name, tokens.total());
-    let wait = TOKENS_WAIT.min(run.route.latency_target / TOKENS_WAIT_DIVISOR);
-    let until = cx.instant(cx.now() + wait);
-    let mut ask_at = cx.instant(cx.now() + STORE_WAIT.min(wait / 2));
-    let mut is_asked = false;
-    loop {
-        let changed = cx.allowance_changed.notified();
-        let reserved = cx.lock_allowances().reserve(name, needed, cx.now());
-        match reserved {
-            Ok(reservation) => return Ok(Some(reservation)),
-            Err(Shortage::Exhausted) => return Err(exhausted()),
-            Err(Shortage::NoneInSight) => return Err(out_of_reach(run, TOKENS_RETURN_LATE)),
-            Err(Shortage::OutOfReach) => {}
-        }
-        cx.allowance_wanted.notify_one();
-        if cx.lock_allowances().needs_declaration(name, cx.now()) {
-            cx.gossip.declare_to_witness(cx).await;
-        }
-        if cx.lock_allowances().needs_loan(name, needed) {
-            ask_at = Instant::now();
-        }
-        if !is_asked && Instant::now() >= ask_at {
-            is_asked = true;
-            cx.gossip.ask_for_loan(cx, name, needed).await;
-        }
-        let wait_until = if is_asked { until } else { ask_at };
-        if tokio::time::timeout_at(wait_until, changed).await.is_err() && is_asked {
-            let is_in_sight = cx.lock_allowances().note_refusal(name, needed, cx.now());
-            let delay = if is_in_sight { TOKENS_RETURN } else { TOKENS_RETURN_LATE };
-            return Err(out_of_reach(run, delay));
-        }
-    }
-}
-
-fn exhausted() -> Error {
-    metrics::counter!(telemetry::BUDGET_REFUSALS_TOTAL, "reason" => "exhausted").increment(1);
-    Error::new(ErrorKind::BudgetExhausted, "the prepaid tokens are spent")
-}
-
-fn out_of_reach(run: &Run, mean_delay: Duration) -> Error {
-    metrics::counter!(telemetry::BUDGET_REFUSALS_TOTAL, "reason" => "out_of_reach").increment(1);
-    let delay = jitter(mean_delay, &mut run.cx.lock_rng());
-    let message = "the account's tokens are out of reach";
-    Error::new(ErrorKind::BudgetShort, message).with_retry_delay(delay)
-}
-
 async fn relay(mut run: Run) -> Result<Response<AnswerBody>, Error> {
     if run.route.repeat.is_stream() {
         return relay_stream(run).await.map_err(|(error, run)| end_failed(error, run));
--- a/components/relay/src/settings.rs
+++ b/components/relay/src/settings.rs
@@ -11,6 +11,8 @@
     pub name: Arc<str>,
     /// Failure domain of this host.
     pub failure_domain: Arc<str>,
+    /// Processor that this host has, in thousandths of a core.
+    pub processor_millis: u32,
     /// Address for callers.
     pub caller_address: SocketAddr,
     /// Address at which readiness is asked.
--- a/components/relay/src/sync/allowance_task.rs
+++ b/components/relay/src/sync/allowance_task.rs
@@ -12,6 +12,7 @@
 use crate::{
     allowance::{ACCOUNT_PREFIX, CommitInputs, HOLDINGS_PREFIX, Stage},
     context::RelayContext,
+    peers::serve_kept_loans,
 };
 
 /// Time between two checks whether tokens are to be drawn or returned.
@@ -58,7 +59,7 @@
     if cx.in_force.load().is_none() {
         return Ok(false);
     }
-    if cx.lock_allowances().needs_read() {
+    if cx.lock_allowances().needs_read(cx.now()) {
         let accounts = cx.table.scan(ACCOUNT_PREFIX, None).await?;
         let holdings = cx.table.scan(HOLDINGS_PREFIX, None).await?;
         cx.lock_allowances().apply_rows(&accounts, &holdings, cx.now());
@@ -78,6 +79,7 @@
     }
     cx.lock_allowances().on_outcome(&outcome, is_resent, cx.now());
     cx.allowance_changed.notify_waiters();
+    serve_kept_loans(cx).await;
     match outcome {
         CommitOutcome::Committed(_) => Ok(false),
         CommitOutcome::Conflict(_) => Ok(true),
--- a/components/relay/src/sync/member_rows.rs
+++ b/components/relay/src/sync/member_rows.rs
@@ -25,6 +25,8 @@
     peer_address: SocketAddr,
     /// Failure domain.
     failure_domain: Arc<str>,
+    /// Processor, in thousandths of a core.
+    processor_millis: u32,
 }
 
 fn own_key(cx: &RelayContext) -> Key {
@@ -70,6 +72,7 @@
                     failure_domain: it.failure_domain,
                     is_ready: true,
                     config_version: 0,
+                    processor_millis: it.processor_millis,
                 };
                 cx.lock_roster().name(member, now);
             }
@@ -85,6 +88,7 @@
         caller_address: cx.settings.caller_address,
         peer_address: cx.settings.peer_address,
         failure_domain: cx.settings.failure_domain.clone(),
+        processor_millis: cx.settings.processor_millis,
     };
     let commit = Commit { preconditions: Vec::new(), writes: vec![Write::put(own_key(cx), &row)] };
     match cx.table.commit(&commit).await {
