Spread callers over the routers, and ask lenders one after the other

Ruled out: the list of addresses (callers draw at random), the engines.

- A router with more than twice the fleet's mean of requests a core closes callers' connections after their answers, and is not named to others.
- A borrower asks the next lender only where the last one did not give enough: eight at a time took eight times what was missing out of their ceilings.
- A holder that is bound by its ceiling declares before it lends.
- Routers that start together read each other's rows sooner.
- A router that has no connection left to an endpoint does not take it for unreachable, and may use two equal shares of its connections.

--- a/components/relay/src/allowance/account.rs
+++ b/components/relay/src/allowance/account.rs
@@ -259,15 +259,17 @@
         lent
     }
 
-    /// Notes that a holder needs `wanted` tokens for a loan from the store; false where it
-    /// has them, or the store has not.
+    /// Notes that a holder needs a commit before it can lend `wanted` tokens: it draws them, or
+    /// declares that held ones may leave. False where it can lend them now, or a commit would
+    /// not help.
     pub(super) fn want_to_draw(&mut self, row: &AllowanceRow, wanted: u64, now: Timestamp) -> bool {
-        let available = self.available(now);
-        let can_draw = available < wanted && self.undrawn(row) >= wanted - available;
-        if can_draw {
+        let (available, free) = (self.available(now), self.held - self.reserved);
+        let would_help = free + self.undrawn(row) >= wanted;
+        let needs_commit = available < wanted && would_help;
+        if needs_commit {
             self.wanted = self.wanted.max(wanted);
         }
-        can_draw
+        needs_commit
     }
 
     /// Lets a borrower draw from the store what a request waits for.
--- a/components/relay/src/allowance/book/requests.rs
+++ b/components/relay/src/allowance/book/requests.rs
@@ -46,11 +46,13 @@
     }
 
     /// Notes that a request was refused that neither the store nor other routers had enough
-    /// tokens for. Returns whether the account has undrawn tokens, which may come in reach.
+    /// tokens for. Returns whether the account may have tokens that come in reach.
     pub fn note_refusal(&mut self, account: &str, tokens: u64, now: Timestamp) -> bool {
         let Some(allowance) = self.accounts.get_mut(account) else { return false };
         let row = self.rows.get(account).map(|(row, _)| row);
-        let is_in_sight = row.is_none_or(|row| allowance.undrawn(row) >= tokens);
+        // A router that has just started does not know yet who could lend them.
+        let is_in_sight =
+            self.role == Role::Undecided || row.is_none_or(|row| allowance.undrawn(row) >= tokens);
         if !is_in_sight {
             allowance.note_shortage(tokens, now + SHORTAGE_TIME);
         }
--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -22,10 +22,14 @@
     model::DesiredState,
     peers::{GossipSocket, Roster, SelfStatus},
     ports::{ControlSource, Dialect},
+    rate::Rate,
     serve::EndpointConnections,
     settings::RelaySettings,
 };
 
+/// Time over which the rate of callers' requests is averaged.
+const ARRIVALS_TIME: Duration = Duration::from_secs(1);
+
 /// A desired state in force, and when this router took it over.
 #[derive(Debug)]
 pub(crate) struct InForce {
@@ -70,6 +74,11 @@
     pub(crate) is_leaving: AtomicBool,
     /// Requests in progress.
     pub(crate) running: AtomicUsize,
+    /// Whether this router gets more than its part of the requests, or is behind with its
+    /// work, and asks callers to connect anew.
+    pub(crate) is_crowded: AtomicBool,
+    /// Rate of callers' requests.
+    arrivals: Mutex<Rate>,
     start: Instant,
     endpoints: Mutex<EndpointBook>,
     roster: Mutex<Roster>,
@@ -117,6 +126,8 @@
             place_freed: Notify::new(),
             is_leaving: AtomicBool::new(false),
             running: AtomicUsize::new(0),
+            is_crowded: AtomicBool::new(false),
+            arrivals: Mutex::new(Rate::new(ARRIVALS_TIME)),
             start: Instant::now(),
             endpoints: Mutex::default(),
             roster: Mutex::default(),
@@ -144,6 +155,21 @@
         !self.is_leaving.load(Ordering::Relaxed) && self.in_force.load().is_some()
     }
 
+    /// Notes a request of a caller.
+    pub(crate) fn note_arrival(&self) {
+        self.arrivals.lock().expect("no panic while locked").add(1.0, self.now());
+    }
+
+    /// Returns the requests of callers that arrive in a second, rounded.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a rate of requests is far below the limit and not negative"
+    )]
+    fn arrivals_per_s(&self) -> u32 {
+        self.arrivals.lock().expect("no panic while locked").get(self.now()).round() as u32
+    }
+
     /// Returns what this router says of itself.
     pub(crate) fn self_status(&self) -> SelfStatus {
         SelfStatus {
@@ -155,6 +181,7 @@
             is_ready: self.is_ready(),
             config_version: self.config_version(),
             processor_millis: self.settings.processor_millis,
+            arrivals_per_s: self.arrivals_per_s(),
         }
     }
 
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -3,7 +3,7 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard, atomic::Ordering},
     time::Duration,
 };
 
@@ -12,7 +12,7 @@
 use tokio::net::UdpSocket;
 
 use super::{
-    CrashMessage, HeardMessage, LoadMessage, Loans, Member, PeerContent, PeerMessage,
+    CrashMessage, HeardMessage, LoadMessage, Loans, Member, PeerContent, PeerMessage, RouterLoad,
     StatusMessage, holders::update_holders, lending, witnessing,
 };
 use crate::context::RelayContext;
@@ -96,6 +96,11 @@
         witnessing::declare(cx).await;
     }
 
+    /// Tells whether a request for a loan is not answered yet.
+    pub(crate) fn is_loan_open(&self, number: u64) -> bool {
+        self.lock_loans().is_open(number)
+    }
+
     pub(super) fn lock_loans(&self) -> MutexGuard<'_, Loans> {
         self.loans.lock().expect("no panic while locked")
     }
@@ -124,11 +129,23 @@
             wants_answer,
             heard: self.heard(cx),
             processor_millis: own.processor_millis,
+            arrivals_per_s: own.arrivals_per_s,
         };
         encode(PeerContent::Status(message))
     }
 }
 
+/// Finds out whether this router gets more than its part of the requests.
+fn update_crowding(cx: &RelayContext) {
+    let own = cx.self_status().load();
+    let mut fleet = cx.lock_roster().loads(cx.now());
+    fleet.push(own);
+    let is_crowded = own.is_crowded(RouterLoad::mean(&fleet));
+    if cx.is_crowded.swap(is_crowded, Ordering::Relaxed) != is_crowded {
+        log::info!(crowded = is_crowded, arrivals_per_s = own.arrivals_per_s, routers = fleet.len(); "router changed its part of the requests");
+    }
+}
+
 /// Draws the routers of a round of messages; all where they are few.
 fn choose_targets(cx: &RelayContext, mut targets: Vec<SocketAddr>) -> Vec<SocketAddr> {
     if targets.len() <= FAN_OUT {
@@ -151,6 +168,7 @@
         tokio::time::sleep(INTERVAL).await;
         cx.gossip.send_status(cx, false).await;
         update_holders(cx);
+        update_crowding(cx);
         witnessing::send_due(cx).await;
         lending::return_surplus(cx).await;
         let now = cx.now();
@@ -238,6 +256,7 @@
         is_ready: message.is_ready,
         config_version: message.config_version,
         processor_millis: message.processor_millis,
+        arrivals_per_s: message.arrivals_per_s,
     })
 }
 
--- a/components/relay/src/peers/lending.rs
+++ b/components/relay/src/peers/lending.rs
@@ -1,8 +1,6 @@
 //! Loans of tokens between routers.
 
-use std::{net::SocketAddr, sync::Arc};
-
-use rand::seq::SliceRandom;
+use std::net::SocketAddr;
 
 use super::{LoanMessage, PeerContent, gossip::encode, witnessing};
 use crate::{
@@ -10,48 +8,28 @@
     context::RelayContext,
 };
 
-/// Routers that are asked for a loan at a time where all draw tokens themselves.
-const LENDERS_ASKED: usize = 16;
-
-/// Asks some routers to lend tokens of `account`, whether they are holders or not.
-pub(crate) async fn ask_for_loan(cx: &RelayContext, account: &str, tokens: u64) {
-    let mut lenders = cx.lock_roster().heard_addresses(cx.now());
-    lenders.shuffle(&mut *cx.lock_rng());
-    lenders.truncate(LENDERS_ASKED);
-    for lender in lenders {
-        send_request(cx, account, tokens, lender).await;
-    }
-}
-
-/// Asks the holders from `first` on, `count` at most, to lend tokens of `account`. Returns
-/// how many were asked.
-pub(crate) async fn ask_lenders(
+/// Asks the lender at this place to lend tokens of `account`. Returns the number of the
+/// request; `None` where there is no lender at this place or after it.
+pub(crate) async fn ask_lender(
     cx: &RelayContext,
     account: &str,
     tokens: u64,
-    (first, count): (usize, usize),
-) -> usize {
-    let lenders: Vec<SocketAddr> = {
-        let names: Vec<Arc<str>> = cx.lock_allowances().lenders(account);
+    place: usize,
+) -> Option<u64> {
+    let lenders = cx.lock_allowances().lenders(account);
+    let lender = {
         let roster = cx.lock_roster();
-        let asked = names.iter().skip(first).take(count);
-        asked.filter_map(|it| roster.peer_address(it)).collect()
+        lenders.iter().skip(place).find_map(|it| roster.peer_address(it))?
     };
-    for lender in &lenders {
-        send_request(cx, account, tokens, *lender).await;
-    }
-    lenders.len()
-}
-
-async fn send_request(cx: &RelayContext, account: &str, tokens: u64, lender: SocketAddr) {
     let number = cx.gossip.lock_loans().begin(cx.now(), &mut cx.lock_rng());
     let (for_use, spent) = {
         let mut book = cx.lock_allowances();
         (book.role_for(account) == Role::Borrower, book.take_unreported(account))
     };
-    let message =
-        LoanMessage { number, account: account.to_owned(), tokens, for_use, spent, undrawn: 0 };
+    let account = account.to_owned();
+    let message = LoanMessage { number, account, tokens, for_use, spent, undrawn: 0 };
     cx.gossip.send(&encode(PeerContent::LoanRequest(message)), lender).await;
+    Some(number)
 }
 
 /// Lends tokens to a router that asks. Where they must not leave before a declaration, or
@@ -95,9 +73,6 @@
         let tokens = book.lend(account, request.tokens, request.for_use, cx.now());
         (tokens, book.known_spent(account), book.known_undrawn(account))
     };
-    if tokens == 0 && !request.for_use {
-        return;
-    }
     log::info!(account = request.account.as_str(), tokens, wanted = request.tokens, borrower:% = borrower; "tokens lent");
     metrics::counter!(telemetry::LOANED_TOKENS_TOTAL, "direction" => "lent").increment(tokens);
     let loan = LoanMessage { tokens, spent, undrawn, ..request };
--- a/components/relay/src/peers/loans.rs
+++ b/components/relay/src/peers/loans.rs
@@ -39,6 +39,11 @@
         number
     }
 
+    /// Tells whether a request is not answered yet.
+    pub fn is_open(&self, number: u64) -> bool {
+        self.open.contains_key(&number)
+    }
+
     /// Takes the answer to a request; false where it was taken before or never asked for.
     pub fn take(&mut self, number: u64) -> bool {
         self.open.remove(&number).is_some()
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -219,6 +219,9 @@
     /// Processor of the router, in thousandths of a core.
     #[prost(uint32, tag = "12")]
     pub processor_millis: u32,
+    /// Requests of callers that arrive there in a second.
+    #[prost(uint32, tag = "13")]
+    pub arrivals_per_s: u32,
 }
 
 /// Routers that another one has heard. The lists have the same length; each router has the
--- a/components/relay/src/peers/mod.rs
+++ b/components/relay/src/peers/mod.rs
@@ -1,5 +1,6 @@
 //! Routers that tell each other their state by datagrams.
 
+mod crowding;
 mod gossip;
 mod holders;
 mod lending;
@@ -9,14 +10,15 @@
 mod witnessing;
 
 pub use self::loans::Loans;
-pub(crate) use self::{
-    gossip::{GossipSocket, run_gossip},
-    lending::{ask_for_loan, ask_lenders, serve_kept_loans},
-};
 pub use self::{
+    crowding::RouterLoad,
     message::{
         CrashMessage, DeclarationMessage, HeardMessage, LoadMessage, LoanMessage, PeerContent,
         PeerMessage, StatusMessage,
     },
     roster::{Heard, Member, Roster, SelfStatus, process_key},
 };
+pub(crate) use self::{
+    gossip::{GossipSocket, run_gossip},
+    lending::{ask_lender, serve_kept_loans},
+};
--- a/components/relay/src/peers/roster.rs
+++ b/components/relay/src/peers/roster.rs
@@ -5,6 +5,7 @@
 use types::Timestamp;
 use utils::{HashMap, HashSet, stable_hash};
 
+use super::RouterLoad;
 use crate::allowance::{HolderCandidate, RouterProcess};
 
 /// Time without a message after which a router gets no new callers: four messages.
@@ -32,6 +33,18 @@
     pub config_version: u64,
     /// Processor that it has, in thousandths of a core.
     pub processor_millis: u32,
+    /// Requests of callers that arrive there in a second.
+    pub arrivals_per_s: u32,
+}
+
+impl Member {
+    /// Returns its requests beside its processor.
+    pub fn load(&self) -> RouterLoad {
+        RouterLoad {
+            arrivals_per_s: f64::from(self.arrivals_per_s),
+            processor_millis: self.processor_millis,
+        }
+    }
 }
 
 /// What a router says of itself: the same as of others.
@@ -163,12 +176,6 @@
         self.entries.values().map(|it| it.member.peer_address).collect()
     }
 
-    /// Returns the addresses of the routers that are heard.
-    pub fn heard_addresses(&self, now: Timestamp) -> Vec<SocketAddr> {
-        let heard = self.entries.values().filter(|it| it.is_heard(now));
-        heard.map(|it| it.member.peer_address).collect()
-    }
-
     /// Returns the processes of the routers that are heard, in the order of their names.
     pub fn heard_processes(&self, now: Timestamp) -> Vec<RouterProcess> {
         let heard = self.entries.values().filter(|it| it.is_heard(now));
@@ -190,6 +197,12 @@
         candidates.collect()
     }
 
+    /// Returns the loads of the routers that are heard and take callers.
+    pub fn loads(&self, now: Timestamp) -> Vec<RouterLoad> {
+        let ready = self.entries.values().filter(|it| it.is_heard(now) && it.member.is_ready);
+        ready.map(|it| it.member.load()).collect()
+    }
+
     /// Returns the failure domain of a router.
     pub fn failure_domain(&self, router: &str) -> Option<&Arc<str>> {
         self.entries.get(router).map(|it| &it.member.failure_domain)
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use types::Timestamp;
 
-use super::connections::Connection;
+use super::connections::{ConnectError, Connection};
 use crate::{
     context::RelayContext,
     endpoints::{Load, Placement},
@@ -81,6 +81,8 @@
 pub(super) enum Failure {
     /// No byte of the request was sent.
     NotSent(String),
+    /// This router has as many connections to the endpoint as it may; nothing was sent.
+    NoConnection,
     /// The endpoint refused the request and did not run it.
     Refused,
     /// Another endpoint has the address; the request was not run.
@@ -99,13 +101,14 @@
 
     /// Tells whether the request arrived at an endpoint.
     pub(super) fn has_arrived(&self) -> bool {
-        !matches!(self, Failure::NotSent(_))
+        !matches!(self, Failure::NotSent(_) | Failure::NoConnection)
     }
 
     /// Returns the label of counters and logs.
     pub(super) fn label(&self) -> &'static str {
         match self {
             Failure::NotSent(_) => "not_sent",
+            Failure::NoConnection => "no_connection",
             Failure::Refused => "refused",
             Failure::Misdirected => "misdirected",
             Failure::Lost(_) => "lost",
@@ -148,6 +151,7 @@
         };
         let mut connection = match opened {
             Ok(connection) => connection,
+            Err(ConnectError::TooMany) => return Err(Failed::new(Failure::NoConnection, placed)),
             Err(error) => return Err(Failed::new(Failure::NotSent(error.to_string()), placed)),
         };
         let sent = connection.sender.try_send_request(build(outgoing, headers.clone()));
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -34,6 +34,10 @@
 /// of the store.
 const START_WAIT: Duration = Duration::from_millis(60);
 
+/// Equal shares of an endpoint's connections that one router may use: some routers have
+/// more callers than others, and few come near their share.
+const CONNECTIONS_SHARES: usize = 2;
+
 /// Connections to an endpoint that a router has in any case, however many routers share it.
 const CONNECTIONS_MIN: usize = 2;
 
@@ -58,7 +62,7 @@
         let res = cx.dialect.write_error(&error, id.as_deref());
         res.map(|bytes| AnswerBody::Whole(Some(bytes)))
     });
-    if cx.is_leaving.load(Ordering::Relaxed) {
+    if cx.is_leaving.load(Ordering::Relaxed) || cx.is_crowded.load(Ordering::Relaxed) {
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(res)
@@ -71,6 +75,7 @@
     body: Incoming,
 ) -> Result<Response<AnswerBody>, Error> {
     let received_at = cx.now();
+    cx.note_arrival();
     metrics::counter!(telemetry::REQUESTS_TOTAL, "interface" => "relay").increment(1);
     check_framing(&head.headers)?;
     let Some(in_force) = wait_for_state(cx).await else {
@@ -162,7 +167,8 @@
         return Err(Error::new(ErrorKind::BadRequest, "the declared tokens are missing"));
     }
     let connections = spec.map_or(CONNECTIONS_MIN, |it| it.max_connections as usize);
-    let connections_max = (connections / cx.lock_roster().count()).max(CONNECTIONS_MIN);
+    let share = connections * CONNECTIONS_SHARES / cx.lock_roster().count();
+    let connections_max = share.min(connections).max(CONNECTIONS_MIN);
     cx.running.fetch_add(1, Ordering::Relaxed);
     Ok(Run {
         cx: cx.clone(),
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -177,6 +177,8 @@
         Failure::NotSent(_) | Failure::Refused => {
             cx.lock_endpoints().note_unreachable(&endpoint, now);
         }
+        // The endpoint is sound: the request goes to another one for want of a connection.
+        Failure::NoConnection => {}
         Failure::Misdirected => cx.lock_endpoints().drop_replaced(&endpoint),
         Failure::TimedOut => {
             run.attempts += 1;
--- a/components/relay/src/serve/side_calls.rs
+++ b/components/relay/src/serve/side_calls.rs
@@ -8,11 +8,14 @@
 use telemetry::MetricsHandle;
 
 use super::body::AnswerBody;
-use crate::context::RelayContext;
+use crate::{context::RelayContext, peers::RouterLoad};
 
 /// Addresses that an answer holds at most.
 const ADDRESSES_MAX: usize = 64;
 
+/// Addresses that an answer holds at least where there are as many, crowded routers' too.
+const ADDRESSES_MIN: usize = 3;
+
 /// Serves the calls beside callers' requests, on any of the side addresses.
 #[derive(Clone)]
 pub(crate) struct SideCalls {
@@ -50,7 +53,14 @@
         if own.is_ready {
             members.push(&own);
         }
-        members.sort_by_key(|it| Some(&*it.failure_domain) != failure_domain);
+        let loads: Vec<RouterLoad> = members.iter().map(|it| it.load()).collect();
+        let mean = RouterLoad::mean(&loads);
+        // Crowded routers come last: they are named only where there are few others.
+        members.sort_by_key(|it| {
+            (it.load().is_crowded(mean), Some(&*it.failure_domain) != failure_domain)
+        });
+        let uncrowded = members.iter().filter(|it| !it.load().is_crowded(mean)).count();
+        members.truncate(uncrowded.max(ADDRESSES_MIN));
         let addresses: Vec<_> =
             members.iter().take(ADDRESSES_MAX).map(|it| it.caller_address).collect();
         if addresses.is_empty() {
--- a/components/relay/src/serve/tokens.rs
+++ b/components/relay/src/serve/tokens.rs
@@ -10,7 +10,7 @@
 use crate::{
     allowance::{Reservation, Role, Shortage},
     context::RelayContext,
-    peers::{ask_for_loan, ask_lenders},
+    peers::ask_lender,
 };
 
 /// Longest time for which a request waits for tokens that are being drawn: a few commits.
@@ -19,7 +19,7 @@
 /// Time that the store has to give tokens before other routers are asked.
 const STORE_WAIT: Duration = Duration::from_millis(15);
 
-/// Time that a holder has to answer before the others are asked: a commit and two messages.
+/// Time that a lender has to answer before the next one is asked: a commit and two messages.
 const HOLDER_WAIT: Duration = Duration::from_millis(30);
 
 /// Part of the latency target for which a request waits for tokens at most, as a divisor.
@@ -33,12 +33,16 @@
 /// tokens within this time.
 const TOKENS_RETURN: Duration = Duration::from_millis(800);
 
-/// Whom a waiting request asks next, and from when on.
-struct NextAsk {
-    /// Holders that were asked.
+/// The loans that a waiting request has asked for, from one router after the other: a second
+/// one is only asked where the first does not give enough, as what was lent in vain is
+/// missing elsewhere.
+struct LoanSearch {
+    /// Lenders that were asked.
     asked: usize,
-    /// When the next ones are asked; `None` where all were.
-    at: Option<Instant>,
+    /// Number of the last request for a loan.
+    last: Option<u64>,
+    /// When the next lender is asked, answer or not; `None` where all were.
+    next_at: Option<Instant>,
 }
 
 /// Reserves the most tokens that the request may use; waits a little for tokens that are
@@ -53,7 +57,8 @@
     let until = cx.instant(cx.now() + wait);
     let is_borrower = cx.lock_allowances().role_for(name) == Role::Borrower;
     let first_wait = if is_borrower { Duration::ZERO } else { STORE_WAIT.min(wait / 2) };
-    let mut next = NextAsk { asked: 0, at: Some(cx.instant(cx.now() + first_wait)) };
+    let next_at = Some(cx.instant(cx.now() + first_wait));
+    let mut search = LoanSearch { asked: 0, last: None, next_at };
     loop {
         let changed = cx.allowance_changed.notified();
         let reserved = cx.lock_allowances().reserve(name, needed, cx.now());
@@ -63,12 +68,11 @@
             Err(Shortage::NoneInSight) => return Err(out_of_reach(run, TOKENS_RETURN_LATE)),
             Err(Shortage::OutOfReach) => {}
         }
-        if is_borrower {
-            ask_holders(cx, name, needed, &mut next).await;
-        } else {
-            ask_others(cx, name, needed, &mut next).await;
+        if !is_borrower {
+            draw(cx, name, needed, &mut search).await;
         }
-        let wait_until = next.at.unwrap_or(until).min(until);
+        ask_next(cx, name, needed, &mut search).await;
+        let wait_until = search.next_at.unwrap_or(until).min(until);
         if tokio::time::timeout_at(wait_until, changed).await.is_err() && Instant::now() >= until {
             let is_in_sight = cx.lock_allowances().note_refusal(name, needed, cx.now());
             let delay = if is_in_sight { TOKENS_RETURN } else { TOKENS_RETURN_LATE };
@@ -77,37 +81,33 @@
     }
 }
 
-/// Asks one holder for what is missing, then, where it has not given enough in time, all
-/// others and the store.
-async fn ask_holders(cx: &RelayContext, name: &str, needed: u64, next: &mut NextAsk) {
-    let Some(at) = next.at else { return };
-    if Instant::now() < at {
-        return;
+/// Draws tokens from the store, or declares that held ones may leave. Where the store will
+/// not give them, lenders are asked at once.
+async fn draw(cx: &RelayContext, name: &str, needed: u64, search: &mut LoanSearch) {
+    cx.allowance_wanted.notify_one();
+    if cx.lock_allowances().needs_declaration(name, cx.now()) {
+        cx.gossip.declare_to_witness(cx).await;
     }
-    let missing = cx.lock_allowances().missing(name, needed, cx.now());
-    if next.asked == 0 {
-        next.asked = ask_lenders(cx, name, missing, (0, 1)).await;
-        next.at = Some(Instant::now() + HOLDER_WAIT);
-        if next.asked > 0 {
-            return;
-        }
+    if search.asked == 0 && cx.lock_allowances().needs_loan(name, needed) {
+        search.next_at = Some(Instant::now());
     }
-    next.asked += ask_lenders(cx, name, missing, (next.asked, usize::MAX)).await;
-    next.at = None;
-    cx.lock_allowances().draw_alone(name);
-    cx.allowance_wanted.notify_one();
 }
 
-/// Draws tokens from the store, and asks other routers where it does not give them in time.
-async fn ask_others(cx: &RelayContext, name: &str, needed: u64, next: &mut NextAsk) {
-    cx.allowance_wanted.notify_one();
-    if cx.lock_allowances().needs_declaration(name, cx.now()) {
-        cx.gossip.declare_to_witness(cx).await;
+/// Asks the next lender for what is missing where the last one has answered or is late.
+/// After the last one, borrowers turn to the store.
+async fn ask_next(cx: &RelayContext, name: &str, needed: u64, search: &mut LoanSearch) {
+    let Some(next_at) = search.next_at else { return };
+    let is_answered = search.last.is_some_and(|it| !cx.gossip.is_loan_open(it));
+    if Instant::now() < next_at && !is_answered {
+        return;
     }
-    let Some(at) = next.at else { return };
-    if cx.lock_allowances().needs_loan(name, needed) || Instant::now() >= at {
-        next.at = None;
-        ask_for_loan(cx, name, needed).await;
+    let missing = cx.lock_allowances().missing(name, needed, cx.now());
+    search.last = ask_lender(cx, name, missing, search.asked).await;
+    search.asked += 1;
+    search.next_at = search.last.map(|_| Instant::now() + HOLDER_WAIT);
+    if search.next_at.is_none() {
+        cx.lock_allowances().draw_alone(name);
+        cx.allowance_wanted.notify_one();
     }
 }
 
--- a/components/relay/src/sync/member_rows.rs
+++ b/components/relay/src/sync/member_rows.rs
@@ -14,6 +14,13 @@
 /// Time between two reads; messages between routers tell the rest.
 const READ_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Time between the first reads of a process: routers that start together find each other's
+/// new rows, without which news of one by another means nothing.
+const FIRST_READ_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Number of these reads.
+const FIRST_READS: u32 = 3;
+
 /// A router's row.
 #[derive(Debug, Serialize, Deserialize)]
 struct MemberRow {
@@ -37,12 +44,14 @@
 pub(crate) async fn run_member_rows(cx: Arc<RelayContext>) {
     let mut backoff = Backoff::new("router rows");
     let mut is_written = false;
+    let mut reads = 0;
     loop {
         let result = exchange(&cx, &mut is_written).await;
         let delay = match result {
             Ok(()) => {
                 backoff.succeed();
-                READ_INTERVAL
+                reads += 1;
+                if reads <= FIRST_READS { FIRST_READ_INTERVAL } else { READ_INTERVAL }
             }
             Err(error) => backoff.fail(&error, &mut cx.lock_rng()),
         };
@@ -73,6 +82,7 @@
                     is_ready: true,
                     config_version: 0,
                     processor_millis: it.processor_millis,
+                    arrivals_per_s: 0,
                 };
                 cx.lock_roster().name(member, now);
             }
--- a/components/relay/tests/roster.rs
+++ b/components/relay/tests/roster.rs
@@ -22,6 +22,7 @@
         is_ready,
         config_version: 3,
         processor_millis: 250,
+        arrivals_per_s: 10,
     }
 }
 
