--- /dev/null
+++ b/programs/auburncrank-relay/tests/soak/router.rs
@@ -0,0 +1,129 @@
+//! A router: the real program as a process of its own.
+
+use std::{
+    fs::File,
+    net::{IpAddr, SocketAddr},
+    path::PathBuf,
+    process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+use tokio::time::Instant;
+
+/// Grace that the settings announce.
+pub(crate) const GRACE: Duration = Duration::from_secs(8);
+
+/// Ports, the same for each router; their addresses differ.
+const CALLER_PORT: u16 = 18_740;
+const READY_PORT: u16 = 18_741;
+const DIRECTORY_PORT: u16 = 18_742;
+const INTERNAL_PORTS: [u16; 2] = [18_750, 18_760];
+
+/// A router's process, started anew by the soak whenever it has ended.
+pub(crate) struct Router {
+    pub(crate) name: String,
+    pub(crate) callers: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    /// Number of the process, counted from one.
+    pub(crate) starts: u32,
+    folder: PathBuf,
+    child: Option<Child>,
+}
+
+impl Router {
+    /// Writes the settings file of a router at `ip`; [`start`](Self::start) starts it.
+    pub(crate) fn new(name: &str, ip: IpAddr, store: SocketAddr, seeds: &[IpAddr]) -> Router {
+        let folder = std::env::temp_dir().join(format!("auburncrank-soak-{ip}"));
+        std::fs::create_dir_all(&folder).unwrap();
+        let at = |port| SocketAddr::new(ip, port);
+        let seeds: Vec<SocketAddr> = seeds.iter().map(|it| SocketAddr::new(*it, 1)).collect();
+        let settings = json!({"name": name, "failure_domain": "zlin", "processor_share": 1.0,
+            "processor_speed": 1, "caller_address": at(CALLER_PORT),
+            "ready_address": at(READY_PORT), "directory_address": at(DIRECTORY_PORT),
+            "store_address": store, "internal_ports": INTERNAL_PORTS, "seeds": seeds,
+            "retry_ratio": 0.2, "retry_allowance": 56, "retry_window_s": 10,
+            "shutdown_grace_s": GRACE.as_secs(), "addresses_max_age_s": 5});
+        std::fs::write(folder.join("settings.json"), settings.to_string()).unwrap();
+        let _ = std::fs::remove_file(folder.join("log"));
+        Router {
+            name: name.to_owned(),
+            callers: at(CALLER_PORT),
+            ready: at(READY_PORT),
+            starts: 0,
+            folder,
+            child: None,
+        }
+    }
+
+    pub(crate) fn start(&mut self) {
+        let log = File::options().create(true).append(true).open(self.folder.join("log")).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_auburncrank-relay"))
+            .arg("--settings-file")
+            .arg(self.folder.join("settings.json"))
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.child = Some(child);
+        self.starts += 1;
+    }
+
+    /// Sends a signal to the process, if there is one.
+    pub(crate) fn signal(&self, signal: Signal) {
+        let Some(child) = &self.child else { return };
+        let pid = Pid::from_child(child);
+        if let Err(error) = kill_process(pid, signal) {
+            println!("{}: signal not sent: {error}", self.name);
+        }
+    }
+
+    /// Ends the process by force.
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            child.wait().unwrap();
+        }
+    }
+
+    /// Returns how the process ended, where it has.
+    pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().unwrap()?;
+        self.child = None;
+        Some(status)
+    }
+
+    /// Waits until the process has ended; `None` where it has not in this time.
+    pub(crate) async fn wait_for_end(&mut self, time: Duration) -> Option<ExitStatus> {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            if let Some(status) = self.ended() {
+                return Some(status);
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        None
+    }
+
+    pub(crate) fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
+    pub(crate) fn log(&self) -> String {
+        let bytes = std::fs::read(self.folder.join("log")).unwrap_or_default();
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
+    /// Returns where the log is kept.
+    pub(crate) fn log_path(&self) -> PathBuf {
+        self.folder.join("log")
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
