Lose less of an account at a crash: shorter and smaller declarations

Two things were lost: what runs, and what routers had declared as able to leave. Ruled out: tokens in lost messages, rows that nobody took over (age at a restart 0.7 to 1.64 s in 40 cases, all taken over).

- A declaration binds for 2.4 s instead of 3.2, so that after an outage begins witnesses take over sooner and 2.2 s of spending may be declared instead of 2.8; 1 s of it already where a third is undrawn, instead of an eighth.
- A router that held nothing no longer warns that its tokens count as spent.

Tests: the world of allowance_faults now borrows as the product does, from its lenders in their order and when a request lacks tokens; its bounds stay. Soak: 52 seeds, three failed by the check of shutdowns (18, 38, 55): a request that crossed the close of its connection, never read, passed for one that was cut off. The check now asks the router's log whether it was read.

--- a/components/relay/src/allowance/account.rs
+++ b/components/relay/src/allowance/account.rs
@@ -38,12 +38,16 @@
 
 /// Time of spending that a declaration allows for; more is declared on demand. What is
 /// allowed and not spent is lost at a crash.
-const CEILING_TIME: Duration = Duration::from_millis(2_800);
+const CEILING_TIME: Duration = Duration::from_millis(2_200);
 
 /// The same where few tokens are left: then a loss at a crash is worse than a shortage at
 /// the start of an outage.
 const CEILING_TIME_LOW: Duration = Duration::from_millis(1_000);
 
+/// Part of the prepaid tokens, as a divisor, below which the undrawn ones are so few that
+/// less may be lost at a crash. All routers lose at the same time when all power goes.
+const FRUGAL_DIVISOR: u64 = 3;
+
 /// Part of the prepaid tokens, as a divisor, below which the undrawn ones are few.
 const LOW_DIVISOR: u64 = 8;
 
@@ -418,8 +422,8 @@
         if role == Role::Borrower {
             return Holding { held, ceiling: held };
         }
-        let is_low = undrawn < self.limit / LOW_DIVISOR;
-        let span = if is_low { CEILING_TIME_LOW } else { CEILING_TIME };
+        let is_frugal = undrawn < self.limit / FRUGAL_DIVISOR;
+        let span = if is_frugal { CEILING_TIME_LOW } else { CEILING_TIME };
         let expected = self.rate.expected(span, now);
         let margin = expected.max(self.wanted).max(held / CEILING_DIVISOR);
         let ceiling = self.reserved + margin;
--- a/components/relay/src/allowance/book/inheritance.rs
+++ b/components/relay/src/allowance/book/inheritance.rs
@@ -65,7 +65,10 @@
             self.inheritance = Inheritance::Asked { silent, kept, since: inputs.now };
             return None;
         }
-        log::warn!(age_ms = age_ms.unwrap_or_default(), accounts = row.accounts.len(); "tokens of the earlier process count as spent: its row is old");
+        let kept: u64 = row.kept().iter().map(|(_, kept)| kept).sum();
+        if kept > 0 {
+            log::warn!(age_ms = age_ms.unwrap_or_default(), tokens = kept; "tokens of the earlier process count as spent: its row is old");
+        }
         Some(self.settle_inheritance(Vec::new()))
     }
 
--- a/components/relay/src/allowance/ceiling.rs
+++ b/components/relay/src/allowance/ceiling.rs
@@ -7,7 +7,7 @@
 /// Time of the store after a declaration's known time within which its ceilings bind. A
 /// process that starts within it knows that its predecessor, which has ended, kept to them.
 /// Longer than a restart after a crash takes.
-pub const BINDING_TIME: Duration = Duration::from_millis(3_200);
+pub const BINDING_TIME: Duration = Duration::from_millis(2_400);
 
 /// Margin for the drift of the two steady clocks, as a factor.
 const DRIFT_FACTOR: f64 = 1.1;
--- a/components/relay/tests/allowance_faults/router.rs
+++ b/components/relay/tests/allowance_faults/router.rs
@@ -9,7 +9,7 @@
 };
 use utils::HashMap;
 
-use crate::ACCOUNT;
+use crate::{ACCOUNT, ROUTERS};
 
 /// A router: its book and its running requests with what they have used.
 pub(crate) struct Router {
@@ -27,6 +27,8 @@
     pub(crate) fn start(name: Arc<str>, process: u64, accounts: &Accounts) -> Router {
         let mut book = AllowanceBook::new(name.clone(), process);
         book.set_accounts(&accounts.by_key(), accounts.version);
+        let holders: Vec<Arc<str>> = (0..ROUTERS).map(|it| format!("router-{it}").into()).collect();
+        book.set_holders(&holders);
         Router {
             name,
             process,
--- a/components/relay/tests/allowance_faults/world.rs
+++ b/components/relay/tests/allowance_faults/world.rs
@@ -109,7 +109,9 @@
         self.serve(index);
         self.exchange_with_store(index);
         self.exchange_with_witness(index);
-        self.borrow(index);
+        if self.rng.random_bool(0.3) {
+            self.borrow(index, 300);
+        }
         self.give_back(index);
         if self.rng.random_bool(self.faults.crash) {
             self.crash(index);
@@ -129,10 +131,12 @@
         let process = router.process;
         if self.rng.random_bool(0.5) {
             let tokens = self.rng.random_range(20..450);
-            if let Ok(reservation) = router.book.reserve(&ACCOUNT.into(), tokens, now) {
-                router.running.push((reservation, 0));
+            match router.book.reserve(&ACCOUNT.into(), tokens, now) {
+                Ok(reservation) => router.running.push((reservation, 0)),
+                Err(_) => self.borrow(index, tokens),
             }
         }
+        let router = &mut self.routers[index];
         let mut running = Vec::new();
         for (reservation, used) in std::mem::take(&mut router.running) {
             let more = self.rng.random_range(0..=reservation.tokens - used);
@@ -243,31 +247,37 @@
     }
 
     /// Borrows tokens; the loan may be lost on its way.
-    pub(crate) fn borrow(&mut self, index: usize) {
+    fn borrow(&mut self, index: usize, tokens: u64) {
         let now = self.now();
-        let lender = self.rng.random_range(0..ROUTERS);
+        let lender = self.choose_lender(index);
         if lender == index || self.routers[lender].down_until.is_some() {
             return;
         }
-        if self.rng.random_bool(0.3) {
-            let for_use = self.routers[index].book.role_for(ACCOUNT) == Role::Borrower;
-            let spent = self.routers[index].book.take_unreported(ACCOUNT);
-            let book = &mut self.routers[lender].book;
-            book.report_for_borrower(ACCOUNT, spent);
-            if book.prepare_loan(ACCOUNT, 300, for_use, now) == LoanStep::Lend {
-                let tokens = book.lend(ACCOUNT, 300, for_use, now);
-                let (spent, undrawn) = (book.known_spent(ACCOUNT), book.known_undrawn(ACCOUNT));
-                self.routers[index].book.hear_row(ACCOUNT, spent, undrawn);
-                self.move_tokens(lender, index, tokens);
-            }
+        let for_use = self.routers[index].book.role_for(ACCOUNT) == Role::Borrower;
+        let spent = self.routers[index].book.take_unreported(ACCOUNT);
+        let book = &mut self.routers[lender].book;
+        book.report_for_borrower(ACCOUNT, spent);
+        if book.prepare_loan(ACCOUNT, tokens, for_use, now) == LoanStep::Lend {
+            let tokens = book.lend(ACCOUNT, tokens, for_use, now);
+            let (spent, undrawn) = (book.known_spent(ACCOUNT), book.known_undrawn(ACCOUNT));
+            self.routers[index].book.hear_row(ACCOUNT, spent, undrawn);
+            self.move_tokens(lender, index, tokens);
         }
     }
 
+    /// Returns the lender that a router asks: mostly the first one in its order, sometimes any.
+    fn choose_lender(&mut self, index: usize) -> usize {
+        let lenders = self.routers[index].book.lenders(ACCOUNT);
+        let first = lenders.first().filter(|_| self.rng.random_bool(0.8));
+        let number = first.and_then(|it| it.trim_start_matches("router-").parse().ok());
+        number.unwrap_or_else(|| self.rng.random_range(0..ROUTERS))
+    }
+
     /// Gives tokens back that a borrower does not need; they may be lost on their way.
     fn give_back(&mut self, index: usize) {
         let now = self.now();
         for (_, tokens) in self.routers[index].book.take_surplus(now) {
-            let lender = (index + 1) % ROUTERS;
+            let lender = self.choose_lender(index);
             self.move_tokens(index, lender, tokens);
         }
     }
--- a/programs/auburncrank-relay/tests/soak/main.rs
+++ b/programs/auburncrank-relay/tests/soak/main.rs
@@ -26,8 +26,16 @@
     world::{PREPAID, World},
 };
 
-/// Seeds that run without further settings: each found a fault once, or none yet.
-const SEEDS: [u64; 2] = [1, 2];
+/// Seeds that run without further settings.
+const SEEDS: [u64; 5] = [
+    1, 2,
+    // A request crossed the close of its connection at a shutdown; the check took it for one
+    // that was cut off.
+    18, 38, 55,
+];
+
+/// Seeds that run at a time.
+const PARALLEL: usize = 5;
 
 impl Outcome {
     fn status(&self) -> Option<u16> {
@@ -50,16 +58,20 @@
         None => SEEDS.to_vec(),
     };
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
-    for seed in seeds {
-        println!("seed {seed}");
-        runtime.block_on(run(seed));
+    for seeds in seeds.chunks(PARALLEL) {
+        runtime.block_on(async {
+            let runs: Vec<_> = seeds.iter().map(|it| (*it, tokio::spawn(run(*it)))).collect();
+            for (seed, run) in runs {
+                assert!(run.await.is_ok(), "seed {seed} failed");
+            }
+        });
     }
 }
 
 async fn run(seed: u64) {
     let mut world = World::start(seed).await;
     world.disturb().await;
-    println!("faults: {}", world.faults.join("; "));
+    println!("seed {seed}: {}", world.faults.join("; "));
     world.check_recovery().await;
     world.callers.stop();
     tokio::time::sleep(std::time::Duration::from_secs(3)).await;
--- a/programs/auburncrank-relay/tests/soak/world.rs
+++ b/programs/auburncrank-relay/tests/soak/world.rs
@@ -260,9 +260,13 @@
         router.signal(Signal::TERM);
         let status = router.wait_for_end(GRACE).await.expect("the router ends within its grace");
         assert!(status.success(), "the router ended with {status}");
+        // A request that crosses the close of its connection is not read and may be cut.
+        let log = self.routers[0].log();
+        let was_read = |id: &str| log.contains(&format!("request={id} "));
         let outcomes = self.callers.outcomes();
         let cut = outcomes.iter().find(|it| {
-            it.router == self.routers[0].callers && it.sent_at >= begin && it.is_broken()
+            let is_cut = it.sent_at >= begin && it.is_broken();
+            it.router == self.routers[0].callers && is_cut && was_read(&it.id)
         });
         assert!(cut.is_none(), "cut off by the shutdown: {cut:?}");
     }
