Know the holders from the start of a process, and let it spend at once

A new process did not know the holders for 0.7 s, so that all 75 drew; and what it took over could only leave at one declaration a request, as its rate of spending was zero. Ruled out: the desired state (in force 0.1 s after each start), endpoints.

- For two seconds, routers that the table names may be holders unheard.
- A process that took over tokens declares a third of them as able to leave.

--- a/components/relay/src/allowance/account.rs
+++ b/components/relay/src/allowance/account.rs
@@ -62,6 +62,10 @@
 /// without requests of late serves the first ones when the store goes away.
 const CEILING_DIVISOR: u64 = 16;
 
+/// The same in a new process that has taken over tokens and does not know its rate of spending
+/// yet.
+const CEILING_DIVISOR_NEW: u64 = 3;
+
 /// Largest requests for which a borrower keeps tokens that it has no use for now.
 const BORROWERS_SPARE: u64 = 2;
 
@@ -100,6 +104,8 @@
     rate: Rate,
     /// Whether the row was read since the limit was lowered.
     is_confirmed: bool,
+    /// When tokens of an earlier process were taken over.
+    taken_over_at: Option<Timestamp>,
     /// Whether few tokens are undrawn, so that one holder keeps the last ones together.
     is_low: bool,
     /// Whether a borrower draws from the store what its lenders do not give.
@@ -135,6 +141,7 @@
             ceilings: Ceilings::default(),
             largest: 0,
             wanted: 0,
+            taken_over_at: None,
             is_low: false,
             draws_alone: false,
             asked_at: Timestamp::ZERO,
@@ -409,23 +416,26 @@
         pool < self.limit / 5
     }
 
-    /// Returns what to declare with a change: the tokens after it, and how many of them may
-    /// leave until the declaration no longer binds.
+    /// Returns what to declare with a change: the tokens after it, those of an earlier process
+    /// that it takes over included, and how many of them may leave until the declaration no
+    /// longer binds.
     pub(super) fn declare(
         &self,
         change: &Change,
-        role: Role,
-        undrawn: u64,
+        taken_over: u64,
+        (role, undrawn): (Role, u64),
         now: Timestamp,
     ) -> Holding {
-        let held = self.held + change.draw - change.give_back;
+        let held = self.held + change.draw - change.give_back + taken_over;
         if role == Role::Borrower {
             return Holding { held, ceiling: held };
         }
         let is_frugal = undrawn < self.limit / FRUGAL_DIVISOR;
         let span = if is_frugal { CEILING_TIME_LOW } else { CEILING_TIME };
         let expected = self.rate.expected(span, now);
-        let margin = expected.max(self.wanted).max(held / CEILING_DIVISOR);
+        let is_new = self.taken_over_at.is_some_and(|at| now.since(at) < RATE_TIME);
+        let divisor = if is_new || taken_over > 0 { CEILING_DIVISOR_NEW } else { CEILING_DIVISOR };
+        let margin = expected.max(self.wanted).max(held / divisor);
         let ceiling = self.reserved + margin;
         Holding { held, ceiling: ceiling.min(held) }
     }
@@ -458,7 +468,7 @@
         undrawn: u64,
         now: Timestamp,
     ) -> u64 {
-        let declared = self.declare(&Change::default(), role, undrawn, now);
+        let declared = self.declare(&Change::default(), 0, (role, undrawn), now);
         self.ceilings.begin_witnessed(number, declared.ceiling);
         declared.held - declared.ceiling + self.returning
     }
@@ -488,8 +498,9 @@
     }
 
     /// Takes over tokens that an earlier process of this router held.
-    pub(super) fn adopt(&mut self, tokens: u64) {
+    pub(super) fn adopt(&mut self, tokens: u64, now: Timestamp) {
         self.held += tokens;
+        self.taken_over_at = Some(now);
     }
 
     /// Notes that the row was read.
--- a/components/relay/src/allowance/book/commits.rs
+++ b/components/relay/src/allowance/book/commits.rs
@@ -143,11 +143,10 @@
             let change = change.unwrap_or_default();
             let known = self.rows.get(name).map(|(row, _)| row);
             let undrawn = known.map_or(0, |row| allowance.undrawn(row));
-            let mut declared = allowance.declare(&change, self.role, undrawn, now);
+            let taken_over = adopted.iter().find(|(it, _)| it == name).map_or(0, |(_, it)| *it);
+            let declared = allowance.declare(&change, taken_over, (self.role, undrawn), now);
             let has_witness = !holdings.witnesses.is_empty();
             allowance.start(&change, declared, number, binds_until, has_witness);
-            let taken_over = adopted.iter().find(|(it, _)| it == name).map_or(0, |(_, it)| *it);
-            declared.held += taken_over;
             if declared.held > 0 {
                 holdings.accounts.insert(name.clone(), declared);
             }
@@ -187,7 +186,7 @@
     pub fn on_outcome(&mut self, outcome: &CommitOutcome, is_resent: bool, now: Timestamp) {
         match outcome {
             CommitOutcome::Committed(revision) => self.apply(*revision, now),
-            CommitOutcome::NotApplied(_) if !is_resent => self.finish(false),
+            CommitOutcome::NotApplied(_) if !is_resent => self.finish(false, now),
             // The rows tell which one it is with; it may be a copy of this commit.
             CommitOutcome::Conflict(_) => self.is_loaded = false,
             CommitOutcome::NotApplied(_) | CommitOutcome::Unknown => {}
@@ -230,7 +229,7 @@
         let Some(pending) = &self.pending else { return };
         if self.holdings.as_ref().is_some_and(|(row, _)| row.mark == pending.holdings.mark) {
             self.note_declared(now);
-            self.finish(true);
+            self.finish(true, now);
             return;
         }
         let is_replaced = pending.commit.preconditions.iter().any(|it| {
@@ -246,7 +245,7 @@
         });
         // While all rows are as the commit expects, it may still take effect.
         if is_replaced {
-            self.finish(false);
+            self.finish(false, now);
         }
     }
 
@@ -261,14 +260,14 @@
             self.rows.insert(name.clone(), (row.clone(), revision));
         }
         self.note_declared(now);
-        self.finish(true);
+        self.finish(true, now);
     }
 
     fn note_declared(&mut self, now: Timestamp) {
         self.declared_at = Some(now);
     }
 
-    fn finish(&mut self, is_applied: bool) {
+    fn finish(&mut self, is_applied: bool, now: Timestamp) {
         let Some(pending) = self.pending.take() else { return };
         let number = pending.holdings.mark.number;
         for (name, allowance) in &mut self.accounts {
@@ -279,7 +278,7 @@
         if is_applied {
             for (name, tokens) in &pending.adopted {
                 if let Some(allowance) = self.accounts.get_mut(name) {
-                    allowance.adopt(*tokens);
+                    allowance.adopt(*tokens, now);
                 }
             }
         }
--- a/components/relay/src/peers/holders.rs
+++ b/components/relay/src/peers/holders.rs
@@ -11,19 +11,24 @@
     context::RelayContext,
 };
 
-/// Time after the start in which a router learns of the others: two rounds of messages.
-const LEARNING_TIME: Duration = Duration::from_millis(700);
+/// Time after the start in which the routers that the table names count as heard: several
+/// rounds of messages. Routers that start together need holders before they hear each other.
+const LEARNING_TIME: Duration = Duration::from_millis(2_000);
+
+/// Time after which a router that knows no other one takes itself for the only one.
+const ALONE_TIME: Duration = Duration::from_millis(700);
 
 /// Chooses the holders among the routers that are heard, and tells the book of allowances.
-pub(super) fn update_holders(cx: &RelayContext) {
+pub(crate) fn update_holders(cx: &RelayContext) {
     let now = cx.now();
-    if now < Timestamp::ZERO + LEARNING_TIME {
+    let is_learning = now < Timestamp::ZERO + LEARNING_TIME;
+    if cx.lock_roster().is_empty() && now < Timestamp::ZERO + ALONE_TIME {
         return;
     }
     let own = cx.self_status();
     let lenders = {
         let roster = cx.lock_roster();
-        let mut candidates: Vec<HolderCandidate> = roster.holder_candidates(now);
+        let mut candidates: Vec<HolderCandidate> = roster.holder_candidates(is_learning, now);
         candidates.push(HolderCandidate {
             name: own.name.clone(),
             failure_domain: own.failure_domain.clone(),
--- a/components/relay/src/peers/mod.rs
+++ b/components/relay/src/peers/mod.rs
@@ -20,5 +20,6 @@
 };
 pub(crate) use self::{
     gossip::{GossipSocket, run_gossip},
+    holders::update_holders,
     lending::{ask_lender, serve_kept_loans},
 };
--- a/components/relay/src/peers/roster.rs
+++ b/components/relay/src/peers/roster.rs
@@ -186,9 +186,14 @@
         processes
     }
 
-    /// Returns the routers that are heard and stay, as candidates for holders.
-    pub fn holder_candidates(&self, now: Timestamp) -> Vec<HolderCandidate> {
-        let staying = self.entries.values().filter(|it| it.is_heard(now) && it.member.is_ready);
+    /// Returns the routers that are heard and stay, as candidates for holders. `with_named`
+    /// adds those that only the table names.
+    pub fn holder_candidates(&self, with_named: bool, now: Timestamp) -> Vec<HolderCandidate> {
+        let is_candidate = |it: &&Entry| match it.heard_at {
+            Some(_) => it.is_heard(now) && it.member.is_ready,
+            None => with_named,
+        };
+        let staying = self.entries.values().filter(is_candidate);
         let candidates = staying.map(|it| HolderCandidate {
             name: it.member.name.clone(),
             failure_domain: it.member.failure_domain.clone(),
@@ -203,6 +208,11 @@
         ready.map(|it| it.member.load()).collect()
     }
 
+    /// Tells whether any other router is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Returns the failure domain of a router.
     pub fn failure_domain(&self, router: &str) -> Option<&Arc<str>> {
         self.entries.get(router).map(|it| &it.member.failure_domain)
--- a/components/relay/src/sync/member_rows.rs
+++ b/components/relay/src/sync/member_rows.rs
@@ -6,7 +6,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::backoff::Backoff;
-use crate::{context::RelayContext, peers::Member};
+use crate::{
+    context::RelayContext,
+    peers::{Member, update_holders},
+};
 
 /// Start of the keys of all rows.
 const KEY_PREFIX: &str = "routers";
@@ -89,6 +92,7 @@
             Err(error) => log::warn!("{error}"),
         }
     }
+    update_holders(cx);
     Ok(())
 }
 
--- a/components/relay/tests/allowance_takeover.rs
+++ b/components/relay/tests/allowance_takeover.rs
@@ -119,6 +119,17 @@
     assert_eq!(second.account(ACCOUNT).unwrap().held(), kept_of(held));
 }
 
+#[test]
+fn process_that_has_taken_over_tokens_may_spend_some_at_once() {
+    let mut store = Store::default();
+    let _first = started(&mut store);
+    let mut second = book(3);
+    exchange(&mut second, &mut store, 1_500);
+    let account = second.account(ACCOUNT).unwrap();
+    let (held, available) = (account.held(), account.available(at(1_510)));
+    assert!(available * 4 >= held, "{available} of {held} may leave before the next commit");
+}
+
 #[test]
 fn process_that_starts_late_waits_for_the_statements_of_the_witnesses() {
     let mut store = Store::default();
--- a/components/relay/tests/roster.rs
+++ b/components/relay/tests/roster.rs
@@ -104,3 +104,20 @@
     roster.hear(member(2, true), now);
     assert_eq!(ready(&roster, 3_000), ["router-2"]);
 }
+
+#[test]
+fn routers_that_the_table_names_are_candidates_only_while_a_process_is_new() {
+    let mut roster = Roster::default();
+    let now = Timestamp::from_millis(100);
+    roster.name(member(1, true), now);
+    roster.hear(member(2, true), now);
+    roster.hear(member(3, false), now);
+    let names = |with_named: bool| {
+        let candidates = roster.holder_candidates(with_named, now);
+        let mut names: Vec<String> = candidates.iter().map(|it| it.name.to_string()).collect();
+        names.sort();
+        names
+    };
+    assert_eq!(names(true), ["router-1", "router-2"]);
+    assert_eq!(names(false), ["router-2"]);
+}
--- a/programs/auburncrank-relay/src/run.rs
+++ b/programs/auburncrank-relay/src/run.rs
@@ -1,6 +1,7 @@
 //! Runs the relay until a signal ends it.
 
 use std::{
+    io,
     path::Path,
     process::ExitCode,
     time::{Duration, SystemTime},
@@ -10,7 +11,7 @@
 use relay::RelayProcess;
 use telemetry::{set_up_metrics, set_up_queued_logs};
 use tokio::{
-    runtime::Builder,
+    runtime::{Builder, Runtime},
     signal::unix::{Signal, SignalKind, signal},
 };
 
@@ -20,33 +21,52 @@
 /// be told on these hosts.
 const FILE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Signals that the process handles.
+pub(crate) struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Takes the signals over from the system, which ends a process at each of them.
+    ///
+    /// # Errors
+    /// Where the system refuses.
+    pub(crate) fn take_over() -> io::Result<Signals> {
+        Ok(Signals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
+/// Creates the runtime of the process.
+///
+/// # Errors
+/// Where the system refuses.
+pub(crate) fn new_runtime() -> io::Result<Runtime> {
+    // A host has a part of one core: more threads would only switch more often.
+    Builder::new_current_thread().enable_all().build()
+}
+
 /// Runs the relay; returns its exit code.
-pub(crate) fn run_relay(settings: ProgramSettings) -> ExitCode {
+pub(crate) fn run_relay(
+    runtime: &Runtime,
+    signals: Signals,
+    settings: ProgramSettings,
+) -> ExitCode {
     if let Err(error) = set_up_queued_logs(settings.log_level, settings.log_format) {
         eprintln!("{error}");
         return ExitCode::FAILURE;
     }
-    // A host has a part of one core: more threads would only switch more often.
-    let runtime = match Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            log::error!("no runtime: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
-    let code = runtime.block_on(serve(settings));
+    let code = runtime.block_on(serve(signals, settings));
     telemetry::flush_queued_logs();
     code
 }
 
-async fn serve(settings: ProgramSettings) -> ExitCode {
-    let kinds = [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()];
-    let [terminate, interrupt, hangup] = kinds.map(signal);
-    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = (terminate, interrupt, hangup)
-    else {
-        log::error!("signals are not available");
-        return ExitCode::FAILURE;
-    };
+async fn serve(mut signals: Signals, settings: ProgramSettings) -> ExitCode {
     let surroundings = connect(&settings.platform);
     let metrics = set_up_metrics();
     let started = RelayProcess::start(settings.platform.relay.clone(), surroundings, metrics).await;
@@ -57,26 +77,20 @@
             return ExitCode::FAILURE;
         }
     };
-    wait_for_end(&mut terminate, &mut interrupt, &mut hangup, &settings.path, &process).await;
+    wait_for_end(&mut signals, &settings.path, &process).await;
     process.shut_down().await;
     ExitCode::SUCCESS
 }
 
 /// Waits for the signal to end; reads the settings anew at each hang-up, and where the file
 /// has changed without one.
-async fn wait_for_end(
-    terminate: &mut Signal,
-    interrupt: &mut Signal,
-    hangup: &mut Signal,
-    path: &Path,
-    process: &RelayProcess,
-) {
+async fn wait_for_end(signals: &mut Signals, path: &Path, process: &RelayProcess) {
     let mut known = modified_at(path);
     loop {
         tokio::select! {
-            _ = terminate.recv() => return,
-            _ = interrupt.recv() => return,
-            _ = hangup.recv() => {}
+            _ = signals.terminate.recv() => return,
+            _ = signals.interrupt.recv() => return,
+            _ = signals.hangup.recv() => {}
             () = tokio::time::sleep(FILE_CHECK_INTERVAL) => {
                 if modified_at(path) == known {
                     continue;
--- a/programs/auburncrank-relay/tests/soak/router.rs
+++ b/programs/auburncrank-relay/tests/soak/router.rs
@@ -15,6 +15,9 @@
 /// Grace that the settings announce.
 pub(crate) const GRACE: Duration = Duration::from_secs(8);
 
+/// Time in which the system loads the program, on a busy machine.
+const EXEC_TIME: Duration = Duration::from_millis(100);
+
 /// Ports, the same for each router; their addresses differ.
 const CALLER_PORT: u16 = 18_740;
 const READY_PORT: u16 = 18_741;
@@ -30,6 +33,7 @@
     pub(crate) starts: u32,
     folder: PathBuf,
     child: Option<Child>,
+    started_at: Instant,
 }
 
 impl Router {
@@ -54,6 +58,7 @@
             starts: 0,
             folder,
             child: None,
+            started_at: Instant::now(),
         }
     }
 
@@ -68,12 +73,17 @@
             .spawn()
             .unwrap();
         self.child = Some(child);
+        self.started_at = Instant::now();
         self.starts += 1;
     }
 
-    /// Sends a signal to the process, if there is one.
+    /// Sends a signal to the process, if there is one that may handle it: no program can
+    /// handle one before it runs.
     pub(crate) fn signal(&self, signal: Signal) {
         let Some(child) = &self.child else { return };
+        if self.started_at.elapsed() < EXEC_TIME {
+            return;
+        }
         let pid = Pid::from_child(child);
         if let Err(error) = kill_process(pid, signal) {
             println!("{}: signal not sent: {error}", self.name);
