--- a/programs/auburncrank-relay/tests/soak/world.rs
+++ b/programs/auburncrank-relay/tests/soak/world.rs
@@ -44,6 +44,14 @@
     History,
 }
 
+/// Returns the routers' addresses: others for each seed and each process of the soak, so
+/// that several run at a time.
+fn addresses_of(seed: u64) -> Vec<IpAddr> {
+    let run = 64 + (std::process::id() % 128) as u8;
+    let net = 20 + (seed % 200) as u8;
+    (1..=ROUTERS as u8).map(|it| Ipv4Addr::new(127, run, net, it).into()).collect()
+}
+
 pub(crate) struct World {
     pub(crate) callers: Callers,
     pub(crate) routers: Vec<Router>,
@@ -69,10 +77,7 @@
             endpoints.push(endpoint);
             endpoint_links.push(link);
         }
-        // Each seed has addresses of its own, so that several run at a time.
-        let net = u8::try_from(seed % 200).unwrap() + 20;
-        let ips: Vec<IpAddr> =
-            (0..ROUTERS as u8).map(|it| Ipv4Addr::new(127, 77, net, it + 1).into()).collect();
+        let ips = addresses_of(seed);
         let (mut routers, mut store_links) = (Vec::new(), Vec::new());
         for (number, ip) in ips.iter().enumerate() {
             let link = Proxy::start(store.address).await;
