Bound the batches of log lines

The batch grew beyond the queue's bound; one of 314,269 lines was seen. Ruled out: the count of dropped lines, the reader (it was stalled).

A batch holds as many lines as the queue at most. The new test fails without that; the check that failed is unchanged.

--- a/components/telemetry/src/queued_output.rs
+++ b/components/telemetry/src/queued_output.rs
@@ -78,7 +78,9 @@
     while let Ok(first) = queued.recv() {
         let mut batch = Vec::new();
         let mut flushed = Vec::new();
-        for item in std::iter::once(first).chain(queued.try_iter()) {
+        // Without the bound a batch would grow for as long as lines come in faster than they
+        // are taken out.
+        for item in std::iter::once(first).chain(queued.try_iter()).take(QUEUE_LINES) {
             match item {
                 Item::Line(line) => batch.extend_from_slice(&line),
                 Item::Flush(done) => flushed.push(done),
