Accept connections, read rows and declare log settings in one place each

Found in a last read of the whole change: the loop that accepts a connection stood twice in serve/server.rs, the row of an account with its empty default three more times in the allowance book, and the log settings in both daemons' cli.rs. Behaviour stays.

--- a/components/relay/src/allowance/book/commits.rs
+++ b/components/relay/src/allowance/book/commits.rs
@@ -101,7 +101,7 @@
             }
         }
         for (name, allowance) in &self.accounts {
-            let row = self.rows.get(name).map(|(row, _)| row.clone()).unwrap_or_default();
+            let row = self.row(name);
             let is_low = allowance.is_low();
             let role = self.role_where(name, is_low);
             let drawers = AllowanceBook::drawers(inputs.routers, is_low);
--- a/components/relay/src/allowance/book/mod.rs
+++ b/components/relay/src/allowance/book/mod.rs
@@ -185,6 +185,12 @@
         }
     }
 
+    /// Returns the row of an account as it was last read or written; an empty one where there
+    /// is none.
+    fn row(&self, account: &str) -> AllowanceRow {
+        self.rows.get(account).map(|(row, _)| row.clone()).unwrap_or_default()
+    }
+
     /// Returns each account's tokens that are held, and those of them that are reserved.
     pub fn holdings(&self) -> impl Iterator<Item = (&Arc<str>, u64, u64)> {
         self.accounts.iter().map(|(name, it)| (name, it.held(), it.reserved()))
--- a/components/relay/src/allowance/book/requests.rs
+++ b/components/relay/src/allowance/book/requests.rs
@@ -121,8 +121,7 @@
         if !for_use || self.role_for(account) != Role::Holder || self.is_store_lost {
             return LoanStep::Lend;
         }
-        let known = self.rows.get(account).map(|(row, _)| row);
-        let row = known.cloned().unwrap_or_default();
+        let row = self.row(account);
         let allowance = self.accounts.get_mut(account);
         if allowance.is_some_and(|it| it.want_to_draw(&row, wanted, now)) {
             LoanStep::Draw
@@ -173,13 +172,13 @@
 
     /// Returns the tokens of an account that all routers have spent, as far as is known here.
     pub fn known_spent(&self, account: &str) -> u64 {
-        let row = self.rows.get(account).map(|(row, _)| row.clone()).unwrap_or_default();
+        let row = self.row(account);
         self.accounts.get(account).map_or(0, |it| it.known_spent(&row))
     }
 
     /// Returns the tokens of an account that no router has drawn, as far as is known here.
     pub fn known_undrawn(&self, account: &str) -> u64 {
-        let row = self.rows.get(account).map(|(row, _)| row.clone()).unwrap_or_default();
+        let row = self.row(account);
         self.accounts.get(account).map_or(0, |it| it.undrawn(&row))
     }
 
--- a/components/relay/src/serve/server.rs
+++ b/components/relay/src/serve/server.rs
@@ -8,7 +8,10 @@
     server::graceful::GracefulShutdown,
 };
 use socket2::{Domain, Socket, Type};
-use tokio::{net::TcpListener, sync::watch};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
 
 use super::{connections::set_options, handler::handle, side_calls::SideCalls};
 use crate::context::RelayContext;
@@ -38,6 +41,22 @@
     TcpListener::from_std(socket.into())
 }
 
+/// Accepts the next connection; goes on after failures.
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                set_options(&stream);
+                return stream;
+            }
+            Err(error) => {
+                log::warn!("connection not accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Serves callers until `stopped` becomes true; then lets running requests end.
 pub(crate) async fn serve_callers(
     cx: Arc<RelayContext>,
@@ -46,19 +65,10 @@
 ) {
     let graceful = GracefulShutdown::new();
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            stream = accept(&listener) => stream,
             _ = stopped.wait_for(|stopped| *stopped) => break,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("connection not accepted: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        set_options(&stream);
         let idle = cx.in_force.load().as_ref().map_or(IDLE_TIME, |it| it.state.limits.idle_timeout);
         let context = cx.clone();
         let service = service_fn(move |req| handle(context.clone(), req));
@@ -81,15 +91,7 @@
 /// Serves the calls beside callers' requests until the process ends.
 pub(crate) async fn serve_side_calls(calls: SideCalls, listener: TcpListener) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("connection not accepted: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        set_options(&stream);
+        let stream = accept(&listener).await;
         let calls = calls.clone();
         let service = service_fn(move |req| {
             let calls = calls.clone();
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -11,6 +11,6 @@
     fault::{SettingFault, SettingFaults},
     parser::{ParsedArgs, parse_args},
     program_start::ProgramStart,
-    spec::{ProgramSpec, SettingSpec},
+    spec::{LOG_FORMAT_SETTING, LOG_LEVEL_SETTING, ProgramSpec, SettingSpec},
     values::SettingValues,
 };
--- a/components/settings/src/spec.rs
+++ b/components/settings/src/spec.rs
@@ -37,3 +37,21 @@
         self.value.is_empty()
     }
 }
+
+/// Setting of the lowest level that is logged; the same in all daemons.
+pub const LOG_LEVEL_SETTING: SettingSpec = SettingSpec {
+    flag: "log-level",
+    env: "AUBURNCRANK_LOG_LEVEL",
+    value: "LEVEL",
+    default: Some("info"),
+    help: "Lowest level that is logged: error, warn, info, debug or trace.",
+};
+
+/// Setting of the format of log lines; the same in all daemons.
+pub const LOG_FORMAT_SETTING: SettingSpec = SettingSpec {
+    flag: "log-format",
+    env: "AUBURNCRANK_LOG_FORMAT",
+    value: "FORMAT",
+    default: Some("text"),
+    help: "Format of log lines: text or json.",
+};
--- a/programs/auburncrank-relay/src/cli.rs
+++ b/programs/auburncrank-relay/src/cli.rs
@@ -4,7 +4,10 @@
 
 use log::LevelFilter;
 use platform_adapter::{PlatformSettings, SETTINGS_FILE_VARIABLE};
-use settings::{ProgramSpec, ProgramStart, SettingFaults, SettingSpec, SettingValues};
+use settings::{
+    LOG_FORMAT_SETTING, LOG_LEVEL_SETTING, ProgramSpec, ProgramStart, SettingFaults, SettingSpec,
+    SettingValues,
+};
 use telemetry::LogFormat;
 
 const SPEC: ProgramSpec = ProgramSpec {
@@ -21,20 +24,8 @@
             default: None,
             help: "Settings file, as the platform fills it in.",
         },
-        SettingSpec {
-            flag: "log-level",
-            env: "AUBURNCRANK_LOG_LEVEL",
-            value: "LEVEL",
-            default: Some("info"),
-            help: "Lowest level that is logged: error, warn, info, debug or trace.",
-        },
-        SettingSpec {
-            flag: "log-format",
-            env: "AUBURNCRANK_LOG_FORMAT",
-            value: "FORMAT",
-            default: Some("text"),
-            help: "Format of log lines: text or json.",
-        },
+        LOG_LEVEL_SETTING,
+        LOG_FORMAT_SETTING,
     ],
 };
 
--- a/programs/auburncrankd/src/cli.rs
+++ b/programs/auburncrankd/src/cli.rs
@@ -3,7 +3,10 @@
 use config::KeyHash;
 use log::LevelFilter;
 use router::{HttpLimits, RouterSettings};
-use settings::{ProgramSpec, ProgramStart, SettingFaults, SettingSpec, SettingValues};
+use settings::{
+    LOG_FORMAT_SETTING, LOG_LEVEL_SETTING, ProgramSpec, ProgramStart, SettingFaults, SettingSpec,
+    SettingValues,
+};
 use telemetry::LogFormat;
 use types::{FailureDomain, RouterName};
 use utils::Digest;
@@ -107,20 +110,8 @@
             default: Some(""),
             help: "Hash of the key that may do everything while there is no operator; make both with 'auburncrank key'.",
         },
-        SettingSpec {
-            flag: "log-level",
-            env: "AUBURNCRANK_LOG_LEVEL",
-            value: "LEVEL",
-            default: Some("info"),
-            help: "Lowest level that is logged: error, warn, info, debug or trace.",
-        },
-        SettingSpec {
-            flag: "log-format",
-            env: "AUBURNCRANK_LOG_FORMAT",
-            value: "FORMAT",
-            default: Some("text"),
-            help: "Format of log lines: text or json.",
-        },
+        LOG_LEVEL_SETTING,
+        LOG_FORMAT_SETTING,
     ],
 };
 
