Hand bound sockets to the relay instead of free port numbers

The tests of the adapter took free ports, closed them and let the router bind them later.

RelaySockets::bind now binds all addresses once; a port of 0 is replaced by the one that the system chose, and RelayProcess::start gets the sockets. No port is closed and bound again, so the race no longer exists.

--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -16,6 +16,7 @@
 mod rate;
 mod serve;
 mod settings;
+mod sockets;
 pub mod stream;
 mod sync;
 mod units;
@@ -23,7 +24,8 @@
 pub use self::{
     context::RelayDependencies,
     ports::{AnswerHead, ControlSource, Cursor, Dialect, Feed, Forwarding},
-    process::{RelayProcess, RelayStartError},
+    process::RelayProcess,
     serve::remove_hop_headers,
     settings::RelaySettings,
+    sockets::{RelayBindError, RelaySockets},
 };
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -56,6 +56,11 @@
         Ok(GossipSocket { socket, crashes: Mutex::default(), loans: Mutex::default() })
     }
 
+    /// Returns the address that the socket is bound to.
+    pub(crate) fn local_address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
     /// Includes a crash record in the following status messages. It replaces an earlier record
     /// of the same content; the oldest records are dropped.
     pub(crate) fn announce_crash(&self, crash: CrashMessage) {
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -1,20 +1,19 @@
 //! Start, reload and graceful shutdown of the relay.
 
 use std::{
-    io,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
 use telemetry::MetricsHandle;
-use thiserror::Error;
 use tokio::{sync::watch, task::JoinHandle, time::Instant};
 
 use crate::{
     context::{RelayContext, RelayDependencies},
-    peers::{GossipSocket, run_gossip},
-    serve::{AuxiliaryApi, bind, serve_auxiliary_api, serve_callers},
+    peers::run_gossip,
+    serve::{AuxiliaryApi, serve_auxiliary_api, serve_callers},
     settings::RelaySettings,
+    sockets::RelaySockets,
     sync::{
         remove_member_row, return_allowances, run_allowances, run_member_rows, watch_config,
         watch_endpoints,
@@ -36,16 +35,6 @@
 /// Interval at which idle connections are pruned and the gauges are updated.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Error when the relay cannot bind one of its addresses at the start.
-#[derive(Debug, Error)]
-#[error("failed to bind address {address}: {error}")]
-pub struct RelayStartError {
-    /// Address that could not be bound.
-    address: std::net::SocketAddr,
-    /// Error of the operating system.
-    error: io::Error,
-}
-
 /// Handle to a running relay.
 pub struct RelayProcess {
     cx: Arc<RelayContext>,
@@ -58,29 +47,18 @@
 }
 
 impl RelayProcess {
-    /// Binds all addresses and starts all tasks.
-    ///
-    /// # Errors
-    /// Returns an error if an address cannot be bound.
-    pub async fn start(
+    /// Starts all tasks on `sockets`, which are bound to the addresses of `settings`.
+    pub fn start(
         settings: RelaySettings,
+        sockets: RelaySockets,
         dependencies: RelayDependencies,
         metrics: MetricsHandle,
-    ) -> Result<RelayProcess, RelayStartError> {
-        let failed = |address| move |error| RelayStartError { address, error };
-        let listen = |address| bind(address).map_err(failed(address));
-        let caller_listener = listen(settings.caller_address)?;
-        let auxiliary_listeners = [
-            listen(settings.ready_address)?,
-            listen(settings.directory_address)?,
-            listen(settings.metrics_address)?,
-        ];
-        let peer_address = settings.peer_address;
-        let gossip = GossipSocket::bind(peer_address).await.map_err(failed(peer_address))?;
+    ) -> RelayProcess {
+        let RelaySockets { callers, auxiliary, gossip } = sockets;
         log::info!(router:% = settings.name, failure_domain:% = settings.failure_domain, callers:% = settings.caller_address; "router starts");
         let cx = Arc::new(RelayContext::new(settings, dependencies, gossip));
         let (stop, stopped) = watch::channel(false);
-        for listener in auxiliary_listeners {
+        for listener in auxiliary {
             let api = AuxiliaryApi { cx: cx.clone(), metrics: metrics.clone() };
             tokio::spawn(serve_auxiliary_api(api, listener));
         }
@@ -90,8 +68,8 @@
         tokio::spawn(run_gossip(cx.clone()));
         tokio::spawn(prune_connections(cx.clone()));
         let allowances = tokio::spawn(run_allowances(cx.clone()));
-        let callers = tokio::spawn(serve_callers(cx.clone(), caller_listener, stopped));
-        Ok(RelayProcess { cx, stop, callers, allowances })
+        let callers = tokio::spawn(serve_callers(cx.clone(), callers, stopped));
+        RelayProcess { cx, stop, callers, allowances }
     }
 
     /// Applies the settings that can change while the process runs: the limits on retries.
--- a/programs/auburncrank-relay/src/run.rs
+++ b/programs/auburncrank-relay/src/run.rs
@@ -8,7 +8,7 @@
 };
 
 use platform_adapter::{PlatformSettings, connect};
-use relay::RelayProcess;
+use relay::{RelayProcess, RelaySockets};
 use telemetry::{set_up_metrics, set_up_queued_logs};
 use tokio::{
     runtime::{Builder, Runtime},
@@ -69,14 +69,15 @@
 async fn serve(mut signals: Signals, settings: ProgramSettings) -> ExitCode {
     let dependencies = connect(&settings.platform);
     let metrics = set_up_metrics();
-    let started = RelayProcess::start(settings.platform.relay.clone(), dependencies, metrics).await;
-    let process = match started {
-        Ok(process) => process,
+    let mut relay = settings.platform.relay;
+    let sockets = match RelaySockets::bind(&mut relay).await {
+        Ok(sockets) => sockets,
         Err(error) => {
             log::error!("router not started: {error}");
             return ExitCode::FAILURE;
         }
     };
+    let process = RelayProcess::start(relay, sockets, dependencies, metrics);
     wait_for_shutdown_signal(&mut signals, &settings.path, &process).await;
     process.shut_down().await;
     ExitCode::SUCCESS
