Log and count how reads of the desired state end

TransferProgress counts the bytes of a read as they arrive. The line 'desired state in force' has bytes, transfer_ms and decode_ms; a failed read that had received data is logged at the first, second, fourth ... failure in a row, so a router that never succeeds writes a line for each doubling; an interrupted one and the first report of each newer version have a line of their own. Metrics: auburncrank_config_reads_total by result, auburncrank_config_read_bytes_total, auburncrank_config_newest_peer_version.

No change of what the router does.

--- a/components/client/src/http_client.rs
+++ b/components/client/src/http_client.rs
@@ -93,10 +93,34 @@
         headers: HeaderMap,
         body: Bytes,
         timeout: Duration,
+    ) -> Result<Response<Bytes>, SendError> {
+        let ignore = |_| {};
+        self.call_observed(server, method, path, headers, body, timeout, &ignore).await
+    }
+
+    /// Sends a call and returns the complete response. Calls `on_data` with the length of each
+    /// piece of the body as it arrives.
+    ///
+    /// # Errors
+    /// Same as [`call`](HttpClient::call).
+    #[allow(clippy::too_many_arguments, reason = "the parts of a request are separate values")]
+    pub async fn call_observed(
+        &self,
+        server: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+        timeout: Duration,
+        on_data: &(dyn Fn(usize) + Sync),
     ) -> Result<Response<Bytes>, SendError> {
         let exchange = async {
             let res = self.send(server, method, path, headers, body).await?;
             let (head, body) = res.into_parts();
+            let body = body.map_frame(|frame| {
+                frame.data_ref().into_iter().for_each(|it| on_data(it.len()));
+                frame
+            });
             let body = Limited::new(body, RESPONSE_MAX_BYTES)
                 .collect()
                 .await
--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -197,7 +197,12 @@
     /// reported before.
     pub(crate) fn record_peer_version(&self, version: u64) {
         let before = self.newest_peer_version.fetch_max(version, Ordering::Relaxed);
-        if version > before && version > self.config_version() {
+        if version > before {
+            metrics::gauge!(telemetry::CONFIG_NEWEST_PEER_VERSION).set(version as f64);
+        }
+        let own = self.config_version();
+        if version > before && version > own {
+            log::info!(version, own; "another router has a newer desired state in force");
             self.config_hint.notify_one();
         }
     }
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod sockets;
 pub mod stream;
 mod sync;
+mod transfer;
 mod units;
 
 pub use self::{
@@ -28,4 +29,5 @@
     serve::remove_hop_headers,
     settings::RelaySettings,
     sockets::{RelayBindError, RelaySockets},
+    transfer::TransferProgress,
 };
--- a/components/relay/src/ports.rs
+++ b/components/relay/src/ports.rs
@@ -11,6 +11,7 @@
 use crate::{
     endpoints::EndpointChange,
     model::{DesiredState, EndpointEntry, RequestHead},
+    transfer::TransferProgress,
 };
 
 /// Values that are set in the headers of a request to an endpoint.
@@ -85,13 +86,18 @@
 /// Source of the desired state and the list of endpoints.
 #[async_trait]
 pub trait ControlSource: Send + Sync {
-    /// Reads the desired state; `None` if there is none yet.
+    /// Reads the desired state; `None` if there is none yet. The bytes that arrive are counted in
+    /// `progress`.
     ///
     /// # Errors
     /// Returns an error if the source cannot be reached or refuses the call.
-    async fn desired_state(&self) -> Result<(Option<DesiredState>, Cursor), PlatformError>;
+    async fn desired_state(
+        &self,
+        progress: &TransferProgress,
+    ) -> Result<(Option<DesiredState>, Cursor), PlatformError>;
 
-    /// Waits up to `wait` for desired states that are newer than `cursor`.
+    /// Waits up to `wait` for desired states that are newer than `cursor`. The bytes that arrive
+    /// are counted in `progress`.
     ///
     /// # Errors
     /// Returns an error if the source cannot be reached or refuses the call.
@@ -99,6 +105,7 @@
         &self,
         cursor: Cursor,
         wait: Duration,
+        progress: &TransferProgress,
     ) -> Result<Feed<DesiredState>, PlatformError>;
 
     /// Reads the whole list of endpoints.
--- a/components/relay/src/sync/backoff.rs
+++ b/components/relay/src/sync/backoff.rs
@@ -27,6 +27,11 @@
         Backoff { dependency, failures: 0 }
     }
 
+    /// Returns the number of consecutive failures.
+    pub(super) fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// Records a successful call and resets the delay.
     pub(super) fn record_success(&mut self) {
         if self.failures > 0 {
--- a/components/relay/src/sync/config_watch.rs
+++ b/components/relay/src/sync/config_watch.rs
@@ -9,6 +9,8 @@
     context::{InForce, RelayContext},
     model::DesiredState,
     ports::{Cursor, Feed},
+    transfer::TransferProgress,
+    units::millis,
 };
 
 /// Time for which a call waits for changes. A dead connection is noticed within this time, so
@@ -20,13 +22,18 @@
     let mut backoff = Backoff::new("desired state");
     let mut cursor: Option<Cursor> = None;
     loop {
-        match read_changes(&cx, cursor).await {
+        let progress = TransferProgress::default();
+        match read_changes(&cx, cursor, &progress).await {
             Ok(next) => {
                 cursor = next;
                 backoff.record_success();
             }
             Err(error) => {
                 let delay = backoff.record_failure(&error, &mut cx.lock_rng());
+                count_read(&progress, "failed");
+                if progress.bytes() > 0 && backoff.failures().is_power_of_two() {
+                    log::warn!(received_bytes = progress.bytes(), transfer_ms = millis(progress.duration()), idle_ms = millis(progress.idle()), failures = backoff.failures(), from_feed = cursor.is_some(); "read of the desired state failed");
+                }
                 // Notified when another router has a newer desired state.
                 tokio::select! {
                     () = tokio::time::sleep(delay) => {}
@@ -42,24 +49,27 @@
 async fn read_changes(
     cx: &RelayContext,
     cursor: Option<Cursor>,
+    progress: &TransferProgress,
 ) -> Result<Option<Cursor>, PlatformError> {
     let Some(cursor) = cursor else {
-        let (state, cursor) = cx.source.desired_state().await?;
-        if let Some(state) = state {
-            activate_state(cx, state);
-        }
+        let (state, cursor) = cx.source.desired_state(progress).await?;
+        activate_newest(cx, state, progress);
         return Ok(Some(cursor));
     };
     let feed = tokio::select! {
-        feed = cx.source.desired_state_after(cursor, FEED_WAIT) => feed?,
+        feed = cx.source.desired_state_after(cursor, FEED_WAIT, progress) => feed?,
         // The feed may lag behind the rows, so the whole state is read again.
-        () = cx.config_hint.notified() => return Ok(None),
+        () = cx.config_hint.notified() => {
+            if progress.bytes() > 0 {
+                count_read(progress, "interrupted");
+                log::info!(received_bytes = progress.bytes(), transfer_ms = millis(progress.duration()); "read of the desired state interrupted by a report of a newer version");
+            }
+            return Ok(None);
+        }
     };
     match feed {
         Feed::Changes(states, cursor) => {
-            for state in states {
-                activate_state(cx, state);
-            }
+            activate_newest(cx, states, progress);
             Ok(Some(cursor))
         }
         Feed::HistoryLost => {
@@ -71,17 +81,37 @@
     }
 }
 
-/// Puts a desired state in force unless the same or a newer version already is.
-fn activate_state(cx: &RelayContext, state: DesiredState) {
-    let version = state.version;
-    if version <= cx.config_version() {
-        return;
+/// Puts those of `states` in force that are newer than the one in force.
+fn activate_newest(
+    cx: &RelayContext,
+    states: impl IntoIterator<Item = DesiredState>,
+    progress: &TransferProgress,
+) {
+    let mut result = "unchanged";
+    for state in states {
+        if state.version > cx.config_version() {
+            activate_state(cx, state, progress);
+            result = "applied";
+        }
     }
+    count_read(progress, result);
+}
+
+fn activate_state(cx: &RelayContext, state: DesiredState, progress: &TransferProgress) {
+    let version = state.version;
     let now = cx.now();
     cx.lock_allowances().set_accounts(&state.distinct_accounts(), version);
-    log::info!(version, routes = state.routes.values().map(Vec::len).sum::<usize>(), services = state.services.len(); "desired state in force");
+    log::info!(version, routes = state.routes.values().map(Vec::len).sum::<usize>(), services = state.services.len(), bytes = progress.bytes(), transfer_ms = millis(progress.duration()), decode_ms = millis(progress.idle()); "desired state in force");
     metrics::gauge!(telemetry::CONFIG_VERSION).set(version as f64);
     cx.in_force.store(Some(Arc::new(InForce { state, since: now })));
     cx.desired_state_changed.notify_waiters();
     cx.allowance_wanted.notify_one();
 }
+
+/// Counts a read that received data.
+fn count_read(progress: &TransferProgress, result: &'static str) {
+    if progress.bytes() > 0 {
+        metrics::counter!(telemetry::CONFIG_READS_TOTAL, "result" => result).increment(1);
+        metrics::counter!(telemetry::CONFIG_READ_BYTES_TOTAL).increment(progress.bytes());
+    }
+}
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -34,6 +34,16 @@
 /// Gauge of the configuration version in force.
 pub const CONFIG_VERSION: &str = "auburncrank_config_version";
 
+/// Gauge of the newest configuration version that another router has reported in force.
+pub const CONFIG_NEWEST_PEER_VERSION: &str = "auburncrank_config_newest_peer_version";
+
+/// Counter of reads of the desired state that received data, by `result`: `applied`,
+/// `unchanged`, `failed` or `interrupted`.
+pub const CONFIG_READS_TOTAL: &str = "auburncrank_config_reads_total";
+
+/// Counter of bytes received in reads of the desired state.
+pub const CONFIG_READ_BYTES_TOTAL: &str = "auburncrank_config_read_bytes_total";
+
 /// Counter of requests refused because of the account's budget, by `reason`.
 pub const BUDGET_REFUSALS_TOTAL: &str = "auburncrank_budget_refusals_total";
 
