Let reads from the store go on while their answer keeps arriving

Cause: the timeout of a call to the store (0.9 s) covered the whole answer. A desired state of 4,248 routes is 1.19 MB on the wire and takes 0.95 s on a free link of 10 Mbit/s. The read was cut off, what had arrived was dropped, and the next one began with the first byte, forever.

The class: a fixed timeout for the whole of a transfer without a bound on its size, and a retry that starts from nothing.

Reads now have a timeout for the head and one for the pause between two pieces of the body, both as long as before. Commits keep a timeout for the whole call: their size is bounded by the number of accounts of a router, and an unknown outcome must be settled soon.

--- a/components/client/src/http_client.rs
+++ b/components/client/src/http_client.rs
@@ -2,15 +2,16 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, Response, header::CONTENT_TYPE};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::time::timeout;
 
 use crate::SendError;
 
@@ -31,6 +32,15 @@
     OnePerCall,
 }
 
+/// How long a call waits while its response arrives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReceiveTimeouts {
+    /// Maximum time until the head of the response has arrived.
+    pub head: Duration,
+    /// Maximum time between two pieces of the body.
+    pub pause: Duration,
+}
+
 /// HTTP client. Never retries a call by itself.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
@@ -94,40 +104,53 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<Response<Bytes>, SendError> {
-        let ignore = |_| {};
-        self.call_observed(server, method, path, headers, body, timeout, &ignore).await
+        let exchange = async {
+            let res = self.send(server, method, path, headers, body).await?;
+            let (head, body) = res.into_parts();
+            let body = Limited::new(body, RESPONSE_MAX_BYTES)
+                .collect()
+                .await
+                .map_err(|error| SendError::AnswerLost(error.to_string()))?;
+            Ok(Response::from_parts(head, body.to_bytes()))
+        };
+        tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(SendError::TimedOut))
     }
 
-    /// Sends a call and returns the complete response. Calls `on_data` with the length of each
-    /// piece of the body as it arrives.
+    /// Sends a call and returns the complete response, however long it takes, as long as it
+    /// keeps arriving. Calls `on_data` with the length of each piece of the body.
+    ///
+    /// For bodies whose length has no tight bound: a timeout for the whole call would discard
+    /// what has arrived over a slow link, and a repeated call would fail in the same way.
     ///
     /// # Errors
-    /// Same as [`call`](HttpClient::call).
+    /// If the head did not arrive within `timeouts.head`, no piece of the body arrived for
+    /// `timeouts.pause`, or the body is longer than [`RESPONSE_MAX_BYTES`].
     #[allow(clippy::too_many_arguments, reason = "the parts of a request are separate values")]
-    pub async fn call_observed(
+    pub async fn call_while_receiving(
         &self,
         server: SocketAddr,
         method: Method,
         path: &str,
         headers: HeaderMap,
         body: Bytes,
-        timeout: Duration,
+        timeouts: ReceiveTimeouts,
         on_data: &(dyn Fn(usize) + Sync),
     ) -> Result<Response<Bytes>, SendError> {
-        let exchange = async {
-            let res = self.send(server, method, path, headers, body).await?;
-            let (head, body) = res.into_parts();
-            let body = body.map_frame(|frame| {
-                frame.data_ref().into_iter().for_each(|it| on_data(it.len()));
-                frame
-            });
-            let body = Limited::new(body, RESPONSE_MAX_BYTES)
-                .collect()
-                .await
-                .map_err(|error| SendError::AnswerLost(error.to_string()))?;
-            Ok(Response::from_parts(head, body.to_bytes()))
-        };
-        tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(SendError::TimedOut))
+        let res = timeout(timeouts.head, self.send(server, method, path, headers, body));
+        let (head, body) = res.await.map_err(|_| SendError::TimedOut)??.into_parts();
+        let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+        let mut received = BytesMut::with_capacity(expected.min(RESPONSE_MAX_BYTES));
+        let mut body = Limited::new(body, RESPONSE_MAX_BYTES);
+        loop {
+            let frame = timeout(timeouts.pause, body.frame());
+            let Some(frame) = frame.await.map_err(|_| SendError::TimedOut)? else { break };
+            let frame = frame.map_err(|error| SendError::AnswerLost(error.to_string()))?;
+            if let Ok(piece) = frame.into_data() {
+                on_data(piece.len());
+                received.extend_from_slice(&piece);
+            }
+        }
+        Ok(Response::from_parts(head, received.freeze()))
     }
 
     /// Posts `body` as JSON and parses the response as JSON, regardless of its status.
--- a/components/client/src/lib.rs
+++ b/components/client/src/lib.rs
@@ -11,7 +11,7 @@
     caller::{
         AddressEntry, AddressList, Caller, CallerAnswer, CallerError, CallerRequest, ERROR_HEADER,
     },
-    http_client::{Connections, HttpClient, RESPONSE_MAX_BYTES},
+    http_client::{Connections, HttpClient, RESPONSE_MAX_BYTES, ReceiveTimeouts},
     platform_client::{
         CommitRequest, HostsResponse, LoadEstimate, PlatformClient, ReadRequest, ReadResponse,
         ScanRequest, ScanResponse,
