Do not interrupt a transfer of the desired state for a report of a newer version

Cause: a router whose link is fast has a new version within 0.1 s and reports it in its next message. The other routers then dropped the feed's answer that they were just receiving, and read the row from its first byte.

The class: a signal that there is work interrupts that work.

A report interrupts a feed only while nothing has arrived from it, which is the case it is for: a feed that lags behind the rows or is silent. If data is arriving, the report is checked again after it, and the whole state is read if the router is still behind. A report of a version that the router has in force meanwhile is ignored; before, it caused another read.

--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -192,6 +192,11 @@
         self.in_force.load().as_ref().map_or(0, |it| it.state.version)
     }
 
+    /// Reports whether another router has a newer desired state in force.
+    pub(crate) fn is_behind_peers(&self) -> bool {
+        self.newest_peer_version.load(Ordering::Relaxed) > self.config_version()
+    }
+
     /// Records that another router has this version in force, and notifies
     /// [`config_hint`](Self::config_hint) if it is newer than this router's version and any version
     /// reported before.
--- a/components/relay/src/sync/config_watch.rs
+++ b/components/relay/src/sync/config_watch.rs
@@ -1,6 +1,6 @@
 //! Background task that follows the desired state in the store.
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use platform::PlatformError;
 
@@ -56,21 +56,25 @@
         activate_newest(cx, state, progress);
         return Ok(Some(cursor));
     };
-    let feed = tokio::select! {
-        feed = cx.source.desired_state_after(cursor, FEED_WAIT, progress) => feed?,
-        // The feed may lag behind the rows, so the whole state is read again.
-        () = cx.config_hint.notified() => {
-            if progress.bytes() > 0 {
-                count_read(progress, "interrupted");
-                log::info!(received_bytes = progress.bytes(), transfer_ms = millis(progress.duration()); "read of the desired state interrupted by a report of a newer version");
+    let mut feed = pin!(cx.source.desired_state_after(cursor, FEED_WAIT, progress));
+    let mut is_hinted = false;
+    let feed = loop {
+        tokio::select! {
+            feed = &mut feed => break feed?,
+            () = cx.config_hint.notified() => {
+                if cx.is_behind_peers() && progress.bytes() == 0 {
+                    // The feed may lag behind the rows, so the whole state is read again.
+                    return Ok(None);
+                }
+                // What is arriving is most likely the reported version.
+                is_hinted = true;
             }
-            return Ok(None);
         }
     };
     match feed {
         Feed::Changes(states, cursor) => {
             activate_newest(cx, states, progress);
-            Ok(Some(cursor))
+            Ok(Some(cursor).filter(|_| !is_hinted || !cx.is_behind_peers()))
         }
         Feed::HistoryLost => {
             log::info!(
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -38,7 +38,7 @@
 pub const CONFIG_NEWEST_PEER_VERSION: &str = "auburncrank_config_newest_peer_version";
 
 /// Counter of reads of the desired state that received data, by `result`: `applied`,
-/// `unchanged`, `failed` or `interrupted`.
+/// `unchanged` or `failed`.
 pub const CONFIG_READS_TOTAL: &str = "auburncrank_config_reads_total";
 
 /// Counter of bytes received in reads of the desired state.
