Let the daemon's reads from the platform go on while they keep arriving

On a slow link the answer would be cut off and read anew without end.

The timeout now applies to the head of an answer and to each pause within it. response_that_keeps_arriving_is_not_cut_off failed before (Unavailable) and passes; response_that_stops_arriving_times_out passed before and passes.

--- a/components/client/src/platform_client.rs
+++ b/components/client/src/platform_client.rs
@@ -4,14 +4,14 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use http::{HeaderMap, Method, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, header::CONTENT_TYPE};
 use platform::{
     Commit, CommitOutcome, HostEntry, HostList, Key, ObjectStore, PlatformError, Row, Table,
     WeightId, WeightStore,
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::{Connections, HttpClient, SendError};
+use crate::{Connections, HttpClient, ReceiveTimeouts, SendError};
 
 /// Body of `POST /table/read`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -72,22 +72,49 @@
     http: HttpClient,
     /// Address of the platform.
     server: SocketAddr,
-    /// Timeout of each call.
+    /// Longest time until the head of a response, and between two pieces of its body.
     timeout: Duration,
 }
 
 impl PlatformClient {
-    /// Creates a client of the platform at `server`; `timeout` applies to each call.
+    /// Creates a client of the platform at `server`. `timeout` is the longest time until the head
+    /// of a response, and between two pieces of its body.
     pub fn new(server: SocketAddr, timeout: Duration) -> PlatformClient {
         PlatformClient { http: HttpClient::new(Connections::Pooled), server, timeout }
     }
 
-    async fn call<B: Serialize, R: for<'de> Deserialize<'de>>(
+    async fn call<B: Serialize, R: DeserializeOwned>(
         &self,
         path: &str,
         body: &B,
     ) -> Result<R, SendError> {
-        self.http.call_json(self.server, path, body, self.timeout).await
+        let body = serde_json::to_vec(body).map_err(|error| {
+            SendError::NotSent(format!("body cannot be serialized as JSON: {error}"))
+        })?;
+        let json = HeaderValue::from_static("application/json");
+        let headers = HeaderMap::from_iter([(CONTENT_TYPE, json)]);
+        let res = self.receive(Method::POST, path, headers, body.into()).await?;
+        serde_json::from_slice(res.body()).map_err(|error| {
+            SendError::AnswerLost(format!(
+                "malformed body of a response with status {}: {error}",
+                res.status()
+            ))
+        })
+    }
+
+    /// Sends a call whose response may be large, such as a whole configuration.
+    async fn receive(
+        &self,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> Result<Response<Bytes>, SendError> {
+        let timeouts = ReceiveTimeouts { head: self.timeout, pause: self.timeout };
+        let ignore = |_| {};
+        self.http
+            .call_while_receiving(self.server, method, path, headers, body, timeouts, &ignore)
+            .await
     }
 
     async fn call_object(
@@ -95,10 +122,9 @@
         method: Method,
         key: &Key,
         content: Bytes,
-    ) -> Result<http::Response<Bytes>, PlatformError> {
+    ) -> Result<Response<Bytes>, PlatformError> {
         let path = format!("/objects/{key}");
-        self.http
-            .call(self.server, method, &path, HeaderMap::new(), content, self.timeout)
+        self.receive(method, &path, HeaderMap::new(), content)
             .await
             .map_err(|_| PlatformError::Unavailable)
     }
--- a/components/router/src/daemon/settings.rs
+++ b/components/router/src/daemon/settings.rs
@@ -22,7 +22,7 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's services.
     pub platform_address: SocketAddr,
-    /// Timeout of a call to the platform.
+    /// Maximum time until an answer of the platform begins, and between two pieces of it.
     pub platform_timeout: Duration,
     /// Limits on the requests of callers.
     pub http_limits: HttpLimits,
--- a/programs/auburncrankd/src/cli.rs
+++ b/programs/auburncrankd/src/cli.rs
@@ -66,7 +66,7 @@
             env: "AUBURNCRANK_PLATFORM_TIMEOUT",
             value: "DURATION",
             default: Some("2s"),
-            help: "Maximum duration of a call to the platform.",
+            help: "Maximum time until an answer of the platform begins, and between two pieces of it.",
         },
         SettingSpec {
             flag: "drain-timeout",
