Read, log and count the rate limits that endpoints state

The adapter reads Server-Limit from each answer. The registry keeps the statement, logs its start, change and end, and counts requests placed on endpoints that state one. A malformed value (not a number, negative, not finite, given twice) neither sets nor ends a limit; it is counted, and the first one is logged. Metrics: auburncrank_rate_limited_endpoints, auburncrank_limited_requests_total, auburncrank_malformed_statements_total.

An answer without the statement ends a limit only if it is signed and its request was sent after the limit was stated: answers on different connections may overtake each other.

No change of where requests go.

--- a/components/relay/src/endpoints/endpoint.rs
+++ b/components/relay/src/endpoints/endpoint.rs
@@ -5,7 +5,7 @@
 use types::Timestamp;
 use utils::HashMap;
 
-use super::{health::Health, load::Load};
+use super::{health::Health, load::Load, rate_limit::RateLimit};
 use crate::model::EndpointEntry;
 
 /// Age above which the load that another router reported is ignored.
@@ -22,6 +22,8 @@
     pub(super) peer_loads: HashMap<Arc<str>, (Load, Timestamp)>,
     /// Failures seen by this router's requests.
     pub(super) health: Health,
+    /// Rate limit that it states; `None` if it states none.
+    pub(super) rate_limit: Option<RateLimit>,
     /// When the endpoint is removed unless its entry comes back; set if the entry went missing
     /// shortly after an outage of the store.
     pub(super) expires_at: Option<Timestamp>,
@@ -35,6 +37,7 @@
             own_load: Load::default(),
             peer_loads: HashMap::default(),
             health: Health::default(),
+            rate_limit: None,
             expires_at: None,
         }
     }
--- a/components/relay/src/endpoints/mod.rs
+++ b/components/relay/src/endpoints/mod.rs
@@ -7,10 +7,12 @@
 mod health;
 mod load;
 mod prompt_split;
+mod rate_limit;
 mod store_contact;
 
 pub use self::{
     book::{EndpointChange, EndpointRegistry},
     choice::{Choice, Placement, PlacementRequest},
     load::{Load, LoadShare},
+    rate_limit::RateStatement,
 };
--- a/components/relay/src/ports.rs
+++ b/components/relay/src/ports.rs
@@ -9,7 +9,7 @@
 use platform::PlatformError;
 
 use crate::{
-    endpoints::EndpointChange,
+    endpoints::{EndpointChange, RateStatement},
     model::{DesiredState, EndpointEntry, RequestHead},
     transfer::TransferProgress,
 };
@@ -30,7 +30,7 @@
 }
 
 /// Fields of the head of an endpoint's answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct AnswerHead {
     /// Whether the endpoint reports that it did not run the request.
     pub is_not_executed: bool,
@@ -40,6 +40,8 @@
     pub is_signed: bool,
     /// Id of the request that it answers, if present.
     pub request_id: Option<Arc<str>>,
+    /// What the endpoint says about the rate of requests that it accepts.
+    pub rate: RateStatement,
 }
 
 /// Wire format of callers' requests, endpoints' answers, and the router's own answers.
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -122,6 +122,8 @@
 fn report_gauges(cx: &RelayContext) {
     metrics::gauge!(telemetry::REQUESTS_IN_PROGRESS).set(cx.running.load(Ordering::Relaxed) as f64);
     metrics::gauge!(telemetry::LOG_LINES_DROPPED).set(telemetry::dropped_log_lines() as f64);
+    let limited = cx.lock_endpoints().rate_limit_count();
+    metrics::gauge!(telemetry::RATE_LIMITED_ENDPOINTS).set(limited as f64);
     let (ready, all) = cx.lock_endpoints().counts();
     metrics::gauge!(telemetry::ENDPOINTS, "state" => "serving").set(ready as f64);
     metrics::gauge!(telemetry::ENDPOINTS, "state" => "leaving").set((all - ready) as f64);
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -11,7 +11,7 @@
 use super::connections::{ConnectError, Connection};
 use crate::{
     context::RelayContext,
-    endpoints::{Load, Placement},
+    endpoints::{Load, Placement, RateStatement},
     ports::AnswerHead,
 };
 
@@ -159,10 +159,11 @@
                 return Err(FailedAttempt::new(AttemptFailure::NotSent(error.to_string()), guard));
             }
         };
+        let sent_at = cx.now();
         let sent = connection.sender.try_send_request(build_request(outgoing, headers.clone()));
         match tokio::time::timeout_at(cx.instant(deadline), sent).await {
             Err(_) => return Err(FailedAttempt::new(AttemptFailure::TimedOut, guard)),
-            Ok(Ok(res)) => return read_head(cx, res, connection, guard, request_id),
+            Ok(Ok(res)) => return read_head(cx, res, connection, guard, request_id, sent_at),
             Ok(Err(mut error)) => {
                 let is_unsent = error.take_message().is_some();
                 if !is_unsent {
@@ -194,6 +195,7 @@
     mut connection: Connection,
     guard: PlacementGuard,
     request_id: &str,
+    sent_at: Timestamp,
 ) -> Result<EndpointResponse, Box<FailedAttempt>> {
     let (head, body) = res.into_parts();
     let metadata = cx.dialect.read_answer(&head);
@@ -204,6 +206,12 @@
             guard,
         ));
     }
+    // A faulty endpoint's answer without a signature may lack other headers as well.
+    let has_statement = metadata.is_signed || metadata.rate != RateStatement::Unlimited;
+    if has_statement && !metadata.is_misdirected {
+        let endpoint = &guard.placement.endpoint;
+        cx.lock_endpoints().record_rate(endpoint, metadata.rate, sent_at, cx.now());
+    }
     if metadata.is_misdirected || metadata.is_not_executed {
         let failure = if metadata.is_misdirected {
             AttemptFailure::Misdirected
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -137,3 +137,12 @@
 pub const LOANED_TOKENS_TOTAL: &str = "auburncrank_loaned_tokens_total";
 /// Gauge of halted rollouts of model versions, set by the holder of the controller lease.
 pub const HALTED_ROLLOUTS: &str = "auburncrank_halted_rollouts";
+
+/// Gauge of the endpoints that state a rate limit.
+pub const RATE_LIMITED_ENDPOINTS: &str = "auburncrank_rate_limited_endpoints";
+
+/// Counter of requests placed on endpoints that state a rate limit.
+pub const LIMITED_REQUESTS_TOTAL: &str = "auburncrank_limited_requests_total";
+
+/// Counter of malformed statements in endpoints' answers.
+pub const MALFORMED_STATEMENTS_TOTAL: &str = "auburncrank_malformed_statements_total";
