--- a/programs/auburncrank-relay/tests/soak/callers.rs
+++ b/programs/auburncrank-relay/tests/soak/callers.rs
@@ -76,6 +76,8 @@
     pub(crate) end: RequestEnd,
     /// Number of complete events received.
     pub(crate) events: u64,
+    /// When the head of an answer arrived that states the endpoint's rate limit.
+    pub(crate) limit_stated_at: Option<Instant>,
 }
 
 /// All callers of a run and the outcomes of their requests.
@@ -131,6 +133,7 @@
             sent_at,
             end: RequestEnd::NotSent,
             events: 0,
+            limit_stated_at: None,
         };
         if connection.as_ref().is_none_or(SendRequest::is_closed) {
             *connection = connect(router).await;
@@ -188,6 +191,7 @@
         }
     };
     let (head, mut body) = res.into_parts();
+    outcome.limit_stated_at = head.headers.contains_key("server-limit").then(Instant::now);
     let mut text = String::new();
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else { return RequestEnd::Broken };
--- a/programs/auburncrank-relay/tests/soak/main.rs
+++ b/programs/auburncrank-relay/tests/soak/main.rs
@@ -15,6 +15,7 @@
 mod support;
 
 mod callers;
+mod limits;
 mod proxy;
 mod router;
 mod world;
@@ -85,6 +86,7 @@
         let id = received.headers["x-auburncrank-attempt-id"].to_str().unwrap().to_owned();
         *runs.entry(id).or_default() += 1;
     }
+    limits::check(fleet, &outcomes);
     let mut tokens = 0;
     for outcome in &outcomes {
         let runs = runs.get(&outcome.id).copied().unwrap_or(0);
--- a/programs/auburncrank-relay/tests/soak/world.rs
+++ b/programs/auburncrank-relay/tests/soak/world.rs
@@ -28,6 +28,10 @@
 /// Prepaid tokens of the client account; few enough to be used up during a run.
 pub(crate) const PREPAID_TOKENS: u64 = 40_000;
 
+/// Endpoint that states a rate limit, and the limit in requests per second from all routers.
+pub(crate) const LIMITED_ENDPOINT: usize = 3;
+pub(crate) const STATED_LIMIT: f64 = 2.0;
+
 /// Time during which faults begin.
 const FAULT_PERIOD: Duration = Duration::from_secs(8);
 
@@ -66,6 +70,8 @@
     endpoint_links: Vec<Proxy>,
     version: u64,
     rng: Rng,
+    /// Routers whose process was stopped or paused, and when this began or ended.
+    pub(crate) disturbances: Vec<(SocketAddr, Instant)>,
     fault_ends: Vec<(Instant, FaultEnd)>,
 }
 
@@ -100,9 +106,11 @@
             endpoint_links,
             version: 1,
             rng: seeded_rng(seed),
+            disturbances: Vec::new(),
             fault_ends: Vec::new(),
         };
         fleet.wait_until_ready().await;
+        fleet.endpoints[LIMITED_ENDPOINT].state_limit(Some(&STATED_LIMIT.to_string()));
         let addresses = fleet.addresses();
         for number in 0..CALLERS {
             fleet.callers.start(addresses.clone(), seeded_rng(seed * 100 + number as u64));
@@ -152,11 +160,13 @@
             for (_, fault_end) in due {
                 self.end_fault(&fault_end);
             }
-            for router in &mut self.routers {
+            for number in 0..ROUTERS {
+                let router = &mut self.routers[number];
                 if let Some(status) = router.poll_exit() {
                     let name = &router.name;
                     assert!(status.success(), "{name} ended with {status}");
                     router.start();
+                    self.record_disturbance(number);
                 }
             }
             if now >= until {
@@ -180,17 +190,20 @@
         let name = match self.rng.random_range(0..10) {
             0 if self.routers[router].is_running() => {
                 self.routers[router].kill();
+                self.record_disturbance(router);
                 let restart = now + Duration::from_millis(self.rng.random_range(300..1_500));
                 self.fault_ends.push((restart, FaultEnd::StartRouter(router)));
                 format!("kill router {router}")
             }
             1 => {
                 self.routers[router].signal(Signal::STOP);
+                self.record_disturbance(router);
                 self.fault_ends.push((end_at, FaultEnd::ContinueRouter(router)));
                 format!("pause router {router}")
             }
             2 => {
                 self.routers[router].signal(Signal::TERM);
+                self.record_disturbance(router);
                 format!("terminate router {router}")
             }
             3 => {
@@ -225,13 +238,21 @@
         self.faults.push(name);
     }
 
+    fn record_disturbance(&mut self, router: usize) {
+        self.disturbances.push((self.routers[router].caller_address, Instant::now()));
+    }
+
     fn end_fault(&mut self, fault_end: &FaultEnd) {
         match *fault_end {
             FaultEnd::StartRouter(router) if !self.routers[router].is_running() => {
                 self.routers[router].start();
+                self.record_disturbance(router);
             }
             FaultEnd::StartRouter(_) => {}
-            FaultEnd::ContinueRouter(router) => self.routers[router].signal(Signal::CONT),
+            FaultEnd::ContinueRouter(router) => {
+                self.routers[router].signal(Signal::CONT);
+                self.record_disturbance(router);
+            }
             FaultEnd::ClearStoreLink(router) => self.store_links[router].set_fault(LinkFault::None),
             FaultEnd::ClearEndpointLink(it) => self.endpoint_links[it].set_fault(LinkFault::None),
             FaultEnd::ClearStoreRefusal => self.store.refuse_all(None),
