Keep to the rate limits that endpoints state, all routers together

Callers' requests went there although other endpoints had room.

Cause: no router read the statement; requests were placed by load, prompt parts and failure domain only. The class: an endpoint's word about itself that nobody hears, so that each router decides without it. A limit on each router alone would not do: it holds for all together, and can be smaller than their number.

A statement now has one place (endpoints/stated_rates.rs) with its time. It travels in the status messages between routers, by age, and the newer one holds; a new process of the endpoint starts without one. Routers share a limit by rendezvous hashing over those that are alive and accept callers, each with at least one request a second; a smaller limit goes to one router as a whole. A router that reaches less than half of the known ones keeps to its former share, since it may be cut off itself. All placements count: first attempts, retries, resumed streams. What a limit holds back goes to other endpoints; if none can take it in time, the caller is refused at once and told when to come back, each at another time. The end of a limit shows only in an answer: an endpoint whose statement is older than 2 s gets the next request of a router with a share, and one that accepts none gets one in 10 s.

--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -9,7 +9,6 @@
     endpoint::Endpoint,
     load::{Load, LoadShare},
     prompt_split::PromptSplit,
-    rate_limit::{RateLimit, RateStatement},
     store_contact::StoreContact,
 };
 use crate::{
@@ -38,7 +37,7 @@
     /// Connectivity to the store that holds the list.
     contact: StoreContact,
     /// Whether an answer has had a malformed statement; only the first one is logged.
-    has_malformed_statement: bool,
+    pub(super) has_malformed_statement: bool,
 }
 
 impl EndpointRegistry {
@@ -79,6 +78,7 @@
             }
             is_kept
         });
+        self.forget_ended_rates(now);
     }
 
     /// Removes an endpoint whose address now belongs to another process.
@@ -92,9 +92,6 @@
     pub fn add_request_load(&mut self, id: &str, load: Load) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.own_load.add(load);
-            if endpoint.rate_limit.is_some() {
-                metrics::counter!(telemetry::LIMITED_REQUESTS_TOTAL).increment(1);
-            }
         }
     }
 
@@ -131,47 +128,6 @@
         }
     }
 
-    /// Records what an answer to a request that was sent at `sent_at` says about the rate of
-    /// requests that the endpoint accepts. An answer without a statement ends a limit only if its
-    /// request was sent after the limit was stated: answers on different connections may overtake
-    /// each other.
-    pub fn record_rate(
-        &mut self,
-        id: &str,
-        statement: RateStatement,
-        sent_at: Timestamp,
-        now: Timestamp,
-    ) {
-        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
-        let known = endpoint.rate_limit;
-        match statement {
-            RateStatement::PerSecond(per_s) => {
-                if known.is_none_or(|it| it.per_s != per_s) {
-                    log::info!(endpoint = id, per_s; "endpoint states a rate limit");
-                }
-                endpoint.rate_limit = Some(RateLimit { per_s, stated_at: now });
-            }
-            RateStatement::Unlimited => {
-                if known.is_some_and(|it| it.stated_at < sent_at) {
-                    log::info!(endpoint = id; "endpoint no longer states a rate limit");
-                    endpoint.rate_limit = None;
-                }
-            }
-            RateStatement::Malformed => {
-                metrics::counter!(telemetry::MALFORMED_STATEMENTS_TOTAL).increment(1);
-                if !self.has_malformed_statement {
-                    self.has_malformed_statement = true;
-                    log::warn!(endpoint = id; "malformed rate limit in an answer ignored; later ones are only counted");
-                }
-            }
-        }
-    }
-
-    /// Returns the number of endpoints that state a rate limit.
-    pub fn rate_limit_count(&self) -> usize {
-        self.endpoints.values().filter(|it| it.rate_limit.is_some()).count()
-    }
-
     /// Returns the load of this router's requests on each endpoint that runs any.
     pub fn own_loads(&self) -> Vec<LoadShare> {
         let busy = self.endpoints.iter().filter(|(_, it)| it.own_load.requests > 0);
--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -11,6 +11,7 @@
     endpoint::Endpoint,
     load::Load,
     prompt_split::{PROMPT_TOKENS_PER_MS, is_long},
+    rate_limit::NextRequest,
 };
 use crate::model::{EndpointPhase, PromptPart, ServiceSpec, TokenDemand};
 
@@ -85,12 +86,23 @@
 pub enum Choice {
     /// The request was placed.
     Placed(Placement),
-    /// All endpoints of the service are at their limit.
+    /// All endpoints of the service are at capacity.
     Full,
+    /// No endpoint may get the request now, at least one because of the rate limit that it states.
+    Limited(LimitedWait),
     /// No endpoint of the service accepts requests.
     NoEndpoint,
 }
 
+/// When a request that was held back by stated rate limits can be placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LimitedWait {
+    /// When the first of the limits allows this router a request; `None` if none ever does.
+    pub next_at: Option<Timestamp>,
+    /// Whether other endpoints are at capacity, so that one may take the request earlier.
+    pub is_any_full: bool,
+}
+
 /// An endpoint and its cost for a request.
 struct Candidate<'a> {
     /// The endpoint.
@@ -101,6 +113,10 @@
     wait_ms: f64,
     /// Cost that candidates are compared by, in milliseconds.
     cost_ms: f64,
+    /// When the rate limit that the endpoint states allows the request.
+    next_request: NextRequest,
+    /// Whether the answer is needed to learn if a rate limit still holds.
+    confirms_limit: bool,
 }
 
 impl EndpointRegistry {
@@ -120,6 +136,7 @@
         let choice = self.choose_endpoint(request, now, rng);
         if let Choice::Placed(placement) = &choice {
             self.add_request_load(&placement.endpoint, placement.load);
+            self.take_from_share(&placement.endpoint, now);
         }
         choice
     }
@@ -155,7 +172,7 @@
                 SHORT_ON_LONG_COST_MS
             }
         };
-        let candidates: Vec<Candidate<'_>> = serving
+        let with_capacity: Vec<Candidate<'_>> = serving
             .iter()
             .filter_map(|it| {
                 let mut candidate = evaluate(it, request, &cache_owners, now)?;
@@ -163,6 +180,19 @@
                 Some(candidate)
             })
             .collect();
+        let is_any_full = with_capacity.len() < serving.len();
+        let (mut candidates, limited): (Vec<_>, Vec<_>) =
+            with_capacity.into_iter().partition(|it| it.next_request == NextRequest::Now);
+        if candidates.is_empty() && !limited.is_empty() {
+            let times = limited.iter().filter_map(|it| match it.next_request {
+                NextRequest::At(at) => Some(at),
+                NextRequest::Now | NextRequest::Never => None,
+            });
+            return Choice::Limited(LimitedWait { next_at: times.min(), is_any_full });
+        }
+        if candidates.iter().any(|it| it.confirms_limit) {
+            candidates.retain(|it| it.confirms_limit);
+        }
         let Some(lowest) = candidates.iter().map(|it| it.cost_ms).min_by(f64::total_cmp) else {
             return Choice::Full;
         };
@@ -236,10 +266,20 @@
     if *entry.failure_domain != *request.failure_domain {
         cost_ms += OTHER_DOMAIN_COST_MS;
     }
-    if endpoint.health.is_paused(now) || request.failed_endpoints.contains(&entry.id) {
+    let is_last_resort =
+        endpoint.health.is_paused(now) || request.failed_endpoints.contains(&entry.id);
+    if is_last_resort {
         cost_ms += 10.0 * FAILURE_COST_MS;
     }
-    Some(Candidate { endpoint, load, wait_ms, cost_ms })
+    Some(Candidate {
+        endpoint,
+        load,
+        wait_ms,
+        cost_ms,
+        next_request: endpoint.next_request(now),
+        confirms_limit: !is_last_resort
+            && endpoint.rate.is_some_and(|it| it.needs_confirmation(now)),
+    })
 }
 
 /// Returns the load that a request adds to an endpoint. `owner_rank` is the endpoint's position
--- a/components/relay/src/endpoints/endpoint.rs
+++ b/components/relay/src/endpoints/endpoint.rs
@@ -5,7 +5,11 @@
 use types::Timestamp;
 use utils::HashMap;
 
-use super::{health::Health, load::Load, rate_limit::RateLimit};
+use super::{
+    health::Health,
+    load::Load,
+    rate_limit::{NextRequest, StatedRate},
+};
 use crate::model::EndpointEntry;
 
 /// Age above which the load that another router reported is ignored.
@@ -22,8 +26,8 @@
     pub(super) peer_loads: HashMap<Arc<str>, (Load, Timestamp)>,
     /// Failures seen by this router's requests.
     pub(super) health: Health,
-    /// Rate limit that it states; `None` if it states none.
-    pub(super) rate_limit: Option<RateLimit>,
+    /// Rate limit that it states or has stated until recently; `None` if it states none.
+    pub(super) rate: Option<StatedRate>,
     /// When the endpoint is removed unless its entry comes back; set if the entry went missing
     /// shortly after an outage of the store.
     pub(super) expires_at: Option<Timestamp>,
@@ -37,11 +41,21 @@
             own_load: Load::default(),
             peer_loads: HashMap::default(),
             health: Health::default(),
-            rate_limit: None,
+            rate: None,
             expires_at: None,
         }
     }
 
+    /// Returns the rate limit that it states.
+    pub(super) fn limit_per_s(&self) -> Option<f64> {
+        self.rate.and_then(|it| it.per_s())
+    }
+
+    /// Returns when this router may send it the next request within its stated limit.
+    pub(super) fn next_request(&self, now: Timestamp) -> NextRequest {
+        self.rate.map_or(NextRequest::Now, |it| it.next_request(now))
+    }
+
     /// Returns the load of all routers' requests, leaving out outdated reports.
     pub(super) fn total_load(&self, now: Timestamp) -> Load {
         let mut total = self.own_load;
--- a/components/relay/src/endpoints/mod.rs
+++ b/components/relay/src/endpoints/mod.rs
@@ -8,11 +8,12 @@
 mod load;
 mod prompt_split;
 mod rate_limit;
+mod stated_rates;
 mod store_contact;
 
 pub use self::{
     book::{EndpointChange, EndpointRegistry},
-    choice::{Choice, Placement, PlacementRequest},
+    choice::{Choice, LimitedWait, Placement, PlacementRequest},
     load::{Load, LoadShare},
-    rate_limit::RateStatement,
+    rate_limit::{RateReport, RateStatement},
 };
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -13,7 +13,11 @@
 
 use super::{
     CrashMessage, LivenessMessage, LoadMessage, Member, PeerContent, PeerMessage, PendingLoans,
-    RouterLoad, StatusMessage, holders::update_holders, lending, witnessing,
+    RateMessage, RouterLoad, StatusMessage,
+    holders::update_holders,
+    lending,
+    rate_shares::{apply_rate_reports, update_rate_shares},
+    witnessing,
 };
 use crate::context::RelayContext;
 
@@ -124,6 +128,7 @@
     fn encode(&self, cx: &RelayContext, wants_answer: bool) -> Vec<u8> {
         let own = cx.self_status();
         let loads = cx.lock_endpoints().own_loads();
+        let rates = cx.lock_endpoints().rate_reports(cx.now());
         let message = StatusMessage {
             name: own.name.to_string(),
             process: own.process,
@@ -138,6 +143,7 @@
             liveness: self.liveness_message(cx),
             processor_millis: own.processor_millis,
             arrivals_per_s: own.arrivals_per_s,
+            rates: rates.iter().map(RateMessage::from_report).collect(),
         };
         encode(PeerContent::Status(message))
     }
@@ -179,6 +185,7 @@
         tokio::time::sleep(SEND_INTERVAL).await;
         cx.gossip.send_status(cx, false).await;
         update_holders(cx);
+        update_rate_shares(cx);
         update_crowding(cx);
         witnessing::send_due_messages(cx).await;
         lending::return_surplus(cx).await;
@@ -283,6 +290,7 @@
         roster.record_report(&report, now);
     }
     drop(roster);
+    apply_rate_reports(cx, &message.rates);
     for record in message.crashes.iter().filter_map(CrashMessage::to_record) {
         if cx.lock_quarantine().merge(&record, now) {
             log::warn!(fingerprint:% = record.fingerprint, endpoints = record.endpoints.len(); "another router reported content that crashed endpoints");
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -14,7 +14,7 @@
 use super::LivenessReport;
 use crate::{
     allowance::{RouterProcess, WitnessDeclaration, WitnessStatement},
-    endpoints::{Load, LoadShare},
+    endpoints::{Load, LoadShare, RateReport},
 };
 
 /// Content of a datagram.
@@ -227,6 +227,9 @@
     /// Rate of callers' requests, in requests per second.
     #[prost(uint32, tag = "13")]
     pub arrivals_per_s: u32,
+    /// Rate limits that endpoints state, known to the sender directly or through others.
+    #[prost(message, repeated, tag = "14")]
+    pub rates: Vec<RateMessage>,
 }
 
 /// Liveness of other routers. The lists have the same length, and each router has the same index
@@ -293,6 +296,51 @@
     pub memory_tokens: u64,
 }
 
+/// Rate limit that an endpoint states.
+#[derive(Clone, PartialEq, Message)]
+pub struct RateMessage {
+    /// Id of the endpoint.
+    #[prost(string, tag = "1")]
+    pub endpoint: String,
+    /// Start time of the endpoint's process, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    pub started_at_ms: u64,
+    /// Requests per second from all routers together; absent if the endpoint no longer states a
+    /// limit.
+    #[prost(double, optional, tag = "3")]
+    pub per_s: Option<f64>,
+    /// Time since an answer with this statement arrived, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
+}
+
+impl RateMessage {
+    /// Creates a message from a report.
+    pub fn from_report(report: &RateReport) -> RateMessage {
+        // Rounded up, so that a report never gets younger when it is passed on.
+        let age_ms = report.age.as_nanos().div_ceil(1_000_000);
+        RateMessage {
+            endpoint: report.endpoint.to_string(),
+            started_at_ms: report.started_at_ms,
+            per_s: report.per_s,
+            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Converts the message to a report; `None` if the limit is not a valid rate.
+    pub fn to_report(&self) -> Option<RateReport> {
+        if self.per_s.is_some_and(|it| !it.is_finite() || it < 0.0) {
+            return None;
+        }
+        Some(RateReport {
+            endpoint: Arc::from(self.endpoint.as_str()),
+            started_at_ms: self.started_at_ms,
+            per_s: self.per_s,
+            age: Duration::from_millis(u64::from(self.age_ms)),
+        })
+    }
+}
+
 /// A content and the endpoints that it crashed.
 #[derive(Clone, PartialEq, Message)]
 pub struct CrashMessage {
--- a/components/relay/src/peers/mod.rs
+++ b/components/relay/src/peers/mod.rs
@@ -7,6 +7,7 @@
 mod lending;
 mod loans;
 mod message;
+mod rate_shares;
 mod roster;
 mod witnessing;
 
@@ -15,7 +16,7 @@
     crowding::RouterLoad,
     message::{
         CrashMessage, DeclarationMessage, LivenessMessage, LoadMessage, LoanMessage, PeerContent,
-        PeerMessage, StatusMessage,
+        PeerMessage, RateMessage, StatusMessage,
     },
     roster::{LivenessReport, Member, Roster, SelfStatus, process_key},
 };
@@ -23,4 +24,5 @@
     gossip::{GossipSocket, run_gossip},
     holders::update_holders,
     lending::{ask_lender, serve_deferred_loans},
+    rate_shares::update_rate_shares,
 };
--- a/components/relay/src/peers/roster.rs
+++ b/components/relay/src/peers/roster.rs
@@ -207,6 +207,16 @@
         candidates.collect()
     }
 
+    /// Returns the routers that share endpoints' rate limits with this one: those that are alive
+    /// and accept callers. If most of the known ones are unreachable, this router may itself be
+    /// cut off, and all known ones are returned, so that it keeps to its former share.
+    pub fn limit_sharers(&self, now: Timestamp) -> Vec<Arc<str>> {
+        let live = self.entries.values().filter(|it| it.is_live(now)).count();
+        let is_cut_off = live * 2 < self.entries.len();
+        let shares = |it: &&Entry| is_cut_off || it.is_live(now) && it.member.is_ready;
+        self.entries.values().filter(shares).map(|it| it.member.name.clone()).collect()
+    }
+
     /// Returns the loads of the routers that are alive and accept new callers.
     pub fn loads(&self, now: Timestamp) -> Vec<RouterLoad> {
         let ready = self.entries.values().filter(|it| it.is_live(now) && it.member.is_ready);
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -12,6 +12,7 @@
 use crate::{
     context::RelayContext,
     endpoints::{Load, Placement, RateStatement},
+    peers::update_rate_shares,
     ports::AnswerHead,
 };
 
@@ -210,7 +211,11 @@
     let has_statement = metadata.is_signed || metadata.rate != RateStatement::Unlimited;
     if has_statement && !metadata.is_misdirected {
         let endpoint = &guard.placement.endpoint;
-        cx.lock_endpoints().record_rate(endpoint, metadata.rate, sent_at, cx.now());
+        let is_changed =
+            cx.lock_endpoints().record_rate(endpoint, metadata.rate, sent_at, cx.now());
+        if is_changed {
+            update_rate_shares(cx);
+        }
     }
     if metadata.is_misdirected || metadata.is_not_executed {
         let failure = if metadata.is_misdirected {
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -13,7 +13,7 @@
     run::ActiveRequest,
 };
 use crate::{
-    endpoints::{Choice, PlacementRequest},
+    endpoints::{Choice, LimitedWait, PlacementRequest},
     peers::CrashMessage,
     ports::Forwarding,
     units::millis,
@@ -51,13 +51,16 @@
     if request.may_have_run { error.after_earlier_attempt() } else { error }
 }
 
-/// Places the request on an endpoint; waits for a limited time if all endpoints are full.
+/// Places the request on an endpoint; waits for a limited time if all endpoints are full or at
+/// the rate limits that they state.
 ///
 /// # Errors
-/// Returns an error if no endpoint is available, or if all stay full.
+/// Returns an error if no endpoint is available, if all stay full, or as soon as it is known that
+/// no stated limit allows the request in time.
 pub(super) async fn find_placement(request: &ActiveRequest) -> Result<PlacementGuard, Error> {
     let wait_until = request.cx.now() + request.route.latency_target / PLACEMENT_WAIT_DIVISOR;
     loop {
+        let mut wake_at = wait_until;
         match choose_endpoint(request) {
             Choice::Placed(placement) => {
                 return Ok(PlacementGuard::new(request.cx.clone(), placement));
@@ -69,16 +72,34 @@
                 return Err(retryable_error(request, ErrorKind::NoEndpoint, message, RETRY_DELAY));
             }
             Choice::Full => {}
+            Choice::Limited(limited) => {
+                let is_in_time = limited.next_at.is_some_and(|it| it <= wait_until);
+                if !is_in_time && !limited.is_any_full {
+                    return Err(limit_error(request, limited));
+                }
+                wake_at = limited.next_at.map_or(wait_until, |it| it.min(wait_until));
+            }
         }
         let freed = request.cx.capacity_freed.notified();
-        let waited = tokio::time::timeout_at(request.cx.instant(wait_until), freed).await;
-        if waited.is_err() {
+        let waited = tokio::time::timeout_at(request.cx.instant(wake_at), freed).await;
+        if waited.is_err() && request.cx.now() >= wait_until {
             let message = "all endpoints of the service are at capacity";
             return Err(retryable_error(request, ErrorKind::Overloaded, message, RETRY_DELAY));
         }
     }
 }
 
+/// Returns the error of a request that the endpoints' stated rate limits do not allow in time. The
+/// retry delay is at least the time until the next request is allowed, and differs between
+/// callers, so that they do not return together.
+fn limit_error(request: &ActiveRequest, limited: LimitedWait) -> Error {
+    let message = "all endpoints of the service are at the rate limits that they state";
+    let wait = limited.next_at.map_or(RETRY_DELAY, |it| it.since(request.cx.now()));
+    let spread = request.cx.lock_rng().random_range(1.0..2.0);
+    let error = Error::new(ErrorKind::Overloaded, message).with_retry_delay(wait.mul_f64(spread));
+    if request.may_have_run { error.after_earlier_attempt() } else { error }
+}
+
 fn choose_endpoint(request: &ActiveRequest) -> Choice {
     let routers = request.cx.lock_roster().count();
     let fill_share = if request.priority() == 0 { 1.0 } else { LOW_PRIORITY_FILL_SHARE };
