--- a/components/relay/tests/rate_limits.rs
+++ b/components/relay/tests/rate_limits.rs
@@ -179,7 +179,7 @@
         let round = MESSAGE_INTERVAL.as_millis() / STEP.as_millis();
         let step = u128::from(self.now.0) / STEP.as_micros();
         for from in 0..self.routers.len() {
-            if (step + from as u128) % round != 0 || !self.routers[from].is_running {
+            if !(step + from as u128).is_multiple_of(round) || !self.routers[from].is_running {
                 continue;
             }
             let member = self.routers[from].member();
