Distribute prompts among endpoints without a stated limit

If the endpoints that cache a shared prompt part stated rate limits, its prompts went to ever other endpoints, each of which processed the part again: with both cache owners limited, four of six endpoints were used in 20 requests.

Cache owners, and the endpoints for long prompts, are now chosen among those that state no limit, as long as there are any; all routers agree, since they tell each other of limits. A limited endpoint still gets what its limit allows if it is the cheapest.

prompts_whose_cache_owners_are_limited_go_to_one_other_endpoint failed before.

--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -154,7 +154,7 @@
         if serving.is_empty() {
             return Choice::NoEndpoint;
         }
-        let ids: Vec<&Arc<str>> = serving.iter().map(|it| &it.entry.id).collect();
+        let ids = ids_for_caching(&serving);
         let long_ids = self
             .splits
             .get(request.service)
@@ -208,6 +208,14 @@
     }
 }
 
+/// Returns the ids of the endpoints among which prompts are distributed by their parts and lengths:
+/// those that state no rate limit, or all if each states one.
+fn ids_for_caching<'a>(serving: &[&'a Endpoint]) -> Vec<&'a Arc<str>> {
+    let unlimited = serving.iter().filter(|it| it.limit_per_s().is_none());
+    let ids: Vec<&Arc<str>> = unlimited.map(|it| &it.entry.id).collect();
+    if ids.is_empty() { serving.iter().map(|it| &it.entry.id).collect() } else { ids }
+}
+
 /// Returns the part that decides which endpoints cache a prompt: the last one that other
 /// requests may share.
 fn shared_part(parts: &[PromptPart]) -> Option<&PromptPart> {
--- a/components/relay/tests/rate_limits.rs
+++ b/components/relay/tests/rate_limits.rs
@@ -8,14 +8,18 @@
     reason = "a test may panic, and its numbers are small"
 )]
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use rand::{Rng as _, seq::SliceRandom};
 use relay::{
     endpoints::{
         Choice, EndpointChange, EndpointRegistry, Placement, PlacementRequest, RateStatement,
     },
-    model::{EndpointEntry, EndpointPhase},
+    model::{EndpointEntry, EndpointPhase, PromptPart, TokenDemand},
     peers::{Member, RateMessage, Roster, process_key},
 };
 use types::Timestamp;
@@ -379,3 +383,42 @@
     assert!(registry.record_rate(LIMITED, RateStatement::Unlimited, at(170), at(200)));
     assert_eq!(registry.rate_limit_count(), 0);
 }
+
+/// Guards against prompts that are processed again on ever other endpoints because those that
+/// cache their shared part state rate limits.
+#[test]
+fn prompts_whose_cache_owners_are_limited_go_to_one_other_endpoint() {
+    let (mut registry, mut rng) = (EndpointRegistry::default(), seeded_rng(5));
+    let ids: Vec<String> = (0..6).map(|it| format!("engine-{it}")).collect();
+    for id in &ids {
+        registry.apply_change(EndpointChange::Written(entry(id)), Timestamp::ZERO);
+    }
+    let mut place = |registry: &mut EndpointRegistry, at: u64| {
+        let service: Arc<str> = "portal".into();
+        let parts =
+            [PromptPart { id: 7, tokens: 6_000 }, PromptPart { id: 1_000 + at, tokens: 100 }];
+        let request = PlacementRequest {
+            service: &service,
+            spec: None,
+            tokens: Some(TokenDemand { prompt: 6_100, max_output: 50 }),
+            parts: &parts,
+            failed_endpoints: &[],
+            failure_domain: "zlin",
+            routers: 1,
+            fill_share: 1.0,
+        };
+        let choice = registry.place(&request, Timestamp::from_millis(at), &mut rng);
+        let Choice::Placed(placement) = choice else { panic!("{choice:?}") };
+        registry.remove_request_load(&placement.endpoint, placement.load);
+        placement.endpoint
+    };
+    for limited in 0..4 {
+        let at = 1_000 * (limited + 1);
+        let used: BTreeSet<Arc<str>> =
+            (0..20).map(|it| place(&mut registry, at + it * 10)).collect();
+        assert_eq!(used.len(), 1, "{limited} limited endpoints: {used:?}");
+        // This router has no share of the limit.
+        let (owner, now) = (used.first().unwrap(), Timestamp::from_millis(at + 500));
+        registry.record_rate(owner, RateStatement::PerSecond(1.0), now, now);
+    }
+}
