Act on endpoints' statements that they are leaving or want a pause

Server-Leaving takes an endpoint out of choice at once on the router that hears it; status messages tell the others. It holds until the endpoint starts again or its entry is gone. Retry-After on an endpoint's 503 keeps this router away for so long; then one request tests whether the pause is over, and others wait for its answer, at most a second. A later pause does not shorten an earlier one. Requests go to other endpoints; if none is left, callers are refused at once and told when to come back.

One part of the registry (endpoints/statements.rs) now holds all that an endpoint says of itself, and one kind of message carries it. Malformed values and pauses of more than an hour are ignored and counted.

--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -11,10 +11,7 @@
     prompt_split::PromptSplit,
     store_contact::StoreContact,
 };
-use crate::{
-    model::{EndpointEntry, EndpointPhase},
-    units::millis,
-};
+use crate::{model::EndpointEntry, units::millis};
 
 /// A change in the platform's list of endpoints.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -148,13 +145,13 @@
 
     /// Reports whether the endpoint is known and accepts new requests.
     pub fn is_in_service(&self, id: &str) -> bool {
-        self.endpoints.get(id).is_some_and(|it| it.entry.phase == EndpointPhase::Ready)
+        self.endpoints.get(id).is_some_and(Endpoint::is_in_service)
     }
 
     /// Returns the number of endpoints that accept new requests, and the number of all known
     /// endpoints.
     pub fn counts(&self) -> (usize, usize) {
-        let ready = |it: &&Endpoint| it.entry.phase == EndpointPhase::Ready;
+        let ready = |it: &&Endpoint| it.is_in_service();
         (self.endpoints.values().filter(ready).count(), self.endpoints.len())
     }
 
--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -13,7 +13,7 @@
     prompt_split::{PROMPT_TOKENS_PER_MS, is_long},
     rate_limit::NextRequest,
 };
-use crate::model::{EndpointPhase, PromptPart, ServiceSpec, TokenDemand};
+use crate::model::{PromptPart, ServiceSpec, TokenDemand};
 
 /// Estimated delay that each running request adds to a new one, in milliseconds.
 const DELAY_PER_REQUEST_MS: f64 = 1.5;
@@ -88,16 +88,17 @@
     Placed(Placement),
     /// All endpoints of the service are at capacity.
     Full,
-    /// No endpoint may get the request now, at least one because of the rate limit that it states.
+    /// No endpoint may get the request now, at least one because of the rate limit or the pause that
+    /// it states.
     Limited(LimitedWait),
     /// No endpoint of the service accepts requests.
     NoEndpoint,
 }
 
-/// When a request that was held back by stated rate limits can be placed.
+/// When a request that was held back by stated rate limits or pauses can be placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LimitedWait {
-    /// When the first of the limits allows this router a request; `None` if none ever does.
+    /// When the first of the endpoints may get a request from this router; `None` if none may.
     pub next_at: Option<Timestamp>,
     /// Whether other endpoints are at capacity, so that one may take the request earlier.
     pub is_any_full: bool,
@@ -136,7 +137,7 @@
         let choice = self.choose_endpoint(request, now, rng);
         if let Choice::Placed(placement) = &choice {
             self.add_request_load(&placement.endpoint, placement.load);
-            self.take_from_share(&placement.endpoint, now);
+            self.record_sent(&placement.endpoint, now);
         }
         choice
     }
@@ -148,7 +149,7 @@
         rng: &mut Rng,
     ) -> Choice {
         let of_service = |it: &&Endpoint| it.entry.service == *request.service;
-        let in_service = |it: &&Endpoint| it.entry.phase == EndpointPhase::Ready;
+        let in_service = |it: &&Endpoint| it.is_in_service();
         let serving: Vec<&Endpoint> =
             self.endpoints.values().filter(of_service).filter(in_service).collect();
         if serving.is_empty() {
--- a/components/relay/src/endpoints/endpoint.rs
+++ b/components/relay/src/endpoints/endpoint.rs
@@ -8,9 +8,10 @@
 use super::{
     health::Health,
     load::Load,
+    pause::Pause,
     rate_limit::{NextRequest, StatedRate},
 };
-use crate::model::EndpointEntry;
+use crate::model::{EndpointEntry, EndpointPhase};
 
 /// Age above which the load that another router reported is ignored.
 const PEER_LOAD_MAX_AGE: Duration = Duration::from_millis(3_000);
@@ -28,6 +29,10 @@
     pub(super) health: Health,
     /// Rate limit that it states or has stated until recently; `None` if it states none.
     pub(super) rate: Option<StatedRate>,
+    /// Whether it states that it is shutting down.
+    pub(super) is_leaving: bool,
+    /// Pause that it has asked this router for.
+    pub(super) pause: Option<Pause>,
     /// When the endpoint is removed unless its entry comes back; set if the entry went missing
     /// shortly after an outage of the store.
     pub(super) expires_at: Option<Timestamp>,
@@ -42,6 +47,8 @@
             peer_loads: HashMap::default(),
             health: Health::default(),
             rate: None,
+            is_leaving: false,
+            pause: None,
             expires_at: None,
         }
     }
@@ -51,9 +58,19 @@
         self.rate.and_then(|it| it.per_s())
     }
 
-    /// Returns when this router may send it the next request within its stated limit.
+    /// Reports whether it accepts new requests, by its entry and its own statements.
+    pub(super) fn is_in_service(&self) -> bool {
+        self.entry.phase == EndpointPhase::Ready && !self.is_leaving
+    }
+
+    /// Returns when this router may send it the next request, by the rate limit and the pause that
+    /// it states.
     pub(super) fn next_request(&self, now: Timestamp) -> NextRequest {
-        self.rate.map_or(NextRequest::Now, |it| it.next_request(now))
+        let by_rate = self.rate.map_or(NextRequest::Now, |it| it.next_request(now));
+        match self.pause {
+            Some(pause) if now < pause.until => by_rate.max(NextRequest::At(pause.until)),
+            _ => by_rate,
+        }
     }
 
     /// Returns the load of all routers' requests, leaving out outdated reports.
--- a/components/relay/src/endpoints/mod.rs
+++ b/components/relay/src/endpoints/mod.rs
@@ -6,9 +6,10 @@
 mod endpoint;
 mod health;
 mod load;
+mod pause;
 mod prompt_split;
 mod rate_limit;
-mod stated_rates;
+mod statements;
 mod store_contact;
 
 pub use self::{
@@ -16,4 +17,5 @@
     choice::{Choice, LimitedWait, Placement, PlacementRequest},
     load::{Load, LoadShare},
     rate_limit::{RateReport, RateStatement},
+    statements::{StatementReport, Statements},
 };
--- a/components/relay/src/endpoints/rate_limit.rs
+++ b/components/relay/src/endpoints/rate_limit.rs
@@ -32,17 +32,14 @@
     Unlimited,
     /// Requests per second that it accepts from all routers together; finite and not negative.
     PerSecond(f64),
-    /// The statement cannot be read; it neither sets nor ends a limit.
-    Malformed,
+    /// The answer does not tell, because it is malformed or not from a working endpoint; it neither
+    /// sets nor ends a limit.
+    Unknown,
 }
 
 /// An endpoint's latest statement about its rate limit, as routers report it to each other.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RateReport {
-    /// Id of the endpoint.
-    pub endpoint: Arc<str>,
-    /// Start time of the endpoint's process, in milliseconds since the Unix epoch.
-    pub started_at_ms: u64,
     /// Requests per second; `None` if the endpoint no longer states a limit.
     pub per_s: Option<f64>,
     /// Time since an answer with this statement arrived.
@@ -50,7 +47,7 @@
 }
 
 /// When an endpoint may get the next request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum NextRequest {
     /// Now.
     Now,
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -13,10 +13,10 @@
 
 use super::{
     CrashMessage, LivenessMessage, LoadMessage, Member, PeerContent, PeerMessage, PendingLoans,
-    RateMessage, RouterLoad, StatusMessage,
+    RouterLoad, StatementMessage, StatusMessage,
     holders::update_holders,
     lending,
-    rate_shares::{apply_rate_reports, update_rate_shares},
+    statements::{apply_reports, update_rate_shares},
     witnessing,
 };
 use crate::context::RelayContext;
@@ -128,7 +128,7 @@
     fn encode(&self, cx: &RelayContext, wants_answer: bool) -> Vec<u8> {
         let own = cx.self_status();
         let loads = cx.lock_endpoints().own_loads();
-        let rates = cx.lock_endpoints().rate_reports(cx.now());
+        let reports = cx.lock_endpoints().reports(cx.now());
         let message = StatusMessage {
             name: own.name.to_string(),
             process: own.process,
@@ -143,7 +143,7 @@
             liveness: self.liveness_message(cx),
             processor_millis: own.processor_millis,
             arrivals_per_s: own.arrivals_per_s,
-            rates: rates.iter().map(RateMessage::from_report).collect(),
+            statements: reports.iter().map(StatementMessage::from_report).collect(),
         };
         encode(PeerContent::Status(message))
     }
@@ -290,7 +290,7 @@
         roster.record_report(&report, now);
     }
     drop(roster);
-    apply_rate_reports(cx, &message.rates);
+    apply_reports(cx, &message.statements);
     for record in message.crashes.iter().filter_map(CrashMessage::to_record) {
         if cx.lock_quarantine().merge(&record, now) {
             log::warn!(fingerprint:% = record.fingerprint, endpoints = record.endpoints.len(); "another router reported content that crashed endpoints");
--- a/components/relay/src/peers/mod.rs
+++ b/components/relay/src/peers/mod.rs
@@ -7,8 +7,8 @@
 mod lending;
 mod loans;
 mod message;
-mod rate_shares;
 mod roster;
+mod statements;
 mod witnessing;
 
 pub use self::loans::PendingLoans;
@@ -16,7 +16,7 @@
     crowding::RouterLoad,
     message::{
         CrashMessage, DeclarationMessage, LivenessMessage, LoadMessage, LoanMessage, PeerContent,
-        PeerMessage, RateMessage, StatusMessage,
+        PeerMessage, RateMessage, StatementMessage, StatusMessage,
     },
     roster::{LivenessReport, Member, Roster, SelfStatus, process_key},
 };
@@ -24,5 +24,5 @@
     gossip::{GossipSocket, run_gossip},
     holders::update_holders,
     lending::{ask_lender, serve_deferred_loans},
-    rate_shares::update_rate_shares,
+    statements::update_rate_shares,
 };
--- a/components/relay/src/peers/rate_shares.rs
+++ b/components/relay/src/peers/statements.rs
@@ -1,6 +1,6 @@
-//! Shares the rate limits that endpoints state among the routers.
+//! Exchanges what endpoints say about themselves, and shares their rate limits among the routers.
 
-use super::RateMessage;
+use super::StatementMessage;
 use crate::context::RelayContext;
 
 /// Recomputes this router's shares of all stated limits.
@@ -14,12 +14,12 @@
     cx.lock_endpoints().update_rate_shares(own, &routers, now);
 }
 
-/// Applies what another router reports about stated limits.
-pub(super) fn apply_rate_reports(cx: &RelayContext, messages: &[RateMessage]) {
+/// Applies what another router reports about endpoints.
+pub(super) fn apply_reports(cx: &RelayContext, messages: &[StatementMessage]) {
     let now = cx.now();
     let mut is_changed = false;
-    for report in messages.iter().filter_map(RateMessage::to_report) {
-        is_changed |= cx.lock_endpoints().apply_rate_report(&report, now);
+    for report in messages.iter().filter_map(StatementMessage::to_report) {
+        is_changed |= cx.lock_endpoints().apply_report(&report, now);
     }
     if is_changed {
         update_rate_shares(cx);
--- a/components/relay/src/ports.rs
+++ b/components/relay/src/ports.rs
@@ -9,7 +9,7 @@
 use platform::PlatformError;
 
 use crate::{
-    endpoints::{EndpointChange, RateStatement},
+    endpoints::{EndpointChange, Statements},
     model::{DesiredState, EndpointEntry, RequestHead},
     transfer::TransferProgress,
 };
@@ -40,8 +40,8 @@
     pub is_signed: bool,
     /// Id of the request that it answers, if present.
     pub request_id: Option<Arc<str>>,
-    /// What the endpoint says about the rate of requests that it accepts.
-    pub rate: RateStatement,
+    /// What the endpoint says about itself.
+    pub statements: Statements,
 }
 
 /// Wire format of callers' requests, endpoints' answers, and the router's own answers.
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -11,7 +11,7 @@
 use super::connections::{ConnectError, Connection};
 use crate::{
     context::RelayContext,
-    endpoints::{Load, Placement, RateStatement},
+    endpoints::{Load, Placement},
     peers::update_rate_shares,
     ports::AnswerHead,
 };
@@ -207,12 +207,11 @@
             guard,
         ));
     }
-    // A faulty endpoint's answer without a signature may lack other headers as well.
-    let has_statement = metadata.is_signed || metadata.rate != RateStatement::Unlimited;
-    if has_statement && !metadata.is_misdirected {
+    if !metadata.is_misdirected {
         let endpoint = &guard.placement.endpoint;
+        let statements = &metadata.statements;
         let is_changed =
-            cx.lock_endpoints().record_rate(endpoint, metadata.rate, sent_at, cx.now());
+            cx.lock_endpoints().record_statements(endpoint, statements, sent_at, cx.now());
         if is_changed {
             update_rate_shares(cx);
         }
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -51,12 +51,12 @@
     if request.may_have_run { error.after_earlier_attempt() } else { error }
 }
 
-/// Places the request on an endpoint; waits for a limited time if all endpoints are full or at
-/// the rate limits that they state.
+/// Places the request on an endpoint; waits for a limited time if all endpoints are full, or if
+/// the rate limits or pauses that they state allow no request.
 ///
 /// # Errors
 /// Returns an error if no endpoint is available, if all stay full, or as soon as it is known that
-/// no stated limit allows the request in time.
+/// none of them can take the request in time.
 pub(super) async fn find_placement(request: &ActiveRequest) -> Result<PlacementGuard, Error> {
     let wait_until = request.cx.now() + request.route.latency_target / PLACEMENT_WAIT_DIVISOR;
     loop {
@@ -89,11 +89,11 @@
     }
 }
 
-/// Returns the error of a request that the endpoints' stated rate limits do not allow in time. The
+/// Returns the error of a request that the endpoints' statements do not allow in time. The
 /// retry delay is at least the time until the next request is allowed, and differs between
 /// callers, so that they do not return together.
 fn limit_error(request: &ActiveRequest, limited: LimitedWait) -> Error {
-    let message = "all endpoints of the service are at the rate limits that they state";
+    let message = "the endpoints of the service state that they accept no more requests now";
     let wait = limited.next_at.map_or(RETRY_DELAY, |it| it.since(request.cx.now()));
     let spread = request.cx.lock_rng().random_range(1.0..2.0);
     let error = Error::new(ErrorKind::Overloaded, message).with_retry_delay(wait.mul_f64(spread));
--- a/components/relay/tests/rate_limits.rs
+++ b/components/relay/tests/rate_limits.rs
@@ -18,9 +18,10 @@
 use relay::{
     endpoints::{
         Choice, EndpointChange, EndpointRegistry, Placement, PlacementRequest, RateStatement,
+        Statements,
     },
     model::{EndpointEntry, EndpointPhase, PromptPart, TokenDemand},
-    peers::{Member, RateMessage, Roster, process_key},
+    peers::{Member, Roster, StatementMessage, process_key},
 };
 use types::Timestamp;
 use utils::{Rng, seeded_rng};
@@ -109,6 +110,18 @@
     }
 }
 
+/// Records an answer that says nothing but the rate.
+fn record_rate(
+    registry: &mut EndpointRegistry,
+    id: &str,
+    rate: RateStatement,
+    sent_at: Timestamp,
+    now: Timestamp,
+) -> bool {
+    let statements = Statements { rate, is_leaving: false, pause: None, has_malformed: false };
+    registry.record_statements(id, &statements, sent_at, now)
+}
+
 fn entry(id: &str) -> EndpointEntry {
     EndpointEntry {
         id: id.into(),
@@ -190,9 +203,10 @@
             let (liveness, rates) = {
                 let router = &self.routers[from];
                 let liveness: Vec<_> = router.roster.liveness_reports(self.now).collect();
-                (liveness, router.registry.rate_reports(self.now))
+                (liveness, router.registry.reports(self.now))
             };
-            let rates: Vec<RateMessage> = rates.iter().map(RateMessage::from_report).collect();
+            let rates: Vec<StatementMessage> =
+                rates.iter().map(StatementMessage::from_report).collect();
             let part = self.routers[from].part;
             let mut targets: Vec<usize> =
                 (0..self.routers.len()).filter(|it| *it != from).collect();
@@ -208,8 +222,8 @@
                     router.roster.record_report(report, self.now);
                 }
                 let mut is_changed = false;
-                for report in rates.iter().filter_map(RateMessage::to_report) {
-                    is_changed |= router.registry.apply_rate_report(&report, self.now);
+                for report in rates.iter().filter_map(StatementMessage::to_report) {
+                    is_changed |= router.registry.apply_report(&report, self.now);
                 }
                 if is_changed {
                     router.update_shares(self.now);
@@ -237,7 +251,7 @@
                 _ => RateStatement::Unlimited,
             };
             let id = &it.placement.endpoint;
-            if router.registry.record_rate(id, statement, it.sent_at, self.now) {
+            if record_rate(&mut router.registry, id, statement, it.sent_at, self.now) {
                 router.update_shares(self.now);
             }
         }
@@ -360,14 +374,14 @@
     let mut registry = EndpointRegistry::default();
     let now = Timestamp::from_millis(1_000);
     registry.apply_change(EndpointChange::Written(entry(LIMITED)), now);
-    registry.record_rate(LIMITED, RateStatement::PerSecond(1.0), Timestamp::ZERO, now);
-    let reports = registry.rate_reports(now);
+    record_rate(&mut registry, LIMITED, RateStatement::PerSecond(1.0), Timestamp::ZERO, now);
+    let reports = registry.reports(now);
     let restarted = EndpointEntry { started_at_ms: 2, ..entry(LIMITED) };
     registry.apply_change(EndpointChange::Written(restarted), now);
     assert_eq!(registry.rate_limit_count(), 0);
     // A router that has not seen the restart still reports the limit.
     let later = Timestamp::from_millis(1_500);
-    assert!(!registry.apply_rate_report(&reports[0], later));
+    assert!(!registry.apply_report(&reports[0], later));
     assert_eq!(registry.rate_limit_count(), 0);
 }
 
@@ -377,10 +391,10 @@
     let mut registry = EndpointRegistry::default();
     let at = Timestamp::from_millis;
     registry.apply_change(EndpointChange::Written(entry(LIMITED)), at(0));
-    registry.record_rate(LIMITED, RateStatement::PerSecond(1.0), at(100), at(150));
-    assert!(!registry.record_rate(LIMITED, RateStatement::Unlimited, at(120), at(160)));
+    record_rate(&mut registry, LIMITED, RateStatement::PerSecond(1.0), at(100), at(150));
+    assert!(!record_rate(&mut registry, LIMITED, RateStatement::Unlimited, at(120), at(160)));
     assert_eq!(registry.rate_limit_count(), 1);
-    assert!(registry.record_rate(LIMITED, RateStatement::Unlimited, at(170), at(200)));
+    assert!(record_rate(&mut registry, LIMITED, RateStatement::Unlimited, at(170), at(200)));
     assert_eq!(registry.rate_limit_count(), 0);
 }
 
@@ -419,6 +433,6 @@
         assert_eq!(used.len(), 1, "{limited} limited endpoints: {used:?}");
         // This router has no share of the limit.
         let (owner, now) = (used.first().unwrap(), Timestamp::from_millis(at + 500));
-        registry.record_rate(owner, RateStatement::PerSecond(1.0), now, now);
+        record_rate(&mut registry, owner, RateStatement::PerSecond(1.0), now, now);
     }
 }
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -146,3 +146,6 @@
 
 /// Counter of malformed statements in endpoints' answers.
 pub const MALFORMED_STATEMENTS_TOTAL: &str = "auburncrank_malformed_statements_total";
+
+/// Counter of pauses that endpoints asked this router for.
+pub const ENDPOINT_PAUSES_TOTAL: &str = "auburncrank_endpoint_pauses_total";
--- a/programs/auburncrank-relay/tests/soak/callers.rs
+++ b/programs/auburncrank-relay/tests/soak/callers.rs
@@ -78,6 +78,8 @@
     pub(crate) events: u64,
     /// When the head of an answer arrived that states the endpoint's rate limit.
     pub(crate) limit_stated_at: Option<Instant>,
+    /// When the head of an answer arrived that states that the endpoint is leaving.
+    pub(crate) leaving_stated_at: Option<Instant>,
 }
 
 /// All callers of a run and the outcomes of their requests.
@@ -134,6 +136,7 @@
             end: RequestEnd::NotSent,
             events: 0,
             limit_stated_at: None,
+            leaving_stated_at: None,
         };
         if connection.as_ref().is_none_or(SendRequest::is_closed) {
             *connection = connect(router).await;
@@ -192,6 +195,7 @@
     };
     let (head, mut body) = res.into_parts();
     outcome.limit_stated_at = head.headers.contains_key("server-limit").then(Instant::now);
+    outcome.leaving_stated_at = head.headers.contains_key("server-leaving").then(Instant::now);
     let mut text = String::new();
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else { return RequestEnd::Broken };
--- a/programs/auburncrank-relay/tests/soak/main.rs
+++ b/programs/auburncrank-relay/tests/soak/main.rs
@@ -15,9 +15,9 @@
 mod support;
 
 mod callers;
-mod limits;
 mod proxy;
 mod router;
+mod statements;
 mod world;
 
 use std::collections::BTreeMap;
@@ -83,10 +83,13 @@
     let outcomes = fleet.callers.outcomes();
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
     for received in fleet.endpoints.iter().flat_map(|it| it.received()) {
+        if received.is_refused {
+            continue;
+        }
         let id = received.headers["x-auburncrank-attempt-id"].to_str().unwrap().to_owned();
         *runs.entry(id).or_default() += 1;
     }
-    limits::check(fleet, &outcomes);
+    statements::check(fleet, &outcomes);
     let mut tokens = 0;
     for outcome in &outcomes {
         let runs = runs.get(&outcome.id).copied().unwrap_or(0);
--- a/programs/auburncrank-relay/tests/soak/world.rs
+++ b/programs/auburncrank-relay/tests/soak/world.rs
@@ -22,7 +22,7 @@
 };
 
 const ROUTERS: usize = 3;
-const ENDPOINTS: usize = 4;
+const ENDPOINTS: usize = 6;
 const CALLERS: usize = 8;
 
 /// Prepaid tokens of the client account; few enough to be used up during a run.
@@ -32,6 +32,14 @@
 pub(crate) const LIMITED_ENDPOINT: usize = 3;
 pub(crate) const STATED_LIMIT: f64 = 2.0;
 
+/// Endpoint that states that it is leaving some time after the start.
+pub(crate) const LEAVING_ENDPOINT: usize = 4;
+
+/// Endpoints that refuse requests for some time and ask for pauses, and the length of a pause. They
+/// are all that have no other statement, so that nothing else keeps requests away from them.
+pub(crate) const PAUSING_ENDPOINTS: [usize; 4] = [0, 1, 2, 5];
+pub(crate) const PAUSE: Duration = Duration::from_millis(1_500);
+
 /// Time during which faults begin.
 const FAULT_PERIOD: Duration = Duration::from_secs(8);
 
@@ -42,14 +50,17 @@
 /// requests.
 const PROPAGATION_TIME: Duration = Duration::from_secs(2);
 
-/// Action that ends a fault.
-enum FaultEnd {
+/// Action at a set time: ends a fault, or changes what an endpoint states.
+enum TimedAction {
     StartRouter(usize),
     ContinueRouter(usize),
     ClearStoreLink(usize),
     ClearEndpointLink(usize),
     ClearStoreRefusal,
     RestoreHistory,
+    LeaveEndpoint,
+    PauseEndpoints,
+    ResumeEndpoints,
 }
 
 /// Returns the routers' IP addresses. They differ between seeds and between processes of the
@@ -72,7 +83,7 @@
     rng: Rng,
     /// Routers whose process was stopped or paused, and when this began or ended.
     pub(crate) disturbances: Vec<(SocketAddr, Instant)>,
-    fault_ends: Vec<(Instant, FaultEnd)>,
+    timed_actions: Vec<(Instant, TimedAction)>,
 }
 
 impl SoakFleet {
@@ -107,7 +118,7 @@
             version: 1,
             rng: seeded_rng(seed),
             disturbances: Vec::new(),
-            fault_ends: Vec::new(),
+            timed_actions: Vec::new(),
         };
         fleet.wait_until_ready().await;
         fleet.endpoints[LIMITED_ENDPOINT].state_limit(Some(&STATED_LIMIT.to_string()));
@@ -139,12 +150,13 @@
     /// Begins faults at random times; they may overlap.
     pub(crate) async fn inject_faults(&mut self) {
         let until = Instant::now() + FAULT_PERIOD;
+        self.begin_statements();
         while Instant::now() < until {
             self.begin_fault();
             let pause = self.rng.random_range(80..600);
             self.run_for(Duration::from_millis(pause)).await;
         }
-        let last = self.fault_ends.iter().map(|it| it.0).max().unwrap_or_else(Instant::now);
+        let last = self.timed_actions.iter().map(|it| it.0).max().unwrap_or_else(Instant::now);
         self.run_for(last.saturating_duration_since(Instant::now())).await;
     }
 
@@ -155,10 +167,10 @@
         loop {
             let now = Instant::now();
             let (due, later) =
-                std::mem::take(&mut self.fault_ends).into_iter().partition(|it| it.0 <= now);
-            self.fault_ends = later;
-            for (_, fault_end) in due {
-                self.end_fault(&fault_end);
+                std::mem::take(&mut self.timed_actions).into_iter().partition(|it| it.0 <= now);
+            self.timed_actions = later;
+            for (_, action) in due {
+                self.act(&action);
             }
             for number in 0..ROUTERS {
                 let router = &mut self.routers[number];
@@ -176,6 +188,18 @@
         }
     }
 
+    /// Makes endpoints state that they are leaving or want a pause, at random times.
+    fn begin_statements(&mut self) {
+        let now = Instant::now();
+        let mut time_until =
+            |least: u64| Duration::from_millis(self.rng.random_range(least..least + 2_000));
+        let (leave, pause) = (now + time_until(1_000), now + time_until(500));
+        let resume = pause + time_until(2_000);
+        self.timed_actions.push((leave, TimedAction::LeaveEndpoint));
+        self.timed_actions.push((pause, TimedAction::PauseEndpoints));
+        self.timed_actions.push((resume, TimedAction::ResumeEndpoints));
+    }
+
     fn begin_fault(&mut self) {
         let now = Instant::now();
         let router = self.rng.random_range(0..ROUTERS);
@@ -192,13 +216,13 @@
                 self.routers[router].kill();
                 self.record_disturbance(router);
                 let restart = now + Duration::from_millis(self.rng.random_range(300..1_500));
-                self.fault_ends.push((restart, FaultEnd::StartRouter(router)));
+                self.timed_actions.push((restart, TimedAction::StartRouter(router)));
                 format!("kill router {router}")
             }
             1 => {
                 self.routers[router].signal(Signal::STOP);
                 self.record_disturbance(router);
-                self.fault_ends.push((end_at, FaultEnd::ContinueRouter(router)));
+                self.timed_actions.push((end_at, TimedAction::ContinueRouter(router)));
                 format!("pause router {router}")
             }
             2 => {
@@ -212,24 +236,24 @@
             }
             4 | 5 => {
                 self.store_links[router].set_fault(link_fault);
-                self.fault_ends.push((end_at, FaultEnd::ClearStoreLink(router)));
+                self.timed_actions.push((end_at, TimedAction::ClearStoreLink(router)));
                 format!("store link of router {router}: {link_fault:?}")
             }
             6 | 7 => {
                 self.endpoint_links[endpoint].set_fault(link_fault);
-                self.fault_ends.push((end_at, FaultEnd::ClearEndpointLink(endpoint)));
+                self.timed_actions.push((end_at, TimedAction::ClearEndpointLink(endpoint)));
                 format!("link of endpoint {endpoint}: {link_fault:?}")
             }
             8 => {
                 let status = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS]
                     [self.rng.random_range(0..2)];
                 self.store.refuse_all(Some(status));
-                self.fault_ends.push((end_at, FaultEnd::ClearStoreRefusal));
+                self.timed_actions.push((end_at, TimedAction::ClearStoreRefusal));
                 format!("store refuses: {status}")
             }
             _ => {
                 self.store.set_history_lost(true);
-                self.fault_ends.push((end_at, FaultEnd::RestoreHistory));
+                self.timed_actions.push((end_at, TimedAction::RestoreHistory));
                 self.version += 1;
                 self.store.write("op", "config", &desired_state(self.version, PREPAID_TOKENS));
                 format!("store loses its history, version {}", self.version)
@@ -242,21 +266,40 @@
         self.disturbances.push((self.routers[router].caller_address, Instant::now()));
     }
 
-    fn end_fault(&mut self, fault_end: &FaultEnd) {
-        match *fault_end {
-            FaultEnd::StartRouter(router) if !self.routers[router].is_running() => {
+    fn act(&mut self, action: &TimedAction) {
+        match *action {
+            TimedAction::StartRouter(router) if !self.routers[router].is_running() => {
                 self.routers[router].start();
                 self.record_disturbance(router);
             }
-            FaultEnd::StartRouter(_) => {}
-            FaultEnd::ContinueRouter(router) => {
+            TimedAction::StartRouter(_) => {}
+            TimedAction::ContinueRouter(router) => {
                 self.routers[router].signal(Signal::CONT);
                 self.record_disturbance(router);
             }
-            FaultEnd::ClearStoreLink(router) => self.store_links[router].set_fault(LinkFault::None),
-            FaultEnd::ClearEndpointLink(it) => self.endpoint_links[it].set_fault(LinkFault::None),
-            FaultEnd::ClearStoreRefusal => self.store.refuse_all(None),
-            FaultEnd::RestoreHistory => self.store.set_history_lost(false),
+            TimedAction::ClearStoreLink(router) => {
+                self.store_links[router].set_fault(LinkFault::None)
+            }
+            TimedAction::ClearEndpointLink(it) => {
+                self.endpoint_links[it].set_fault(LinkFault::None)
+            }
+            TimedAction::ClearStoreRefusal => self.store.refuse_all(None),
+            TimedAction::RestoreHistory => self.store.set_history_lost(false),
+            TimedAction::LeaveEndpoint => {
+                self.endpoints[LEAVING_ENDPOINT].state("server-leaving: 1\r\n");
+            }
+            TimedAction::PauseEndpoints => {
+                for endpoint in PAUSING_ENDPOINTS.map(|it| &self.endpoints[it]) {
+                    endpoint.state(&format!("retry-after: {}\r\n", PAUSE.as_secs_f64()));
+                    endpoint.set_behaviour(Behaviour::Refuse);
+                }
+            }
+            TimedAction::ResumeEndpoints => {
+                for endpoint in PAUSING_ENDPOINTS.map(|it| &self.endpoints[it]) {
+                    endpoint.set_behaviour(Behaviour::ByPath(EVENTS_PER_STREAM));
+                    endpoint.state("");
+                }
+            }
         }
     }
 
