--- a/components/relay/src/endpoints/rate_limit.rs
+++ b/components/relay/src/endpoints/rate_limit.rs
@@ -10,6 +10,9 @@
 /// each gets at least this much; a limit below it goes to one router as a whole.
 const SHARE_MIN_PER_S: f64 = 1.0;
 
+/// Highest limit that an endpoint may state, in requests per second.
+pub(super) const RATE_MAX_PER_S: f64 = 1e6;
+
 /// Rate at which an endpoint that accepts fewer requests still gets some, in requests per second:
 /// only an answer shows that a limit has ended.
 const PROBE_PER_S: f64 = 0.1;
--- a/components/relay/src/endpoints/statements.rs
+++ b/components/relay/src/endpoints/statements.rs
@@ -9,7 +9,7 @@
 use super::{
     book::EndpointRegistry,
     pause::{PAUSE_MAX, Pause},
-    rate_limit::{RateReport, RateStatement, StatedRate, share_of},
+    rate_limit::{RATE_MAX_PER_S, RateReport, RateStatement, StatedRate, share_of},
 };
 use crate::units::millis;
 
@@ -53,14 +53,18 @@
         now: Timestamp,
     ) -> bool {
         let pause = statements.pause.filter(|it| *it <= PAUSE_MAX);
-        if statements.has_malformed || pause != statements.pause {
+        let rate = match statements.rate {
+            RateStatement::PerSecond(per_s) if per_s > RATE_MAX_PER_S => RateStatement::Unknown,
+            rate => rate,
+        };
+        if statements.has_malformed || pause != statements.pause || rate != statements.rate {
             self.count_malformed(id);
         }
         if statements.is_leaving {
             self.mark_leaving(id);
         }
         self.record_pause(id, pause, sent_at, now);
-        match statements.rate {
+        match rate {
             RateStatement::PerSecond(per_s) => self.restate_rate(id, Some(per_s), now, now),
             RateStatement::Unlimited => {
                 let rate = self.endpoints.get(id).and_then(|it| it.rate);
--- a/components/relay/tests/rate_limits.rs
+++ b/components/relay/tests/rate_limits.rs
@@ -93,21 +93,22 @@
         routers.push(self.name());
         self.registry.update_rate_shares(&self.name(), &routers, now);
     }
+}
 
-    fn place(&mut self, now: Timestamp, rng: &mut Rng) -> Choice {
-        let service: Arc<str> = "portal".into();
-        let request = PlacementRequest {
-            service: &service,
-            spec: None,
-            tokens: None,
-            parts: &[],
-            failed_endpoints: &[],
-            failure_domain: "zlin",
-            routers: 1,
-            fill_share: 1.0,
-        };
-        self.registry.place(&request, now, rng)
-    }
+/// Places a request to the plain service.
+fn place(registry: &mut EndpointRegistry, now: Timestamp, rng: &mut Rng) -> Choice {
+    let service: Arc<str> = "portal".into();
+    let request = PlacementRequest {
+        service: &service,
+        spec: None,
+        tokens: None,
+        parts: &[],
+        failed_endpoints: &[],
+        failure_domain: "zlin",
+        routers: 1,
+        fill_share: 1.0,
+    };
+    registry.place(&request, now, rng)
 }
 
 /// Records an answer that says nothing but the rate.
@@ -264,7 +265,9 @@
             if !is_due || !self.routers[router].is_running {
                 continue;
             }
-            if let Choice::Placed(placement) = self.routers[router].place(self.now, &mut self.rng) {
+            if let Choice::Placed(placement) =
+                place(&mut self.routers[router].registry, self.now, &mut self.rng)
+            {
                 if &*placement.endpoint == LIMITED {
                     self.arrivals.push(self.now);
                 }
@@ -385,6 +388,24 @@
     assert_eq!(registry.rate_limit_count(), 0);
 }
 
+/// Guards against a huge value that is taken for a limit or a pause.
+#[test]
+fn huge_statements_are_ignored() {
+    let mut registry = EndpointRegistry::default();
+    let now = Timestamp::from_millis(1_000);
+    registry.apply_change(EndpointChange::Written(entry(LIMITED)), now);
+    let statements = Statements {
+        rate: RateStatement::PerSecond(1e300),
+        is_leaving: false,
+        pause: Some(Duration::from_secs(u64::MAX / 2)),
+        has_malformed: false,
+    };
+    assert!(!registry.record_statements(LIMITED, &statements, Timestamp::ZERO, now));
+    assert_eq!(registry.rate_limit_count(), 0);
+    let choice = place(&mut registry, now, &mut seeded_rng(1));
+    assert!(matches!(choice, Choice::Placed(_)), "{choice:?}");
+}
+
 /// Guards against an answer that was under way before the limit was stated and ends it.
 #[test]
 fn overtaken_answer_does_not_end_a_limit() {
