Wait in a test until a killed stand-in endpoint refuses connections

Traced: killing a stand-in aborts its task and returns; the listener is closed a moment later, on another thread. A connection that is made in between succeeds, the order is sent, and the connection breaks: the router cannot know that it did not run, and its answer was right. The test was wrong to take the endpoint for dead.

The test now waits until the task has ended and dropped its listener; the check is as strict as before. No code of the product changes.

--- a/components/router/tests/at_most_once.rs
+++ b/components/router/tests/at_most_once.rs
@@ -133,7 +133,7 @@
     let endpoints: Vec<_> = scene.config().endpoints.keys().cloned().collect();
     let services = &scene.config().services[&ServiceName::new("portal").unwrap()].endpoints;
     for name in endpoints.iter().filter(|name| services.contains(*name)) {
-        scene.kill_service_endpoint(name);
+        scene.kill_service_endpoint(name).await;
     }
     for _ in 0..3 {
         let res = order(&scene, 0, "order-3").await;
--- a/components/scene/src/running_scene.rs
+++ b/components/scene/src/running_scene.rs
@@ -151,8 +151,10 @@
     ///
     /// # Panics
     /// If the scene has no such endpoint.
-    pub fn kill_service_endpoint(&self, name: &EndpointName) {
-        self.service_endpoints[name].kill();
+    pub async fn kill_service_endpoint(&self, name: &EndpointName) {
+        let endpoint = &self.service_endpoints[name];
+        endpoint.kill();
+        endpoint.ended().await;
     }
 
     /// Creates a caller for `account` in `failure_domain` that calls the routers running now.
--- a/components/standins/src/http.rs
+++ b/components/standins/src/http.rs
@@ -17,7 +17,7 @@
     /// Aborts the server's task, which also closes its connections.
     task: AbortHandle,
     /// Closed once the task has ended.
-    _ended: watch::Receiver<()>,
+    ended: watch::Receiver<()>,
 }
 
 impl ServerHandle {
@@ -33,7 +33,7 @@
             let _tx = tx;
             accept_connections(listener, routes).await;
         });
-        Ok(ServerHandle { address, task: task.abort_handle(), _ended: ended })
+        Ok(ServerHandle { address, task: task.abort_handle(), ended })
     }
 
     /// Returns the address that the server listens on.
@@ -46,10 +46,17 @@
         self.task.clone()
     }
 
-    /// Kills the server and closes its connections.
+    /// Kills the server and closes its connections. Connections may still be accepted for a moment;
+    /// [`ended`](ServerHandle::ended) waits for that.
     pub fn kill(&self) {
         self.task.abort();
     }
+
+    /// Waits until the server has ended and its address refuses connections.
+    pub async fn ended(&self) {
+        // Nothing is ever sent; the error means that the task has dropped its sender.
+        let _ = self.ended.clone().changed().await;
+    }
 }
 
 impl Drop for ServerHandle {
--- a/components/standins/src/service/server.rs
+++ b/components/standins/src/service/server.rs
@@ -70,6 +70,11 @@
     pub fn kill(&self) {
         self.http.kill();
     }
+
+    /// Waits until the killed endpoint refuses connections.
+    pub async fn ended(&self) {
+        self.http.ended().await;
+    }
 }
 
 impl ServiceState {
