Move the endpoints' statements out of the peer messages; reword comments

The number of routes is computed before the log line that states it.

No change of what the router does.

--- a/components/relay/src/endpoints/endpoint.rs
+++ b/components/relay/src/endpoints/endpoint.rs
@@ -31,7 +31,8 @@
     pub(super) rate: Option<StatedRate>,
     /// Whether it states that it is shutting down.
     pub(super) is_leaving: bool,
-    /// Pause that it has asked this router for.
+    /// Pause that it has asked this router for. Unlike after a failure (see `health`), nothing is sent
+    /// to it even if no other endpoint has capacity.
     pub(super) pause: Option<Pause>,
     /// When the endpoint is removed unless its entry comes back; set if the entry went missing
     /// shortly after an outage of the store.
--- a/components/relay/src/endpoints/pause.rs
+++ b/components/relay/src/endpoints/pause.rs
@@ -4,18 +4,18 @@
 
 use types::Timestamp;
 
-/// Time after a request that tests whether a pause is over in which no other one is sent, unless
-/// the endpoint answers.
+/// Maximum time for which other requests wait for the answer to the one that tests whether a pause
+/// is over.
 const TEST_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Longest pause that an endpoint may ask for.
 pub(super) const PAUSE_MAX: Duration = Duration::from_secs(3_600);
 
-/// A pause that an endpoint has asked for. It lasts until the endpoint has answered a request that
-/// was sent after it.
+/// A pause that an endpoint has asked for. When its time has passed, a single request tests whether
+/// it is over; it ends with an answer that asks for no other pause.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Pause {
-    /// When the next request may be sent.
+    /// Time before which no request is sent.
     pub(super) until: Timestamp,
     /// When the endpoint last asked for a pause.
     pub(super) asked_at: Timestamp,
--- a/components/relay/src/endpoints/rate_limit.rs
+++ b/components/relay/src/endpoints/rate_limit.rs
@@ -17,8 +17,8 @@
 /// only an answer shows that a limit has ended.
 const PROBE_PER_S: f64 = 0.1;
 
-/// Requests that may be sent without a pause, as the time in which the share allows so many; at
-/// least one request.
+/// Size of the largest burst, as the time in which the share allows that many requests. A burst is
+/// at least one request.
 const BURST: Duration = Duration::from_millis(250);
 
 /// Age of a statement after which the next request that may be sent there goes to the endpoint, so
@@ -35,7 +35,7 @@
     Unlimited,
     /// Requests per second that it accepts from all routers together; finite and not negative.
     PerSecond(f64),
-    /// The answer does not tell, because it is malformed or not from a working endpoint; it neither
+    /// The statement is malformed, or the answer lacks both a statement and a signature; it neither
     /// sets nor ends a limit.
     Unknown,
 }
@@ -69,7 +69,7 @@
     stated_at: Timestamp,
     /// Requests per second that this router may send.
     share_per_s: f64,
-    /// Requests that may be sent at `refilled_at`; at most [`burst`](Self::burst).
+    /// Number of requests that may be sent at `refilled_at`; at most [`burst`](Self::burst).
     available: f64,
     /// Time for which `available` is valid.
     refilled_at: Timestamp,
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -11,10 +11,10 @@
 use types::EndpointName;
 use utils::Digest;
 
-use super::LivenessReport;
+use super::{LivenessReport, StatementMessage};
 use crate::{
     allowance::{RouterProcess, WitnessDeclaration, WitnessStatement},
-    endpoints::{Load, LoadShare, RateReport, StatementReport},
+    endpoints::{Load, LoadShare},
 };
 
 /// Content of a datagram.
@@ -296,70 +296,6 @@
     pub memory_tokens: u64,
 }
 
-/// What an endpoint says about itself.
-#[derive(Clone, PartialEq, Message)]
-pub struct StatementMessage {
-    /// Id of the endpoint.
-    #[prost(string, tag = "1")]
-    pub endpoint: String,
-    /// Start time of the endpoint's process, in milliseconds since the Unix epoch.
-    #[prost(uint64, tag = "2")]
-    pub started_at_ms: u64,
-    /// Its latest statement about its rate limit.
-    #[prost(message, optional, tag = "3")]
-    pub rate: Option<RateMessage>,
-    /// Whether it is shutting down.
-    #[prost(bool, tag = "4")]
-    pub is_leaving: bool,
-}
-
-/// Rate limit that an endpoint states.
-#[derive(Clone, PartialEq, Message)]
-pub struct RateMessage {
-    /// Requests per second from all routers together; absent if the endpoint no longer states a
-    /// limit.
-    #[prost(double, optional, tag = "1")]
-    pub per_s: Option<f64>,
-    /// Time since an answer with this statement arrived, in milliseconds.
-    #[prost(uint32, tag = "2")]
-    pub age_ms: u32,
-}
-
-impl StatementMessage {
-    /// Creates a message from a report.
-    pub fn from_report(report: &StatementReport) -> StatementMessage {
-        let rate = report.rate.map(|it| {
-            // Rounded up, so that a report never gets younger when it is passed on.
-            let age_ms = it.age.as_nanos().div_ceil(1_000_000);
-            RateMessage { per_s: it.per_s, age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX) }
-        });
-        StatementMessage {
-            endpoint: report.endpoint.to_string(),
-            started_at_ms: report.started_at_ms,
-            rate,
-            is_leaving: report.is_leaving,
-        }
-    }
-
-    /// Converts the message to a report; `None` if the limit is not a valid rate.
-    pub fn to_report(&self) -> Option<StatementReport> {
-        let rate = self.rate.as_ref().map(|it| RateReport {
-            per_s: it.per_s,
-            age: Duration::from_millis(u64::from(it.age_ms)),
-        });
-        let per_s = rate.and_then(|it| it.per_s);
-        if per_s.is_some_and(|it| !it.is_finite() || it < 0.0) {
-            return None;
-        }
-        Some(StatementReport {
-            endpoint: Arc::from(self.endpoint.as_str()),
-            started_at_ms: self.started_at_ms,
-            rate,
-            is_leaving: self.is_leaving,
-        })
-    }
-}
-
 /// A content and the endpoints that it crashed.
 #[derive(Clone, PartialEq, Message)]
 pub struct CrashMessage {
--- a/components/relay/src/peers/mod.rs
+++ b/components/relay/src/peers/mod.rs
@@ -8,6 +8,7 @@
 mod loans;
 mod message;
 mod roster;
+mod statement_message;
 mod statements;
 mod witnessing;
 
@@ -16,9 +17,10 @@
     crowding::RouterLoad,
     message::{
         CrashMessage, DeclarationMessage, LivenessMessage, LoadMessage, LoanMessage, PeerContent,
-        PeerMessage, RateMessage, StatementMessage, StatusMessage,
+        PeerMessage, StatusMessage,
     },
     roster::{LivenessReport, Member, Roster, SelfStatus, process_key},
+    statement_message::{RateMessage, StatementMessage},
 };
 pub(crate) use self::{
     gossip::{GossipSocket, run_gossip},
--- a/components/relay/src/sync/config_watch.rs
+++ b/components/relay/src/sync/config_watch.rs
@@ -66,7 +66,7 @@
                     // The feed may lag behind the rows, so the whole state is read again.
                     return Ok(None);
                 }
-                // What is arriving is most likely the reported version.
+                // The arriving data most likely contains the reported version.
                 is_hinted = true;
             }
         }
@@ -105,7 +105,8 @@
     let version = state.version;
     let now = cx.now();
     cx.lock_allowances().set_accounts(&state.distinct_accounts(), version);
-    log::info!(version, routes = state.routes.values().map(Vec::len).sum::<usize>(), services = state.services.len(), bytes = progress.bytes(), transfer_ms = millis(progress.duration()), decode_ms = millis(progress.idle()); "desired state in force");
+    let routes = state.routes.values().map(Vec::len).sum::<usize>();
+    log::info!(version, routes, services = state.services.len(), bytes = progress.bytes(), transfer_ms = millis(progress.duration()), decode_ms = millis(progress.idle()); "desired state in force");
     metrics::gauge!(telemetry::CONFIG_VERSION).set(version as f64);
     cx.in_force.store(Some(Arc::new(InForce { state, since: now })));
     cx.desired_state_changed.notify_waiters();
--- a/components/relay/src/transfer.rs
+++ b/components/relay/src/transfer.rs
@@ -40,7 +40,7 @@
         self.lock().map_or(Duration::ZERO, |it| it.last - it.first)
     }
 
-    /// Returns the time since the last byte arrived; zero if none has.
+    /// Returns the time since the last byte arrived; zero if no byte has arrived.
     pub fn idle(&self) -> Duration {
         self.lock().map_or(Duration::ZERO, |it| it.last.elapsed())
     }
--- a/programs/auburncrank-relay/tests/soak/statements.rs
+++ b/programs/auburncrank-relay/tests/soak/statements.rs
@@ -49,7 +49,8 @@
     by_id: BTreeMap<&'a str, &'a RequestOutcome>,
 }
 
-/// Checks all statements. A router that was stopped or paused has to hear a statement anew.
+/// Checks that routers followed all statements. A router is checked again after its process was
+/// stopped or suspended only once it has passed on the statement another time.
 pub(crate) fn check(fleet: &SoakFleet, outcomes: &[RequestOutcome]) {
     let by_id = outcomes.iter().map(|it| (it.id.as_str(), it)).collect();
     let observations = Observations { fleet, outcomes, by_id };
@@ -70,7 +71,7 @@
         arrivals.collect()
     }
 
-    /// Returns whether a router was stopped or paused in a period.
+    /// Returns whether a router's process was stopped or suspended in a period.
     fn was_disturbed(&self, router: SocketAddr, from: Instant, until: Instant) -> bool {
         self.fleet.disturbances.iter().any(|it| it.0 == router && it.1 >= from && it.1 <= until)
     }
--- a/programs/auburncrank-relay/tests/soak/world.rs
+++ b/programs/auburncrank-relay/tests/soak/world.rs
@@ -81,7 +81,7 @@
     endpoint_links: Vec<Proxy>,
     version: u64,
     rng: Rng,
-    /// Routers whose process was stopped or paused, and when this began or ended.
+    /// Routers whose process was stopped or suspended, and when this began or ended.
     pub(crate) disturbances: Vec<(SocketAddr, Instant)>,
     /// Endpoints whose answers did not arrive, and from when to when.
     pub(crate) lost_answers: Vec<(usize, Instant, Instant)>,
