Log the prompt parts of requests whose endpoint crashed, and their events

The three hypotheses on the crashing prompt part could not be told apart: a lost request showed the digest of its content only, and a broken stream whose endpoint still accepts connections wrote nothing at all. Both lines now have the parts and the number of events; auburncrank_endpoint_crashes_total counts the requests that were cut off.

--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -238,14 +238,17 @@
 /// quarantine and announces it to other routers.
 pub(super) async fn check_for_crash(request: &ActiveRequest, guard: &PlacementGuard) {
     let cx = &request.cx;
+    let parts = request.part_ids();
     if !exchange::has_crashed(cx, &guard.placement).await {
+        log::info!(request:% = request.head.id, endpoint:% = guard.placement.endpoint, events = request.events, parts:% = parts; "answer lost, but the endpoint accepts connections");
         return;
     }
+    metrics::counter!(telemetry::ENDPOINT_CRASHES_TOTAL).increment(1);
     let now = cx.now();
     cx.lock_endpoints().record_unreachable(&guard.placement.endpoint, now);
     let Ok(name) = types::EndpointName::new(&guard.placement.endpoint) else { return };
     let fingerprint = request.fingerprint();
-    log::warn!(request:% = request.head.id, endpoint:% = name, fingerprint:% = fingerprint; "endpoint lost while it ran the request");
+    log::warn!(request:% = request.head.id, endpoint:% = name, events = request.events, parts:% = parts, fingerprint:% = fingerprint; "endpoint lost while it ran the request");
     let record = cx.lock_quarantine().on_loss(fingerprint, &name, false, true, now);
     if let Some(record) = record {
         cx.gossip.announce_crash(CrashMessage::from_record(&record));
--- a/components/relay/src/serve/run.rs
+++ b/components/relay/src/serve/run.rs
@@ -78,6 +78,12 @@
         Digest::from_content(&[head.as_bytes(), &self.outgoing.body].concat())
     }
 
+    /// Returns the ids of the prompt's parts, in hexadecimal, for the log.
+    pub(super) fn part_ids(&self) -> String {
+        let ids: Vec<String> = self.head.parts.iter().map(|it| format!("{:x}", it.id)).collect();
+        ids.join(",")
+    }
+
     /// Returns the priority of the request; 0 is the most urgent.
     pub(super) fn priority(&self) -> u32 {
         self.account.as_ref().and_then(|it| it.priority).unwrap_or(self.route.priority)
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -149,3 +149,6 @@
 
 /// Counter of pauses that endpoints asked this router for.
 pub const ENDPOINT_PAUSES_TOTAL: &str = "auburncrank_endpoint_pauses_total";
+
+/// Counter of requests that were cut off by the crash of their endpoint.
+pub const ENDPOINT_CRASHES_TOTAL: &str = "auburncrank_endpoint_crashes_total";
