Keep requests with different suspects apart on the endpoints

Cause: the endpoint of a suspect was chosen by its key alone, and two keys can have the same first endpoint. Routers now rank the suspects by their weight and give each the first endpoint that none before it has.

--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng as _;
 use types::Timestamp;
-use utils::{Rng, stable_hash};
+use utils::{HashSet, Rng, stable_hash};
 
 use super::{
     book::EndpointRegistry,
@@ -63,13 +63,22 @@
     pub failure_domain: &'a str,
     /// Number of routers in the fleet that are or may be alive, including this one.
     pub routers: usize,
-    /// Key of something that the request contains and that may crash endpoints. All requests with it
-    /// are placed on the same endpoint, so that few are lost.
-    pub suspect: Option<u64>,
+    /// What the request contains that may crash endpoints; `None` if nothing is known against it.
+    pub suspect: Option<Suspect>,
     /// Share of an endpoint's capacity that requests of this priority may fill, from 0 to 1.
     pub fill_share: f64,
 }
 
+/// Content that may crash endpoints. All requests with it are placed on the same endpoint, so that
+/// few are lost, and apart from other suspects, so that one that is innocent is answered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Suspect {
+    /// Its key.
+    pub key: u64,
+    /// Keys of other suspects, whose endpoints it does not use.
+    pub others: Vec<u64>,
+}
+
 /// An endpoint chosen for a request, and the load that the request adds to it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Placement {
@@ -201,9 +210,13 @@
         if candidates.iter().any(|it| it.confirms_limit) {
             candidates.retain(|it| it.confirms_limit);
         }
-        if let Some(key) = request.suspect {
+        if let Some(suspect) = &request.suspect {
+            let all_ids: Vec<&Arc<str>> = serving.iter().map(|it| &it.entry.id).collect();
+            let taken = endpoints_of_suspects(&suspect.others, &all_ids);
             let rank = |it: &Candidate<'_>| {
-                (!it.is_last_resort, rendezvous_hash(key, &it.endpoint.entry.id))
+                let id = &it.endpoint.entry.id;
+                let is_free = !taken.contains(id);
+                (!it.is_last_resort, is_free, rendezvous_hash(suspect.key, id))
             };
             return candidates.iter().max_by_key(|it| rank(it)).map_or(Choice::Full, place_on);
         }
@@ -216,6 +229,16 @@
     }
 }
 
+/// Returns the endpoints of other suspects; at most half of all.
+fn endpoints_of_suspects<'a>(keys: &[u64], ids: &[&'a Arc<str>]) -> HashSet<&'a Arc<str>> {
+    let mut taken = HashSet::default();
+    for key in keys.iter().take(ids.len() / 2) {
+        let free = ids.iter().filter(|id| !taken.contains(*id));
+        taken.extend(free.max_by_key(|id| rendezvous_hash(*key, id)).copied());
+    }
+    taken
+}
+
 fn place_on(chosen: &Candidate<'_>) -> Choice {
     let entry = &chosen.endpoint.entry;
     Choice::Placed(Placement {
--- a/components/relay/src/endpoints/mod.rs
+++ b/components/relay/src/endpoints/mod.rs
@@ -14,7 +14,7 @@
 
 pub use self::{
     book::{EndpointChange, EndpointRegistry},
-    choice::{Choice, LimitedWait, Placement, PlacementRequest},
+    choice::{Choice, LimitedWait, Placement, PlacementRequest, Suspect},
     load::{Load, LoadShare},
     rate_limit::{RateReport, RateStatement},
     statements::{StatementReport, Statements},
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -11,7 +11,7 @@
         self, AttemptFailure, EndpointResponse, FailedAttempt, OutgoingRequest, PlacementGuard,
     },
     run::ActiveRequest,
-    suspicion::{check_before_sending, check_for_crash, suspect_key},
+    suspicion::{check_before_sending, check_for_crash, suspect_of},
 };
 use crate::{
     endpoints::{Choice, LimitedWait, PlacementRequest},
@@ -111,7 +111,7 @@
         failed_endpoints: &request.failed_endpoints,
         failure_domain: &request.cx.settings.failure_domain,
         routers,
-        suspect: suspect_key(request),
+        suspect: suspect_of(request),
         fill_share,
     };
     let now = request.cx.now();
--- a/components/relay/src/serve/suspicion.rs
+++ b/components/relay/src/serve/suspicion.rs
@@ -5,7 +5,10 @@
 use utils::stable_hash;
 
 use super::{exchange, exchange::PlacementGuard, run::ActiveRequest};
-use crate::peers::{apply_verdict_changes, is_responsible};
+use crate::{
+    endpoints::Suspect,
+    peers::{apply_verdict_changes, is_responsible},
+};
 
 /// Returns what a request contains that others may share: the parts of its prompt but the last,
 /// which belongs to it alone, and its whole content.
@@ -66,12 +69,14 @@
     }
 }
 
-/// Returns the key of the content that decides where the request is placed because it may crash
-/// endpoints.
-pub(super) fn suspect_key(request: &ActiveRequest) -> Option<u64> {
+/// Returns the content that decides where the request is placed because it may crash endpoints.
+pub(super) fn suspect_of(request: &ActiveRequest) -> Option<Suspect> {
     match standing(request) {
         Standing::Clear => None,
-        Standing::Suspect(item) | Standing::Condemned(item) => Some(item.key.0),
+        Standing::Suspect(item) | Standing::Condemned(item) => {
+            let others = request.cx.lock_crash_evidence().suspects_before(item.key);
+            Some(Suspect { key: item.key.0, others: others.iter().map(|it| it.0).collect() })
+        }
     }
 }
 
--- a/components/routing/src/crash_evidence/evidence.rs
+++ b/components/routing/src/crash_evidence/evidence.rs
@@ -23,6 +23,9 @@
 /// Time for which routers tell each other about a record after a change; verdicts are always told.
 const REPORT_TIME: Duration = Duration::from_secs(5);
 
+/// Maximum number of suspects that one is kept apart from.
+const SUSPECTS_APART_MAX: usize = 32;
+
 /// Maximum number of records in a message to other routers.
 const REPORTS_MAX: usize = 128;
 
@@ -89,6 +92,17 @@
         deepest.map_or(Standing::Clear, |it| Standing::Suspect(*it))
     }
 
+    /// Returns the suspects that come before `key`, the same on all routers with the same evidence, so
+    /// that each suspect can be kept apart from the others.
+    pub fn suspects_before(&self, key: ContentKey) -> Vec<ContentKey> {
+        let suspects = self.records.values().filter(|it| it.weight() > 0);
+        let mut ranked: Vec<_> =
+            suspects.map(|it| (Reverse((!it.item.is_whole(), it.weight())), it.key())).collect();
+        ranked.sort_unstable();
+        let keys = ranked.into_iter().map(|it| it.1);
+        keys.take_while(|it| *it != key).take(SUSPECTS_APART_MAX).collect()
+    }
+
     /// Records that an endpoint crashed while it had a request with `items` that had not brought
     /// any of its answer. Returns the verdicts that changed.
     pub fn record_crash(
