Give up endpoints' answers without end early

A success without a signature was read to the end or to 16 MiB before it was rejected, so the caller waited until its deadline; a signed answer without end took 16 MiB of a router's memory for each request.

The signature is now checked before the body is read. Up to 1 MiB of an answer is held until it is complete; a longer one is passed on as it arrives, and ends with an error if its time ends first. Error answers of more than 1 MiB count as lost. Heads are bounded by the HTTP library, events by their maximum length.

--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -207,16 +207,13 @@
     })
 }
 
-async fn relay(mut request: ActiveRequest) -> Result<Response<ResponseBody>, Error> {
-    if request.route.retry_policy.is_stream() {
-        return relay_stream(request)
-            .await
-            .map_err(|(error, request)| finish_with_error(error, request));
-    }
-    match relay_plain(&mut request).await {
-        Ok(res) => Ok(res),
-        Err(error) => Err(finish_with_error(error, request)),
-    }
+async fn relay(request: ActiveRequest) -> Result<Response<ResponseBody>, Error> {
+    let relayed = if request.route.retry_policy.is_stream() {
+        relay_stream(request).await
+    } else {
+        relay_plain(request).await
+    };
+    relayed.map_err(|(error, request)| finish_with_error(error, request))
 }
 
 fn finish_with_error(error: Error, mut request: ActiveRequest) -> Error {
--- a/components/relay/src/serve/mod.rs
+++ b/components/relay/src/serve/mod.rs
@@ -3,6 +3,7 @@
 mod body;
 mod connections;
 mod exchange;
+mod forwarding;
 mod framing;
 mod handler;
 mod placing;
--- a/components/relay/src/serve/stream_run.rs
+++ b/components/relay/src/serve/stream_run.rs
@@ -7,12 +7,11 @@
 use futures::{StreamExt, stream};
 use http::{Response, header::CONTENT_TYPE, response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use super::{
     body::ResponseBody,
-    connections::Connection,
-    exchange::{EndpointResponse, PlacementGuard},
+    exchange::EndpointResponse,
+    forwarding::{EndpointStream, forward_bytes},
     framing::response_head_for_caller,
     placing::{send_until_answered, try_take_retry},
     run::{ActiveRequest, CALLER_LEFT},
@@ -36,16 +35,6 @@
     splitter: EventSplitter,
 }
 
-/// The stream of one endpoint.
-struct EndpointStream {
-    /// Body of the answer.
-    body: Incoming,
-    /// Connection on which the body arrives.
-    connection: Connection,
-    /// Placement on the endpoint.
-    guard: PlacementGuard,
-}
-
 /// Result of waiting for an endpoint's stream.
 enum StreamInput {
     /// Complete events.
@@ -86,7 +75,7 @@
         request.outcome = "endpoint_failed";
         return Ok(Response::from_parts(
             res_head,
-            ResponseBody::Chunks(relay_bytes(request, source)),
+            ResponseBody::Chunks(forward_bytes(request, Bytes::new(), source)),
         ));
     }
     request.outcome = CALLER_LEFT;
@@ -104,33 +93,6 @@
     head.status.is_success() && content_type.is_some_and(|it| it.starts_with("text/event-stream"))
 }
 
-/// Relays the bytes of an answer that is not an event stream unchanged.
-fn relay_bytes(
-    request: ActiveRequest,
-    source: EndpointStream,
-) -> stream::BoxStream<'static, io::Result<Bytes>> {
-    let until = request.cx.instant(request.deadline);
-    let chunks = stream::unfold(Some((request, source)), move |state| async move {
-        let (request, mut source) = state?;
-        loop {
-            match tokio::time::timeout_at(until, source.body.frame()).await {
-                Err(_) => return Some((Err(io::ErrorKind::TimedOut.into()), None)),
-                Ok(None) => {
-                    request.cx.connections.release(source.connection);
-                    return None;
-                }
-                Ok(Some(Err(error))) => return Some((Err(io::Error::other(error)), None)),
-                Ok(Some(Ok(frame))) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Some((Ok(data), Some((request, source))));
-                    }
-                }
-            }
-        }
-    });
-    chunks.boxed()
-}
-
 impl StreamRelay {
     /// Returns the next events for the caller, resuming the stream if it breaks; `None` at the end
     /// of the stream.
