Log endpoints' versions and the streams that callers take up

'endpoint added', 'endpoint restarted', 'request sent' and 'stream resumed' now have the version; 'caller takes up a stream' names the request that began it, and auburncrank_streams_taken_up_total counts these.

--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -162,7 +162,7 @@
 
     fn write(&mut self, entry: EndpointEntry) {
         let Some(known) = self.endpoints.get_mut(&entry.id) else {
-            log::info!(endpoint:% = entry.id, service:% = entry.service, address:% = entry.address; "endpoint added");
+            log::info!(endpoint:% = entry.id, service:% = entry.service, address:% = entry.address, version:% = entry.version; "endpoint added");
             self.endpoints.insert(entry.id.clone(), Endpoint::new(entry));
             return;
         };
@@ -173,7 +173,7 @@
         }
         let is_restarted = known.entry.started_at_ms < entry.started_at_ms;
         if is_restarted || known.entry.address != entry.address {
-            log::info!(endpoint:% = entry.id, address:% = entry.address; "endpoint restarted");
+            log::info!(endpoint:% = entry.id, address:% = entry.address, version:% = entry.version; "endpoint restarted");
             *known = Endpoint::new(entry);
             return;
         }
--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -88,6 +88,8 @@
     pub address: SocketAddr,
     /// Start time of the endpoint's process, in milliseconds since the Unix epoch.
     pub started_at_ms: u64,
+    /// Version of the endpoint's software.
+    pub version: Arc<str>,
     /// Load of the request, to be subtracted when it ends.
     pub load: Load,
     /// Estimated wait for the requests and prompts ahead of this one, including the time for its
@@ -245,6 +247,7 @@
         endpoint: entry.id.clone(),
         address: entry.address,
         started_at_ms: entry.started_at_ms,
+        version: entry.version.clone(),
         load: chosen.load,
         wait_ms: chosen.wait_ms,
     })
--- a/components/relay/src/model/endpoint_entry.rs
+++ b/components/relay/src/model/endpoint_entry.rs
@@ -19,6 +19,8 @@
     /// Start time of the process, in milliseconds since the Unix epoch; distinguishes two
     /// processes with the same id.
     pub started_at_ms: u64,
+    /// Version of the endpoint's software.
+    pub version: Arc<str>,
     /// Name of the service that the endpoint runs.
     pub service: Arc<str>,
     /// Address for requests.
--- a/components/relay/src/model/request_head.rs
+++ b/components/relay/src/model/request_head.rs
@@ -44,4 +44,6 @@
     pub parts: Vec<PromptPart>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Id of the caller's request that brought the first event of the stream, if it resumes one.
+    pub resumes: Option<Arc<str>>,
 }
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -166,7 +166,7 @@
     };
     let headers = cx.dialect.forward_headers(&request.outgoing.headers, &forwarding);
     let deadline = attempt_deadline(request);
-    log::info!(request:% = request.head.id, endpoint:% = endpoint, wait_ms:% = guard.placement.wait_ms.round(), time_left_ms = millis(request.time_left()); "request sent");
+    log::info!(request:% = request.head.id, endpoint:% = endpoint, version:% = guard.placement.version, wait_ms:% = guard.placement.wait_ms.round(), time_left_ms = millis(request.time_left()); "request sent");
     if request.delivered_attempts == 0 {
         cx.lock_retries().record_request(&request.service, cx.now());
     }
--- a/components/relay/src/serve/stream_run.rs
+++ b/components/relay/src/serve/stream_run.rs
@@ -55,6 +55,10 @@
     mut request: ActiveRequest,
 ) -> Result<Response<ResponseBody>, (Error, ActiveRequest)> {
     let last_event = request.head.last_event;
+    if let Some(last_event) = last_event {
+        metrics::counter!(telemetry::STREAMS_TAKEN_UP_TOTAL).increment(1);
+        log::info!(request:% = request.head.id, resumes = request.head.resumes.as_deref().unwrap_or(""), last_event; "caller takes up a stream");
+    }
     let answer = match send_until_answered(&mut request, last_event).await {
         Ok(answer) => answer,
         Err(error) => return Err((error, request)),
@@ -250,7 +254,7 @@
         if !answer.metadata.is_signed || !is_event_stream(&answer.head) {
             return Err(io::Error::other("the endpoint did not resume the stream"));
         }
-        log::info!(request:% = self.request.head.id, endpoint:% = answer.guard.placement.endpoint, after = last_event.unwrap_or_default(); "stream resumed");
+        log::info!(request:% = self.request.head.id, endpoint:% = answer.guard.placement.endpoint, version:% = answer.guard.placement.version, after = last_event.unwrap_or_default(); "stream resumed");
         self.splitter = EventSplitter::after(last_event);
         let EndpointResponse { body, connection, guard, .. } = answer;
         self.source = Some(EndpointStream { body, connection, guard });
--- a/components/relay/tests/endpoint_beliefs.rs
+++ b/components/relay/tests/endpoint_beliefs.rs
@@ -19,6 +19,7 @@
     EndpointEntry {
         id: id.into(),
         started_at_ms,
+        version: "v1".into(),
         service: "portal".into(),
         address: "10.0.0.1:80".parse().unwrap(),
         failure_domain: "zlin".into(),
--- a/components/relay/tests/load_patterns.rs
+++ b/components/relay/tests/load_patterns.rs
@@ -55,6 +55,7 @@
             let entry = EndpointEntry {
                 id: id.clone(),
                 started_at_ms: 1,
+                version: "v1".into(),
                 service: "model".into(),
                 address: "10.0.0.1:80".parse().unwrap(),
                 failure_domain: ["zlin", "vsetin", "brod"][number % 3].into(),
--- a/components/relay/tests/rate_limits/router.rs
+++ b/components/relay/tests/rate_limits/router.rs
@@ -96,6 +96,7 @@
     EndpointEntry {
         id: id.into(),
         started_at_ms: 1,
+        version: "v1".into(),
         service: "portal".into(),
         address: "10.0.1.1:80".parse().unwrap(),
         failure_domain: "zlin".into(),
--- a/components/relay/tests/suspects.rs
+++ b/components/relay/tests/suspects.rs
@@ -19,6 +19,7 @@
         let entry = EndpointEntry {
             id: format!("i-{number}").into(),
             started_at_ms: 5,
+            version: "v1".into(),
             service: "svc".into(),
             address: format!("127.0.0.1:{}", 1_000 + number).parse().unwrap(),
             failure_domain: "zlin".into(),
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -156,3 +156,6 @@
 /// Gauge of prompt parts and contents that were at crashes of endpoints, by `state`: `suspect` or
 /// `condemned`.
 pub const SUSPECT_CONTENTS: &str = "auburncrank_suspect_contents";
+
+/// Counter of requests by which callers take up streams that broke.
+pub const STREAMS_TAKEN_UP_TOTAL: &str = "auburncrank_streams_taken_up_total";
