--- a/programs/auburncrank-relay/tests/soak/callers.rs
+++ b/programs/auburncrank-relay/tests/soak/callers.rs
@@ -1,6 +1,7 @@
 //! Callers that send one request after another over persistent connections.
 
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -34,6 +35,12 @@
 pub(crate) const EVENTS_PER_STREAM: u64 = 12;
 pub(crate) const TOKENS_PER_EVENT: u64 = 3;
 
+/// One of this many callers of an engine leaves its stream to take it up at another router.
+const LEAVING_CALLER_RATIO: u64 = 3;
+
+/// Number of times that a caller takes up the same stream.
+const TAKE_UPS_MAX: usize = 3;
+
 /// One of this many requests has the crashing part while such requests are sent.
 const CRASHING_REQUEST_RATIO: u32 = 20;
 
@@ -88,6 +95,8 @@
     Answered(u16, String, String),
     /// After the request was sent, the connection ended or the answer timed out.
     Broken,
+    /// The caller closed the connection before the end of the answer.
+    Left,
     /// The connection failed, or ended before the request was sent.
     NotSent,
 }
@@ -102,12 +111,40 @@
     pub(crate) end: RequestEnd,
     /// Number of complete events received.
     pub(crate) events: u64,
+    /// Id of the last event received, including those of earlier requests for the stream.
+    pub(crate) last_event: u64,
+    /// Data of the events received; that of engines is the version of their software.
+    pub(crate) event_data: BTreeSet<String>,
+    /// Id of the request that brought the first event, if this one takes up its stream.
+    pub(crate) resumes: Option<String>,
     /// When the head of an answer arrived that states the endpoint's rate limit.
     pub(crate) limit_stated_at: Option<Instant>,
     /// When the head of an answer arrived that states that the endpoint is leaving.
     pub(crate) leaving_stated_at: Option<Instant>,
 }
 
+impl RequestOutcome {
+    fn read_events(&mut self, text: &str) {
+        let whole = text.rfind("\n\n").map_or("", |at| &text[..at + 2]);
+        self.events = whole.matches("\n\n").count() as u64;
+        let ids = whole.lines().filter_map(|it| it.strip_prefix("id: ")?.parse().ok());
+        self.last_event = ids.max().unwrap_or(self.last_event);
+        let data = whole.lines().filter_map(|it| it.strip_prefix("data: "));
+        self.event_data = data.map(str::to_owned).collect();
+    }
+
+    /// Returns the number of events after which the caller leaves, to take the stream up elsewhere.
+    fn leaves_after(&self, number: u64) -> Option<u64> {
+        let leaves = self.kind == RequestKind::Engine && self.resumes.is_none();
+        (leaves && number.is_multiple_of(LEAVING_CALLER_RATIO)).then_some(1 + number % 5)
+    }
+
+    /// Returns whether the caller got a part of a stream and may take it up.
+    fn is_broken_stream(&self) -> bool {
+        self.last_event > 0 && self.last_event < EVENTS_PER_STREAM
+    }
+}
+
 /// All callers of a run and the outcomes of their requests.
 #[derive(Clone, Default)]
 pub(crate) struct Callers {
@@ -139,7 +176,14 @@
                 if is_crashing && callers.has_crashing.load(Ordering::Relaxed) {
                     kind = RequestKind::Crashing;
                 }
-                callers.call(kind, routers[at], &mut connections[at]).await;
+                let mut outcome = callers.call(kind, routers[at], &mut connections[at]).await;
+                for _ in 0..TAKE_UPS_MAX {
+                    if kind != RequestKind::Engine || !outcome.is_broken_stream() {
+                        break;
+                    }
+                    let at = rng.random_range(0..routers.len());
+                    outcome = callers.take_up(&outcome, routers[at], &mut connections[at]).await;
+                }
                 tokio::time::sleep(Duration::from_millis(rng.random_range(5..60))).await;
             }
         });
@@ -164,6 +208,26 @@
         kind: RequestKind,
         router: SocketAddr,
         connection: &mut Option<SendRequest<Empty<Bytes>>>,
+    ) -> RequestOutcome {
+        self.send(kind, None, router, connection).await
+    }
+
+    /// Takes up a stream that broke.
+    async fn take_up(
+        &self,
+        broken: &RequestOutcome,
+        router: SocketAddr,
+        connection: &mut Option<SendRequest<Empty<Bytes>>>,
+    ) -> RequestOutcome {
+        self.send(broken.kind, Some(broken), router, connection).await
+    }
+
+    async fn send(
+        &self,
+        kind: RequestKind,
+        broken: Option<&RequestOutcome>,
+        router: SocketAddr,
+        connection: &mut Option<SendRequest<Empty<Bytes>>>,
     ) -> RequestOutcome {
         let number = self.next_id.fetch_add(1, Ordering::Relaxed);
         let id = format!("soak-{number}");
@@ -175,6 +239,9 @@
             sent_at,
             end: RequestEnd::NotSent,
             events: 0,
+            last_event: broken.map_or(0, |it| it.last_event),
+            event_data: BTreeSet::new(),
+            resumes: broken.map(|it| it.resumes.clone().unwrap_or_else(|| it.id.clone())),
             limit_stated_at: None,
             leaving_stated_at: None,
         };
@@ -228,6 +295,9 @@
     if outcome.kind.is_for_engines() {
         req = req.header("x-auburncrank-prefix-hash", outcome.kind.prompt_parts(number));
     }
+    if let Some(first) = &outcome.resumes {
+        req = req.header("resumes", first).header("last-event-id", outcome.last_event);
+    }
     let res = match sender.try_send_request(req.body(Empty::new()).unwrap()).await {
         Ok(res) => res,
         Err(mut error) => {
@@ -246,7 +316,10 @@
         let Ok(frame) = frame else { return RequestEnd::Broken };
         if let Ok(data) = frame.into_data() {
             text.push_str(&String::from_utf8_lossy(&data));
-            outcome.events = text.matches("\n\n").count() as u64;
+            outcome.read_events(&text);
+            if outcome.leaves_after(number).is_some_and(|it| outcome.events >= it) {
+                return RequestEnd::Left;
+            }
         }
     }
     let id = header(&head.headers, "x-auburncrank-attempt-id");
--- a/programs/auburncrank-relay/tests/soak/engines.rs
+++ b/programs/auburncrank-relay/tests/soak/engines.rs
@@ -1,7 +1,10 @@
 //! Model engines, some of whose requests have a prompt part that crashes them, and the check that
 //! such requests stop reaching them.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use serde_json::{Value, json};
 use tokio::time::Instant;
@@ -9,12 +12,18 @@
 use crate::{
     callers::{EVENTS_PER_STREAM, RequestEnd, RequestKind, RequestOutcome},
     proxy::Proxy,
-    support::{Behaviour, StandInEndpoint, StandInStore, desired_state, keep_registered},
+    support::{
+        Behaviour, StandInEndpoint, StandInStore, desired_state, endpoint_entry, keep_registered,
+    },
     world::SoakFleet,
 };
 
 pub(crate) const ENGINES: usize = 5;
 
+/// Engines of a newer version that are added, and engines that leave for them.
+pub(crate) const NEW_ENGINES: usize = 3;
+pub(crate) const LEAVING_ENGINES: [usize; 2] = [0, 1];
+
 /// Key of the account whose requests the engines serve; its tokens are not limited.
 pub(crate) const ENGINE_KEY: &str = "key-2";
 
@@ -32,6 +41,12 @@
 const NOTICE: Duration = Duration::from_secs(3);
 const LATE_REQUESTS_MAX: usize = 3;
 
+/// Streams that may hold events of two versions.
+const MIXED_STREAMS_MAX: usize = 2;
+
+/// Number of streams taken up from which the share that goes on is compared with new streams.
+const TAKE_UPS_MIN: usize = 12;
+
 /// Number of sound requests from which their outcomes are compared.
 const SOUND_REQUESTS_MIN: usize = 20;
 
@@ -43,17 +58,30 @@
 
 impl Engines {
     pub(crate) async fn start(store: &StandInStore) -> Engines {
-        let (mut endpoints, mut links) = (Vec::new(), Vec::new());
-        for number in 0..ENGINES {
-            let endpoint = StandInEndpoint::start(Behaviour::Stream(EVENTS_PER_STREAM)).await;
+        let mut engines = Engines { endpoints: Vec::new(), links: Vec::new() };
+        for number in 0..ENGINES + NEW_ENGINES {
+            let endpoint = StandInEndpoint::start(Behaviour::SlowStream(EVENTS_PER_STREAM)).await;
             endpoint.crash_on_part(CRASHING_PART, DOWN_TIME);
+            endpoint.set_version(if number < ENGINES { "v1" } else { "v2" });
             let link = Proxy::start_following(endpoint.address, endpoint.is_up()).await;
-            let id = format!("m-{number}");
-            keep_registered(store, &id, "engines", &endpoint, link.address);
-            endpoints.push(endpoint);
-            links.push(link);
+            engines.endpoints.push(endpoint);
+            engines.links.push(link);
         }
-        Engines { endpoints, links }
+        (0..ENGINES).for_each(|it| engines.register(it, store));
+        engines
+    }
+
+    /// Makes an engine known to the routers.
+    pub(crate) fn register(&self, engine: usize, store: &StandInStore) {
+        let (endpoint, link) = (&self.endpoints[engine], &self.links[engine]);
+        keep_registered(store, &format!("m-{engine}"), "engines", endpoint, link.address);
+    }
+
+    /// Makes an engine say in its entry that it is leaving.
+    pub(crate) fn leave(&self, engine: usize, store: &StandInStore) {
+        let mut entry = endpoint_entry(self.links[engine].address, "draining");
+        entry["service"] = "engines".into();
+        store.write("servers", &format!("m-{engine}"), &entry);
     }
 
     /// Ends an engine for a reason that has nothing to do with its requests.
@@ -82,6 +110,37 @@
     state
 }
 
+/// Checks that no stream holds events of two versions, over all requests of its caller, and that
+/// streams which callers take up go on.
+pub(crate) fn check_versions(fleet: &SoakFleet, outcomes: &[RequestOutcome]) {
+    let mut versions: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for outcome in outcomes.iter().filter(|it| it.kind == RequestKind::Engine) {
+        let stream = outcome.resumes.as_deref().unwrap_or(&outcome.id);
+        versions.entry(stream).or_default().extend(outcome.event_data.iter().map(String::as_str));
+    }
+    let mixed: Vec<_> = versions.iter().filter(|it| it.1.len() > 1).collect();
+    let is_in_touch = |it: &&RequestOutcome| {
+        !fleet.was_disturbed(it.router, it.sent_at - NOTICE, it.sent_at + NOTICE)
+    };
+    let engine_requests: Vec<&RequestOutcome> =
+        outcomes.iter().filter(|it| it.kind == RequestKind::Engine).filter(is_in_touch).collect();
+    let share = |is_taken_up: bool| {
+        let sent = engine_requests.iter().filter(|it| it.resumes.is_some() == is_taken_up);
+        let begun = sent.clone().filter(|it| it.events > 0).count();
+        (begun, sent.count())
+    };
+    let ((new, all_new), (resumed, taken_up)) = (share(false), share(true));
+    println!(
+        "{resumed} of {taken_up} streams taken up went on, {new} of {all_new} new ones began, {} mixed",
+        mixed.len()
+    );
+    assert!(mixed.len() <= MIXED_STREAMS_MAX, "streams of two versions: {mixed:?}");
+    assert!(
+        taken_up < TAKE_UPS_MIN || 2 * resumed * all_new >= taken_up * new,
+        "{resumed} of {taken_up} streams taken up went on, {new} of {all_new} new ones began"
+    );
+}
+
 /// Checks that requests with the crashing part stopped reaching engines, from routers that were
 /// not stopped or suspended shortly before, and that sound requests with the same account and first
 /// part were not refused for it.
--- a/programs/auburncrank-relay/tests/soak/main.rs
+++ b/programs/auburncrank-relay/tests/soak/main.rs
@@ -44,7 +44,7 @@
     fn status(&self) -> Option<u16> {
         match &self.end {
             RequestEnd::Answered(status, ..) => Some(*status),
-            RequestEnd::Broken | RequestEnd::NotSent => None,
+            RequestEnd::Broken | RequestEnd::Left | RequestEnd::NotSent => None,
         }
     }
 
@@ -95,6 +95,7 @@
     }
     statements::check(fleet, &outcomes);
     engines::check(fleet, &outcomes);
+    engines::check_versions(fleet, &outcomes);
     let mut tokens = 0;
     for outcome in &outcomes {
         let runs = runs.get(&outcome.id).copied().unwrap_or(0);
@@ -123,7 +124,7 @@
     match status {
         200 => {
             assert_eq!(id, &outcome.id, "answer to another request: {outcome:?}");
-            assert_eq!(body, &expected_body(outcome.kind), "{outcome:?}");
+            assert_eq!(without_versions(body), expected_body(outcome), "{outcome:?}");
         }
         408 | 421 | 429 | 503 => {
             assert_eq!(runs, 0, "ran despite a status that means not run: {outcome:?}")
@@ -132,11 +133,30 @@
     }
 }
 
-fn expected_body(kind: RequestKind) -> String {
-    match kind {
+/// Returns the body with the number of each event instead of the version that wrote it.
+fn without_versions(body: &str) -> String {
+    let mut last_id = "";
+    let lines = body.lines().map(|line| {
+        last_id = line.strip_prefix("id: ").unwrap_or(last_id);
+        if line == "data: v1" || line == "data: v2" {
+            format!("data: {last_id}\n")
+        } else {
+            format!("{line}\n")
+        }
+    });
+    let text: String = lines.collect();
+    if body.ends_with('\n') { text } else { text.trim_end().to_owned() }
+}
+
+fn expected_body(outcome: &RequestOutcome) -> String {
+    match outcome.kind {
         RequestKind::Get | RequestKind::Order => "ok".to_owned(),
         RequestKind::Stream | RequestKind::Resume | RequestKind::Engine | RequestKind::Crashing => {
-            (1..=callers::EVENTS_PER_STREAM).map(|it| format!("id: {it}\ndata: {it}\n\n")).collect()
+            let first = callers::EVENTS_PER_STREAM + 1 - outcome.events;
+            let events = first..=callers::EVENTS_PER_STREAM;
+            let is_whole = outcome.resumes.is_some() || first == 1;
+            assert!(is_whole, "a new stream begins late: {outcome:?}");
+            events.map(|it| format!("id: {it}\ndata: {it}\n\n")).collect()
         }
     }
 }
--- a/programs/auburncrank-relay/tests/soak/world.rs
+++ b/programs/auburncrank-relay/tests/soak/world.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     callers::{Callers, EVENTS_PER_STREAM, RequestKind},
-    engines::{ENGINES, Engines, desired_state_with_engines},
+    engines::{ENGINES, Engines, LEAVING_ENGINES, NEW_ENGINES, desired_state_with_engines},
     proxy::{LinkFault, Proxy},
     router::{Router, SHUTDOWN_GRACE},
     support::{Behaviour, StandInEndpoint, StandInStore, endpoint_entry, readiness_status},
@@ -22,7 +22,7 @@
 
 const ROUTERS: usize = 3;
 const ENDPOINTS: usize = 6;
-const CALLERS: usize = 8;
+const CALLERS: usize = 14;
 
 /// Prepaid tokens of the client account; few enough to be used up during a run.
 pub(crate) const PREPAID_TOKENS: u64 = 40_000;
@@ -62,6 +62,8 @@
     PauseEndpoints,
     ResumeEndpoints,
     SendCrashing,
+    AddEngine(usize),
+    RemoveEngine(usize),
 }
 
 /// Returns the routers' IP addresses. They differ between seeds and between processes of the
@@ -208,6 +210,14 @@
         self.timed_actions.push((resume, TimedAction::ResumeEndpoints));
         let send_crashing = now + Duration::from_millis(self.rng.random_range(0..1_500));
         self.timed_actions.push((send_crashing, TimedAction::SendCrashing));
+        let mut release_at = now + Duration::from_millis(self.rng.random_range(500..2_000));
+        for number in 0..NEW_ENGINES {
+            self.timed_actions.push((release_at, TimedAction::AddEngine(ENGINES + number)));
+            release_at += Duration::from_millis(self.rng.random_range(200..800));
+            if let Some(leaving) = LEAVING_ENGINES.get(number) {
+                self.timed_actions.push((release_at, TimedAction::RemoveEngine(*leaving)));
+            }
+        }
     }
 
     fn begin_fault(&mut self) {
@@ -221,7 +231,7 @@
             2 => LinkFault::Silent,
             _ => LinkFault::AnswersLost,
         };
-        let engine = self.rng.random_range(0..ENGINES);
+        let engine = self.rng.random_range(0..ENGINES + NEW_ENGINES);
         let name = match self.rng.random_range(0..12) {
             0 if self.routers[router].is_running() => {
                 self.routers[router].kill();
@@ -313,6 +323,8 @@
                 self.endpoint_links[it].set_fault(LinkFault::None)
             }
             TimedAction::ClearEngineLink(it) => self.engines.links[it].set_fault(LinkFault::None),
+            TimedAction::AddEngine(it) => self.engines.register(it, &self.store),
+            TimedAction::RemoveEngine(it) => self.engines.leave(it, &self.store),
             TimedAction::SendCrashing => self.callers.send_crashing(true),
             TimedAction::ClearStoreRefusal => self.store.refuse_all(None),
             TimedAction::RestoreHistory => self.store.set_history_lost(false),
