Let streams go on only at the software version that began them

Cause: the version in the endpoints' entries and the caller's Resumes were read nowhere; a stream went on wherever the next request would have gone. Class: a run is moved between endpoints without asking whether they are interchangeable.

A router now records the version when it places a stream, before it sends the request, and tells three other routers, from different failure domains, so that the record is there before the first event and survives its finder. Callers' requests that take a stream up are looked up here and at up to 16 routers within 150 ms, before tokens are reserved. Without a record a stream goes on only if the service has had a single version for a minute, as far as this router (with its list and the stored history read) and all that answer know; otherwise it is refused as not run. A version without endpoints is refused at once. New streams prefer the newer version while it has most endpoints. serve/continuation.rs is the one place that decides.

--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -20,6 +20,7 @@
     endpoints::EndpointRegistry,
     limits::RetryWindow,
     model::DesiredState,
+    origins::{OriginBook, OriginQueries},
     peers::{GossipSocket, Roster, SelfStatus},
     ports::{ControlSource, Dialect},
     rate::Rate,
@@ -71,6 +72,10 @@
     pub(crate) allowance_changed: Notify,
     /// Notified when an endpoint may have capacity again.
     pub(crate) capacity_freed: Notify,
+    /// Notified when another router has answered where a stream began.
+    pub(crate) origin_answered: Notify,
+    /// Whether the stored history of versions has been read.
+    pub(crate) has_version_history: AtomicBool,
     /// Notified when a verdict has to be stored or removed.
     pub(crate) verdicts_changed: Notify,
     /// Whether the router is shutting down.
@@ -89,6 +94,8 @@
     retries: Mutex<RetryWindow>,
     crash_evidence: Mutex<CrashEvidence>,
     unstored_verdicts: Mutex<HashSet<ContentKey>>,
+    origins: Mutex<OriginBook>,
+    origin_queries: Mutex<OriginQueries>,
     witness_records: Mutex<WitnessRecords>,
     rng: Mutex<Rng>,
 }
@@ -128,6 +135,8 @@
             allowance_wanted: Notify::new(),
             allowance_changed: Notify::new(),
             capacity_freed: Notify::new(),
+            origin_answered: Notify::new(),
+            has_version_history: AtomicBool::new(false),
             verdicts_changed: Notify::new(),
             is_leaving: AtomicBool::new(false),
             running: AtomicUsize::new(0),
@@ -140,6 +149,8 @@
             retries: Mutex::new(RetryWindow::new(settings.retries)),
             crash_evidence: Mutex::default(),
             unstored_verdicts: Mutex::default(),
+            origins: Mutex::default(),
+            origin_queries: Mutex::default(),
             witness_records: Mutex::default(),
             rng: Mutex::new(rng),
             settings,
@@ -247,6 +258,16 @@
         self.unstored_verdicts.lock().expect("the lock is not poisoned")
     }
 
+    /// Locks the records of where streams began.
+    pub(crate) fn lock_origins(&self) -> MutexGuard<'_, OriginBook> {
+        self.origins.lock().expect("the lock is not poisoned")
+    }
+
+    /// Locks the open queries for where streams began.
+    pub(crate) fn lock_origin_queries(&self) -> MutexGuard<'_, OriginQueries> {
+        self.origin_queries.lock().expect("the lock is not poisoned")
+    }
+
     /// Locks the declarations that other routers have made to this one as their witness.
     pub(crate) fn lock_witness_records(&self) -> MutexGuard<'_, WitnessRecords> {
         self.witness_records.lock().expect("the lock is not poisoned")
--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -10,6 +10,7 @@
     load::{Load, LoadShare},
     prompt_split::PromptSplit,
     store_contact::StoreContact,
+    versions::GoneVersions,
 };
 use crate::{model::EndpointEntry, units::millis};
 
@@ -33,6 +34,10 @@
     has_list: bool,
     /// Connectivity to the store that holds the list.
     contact: StoreContact,
+    /// When the list, or its changes, were last read.
+    pub(super) list_read_at: Option<Timestamp>,
+    /// Versions whose endpoints are gone.
+    pub(super) gone_versions: GoneVersions,
     /// Whether an answer has had a malformed statement; only the first one is logged.
     pub(super) has_malformed_statement: bool,
 }
@@ -41,6 +46,9 @@
     /// Records whether the store answered a read of the list.
     pub fn record_store_contact(&mut self, is_answered: bool, now: Timestamp) {
         self.contact.record(is_answered, now);
+        if is_answered {
+            self.list_read_at = Some(now);
+        }
     }
 
     /// Replaces the known list; endpoints that are not in `entries` are treated as removed.
@@ -60,7 +68,7 @@
     /// Applies one change of the list.
     pub fn apply_change(&mut self, change: EndpointChange, now: Timestamp) {
         match change {
-            EndpointChange::Written(entry) => self.write(entry),
+            EndpointChange::Written(entry) => self.write(entry, now),
             EndpointChange::Removed(id) => self.remove(&id, now),
         }
     }
@@ -68,9 +76,12 @@
     /// Removes the endpoints whose entry is still missing at their expiry time.
     pub fn expire(&mut self, now: Timestamp) {
         let is_expired = |it: &Endpoint| it.expires_at.is_some_and(|at| at <= now);
+        let gone_versions = &mut self.gone_versions;
+        gone_versions.expire(now);
         self.endpoints.retain(|id, it| {
             let is_kept = !is_expired(it);
             if !is_kept {
+                gone_versions.record(&it.entry.service, &it.entry.version, now);
                 log::info!(endpoint:% = id, service:% = it.entry.service; "endpoint removed: entry still missing after the store recovered");
             }
             is_kept
@@ -79,8 +90,9 @@
     }
 
     /// Removes an endpoint whose address now belongs to another process.
-    pub fn remove_replaced(&mut self, id: &str) {
-        if self.endpoints.remove(id).is_some() {
+    pub fn remove_replaced(&mut self, id: &str, now: Timestamp) {
+        if let Some(it) = self.endpoints.remove(id) {
+            self.gone_versions.record(&it.entry.service, &it.entry.version, now);
             log::info!(endpoint = id; "endpoint removed: its address belongs to another process");
         }
     }
@@ -160,7 +172,7 @@
         self.has_list
     }
 
-    fn write(&mut self, entry: EndpointEntry) {
+    fn write(&mut self, entry: EndpointEntry, now: Timestamp) {
         let Some(known) = self.endpoints.get_mut(&entry.id) else {
             log::info!(endpoint:% = entry.id, service:% = entry.service, address:% = entry.address, version:% = entry.version; "endpoint added");
             self.endpoints.insert(entry.id.clone(), Endpoint::new(entry));
@@ -172,6 +184,9 @@
             return;
         }
         let is_restarted = known.entry.started_at_ms < entry.started_at_ms;
+        if known.entry.version != entry.version {
+            self.gone_versions.record(&known.entry.service, &known.entry.version, now);
+        }
         if is_restarted || known.entry.address != entry.address {
             log::info!(endpoint:% = entry.id, address:% = entry.address, version:% = entry.version; "endpoint restarted");
             *known = Endpoint::new(entry);
@@ -192,6 +207,7 @@
             return;
         }
         log::info!(endpoint:% = id, service:% = endpoint.entry.service; "endpoint removed: entry deleted");
+        self.gone_versions.record(&endpoint.entry.service, &endpoint.entry.version, now);
         self.endpoints.remove(id);
     }
 }
--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -39,6 +39,10 @@
 /// there, and the part evicts another one from the cache.
 const SHARED_TOKEN_COST_MS: f64 = 0.15;
 
+/// Cost of an endpoint of a version that is being replaced for a new stream, in milliseconds of
+/// delay: streams that began at that version can go on only there.
+const REPLACED_VERSION_COST_MS: f64 = 60.0;
+
 /// Share of an engine's memory up to which requests are placed on it, from 0 to 1.
 const MEMORY_SHARE: f64 = 0.92;
 
@@ -57,12 +61,16 @@
     pub tokens: Option<TokenDemand>,
     /// Parts of the prompt, in order; the last one belongs to this request alone.
     pub parts: &'a [PromptPart],
+    /// Whether the answer is a stream.
+    pub is_stream: bool,
     /// Ids of endpoints that failed the request; they are chosen only as a last resort.
     pub failed_endpoints: &'a [Arc<str>],
     /// Failure domain of this router.
     pub failure_domain: &'a str,
     /// Number of routers in the fleet that are or may be alive, including this one.
     pub routers: usize,
+    /// Version of the endpoints' software at which the request must run, if it goes on with a stream.
+    pub version: Option<&'a Arc<str>>,
     /// What the request contains that may crash endpoints; `None` if nothing is known against it.
     pub suspect: Option<Suspect>,
     /// Share of an endpoint's capacity that requests of this priority may fill, from 0 to 1.
@@ -109,6 +117,8 @@
     Limited(LimitedWait),
     /// No endpoint of the service accepts requests.
     NoEndpoint,
+    /// No endpoint of the version that the request needs accepts requests.
+    NoVersion,
 }
 
 /// When a request that was held back by stated rate limits or pauses can be placed.
@@ -173,6 +183,21 @@
         if serving.is_empty() {
             return Choice::NoEndpoint;
         }
+        let newest = newest_version(&serving);
+        let replaced_cost_ms = |it: &Endpoint| {
+            let is_new_stream = request.is_stream && request.version.is_none();
+            let is_replaced = newest.is_some_and(|newest| *newest != it.entry.version);
+            if is_new_stream && is_replaced { REPLACED_VERSION_COST_MS } else { 0.0 }
+        };
+        let serving: Vec<&Endpoint> = match request.version {
+            Some(version) => {
+                serving.into_iter().filter(|it| it.entry.version == *version).collect()
+            }
+            None => serving,
+        };
+        if serving.is_empty() {
+            return Choice::NoVersion;
+        }
         let ids = ids_for_caching(&serving);
         let long_ids = self
             .splits
@@ -195,7 +220,7 @@
             .iter()
             .filter_map(|it| {
                 let mut candidate = evaluate(it, request, &cache_owners, now)?;
-                candidate.cost_ms += mixing_cost_ms(it);
+                candidate.cost_ms += mixing_cost_ms(it) + replaced_cost_ms(it);
                 Some(candidate)
             })
             .collect();
@@ -253,6 +278,14 @@
     })
 }
 
+/// Returns the version of the endpoint that started last, if most endpoints have it: the others are
+/// being replaced. `None` if there is no such version.
+fn newest_version<'a>(serving: &[&'a Endpoint]) -> Option<&'a Arc<str>> {
+    let newest = &serving.iter().max_by_key(|it| it.entry.started_at_ms)?.entry.version;
+    let count = serving.iter().filter(|it| it.entry.version == *newest).count();
+    (count * 2 > serving.len() && count < serving.len()).then_some(newest)
+}
+
 /// Returns the ids of the endpoints among which prompts are distributed by their parts and lengths:
 /// those that state no rate limit, or all if each states one.
 fn ids_for_caching<'a>(serving: &[&'a Endpoint]) -> Vec<&'a Arc<str>> {
--- a/components/relay/src/endpoints/mod.rs
+++ b/components/relay/src/endpoints/mod.rs
@@ -11,6 +11,7 @@
 mod rate_limit;
 mod statements;
 mod store_contact;
+mod versions;
 
 pub use self::{
     book::{EndpointChange, EndpointRegistry},
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -3,13 +3,14 @@
 //!
 //! The crate depends on no wire format other than HTTP: [`Dialect`] and [`ControlSource`] are
 //! implemented elsewhere. The modules that make decisions ([`allowance`], [`endpoints`],
-//! [`limits`], [`stream`]) contain no network code; the time and random numbers are passed in.
+//! [`limits`], [`origins`], [`stream`]) contain no network code; the time and random numbers are passed in.
 
 pub mod allowance;
 mod context;
 pub mod endpoints;
 pub mod limits;
 pub mod model;
+pub mod origins;
 pub mod peers;
 mod ports;
 mod process;
--- /dev/null
+++ b/components/relay/src/origins/mod.rs
@@ -0,0 +1,12 @@
+//! Where streams began: which version of the endpoints' software wrote their first event. A stream may
+//! only go on at that version, also if its caller takes it up at another router.
+
+mod decision;
+mod origin_book;
+mod queries;
+
+pub use self::{
+    decision::{TakeUp, VersionView, decide_take_up},
+    origin_book::{Origin, OriginBook, OriginRecord, StreamKey},
+    queries::{OriginAnswer, OriginQueries, QueryResult},
+};
--- /dev/null
+++ b/components/relay/src/origins/queries.rs
@@ -0,0 +1,80 @@
+//! Queries to other routers for where a stream began.
+
+use std::sync::Arc;
+
+use utils::HashMap;
+
+use super::{Origin, VersionView};
+
+/// Another router's answer to a query.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OriginAnswer {
+    /// Where the stream began, if the router has a record.
+    pub origin: Option<Origin>,
+    /// What the router knows about the versions of the service.
+    pub view: VersionView,
+}
+
+/// What the answers to a query say so far.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct QueryResult {
+    /// Where the stream began, if a router has a record.
+    pub origin: Option<Origin>,
+    /// Versions that any of the routers has seen.
+    pub versions: Vec<Arc<str>>,
+    /// Number of routers that answered and know all versions of the service.
+    pub complete: usize,
+    /// Number of routers that were asked.
+    pub asked: usize,
+    /// Number of routers that have answered.
+    pub answered: usize,
+}
+
+impl QueryResult {
+    /// Reports whether further answers cannot change the result.
+    pub fn is_final(&self) -> bool {
+        self.origin.is_some() || self.answered >= self.asked
+    }
+
+    /// Adds versions, each once.
+    pub fn add_versions(&mut self, versions: &[Arc<str>]) {
+        for version in versions {
+            if !self.versions.contains(version) {
+                self.versions.push(version.clone());
+            }
+        }
+    }
+}
+
+/// Queries of this router that are not finished.
+#[derive(Debug, Default)]
+pub struct OriginQueries {
+    /// Results by the random number of the query.
+    open: HashMap<u64, QueryResult>,
+}
+
+impl OriginQueries {
+    /// Opens a query to `asked` routers.
+    pub fn open(&mut self, number: u64, asked: usize) {
+        self.open.insert(number, QueryResult { asked, ..QueryResult::default() });
+    }
+
+    /// Adds an answer. Answers to finished queries are ignored.
+    pub fn add_answer(&mut self, number: u64, answer: OriginAnswer) {
+        let Some(result) = self.open.get_mut(&number) else { return };
+        result.answered += 1;
+        result.add_versions(&answer.view.versions);
+        result.complete += usize::from(answer.view.is_complete);
+        result.origin = result.origin.take().or(answer.origin);
+    }
+
+    /// Reports whether a query has its final result.
+    pub fn is_final(&self, number: u64) -> bool {
+        self.open.get(&number).is_none_or(QueryResult::is_final)
+    }
+
+    /// Closes a query and returns what the answers said.
+    pub fn close(&mut self, number: u64) -> QueryResult {
+        self.open.remove(&number).unwrap_or_default()
+    }
+}
--- a/components/relay/src/peers/evidence.rs
+++ b/components/relay/src/peers/evidence.rs
@@ -1,9 +1,8 @@
 //! Exchanges evidence on what crashes endpoints, and acts on changes of verdicts.
 
 use routing::{ContentKey, VerdictChange};
-use utils::stable_hash;
 
-use super::EvidenceMessage;
+use super::{EvidenceMessage, ranking::is_first_in_rank};
 use crate::context::RelayContext;
 
 /// Logs changes of verdicts. `is_own` tells whether this router's own requests brought them about;
@@ -27,9 +26,7 @@
 /// Reports whether this router is the one among the live ones that runs trials of a verdict and
 /// stores it if the router that found it cannot.
 pub(crate) fn is_responsible(cx: &RelayContext, key: ContentKey) -> bool {
-    let rank = |router: &str| stable_hash(&[&key.0.to_le_bytes(), router.as_bytes()]);
-    let own = rank(&cx.settings.name);
-    cx.lock_roster().live_processes(cx.now()).iter().all(|it| rank(&it.router) < own)
+    is_first_in_rank(cx, key.0)
 }
 
 /// Applies another router's evidence. Returns whether a verdict changed.
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -16,7 +16,7 @@
     RouterLoad, StatementMessage, StatusMessage,
     evidence::{apply_evidence, expire_evidence},
     holders::update_holders,
-    lending,
+    lending, origins,
     statements::{apply_reports, update_rate_shares},
     witnessing,
 };
@@ -180,6 +180,7 @@
         cx.gossip.lock_loans().expire(now);
         cx.lock_roster().expire(now);
         cx.lock_endpoints().expire(now);
+        cx.lock_origins().expire(now);
         expire_evidence(cx);
     }
 }
@@ -229,6 +230,18 @@
                 witnessing::handle_reply(cx, &it);
                 true
             }
+            Some(PeerContent::Origin(it)) => {
+                origins::store_origin(cx, &it);
+                true
+            }
+            Some(PeerContent::OriginQuery(it)) => {
+                origins::answer_query(cx, &it, sender).await;
+                true
+            }
+            Some(PeerContent::OriginReply(it)) => {
+                origins::handle_reply(cx, &it);
+                true
+            }
             None => false,
         };
         if !is_valid {
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -4,7 +4,10 @@
 
 use prost::{Message, Oneof};
 
-use super::{EvidenceMessage, LivenessReport, StatementMessage};
+use super::{
+    EvidenceMessage, LivenessReport, OriginMessage, OriginQueryMessage, OriginReplyMessage,
+    StatementMessage,
+};
 use crate::{
     allowance::{RouterProcess, WitnessDeclaration, WitnessStatement},
     endpoints::{Load, LoadShare},
@@ -14,7 +17,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerMessage {
     /// The message; `None` if its kind is unknown or missing.
-    #[prost(oneof = "PeerContent", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "PeerContent", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub content: Option<PeerContent>,
 }
 
@@ -46,6 +49,15 @@
     /// The sender returns borrowed tokens.
     #[prost(message, tag = "8")]
     LoanReturn(LoanMessage),
+    /// The sender asks the receiver to keep where a stream began.
+    #[prost(message, tag = "9")]
+    Origin(OriginMessage),
+    /// The sender asks where a stream began.
+    #[prost(message, tag = "10")]
+    OriginQuery(OriginQueryMessage),
+    /// The answer to such a query.
+    #[prost(message, tag = "11")]
+    OriginReply(OriginReplyMessage),
 }
 
 /// A declaration to a witness, a query for one, or the answer to either.
--- a/components/relay/src/peers/mod.rs
+++ b/components/relay/src/peers/mod.rs
@@ -9,6 +9,9 @@
 mod lending;
 mod loans;
 mod message;
+mod origin_message;
+mod origins;
+mod ranking;
 mod roster;
 mod statement_message;
 mod statements;
@@ -22,6 +25,8 @@
         DeclarationMessage, LivenessMessage, LoadMessage, LoanMessage, PeerContent, PeerMessage,
         StatusMessage,
     },
+    origin_message::{OriginMessage, OriginQueryMessage, OriginReplyMessage},
+    origins::holders_of,
     roster::{LivenessReport, Member, Roster, SelfStatus, process_key},
     statement_message::{RateMessage, StatementMessage},
 };
@@ -30,5 +35,7 @@
     gossip::{GossipSocket, run_gossip},
     holders::update_holders,
     lending::{ask_lender, serve_deferred_loans},
+    origins::{announce_origin, find_origin, own_view},
+    ranking::{is_first_in_rank, own_rank_key},
     statements::update_rate_shares,
 };
--- /dev/null
+++ b/components/relay/src/peers/origins.rs
@@ -0,0 +1,140 @@
+//! Tells other routers where streams began, and asks them.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use rand::Rng as _;
+use tokio::time::Instant;
+use utils::{HashSet, stable_hash};
+
+use super::{
+    Member, OriginMessage, OriginQueryMessage, OriginReplyMessage, PeerContent, gossip::encode,
+};
+use crate::{
+    context::RelayContext,
+    origins::{OriginAnswer, OriginRecord, QueryResult, StreamKey, VersionView},
+};
+
+/// Number of routers that keep the record of a stream, besides the one that began it.
+const HOLDERS: usize = 3;
+
+/// Maximum number of routers that are asked for a record; in larger fleets those that rank highest.
+const ASKED_MAX: usize = 16;
+
+/// Time that the answers to a query may take, and after which it is sent once more.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+const REPEAT_AFTER: Duration = Duration::from_millis(40);
+
+/// Returns the routers by their rank for a stream, the highest first; the same on all routers that
+/// know the same ones.
+fn rank<'a>(key: StreamKey, members: impl Iterator<Item = &'a Member>) -> Vec<&'a Member> {
+    let rank = |it: &Member| stable_hash(&[&key.0.to_le_bytes(), it.name.as_bytes()]);
+    let mut ranked: Vec<(u64, &Member)> = members.map(|it| (rank(it), it)).collect();
+    ranked.sort_unstable_by_key(|it| std::cmp::Reverse(it.0));
+    ranked.into_iter().map(|it| it.1).collect()
+}
+
+/// Returns the routers that keep the record of a stream: the highest in rank, from different failure
+/// domains as far as there are enough.
+pub fn holders_of(key: StreamKey, members: &[&Member]) -> Vec<SocketAddr> {
+    let ranked = rank(key, members.iter().copied());
+    let mut domains: HashSet<&str> = HashSet::default();
+    let (first, rest): (Vec<&Member>, Vec<&Member>) =
+        ranked.into_iter().partition(|it| domains.insert(&it.failure_domain));
+    first.into_iter().chain(rest).take(HOLDERS).map(|it| it.peer_address).collect()
+}
+
+/// Records where a stream is about to begin, here and at other routers.
+pub(crate) async fn announce_origin(cx: &RelayContext, record: &OriginRecord) {
+    let now = cx.now();
+    cx.lock_origins().record(record, now);
+    let holders = {
+        let roster = cx.lock_roster();
+        let live: Vec<&Member> = roster.members(now).filter(|it| it.1).map(|it| it.0).collect();
+        holders_of(record.key, &live)
+    };
+    let datagram = encode(PeerContent::Origin(OriginMessage::from_record(record)));
+    for holder in holders {
+        cx.gossip.send(&datagram, holder).await;
+    }
+}
+
+/// Returns what is known about where a stream began. `key` is `None` if the caller does not say which
+/// stream it takes up. Other routers are asked unless this one can answer alone.
+pub(crate) async fn find_origin(
+    cx: &RelayContext,
+    key: Option<StreamKey>,
+    service: &Arc<str>,
+) -> QueryResult {
+    let now = cx.now();
+    let own = key.and_then(|it| cx.lock_origins().get(it, now));
+    if own.is_some() {
+        return QueryResult { origin: own, ..QueryResult::default() };
+    }
+    if key.is_none() && own_view(cx, service).is_complete {
+        return QueryResult::default();
+    }
+    ask_routers(cx, key.unwrap_or(StreamKey(0)), service).await
+}
+
+async fn ask_routers(cx: &RelayContext, key: StreamKey, service: &Arc<str>) -> QueryResult {
+    let asked: Vec<SocketAddr> = {
+        let roster = cx.lock_roster();
+        let ranked = rank(key, roster.members(cx.now()).map(|it| it.0));
+        ranked.into_iter().take(ASKED_MAX).map(|it| it.peer_address).collect()
+    };
+    let number = cx.lock_rng().random();
+    let query = OriginQueryMessage { number, key: key.0, service: service.to_string() };
+    let datagram = encode(PeerContent::OriginQuery(query));
+    cx.lock_origin_queries().open(number, asked.len());
+    let started = Instant::now();
+    for until in [started + REPEAT_AFTER, started + ANSWER_TIMEOUT] {
+        for address in &asked {
+            cx.gossip.send(&datagram, *address).await;
+        }
+        loop {
+            let answered = cx.origin_answered.notified();
+            if cx.lock_origin_queries().is_final(number) {
+                return cx.lock_origin_queries().close(number);
+            }
+            if tokio::time::timeout_at(until, answered).await.is_err() {
+                break;
+            }
+        }
+    }
+    cx.lock_origin_queries().close(number)
+}
+
+/// Returns what this router knows about the versions of a service.
+pub(crate) fn own_view(cx: &RelayContext, service: &str) -> VersionView {
+    let has_history = cx.has_version_history.load(Ordering::Relaxed);
+    cx.lock_endpoints().version_view(service, has_history, cx.now())
+}
+
+/// Keeps the record of another router's stream.
+pub(super) fn store_origin(cx: &RelayContext, message: &OriginMessage) {
+    let now = cx.now();
+    cx.lock_origins().record(&message.to_record(), now);
+}
+
+/// Answers another router's query.
+pub(super) async fn answer_query(
+    cx: &RelayContext,
+    query: &OriginQueryMessage,
+    sender: SocketAddr,
+) {
+    let now = cx.now();
+    let origin = cx.lock_origins().get(StreamKey(query.key), now);
+    let answer = OriginAnswer { origin, view: own_view(cx, &query.service) };
+    let reply = OriginReplyMessage::new(query, &answer);
+    cx.gossip.send(&encode(PeerContent::OriginReply(reply)), sender).await;
+}
+
+/// Handles the answer to a query of this router.
+pub(super) fn handle_reply(cx: &RelayContext, reply: &OriginReplyMessage) {
+    cx.lock_origin_queries().add_answer(reply.number, reply.to_answer());
+    cx.origin_answered.notify_waiters();
+}
--- a/components/relay/src/peers/roster.rs
+++ b/components/relay/src/peers/roster.rs
@@ -247,6 +247,11 @@
         usable.map(|it| &it.member).filter(|it| it.is_ready).collect()
     }
 
+    /// Returns all known routers, and whether each is alive.
+    pub fn members(&self, now: Timestamp) -> impl Iterator<Item = (&Member, bool)> {
+        self.entries.values().map(move |it| (&it.member, it.is_live(now)))
+    }
+
     /// Returns the number of known routers, this one included. Unreachable ones count until they
     /// are removed.
     pub fn count(&self) -> usize {
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -16,7 +16,7 @@
     sockets::RelaySockets,
     sync::{
         remove_member_row, return_allowances, run_allowances, run_member_rows, run_verdict_rows,
-        watch_config, watch_endpoints,
+        run_version_rows, watch_config, watch_endpoints,
     },
     units::millis,
 };
@@ -67,6 +67,7 @@
         tokio::spawn(run_member_rows(cx.clone()));
         tokio::spawn(run_gossip(cx.clone()));
         tokio::spawn(run_verdict_rows(cx.clone()));
+        tokio::spawn(run_version_rows(cx.clone()));
         tokio::spawn(prune_connections(cx.clone()));
         let allowances = tokio::spawn(run_allowances(cx.clone()));
         let callers = tokio::spawn(serve_callers(cx.clone(), callers, stopped));
--- /dev/null
+++ b/components/relay/src/serve/continuation.rs
@@ -0,0 +1,90 @@
+//! Keeps streams at the software version that began them. This is the only place that decides at
+//! which version a request goes on; whatever moves a run between endpoints asks it.
+
+use std::{sync::Arc, time::Duration};
+
+use errors::{Error, ErrorKind};
+
+use super::{placing::retryable_error, run::ActiveRequest};
+use crate::{
+    endpoints::Placement,
+    model::RetryPolicy,
+    origins::{Origin, OriginRecord, StreamKey, TakeUp, decide_take_up},
+    peers::{announce_origin, find_origin, own_view},
+};
+
+/// Mean retry delay returned to callers if routers that may know where a stream began did not answer.
+const UNKNOWN_RETRY_DELAY: Duration = Duration::from_millis(600);
+
+fn stream_key(request: &ActiveRequest, id: &str) -> StreamKey {
+    StreamKey::new(request.account.as_ref().map_or("", |it| &it.name), id)
+}
+
+/// Finds the version at which a stream that the caller takes up may go on.
+///
+/// # Errors
+/// Returns an error if that is not known.
+pub(super) async fn prepare_take_up(request: &mut ActiveRequest) -> Result<(), Error> {
+    let Some(last_event) = request.head.last_event else { return Ok(()) };
+    if request.route.retry_policy != RetryPolicy::ResumableStream {
+        return Ok(());
+    }
+    metrics::counter!(telemetry::STREAMS_TAKEN_UP_TOTAL).increment(1);
+    let (cx, service) = (request.cx.clone(), request.service.clone());
+    let key = request.head.resumes.as_deref().map(|id| stream_key(request, id));
+    let answers = find_origin(&cx, key, &service).await;
+    let view = own_view(&cx, &service);
+    let take_up = decide_take_up(&service, &view, &answers);
+    let resumes = request.head.resumes.as_deref().unwrap_or("");
+    log::info!(request:% = request.head.id, resumes, last_event, asked = answers.asked, answered = answers.answered, versions:? = view.versions, decision:? = take_up; "caller takes up a stream");
+    match take_up {
+        TakeUp::At(origin) => {
+            request.service = origin.service.clone();
+            request.origin = Some(origin);
+            Ok(())
+        }
+        TakeUp::Unknown => {
+            metrics::counter!(telemetry::STREAMS_NOT_TAKEN_UP_TOTAL, "reason" => "unknown")
+                .increment(1);
+            let message = "it is not known which version of the endpoints began the stream";
+            // Routers that did not answer now may answer later.
+            let delay =
+                if answers.answered < answers.asked { UNKNOWN_RETRY_DELAY } else { Duration::ZERO };
+            Err(retryable_error(request, ErrorKind::NoEndpoint, message, delay))
+        }
+    }
+}
+
+/// Returns the version at which the request has to run: that of the stream that it goes on with.
+/// A stream without an event has not begun and may run at any version.
+pub(super) fn required_version(request: &ActiveRequest) -> Option<&Arc<str>> {
+    let goes_on = request.events > 0 || request.head.last_event.is_some();
+    request.origin.as_ref().filter(|_| goes_on).map(|it| &it.version)
+}
+
+/// Records at which version the stream begins if the next attempt brings its first event. Other
+/// routers know it before the caller gets that event.
+pub(super) async fn record_origin(request: &mut ActiveRequest, placement: &Placement) {
+    let is_resumable = request.route.retry_policy == RetryPolicy::ResumableStream;
+    if !is_resumable || request.events > 0 || request.head.last_event.is_some() {
+        return;
+    }
+    let (service, version) = (request.service.clone(), placement.version.clone());
+    let origin = Origin { service, version };
+    if request.origin.as_ref() == Some(&origin) {
+        return;
+    }
+    request.origin = Some(origin.clone());
+    let key = stream_key(request, &request.head.id);
+    let record = OriginRecord { key, attempt: request.origin_records, origin };
+    request.origin_records += 1;
+    announce_origin(&request.cx, &record).await;
+}
+
+/// Returns the error of a request that goes on with a stream whose version has no endpoint left.
+pub(super) fn no_version_error(request: &ActiveRequest) -> Error {
+    metrics::counter!(telemetry::STREAMS_NOT_TAKEN_UP_TOTAL, "reason" => "no_endpoint")
+        .increment(1);
+    let message = "no endpoint of the version that began the stream is available";
+    retryable_error(request, ErrorKind::NoEndpoint, message, Duration::ZERO)
+}
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -16,6 +16,7 @@
 
 use super::{
     body::ResponseBody,
+    continuation::prepare_take_up,
     exchange::OutgoingRequest,
     framing::{check_framing, head_bytes},
     plain::relay_plain,
@@ -98,6 +99,9 @@
     if let Err(error) = admit_content(&mut request) {
         return Err(finish_with_error(error, request));
     }
+    if let Err(error) = prepare_take_up(&mut request).await {
+        return Err(finish_with_error(error, request));
+    }
     match reserve_tokens(&request).await {
         Ok(reservation) => request.reservation = reservation,
         Err(error) => return Err(finish_with_error(error, request)),
@@ -198,6 +202,8 @@
         failed_endpoints: Vec::new(),
         events: 0,
         attempt_events: 0,
+        origin: None,
+        origin_records: 0,
         is_trial: false,
         fingerprint: OnceLock::new(),
         first_event_at: None,
--- a/components/relay/src/serve/mod.rs
+++ b/components/relay/src/serve/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod connections;
+mod continuation;
 mod exchange;
 mod forwarding;
 mod framing;
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -7,6 +7,7 @@
 use utils::jitter;
 
 use super::{
+    continuation::{no_version_error, record_origin, required_version},
     exchange::{
         self, AttemptFailure, EndpointResponse, FailedAttempt, OutgoingRequest, PlacementGuard,
     },
@@ -71,6 +72,7 @@
                 let message = "no endpoint of the service is available";
                 return Err(retryable_error(request, ErrorKind::NoEndpoint, message, RETRY_DELAY));
             }
+            Choice::NoVersion => return Err(no_version_error(request)),
             Choice::Full => {}
             Choice::Limited(limited) => {
                 let is_in_time = limited.next_at.is_some_and(|it| it <= wait_until);
@@ -111,6 +113,8 @@
         failed_endpoints: &request.failed_endpoints,
         failure_domain: &request.cx.settings.failure_domain,
         routers,
+        version: required_version(request),
+        is_stream: request.route.retry_policy.is_stream(),
         suspect: suspect_of(request),
         fill_share,
     };
@@ -134,6 +138,7 @@
         }
         let guard = find_placement(request).await?;
         check_before_sending(request)?;
+        record_origin(request, &guard.placement).await;
         let failure = match send_attempt(request, guard, last_event).await {
             Ok(answer) => return Ok(answer),
             Err(failure) => failure,
@@ -224,7 +229,7 @@
         }
         // Says nothing about the endpoint's health: this router has used up its connections to it.
         AttemptFailure::NoConnection => {}
-        AttemptFailure::Misdirected => cx.lock_endpoints().remove_replaced(&endpoint),
+        AttemptFailure::Misdirected => cx.lock_endpoints().remove_replaced(&endpoint, now),
         AttemptFailure::TimedOut => {
             request.attempts += 1;
             cx.lock_endpoints().record_outcome(&endpoint, true, now);
--- a/components/relay/src/serve/run.rs
+++ b/components/relay/src/serve/run.rs
@@ -13,6 +13,7 @@
     allowance::Reservation,
     context::{InForce, RelayContext},
     model::{Account, RequestHead, Route},
+    origins::Origin,
     units::millis,
 };
 
@@ -56,6 +57,10 @@
     pub(super) events: u64,
     /// Number of events of the latest attempt.
     pub(super) attempt_events: u64,
+    /// Where the stream began, or begins if the current attempt brings its first event.
+    pub(super) origin: Option<Origin>,
+    /// Number of times that an origin was recorded.
+    pub(super) origin_records: u32,
     /// Whether the request may be sent once although it contains something condemned, to test the
     /// verdict.
     pub(super) is_trial: bool,
--- a/components/relay/src/serve/stream_run.rs
+++ b/components/relay/src/serve/stream_run.rs
@@ -55,10 +55,6 @@
     mut request: ActiveRequest,
 ) -> Result<Response<ResponseBody>, (Error, ActiveRequest)> {
     let last_event = request.head.last_event;
-    if let Some(last_event) = last_event {
-        metrics::counter!(telemetry::STREAMS_TAKEN_UP_TOTAL).increment(1);
-        log::info!(request:% = request.head.id, resumes = request.head.resumes.as_deref().unwrap_or(""), last_event; "caller takes up a stream");
-    }
     let answer = match send_until_answered(&mut request, last_event).await {
         Ok(answer) => answer,
         Err(error) => return Err((error, request)),
--- a/components/relay/src/sync/mod.rs
+++ b/components/relay/src/sync/mod.rs
@@ -6,6 +6,7 @@
 mod endpoint_watch;
 mod member_rows;
 mod verdict_rows;
+mod version_rows;
 
 pub(crate) use self::{
     allowance_task::{return_allowances, run_allowances},
@@ -13,4 +14,5 @@
     endpoint_watch::watch_endpoints,
     member_rows::{remove_member_row, run_member_rows},
     verdict_rows::run_verdict_rows,
+    version_rows::run_version_rows,
 };
--- a/components/relay/tests/endpoint_beliefs.rs
+++ b/components/relay/tests/endpoint_beliefs.rs
@@ -46,6 +46,8 @@
         failed_endpoints: &[],
         failure_domain: "zlin",
         routers: 1,
+        version: None,
+        is_stream: false,
         suspect: None,
         fill_share: 1.0,
     };
--- a/components/relay/tests/load_patterns.rs
+++ b/components/relay/tests/load_patterns.rs
@@ -98,6 +98,8 @@
             failed_endpoints: &[],
             failure_domain: "zlin",
             routers: 1,
+            version: None,
+            is_stream: false,
             suspect: None,
             fill_share: 1.0,
         };
--- /dev/null
+++ b/components/relay/tests/origins.rs
@@ -0,0 +1,181 @@
+//! Records of where streams began, and decisions on where they go on.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+use std::{sync::Arc, time::Duration};
+
+use relay::{
+    endpoints::{Choice, EndpointChange, EndpointRegistry, PlacementRequest},
+    model::{EndpointEntry, EndpointPhase},
+    origins::{
+        Origin, OriginAnswer, OriginBook, OriginQueries, OriginRecord, QueryResult, StreamKey,
+        TakeUp, VersionView, decide_take_up,
+    },
+    peers::{Member, holders_of},
+};
+use types::Timestamp;
+use utils::seeded_rng;
+
+fn origin(version: &str) -> Origin {
+    Origin { service: "svc".into(), version: version.into() }
+}
+
+fn view(versions: &[&str], is_complete: bool) -> VersionView {
+    VersionView { versions: versions.iter().map(|it| Arc::from(*it)).collect(), is_complete }
+}
+
+fn member(number: usize, domain: usize) -> Member {
+    let address = |port: usize| format!("127.0.0.1:{}", port + number).parse().unwrap();
+    Member {
+        name: format!("router-{number}").into(),
+        process: 1,
+        caller_address: address(10_000),
+        peer_address: address(20_000),
+        failure_domain: format!("domain-{domain}").into(),
+        is_ready: true,
+        config_version: 1,
+        processor_millis: 250,
+        arrivals_per_s: 0,
+    }
+}
+
+/// Guards against going on at a version that is only assumed: by a router that has just started, has
+/// no contact to the store, or has heard of another version.
+#[test]
+fn stream_of_unknown_origin_goes_on_only_if_a_single_version_is_known_for_certain() {
+    let service: Arc<str> = "svc".into();
+    let nothing = QueryResult::default();
+    let answer = |versions: &[&str], is_complete: bool| {
+        let mut queries = OriginQueries::default();
+        queries.open(1, 1);
+        queries.add_answer(1, OriginAnswer { origin: None, view: view(versions, is_complete) });
+        queries.close(1)
+    };
+    let at_v1 = TakeUp::At(origin("v1"));
+    let decide = |own: &VersionView, answers: &QueryResult| decide_take_up(&service, own, answers);
+    assert_eq!(decide(&view(&["v1"], true), &nothing), at_v1);
+    assert_eq!(decide(&view(&["v1"], false), &nothing), TakeUp::Unknown);
+    assert_eq!(decide(&view(&["v1"], false), &answer(&["v1"], true)), at_v1);
+    assert_eq!(decide(&view(&["v1"], true), &answer(&["v2"], false)), TakeUp::Unknown);
+    assert_eq!(decide(&view(&["v1", "v2"], true), &nothing), TakeUp::Unknown);
+    assert_eq!(decide(&view(&[], true), &nothing), TakeUp::Unknown);
+    let known = QueryResult { origin: Some(origin("v2")), ..QueryResult::default() };
+    assert_eq!(decide(&view(&["v1"], true), &known), TakeUp::At(origin("v2")));
+}
+
+/// Guards against a record of an attempt without an event that hides the one that began the stream.
+#[test]
+fn record_of_a_later_attempt_replaces_that_of_an_earlier_one_in_any_order() {
+    let key = StreamKey::new("school", "r1");
+    let record = |attempt, version| OriginRecord { key, attempt, origin: origin(version) };
+    for order in [[0, 1], [1, 0]] {
+        let mut book = OriginBook::default();
+        for attempt in order {
+            book.record(&record(attempt, ["v1", "v2"][attempt as usize]), Timestamp::ZERO);
+        }
+        assert_eq!(book.get(key, Timestamp::ZERO), Some(origin("v2")));
+        assert_eq!(book.get(StreamKey::new("other", "r1"), Timestamp::ZERO), None);
+        let later = Timestamp::ZERO + Duration::from_secs(600);
+        assert_eq!(book.get(key, later), None);
+        book.expire(later);
+        assert!(book.is_empty());
+    }
+}
+
+/// Guards against records that are lost together with a failure domain, or with the router that
+/// began the stream.
+#[test]
+fn record_is_kept_in_several_failure_domains_and_found_again() {
+    for routers in [8, 83, 300] {
+        let members: Vec<Member> = (0..routers).map(|it| member(it, it % 4)).collect();
+        let all: Vec<&Member> = members.iter().collect();
+        for number in 0..50 {
+            let key = StreamKey::new("school", &format!("r{number}"));
+            let holders = holders_of(key, &all);
+            let domain_of = |address| {
+                let found = members.iter().find(|it| it.peer_address == address).unwrap();
+                found.failure_domain.clone()
+            };
+            let mut domains: Vec<_> = holders.iter().map(|it| domain_of(*it)).collect();
+            domains.sort();
+            domains.dedup();
+            assert_eq!(domains.len(), 3, "{routers} routers");
+            // Another router that does not know some of the members chooses mostly the same ones.
+            let some: Vec<&Member> = members.iter().skip(1).collect();
+            let common = holders_of(key, &some).iter().filter(|it| holders.contains(it)).count();
+            assert!(common >= 2, "{routers} routers: {common} holders in common");
+        }
+    }
+}
+
+fn entry(id: &str, version: &str, started_at_ms: u64) -> EndpointEntry {
+    EndpointEntry {
+        id: id.into(),
+        started_at_ms,
+        version: version.into(),
+        service: "svc".into(),
+        address: "127.0.0.1:1000".parse().unwrap(),
+        failure_domain: "zlin".into(),
+        capacity: 100,
+        phase: EndpointPhase::Ready,
+    }
+}
+
+/// Guards against forgetting a version as soon as its last endpoint is gone: its streams may still be
+/// taken up.
+#[test]
+fn version_is_remembered_after_its_last_endpoint() {
+    let mut endpoints = EndpointRegistry::default();
+    let now = Timestamp::ZERO + Duration::from_secs(1);
+    let write = |endpoints: &mut EndpointRegistry, entry, at| {
+        endpoints.apply_change(EndpointChange::Written(entry), at);
+    };
+    write(&mut endpoints, entry("i-1", "v1", 1), now);
+    write(&mut endpoints, entry("i-2", "v2", 2), now);
+    endpoints.apply_change(EndpointChange::Removed("i-1".into()), now);
+    let versions = |endpoints: &EndpointRegistry, at| endpoints.versions("svc", at).join(",");
+    assert_eq!(versions(&endpoints, now), "v1,v2");
+    // The same endpoint starts again with another version.
+    let later = now + Duration::from_secs(40);
+    write(&mut endpoints, entry("i-2", "v3", 3), later);
+    assert_eq!(versions(&endpoints, later), "v1,v2,v3");
+    assert_eq!(versions(&endpoints, now + Duration::from_secs(90)), "v2,v3");
+    assert_eq!(versions(&endpoints, now + Duration::from_secs(120)), "v3");
+}
+
+/// Guards against new streams that fill the endpoints of a version that is being replaced, which are
+/// the only ones where its streams can go on.
+#[test]
+fn new_streams_go_to_the_newer_version_and_others_to_their_own() {
+    let mut endpoints = EndpointRegistry::default();
+    let now = Timestamp::ZERO;
+    let versions = [("i-1", "v1", 1), ("i-2", "v2", 2), ("i-3", "v2", 3), ("i-4", "v2", 4)];
+    for (id, version, started_at_ms) in versions {
+        let change = EndpointChange::Written(entry(id, version, started_at_ms));
+        endpoints.apply_change(change, now);
+    }
+    let mut place = |version: Option<&str>| {
+        let version = version.map(Arc::from);
+        let request = PlacementRequest {
+            service: &"svc".into(),
+            spec: None,
+            tokens: None,
+            parts: &[],
+            failed_endpoints: &[],
+            failure_domain: "zlin",
+            routers: 3,
+            version: version.as_ref(),
+            is_stream: true,
+            suspect: None,
+            fill_share: 1.0,
+        };
+        endpoints.place(&request, now, &mut seeded_rng(1))
+    };
+    for _ in 0..10 {
+        let Choice::Placed(placement) = place(None) else { panic!("not placed") };
+        assert_eq!(&*placement.version, "v2");
+        let Choice::Placed(placement) = place(Some("v1")) else { panic!("not placed") };
+        assert_eq!(&*placement.endpoint, "i-1");
+    }
+    assert_eq!(place(Some("v0")), Choice::NoVersion);
+}
--- a/components/relay/tests/rate_limits/main.rs
+++ b/components/relay/tests/rate_limits/main.rs
@@ -175,6 +175,8 @@
             failed_endpoints: &[],
             failure_domain: "zlin",
             routers: 1,
+            version: None,
+            is_stream: false,
             suspect: None,
             fill_share: 1.0,
         };
--- a/components/relay/tests/rate_limits/router.rs
+++ b/components/relay/tests/rate_limits/router.rs
@@ -74,6 +74,8 @@
         failed_endpoints: &[],
         failure_domain: "zlin",
         routers: 1,
+        version: None,
+        is_stream: false,
         suspect: None,
         fill_share: 1.0,
     };
--- a/components/relay/tests/suspects.rs
+++ b/components/relay/tests/suspects.rs
@@ -40,6 +40,8 @@
         failed_endpoints: &[],
         failure_domain: "zlin",
         routers: 3,
+        version: None,
+        is_stream: false,
         suspect,
         fill_share: 1.0,
     };
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -159,3 +159,7 @@
 
 /// Counter of requests by which callers take up streams that broke.
 pub const STREAMS_TAKEN_UP_TOTAL: &str = "auburncrank_streams_taken_up_total";
+
+/// Counter of streams that could not go on, by `reason`: `unknown` if it is not known which version
+/// began them, `no_endpoint` if that version has no endpoint left.
+pub const STREAMS_NOT_TAKEN_UP_TOTAL: &str = "auburncrank_streams_not_taken_up_total";
