Take no stream up at an endpoint whose entry is outdated

Such an endpoint is left out for streams that go on, from the time at which the router has seen its process end until an entry of a new process arrives. A router that has not seen the end cannot know it; that remains.

--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -201,7 +201,7 @@
         };
         let serving: Vec<&Endpoint> = match request.version {
             Some(version) => {
-                let has_version = |it: &&Endpoint| it.entry.version == *version;
+                let has_version = |it: &&Endpoint| it.entry.version == *version && it.ended == 0;
                 serving.into_iter().filter(has_version).collect()
             }
             None => serving,
