Continue a chat answer only at the model version that began it

Actions are never moved while they run, and no copies of a run's memory are used.

After the first text the retry now accepts the version of that attempt only. The test, with one engine of v1 and three of v2, got 200 with a text of both before; it needs requests before it, since retries are a share of them. Scenes can give engines different versions for it.

--- a/components/relay/tests/origins.rs
+++ b/components/relay/tests/origins.rs
@@ -188,7 +188,7 @@
     let now = Timestamp::ZERO + Duration::from_secs(1);
     let version: Arc<str> = "v1".into();
     endpoints.apply_change(EndpointChange::Written(entry("i-1", "v1", 1)), now);
-    let mut place = |endpoints: &mut EndpointRegistry| {
+    let place = |endpoints: &mut EndpointRegistry| {
         let request = PlacementRequest {
             service: &"svc".into(),
             spec: None,
--- a/components/router/src/traffic/chat_run.rs
+++ b/components/router/src/traffic/chat_run.rs
@@ -68,7 +68,7 @@
             }
             Err(error) => return Err(error),
         };
-        let endpoint = lease.endpoint.clone();
+        let (endpoint, version) = (lease.endpoint.clone(), lease.version.clone());
         let shrink = |prompt_tokens: u64| {
             let tokens = Tokens(prompt_tokens.saturating_add(job.max_tokens));
             cx.accounting.shrink(reservation, tokens);
@@ -89,6 +89,9 @@
         let is_unsent = matches!(failed.outcome, AttemptOutcome::NotSent | AttemptOutcome::Refused);
         was_sent |= !is_unsent;
         need.avoid.push(endpoint);
+        if let Some(version) = version.filter(|_| !progress.text.is_empty()) {
+            need.target.keep_version(&version);
+        }
         if !cx.dispatcher.may_retry(&need, failed.outcome) {
             return Err(final_error(&failed, was_sent));
         }
--- a/components/router/tests/dispatch.rs
+++ b/components/router/tests/dispatch.rs
@@ -12,7 +12,7 @@
 use scene::{Scene, two_account_spec};
 use serde_json::{Value, json};
 use standins::engine::expected_answer;
-use types::EndpointName;
+use types::{EndpointName, ModelVersion};
 
 const ACCOUNT: &str = "cooperative";
 
@@ -110,6 +110,51 @@
     assert_eq!(records.filter(|it| it.request_id.contains("long")).count(), 1);
 }
 
+/// Guards against an answer whose end another model version writes than its beginning.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_continues_only_at_the_model_version_that_began_it() {
+    let mut spec = two_account_spec(1);
+    spec.routers.truncate(1);
+    spec.accounts.truncate(1);
+    spec.engines.retain(|engine| engine.model.as_str() == "barrel-7b");
+    let engine_count = spec.engines.len();
+    spec.engines.truncate(4);
+    assert!(engine_count >= 4, "{engine_count} engines");
+    for engine in &mut spec.engines[1..] {
+        engine.version = ModelVersion::new("v2").unwrap();
+    }
+    let old = spec.engines[0].name.clone();
+    let scene = Scene::start(spec).await.unwrap();
+    // Retries are a share of the requests so far.
+    for number in 0..40 {
+        let text = format!("Hoops {number}. [tokens=1]");
+        assert_complete(&call(&scene, 0, &format!("warm-up-{number}"), &text).await, &text);
+    }
+    for number in 0..20 {
+        let text = format!("Staves {number}. [tokens=200]");
+        let id = format!("assessment-{number}");
+        let answer = call(&scene, 0, &id, &text);
+        let crash = async {
+            let engine = engine_in_use(&scene).await;
+            if engine == old {
+                scene.kill_engine(&engine);
+            }
+            engine == old
+        };
+        let (res, is_killed) = tokio::join!(answer, crash);
+        if is_killed {
+            // No other engine has the version, so the answer ends with an error.
+            assert_ne!(res.status(), 200, "{:?}", res.body());
+            let names = engines(&scene).into_iter().filter(|it| *it != old);
+            let records = names.flat_map(|it| scene.engine(&it).log().records);
+            assert_eq!(records.filter(|it| it.request_id.contains(&id)).count(), 0);
+            return;
+        }
+        assert_complete(&res, &text);
+    }
+    panic!("no answer began at the only engine of the version");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_continues_at_another_engine_after_a_crash() {
     let scene = start_scene().await;
--- a/components/routing/src/endpoint_need.rs
+++ b/components/routing/src/endpoint_need.rs
@@ -47,3 +47,13 @@
     /// A service that is not a model.
     Service(ServiceName),
 }
+
+impl Target {
+    /// Limits the acceptable versions to that which has begun the answer: what two versions write
+    /// does not fit together.
+    pub fn keep_version(&mut self, version: &ModelVersion) {
+        if let Target::Model { versions, .. } = self {
+            versions.retain(|it| it == version);
+        }
+    }
+}
--- a/components/scene/src/lib.rs
+++ b/components/scene/src/lib.rs
@@ -14,6 +14,7 @@
     running_scene::Scene,
     scene_spec::{
         AccountSpec, ActionSpec, EngineSpec, RouterSpec, SceneSpec, ServiceSpec, account_key,
+        first_version,
     },
     tally::Tally,
     two_account_spec::two_account_spec,
--- a/components/scene/src/running_scene.rs
+++ b/components/scene/src/running_scene.rs
@@ -18,7 +18,7 @@
 };
 use types::{AccountName, EndpointName, FailureDomain, ServiceName};
 
-use crate::{RouterSet, SceneError, SceneSpec, Tally, account_key, scene_spec::first_version};
+use crate::{RouterSet, SceneError, SceneSpec, Tally, account_key};
 
 /// Timeout of a call to a router.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
@@ -207,7 +207,7 @@
     let mut engines = BTreeMap::new();
     for engine in &spec.engines {
         let address = spec.address_of(&engine.failure_domain);
-        let models = [(engine.model.clone(), first_version())];
+        let models = [(engine.model.clone(), engine.version.clone())];
         let server = EngineServer::start(address, engine.settings.clone(), &models).await?;
         engines.insert(engine.name.clone(), server);
     }
--- a/components/scene/src/scene_spec.rs
+++ b/components/scene/src/scene_spec.rs
@@ -71,6 +71,8 @@
     pub failure_domain: FailureDomain,
     /// Model that the engine serves.
     pub model: ModelName,
+    /// Version of the model.
+    pub version: ModelVersion,
     /// Settings of the stand-in.
     pub settings: EngineSettings,
 }
@@ -131,7 +133,7 @@
     pub fn config(&self, addresses: &BTreeMap<EndpointName, SocketAddr>) -> Config {
         Config {
             version: ConfigVersion(1),
-            accounts: self.accounts.iter().map(|it| (it.name.clone(), it.account())).collect(),
+            accounts: self.accounts.iter().map(|it| (it.name.clone(), self.account(it))).collect(),
             models: self.models(),
             endpoints: self.endpoints(addresses),
             services: self.services.iter().map(|it| (it.name.clone(), it.service())).collect(),
@@ -146,12 +148,33 @@
         for engine in &self.engines {
             let model = models.entry(engine.model.clone()).or_default();
             model.context_tokens = CONTEXT_TOKENS;
-            model.versions.insert(first_version());
+            model.versions.insert(engine.version.clone());
             model.endpoints.insert(engine.name.clone());
         }
         models
     }
 
+    /// Returns the versions of a model that its engines serve.
+    fn versions(&self, model: &ModelName) -> Vec<ModelVersion> {
+        let engines = self.engines.iter().filter(|it| it.model == *model);
+        engines.map(|it| it.version.clone()).collect::<BTreeSet<_>>().into_iter().collect()
+    }
+
+    fn account(&self, spec: &AccountSpec) -> Account {
+        let access = |(name, model, priority): &(ModelName, ModelName, Priority)| {
+            let versions = self.versions(model);
+            let (model, priority) = (model.clone(), *priority);
+            (name.clone(), ModelAccess { model, versions, adapter: None, priority })
+        };
+        Account {
+            keys: vec![account_key(spec.name.as_str()).hash()],
+            models: spec.models.iter().map(access).collect(),
+            actions: spec.actions.iter().cloned().collect(),
+            shortage: spec.shortage,
+            weight: 1,
+        }
+    }
+
     fn endpoints(
         &self,
         addresses: &BTreeMap<EndpointName, SocketAddr>,
@@ -178,28 +201,11 @@
     }
 }
 
-/// Returns the version that every model of a scene has at the start.
-pub(crate) fn first_version() -> ModelVersion {
+/// Returns the usual version of the models in a scene.
+pub fn first_version() -> ModelVersion {
     ModelVersion::new("v1").expect("a valid name")
 }
 
-impl AccountSpec {
-    fn account(&self) -> Account {
-        let access = |(name, model, priority): &(ModelName, ModelName, Priority)| {
-            let versions = vec![first_version()];
-            let (model, priority) = (model.clone(), *priority);
-            (name.clone(), ModelAccess { model, versions, adapter: None, priority })
-        };
-        Account {
-            keys: vec![account_key(self.name.as_str()).hash()],
-            models: self.models.iter().map(access).collect(),
-            actions: self.actions.iter().cloned().collect(),
-            shortage: self.shortage,
-            weight: 1,
-        }
-    }
-}
-
 impl ServiceSpec {
     fn service(&self) -> Service {
         Service { endpoints: self.endpoints.iter().map(|(name, _)| name.clone()).collect() }
--- a/components/scene/src/two_account_spec.rs
+++ b/components/scene/src/two_account_spec.rs
@@ -10,7 +10,9 @@
     ServiceName, Tokens,
 };
 
-use crate::{AccountSpec, ActionSpec, EngineSpec, RouterSpec, SceneSpec, ServiceSpec};
+use crate::{
+    AccountSpec, ActionSpec, EngineSpec, RouterSpec, SceneSpec, ServiceSpec, first_version,
+};
 
 /// Failure domains of the scene, each with a router.
 const FAILURE_DOMAINS: [&str; 3] = ["zlin", "kromeriz", "vsetin"];
@@ -86,6 +88,7 @@
             name: name(EndpointName::new, &format!("{model}-{suffix}")),
             failure_domain: name(FailureDomain::new, domain),
             model: name(ModelName::new, model),
+            version: first_version(),
             settings: EngineSettings::default(),
         })
         .collect()
--- a/programs/auburncrank-bench/src/cmd/path.rs
+++ b/programs/auburncrank-bench/src/cmd/path.rs
@@ -130,6 +130,7 @@
             name: parse_name(EndpointName::new, ENGINE),
             failure_domain: failure_domain.clone(),
             model,
+            version: scene::first_version(),
             settings: EngineSettings {
                 max_batch: 2_000,
                 step_per_request: Duration::ZERO,
