Show the verdict on a refused request's content in its timeline

'auburncrank explain' selected lines about 1.5 s around a request, so a request that was refused for condemned content was shown without the older line with the counts that made the verdict. Lines with the same key now belong to the timeline at any time.

--- a/components/telemetry/src/request_timeline.rs
+++ b/components/telemetry/src/request_timeline.rs
@@ -16,7 +16,7 @@
     /// Lines that name the request, in order of time.
     pub request_lines: Vec<LogLine>,
     /// Lines logged around that time about the request's account, its endpoints and the state
-    /// and dependencies of its router, in order of time.
+    /// and dependencies of its router, and verdicts on its content at any time, in order of time.
     pub context_lines: Vec<LogLine>,
 }
 
@@ -36,10 +36,13 @@
         let endpoints: Vec<&str> =
             request_lines.iter().filter_map(|it| it.field("endpoint")).collect();
         let source = last.source.clone();
+        let keys: Vec<&str> = request_lines.iter().filter_map(|it| it.field("key")).collect();
+        let is_verdict = |line: &LogLine| line.field("key").is_some_and(|it| keys.contains(&it));
         let is_near = |time: SystemTime| time >= from && time <= until;
         let mut context_lines: Vec<LogLine> = lines
             .iter()
-            .filter(|line| line.field("request").is_none() && is_near(line.time))
+            .filter(|line| line.field("request").is_none())
+            .filter(|line| is_near(line.time) || is_verdict(line))
             .filter(|line| {
                 let about_account = account.is_some() && line.field("account") == account;
                 let about_endpoint =
@@ -48,7 +51,10 @@
                     && (line.field("dependency").is_some()
                         || line.message.starts_with("router ")
                         || line.message.starts_with("desired state"));
-                about_endpoint || about_router || (about_account && line.source == source)
+                is_verdict(line)
+                    || about_endpoint
+                    || about_router
+                    || (about_account && line.source == source)
             })
             .cloned()
             .collect();
--- a/components/telemetry/tests/log_story.rs
+++ b/components/telemetry/tests/log_story.rs
@@ -33,6 +33,22 @@
     "#);
 }
 
+/// Guards against a refusal for condemned content whose reason is in no line of the timeline, since the
+/// verdict is older.
+#[test]
+fn timeline_of_a_request_with_condemned_content_has_the_verdict() {
+    let text = "\
+        r2 2026-01-01T00:00:01.000Z WARN  content condemned: requests with it crash endpoints key=k1 part=dead crashes=3 survivals=0\n\
+        r2 2026-01-01T00:00:02.000Z WARN  content condemned: requests with it crash endpoints key=k2 part=beef crashes=3 survivals=0\n\
+        r1 2026-01-01T00:10:00.000Z WARN  request with condemned content not sent request=a1 key=k1 part=dead\n\
+        r1 2026-01-01T00:10:00.001Z INFO  request refused: requests with this content crashed endpoints before request=a1 reason=quarantined\n";
+    insta::assert_snapshot!(RequestTimeline::of_request("a1", &lines(text)).render(), @r"
+      -599001 ms  r2  content condemned: requests with it crash endpoints key=k1 part=dead crashes=3 survivals=0
+    *      -1 ms  r1  request with condemned content not sent key=k1 part=dead
+    *      +0 ms  r1  request refused: requests with this content crashed endpoints before reason=quarantined
+    ");
+}
+
 #[test]
 fn both_formats_are_parsed_alike() {
     let text = LogLine::parse("2026-01-01T00:00:00.000Z INFO  tokens lent account=school tokens=5");
