--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -6,9 +6,9 @@
 use utils::{HashMap, HashSet};
 
 use super::{
-    choice::ProcessId,
     endpoint::Endpoint,
     load::{Load, LoadShare},
+    placement::ProcessId,
     prompt_split::PromptSplit,
     store_contact::StoreContact,
     versions::GoneVersions,
--- a/components/relay/src/endpoints/mod.rs
+++ b/components/relay/src/endpoints/mod.rs
@@ -7,6 +7,7 @@
 mod health;
 mod load;
 mod pause;
+mod placement;
 mod prompt_split;
 mod rate_limit;
 mod statements;
@@ -15,8 +16,8 @@
 
 pub use self::{
     book::{EndpointChange, EndpointRegistry},
-    choice::{Choice, LimitedWait, Placement, PlacementRequest, ProcessId, Suspect},
     load::{Load, LoadShare},
+    placement::{Choice, LimitedWait, Placement, PlacementRequest, ProcessId, Suspect},
     rate_limit::{RateReport, RateStatement},
     statements::{StatementReport, Statements},
 };
--- a/programs/auburncrank-relay/tests/soak/world.rs
+++ b/programs/auburncrank-relay/tests/soak/world.rs
@@ -20,7 +20,9 @@
     support::{Behaviour, StandInEndpoint, StandInStore, endpoint_entry, readiness_status},
 };
 
+/// Number of routers, and in the runs of every tenth seed.
 const ROUTERS: usize = 3;
+const MANY_ROUTERS: usize = 20;
 const ENDPOINTS: usize = 6;
 const CALLERS: usize = 14;
 
@@ -71,7 +73,8 @@
 fn addresses_of(seed: u64) -> Vec<IpAddr> {
     let run = 64 + (std::process::id() % 128) as u8;
     let net = 20 + (seed % 200) as u8;
-    (1..=ROUTERS as u8).map(|it| Ipv4Addr::new(127, run, net, it).into()).collect()
+    let routers = if seed.is_multiple_of(10) { MANY_ROUTERS } else { ROUTERS };
+    (1..=routers as u8).map(|it| Ipv4Addr::new(127, run, net, it).into()).collect()
 }
 
 pub(crate) struct SoakFleet {
@@ -182,7 +185,7 @@
             for (_, action) in due {
                 self.act(&action);
             }
-            for number in 0..ROUTERS {
+            for number in 0..self.routers.len() {
                 let router = &mut self.routers[number];
                 if let Some(status) = router.poll_exit() {
                     let name = &router.name;
@@ -222,7 +225,7 @@
 
     fn begin_fault(&mut self) {
         let now = Instant::now();
-        let router = self.rng.random_range(0..ROUTERS);
+        let router = self.rng.random_range(0..self.routers.len());
         let endpoint = self.rng.random_range(0..ENDPOINTS);
         let end_at = now + Duration::from_millis(self.rng.random_range(200..2_500));
         let link_fault = match self.rng.random_range(0..4) {
