Count each router's answer to a query for a stream's origin once

A query is sent twice, and routers that answered both times counted for others that had not answered at all, so a query could end as 'unknown' before the router with the record was heard. Found by reading the code; the test has two answers of one router. Only routers that have not answered are asked again.

--- a/components/relay/src/origins/queries.rs
+++ b/components/relay/src/origins/queries.rs
@@ -1,6 +1,6 @@
 //! Queries to other routers for where a stream began.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use utils::HashMap;
 
@@ -46,35 +46,53 @@
     }
 }
 
+/// A query that is not finished.
+#[derive(Debug)]
+struct OpenQuery {
+    result: QueryResult,
+    /// Routers that have not answered.
+    unanswered: Vec<SocketAddr>,
+}
+
 /// Queries of this router that are not finished.
 #[derive(Debug, Default)]
 pub struct OriginQueries {
-    /// Results by the random number of the query.
-    open: HashMap<u64, QueryResult>,
+    /// Queries by their random numbers.
+    open: HashMap<u64, OpenQuery>,
 }
 
 impl OriginQueries {
-    /// Opens a query to `asked` routers.
-    pub fn open(&mut self, number: u64, asked: usize) {
-        self.open.insert(number, QueryResult { asked, ..QueryResult::default() });
+    /// Opens a query to the routers at `asked`.
+    pub fn open(&mut self, number: u64, asked: &[SocketAddr]) {
+        let result = QueryResult { asked: asked.len(), ..QueryResult::default() };
+        self.open.insert(number, OpenQuery { result, unanswered: asked.to_vec() });
     }
 
-    /// Adds an answer. Answers to finished queries are ignored.
-    pub fn add_answer(&mut self, number: u64, answer: OriginAnswer) {
-        let Some(result) = self.open.get_mut(&number) else { return };
+    /// Adds the answer of the router at `sender`. A second answer of the same router, and answers to
+    /// finished queries, are ignored.
+    pub fn add_answer(&mut self, number: u64, sender: SocketAddr, answer: OriginAnswer) {
+        let Some(query) = self.open.get_mut(&number) else { return };
+        let Some(at) = query.unanswered.iter().position(|it| *it == sender) else { return };
+        query.unanswered.swap_remove(at);
+        let result = &mut query.result;
         result.answered += 1;
         result.add_versions(&answer.view.versions);
         result.complete += usize::from(answer.view.is_complete);
         result.origin = result.origin.take().or(answer.origin);
     }
 
+    /// Returns the routers that have not answered a query.
+    pub fn unanswered(&self, number: u64) -> Vec<SocketAddr> {
+        self.open.get(&number).map(|it| it.unanswered.clone()).unwrap_or_default()
+    }
+
     /// Reports whether a query has its final result.
     pub fn is_final(&self, number: u64) -> bool {
-        self.open.get(&number).is_none_or(QueryResult::is_final)
+        self.open.get(&number).is_none_or(|it| it.result.is_final())
     }
 
     /// Closes a query and returns what the answers said.
     pub fn close(&mut self, number: u64) -> QueryResult {
-        self.open.remove(&number).unwrap_or_default()
+        self.open.remove(&number).map(|it| it.result).unwrap_or_default()
     }
 }
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -239,7 +239,7 @@
                 true
             }
             Some(PeerContent::OriginReply(it)) => {
-                origins::handle_reply(cx, &it);
+                origins::handle_reply(cx, &it, sender);
                 true
             }
             None => false,
--- a/components/relay/src/peers/origins.rs
+++ b/components/relay/src/peers/origins.rs
@@ -89,11 +89,12 @@
     let number = cx.lock_rng().random();
     let query = OriginQueryMessage { number, key: key.0, service: service.to_string() };
     let datagram = encode(PeerContent::OriginQuery(query));
-    cx.lock_origin_queries().open(number, asked.len());
+    cx.lock_origin_queries().open(number, &asked);
     let started = Instant::now();
     for until in [started + REPEAT_AFTER, started + ANSWER_TIMEOUT] {
-        for address in &asked {
-            cx.gossip.send(&datagram, *address).await;
+        let unanswered = cx.lock_origin_queries().unanswered(number);
+        for address in unanswered {
+            cx.gossip.send(&datagram, address).await;
         }
         loop {
             let answered = cx.origin_answered.notified();
@@ -134,7 +135,7 @@
 }
 
 /// Handles the answer to a query of this router.
-pub(super) fn handle_reply(cx: &RelayContext, reply: &OriginReplyMessage) {
-    cx.lock_origin_queries().add_answer(reply.number, reply.to_answer());
+pub(super) fn handle_reply(cx: &RelayContext, reply: &OriginReplyMessage, sender: SocketAddr) {
+    cx.lock_origin_queries().add_answer(reply.number, sender, reply.to_answer());
     cx.origin_answered.notify_waiters();
 }
--- a/components/relay/tests/origins.rs
+++ b/components/relay/tests/origins.rs
@@ -47,8 +47,10 @@
     let nothing = QueryResult::default();
     let answer = |versions: &[&str], is_complete: bool| {
         let mut queries = OriginQueries::default();
-        queries.open(1, 1);
-        queries.add_answer(1, OriginAnswer { origin: None, view: view(versions, is_complete) });
+        let peer = "127.0.0.1:1".parse().unwrap();
+        queries.open(1, &[peer]);
+        let answer = OriginAnswer { origin: None, view: view(versions, is_complete) };
+        queries.add_answer(1, peer, answer);
         queries.close(1)
     };
     let at_v1 = TakeUp::At(origin("v1"));
@@ -213,3 +215,19 @@
     endpoints.apply_change(EndpointChange::Written(entry("i-1", "v1", 2)), now);
     assert!(matches!(place(&mut endpoints), Choice::Placed(_)));
 }
+
+/// Guards against a query that ends early because routers that answered twice count for others.
+#[test]
+fn query_is_final_only_when_every_router_has_answered_or_one_has_the_record() {
+    let peers = [1, 2].map(|port| std::net::SocketAddr::from(([127, 0, 0, 1], port)));
+    let answer = |origin| OriginAnswer { origin, view: view(&["v1"], true) };
+    let mut queries = OriginQueries::default();
+    queries.open(1, &peers);
+    queries.add_answer(1, peers[0], answer(None));
+    queries.add_answer(1, peers[0], answer(None));
+    assert!(!queries.is_final(1));
+    assert_eq!(queries.unanswered(1), [peers[1]]);
+    queries.add_answer(1, peers[1], answer(Some(origin("v2"))));
+    assert!(queries.is_final(1));
+    assert_eq!(queries.close(1).origin, Some(origin("v2")));
+}
