Refuse to go on with a stream at a service that its route has left

A stream that a caller takes up goes on at the service that began it. Nothing checked that the caller's route still leads there, so it could reach a service that an accepted desired state had taken it from, or that of another route.

--- a/components/relay/src/serve/continuation.rs
+++ b/components/relay/src/serve/continuation.rs
@@ -38,6 +38,14 @@
     let resumes = request.head.resumes.as_deref().unwrap_or("");
     log::info!(request:% = request.head.id, resumes, last_event, asked = answers.asked, answered = answers.answered, versions:? = view.versions, decision:? = take_up; "caller takes up a stream");
     match take_up {
+        TakeUp::At(origin)
+            if !request.route.targets.iter().any(|it| it.service == origin.service) =>
+        {
+            metrics::counter!(telemetry::STREAMS_NOT_TAKEN_UP_TOTAL, "reason" => "route")
+                .increment(1);
+            let message = "the route does not lead to the service that began the stream";
+            Err(retryable_error(request, ErrorKind::NoEndpoint, message, Duration::ZERO))
+        }
         TakeUp::At(origin) => {
             request.service = origin.service.clone();
             request.origin = Some(origin);
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -161,5 +161,6 @@
 pub const STREAMS_TAKEN_UP_TOTAL: &str = "auburncrank_streams_taken_up_total";
 
 /// Counter of streams that could not go on, by `reason`: `unknown` if it is not known which version
-/// began them, `no_endpoint` if that version has no endpoint left.
+/// began them, `no_endpoint` if that version has no endpoint left, `route` if the caller's route does
+/// not lead to its service.
 pub const STREAMS_NOT_TAKEN_UP_TOTAL: &str = "auburncrank_streams_not_taken_up_total";
