Refuse a stream of unknown origin if its route has several services

With a route to several services the service of a request is picked at random. A caller's stream without a record went on there if that service had a single version, though it may have begun at the other one. Found by reading the code; the test got 200 before. Callers that do not name the stream are served as before.

--- a/components/relay/src/serve/continuation.rs
+++ b/components/relay/src/serve/continuation.rs
@@ -34,7 +34,12 @@
     let key = request.head.resumes.as_deref().map(|id| stream_key(request, id));
     let answers = find_origin(&cx, key, &service).await;
     let view = own_view(&cx, &service);
-    let take_up = decide_take_up(&service, &view, &answers);
+    // The service was picked at random; the stream may have begun at another one of the route.
+    let is_service_known = request.route.targets.len() == 1 || key.is_none();
+    let take_up = match decide_take_up(&service, &view, &answers) {
+        TakeUp::At(_) if answers.origin.is_none() && !is_service_known => TakeUp::Unknown,
+        take_up => take_up,
+    };
     let resumes = request.head.resumes.as_deref().unwrap_or("");
     log::info!(request:% = request.head.id, resumes, last_event, asked = answers.asked, answered = answers.answered, versions:? = view.versions, decision:? = take_up; "caller takes up a stream");
     match take_up {
