--- a/components/routing/src/crash_evidence/evidence.rs
+++ b/components/routing/src/crash_evidence/evidence.rs
@@ -23,7 +23,7 @@
 /// Time for which routers tell each other about a record after a change; verdicts are always told.
 const REPORT_TIME: Duration = Duration::from_secs(5);
 
-/// Maximum number of suspects that one is kept apart from.
+/// Maximum number of other suspects whose endpoints a suspect does not use.
 const SUSPECTS_APART_MAX: usize = 32;
 
 /// Maximum number of records in a message to other routers.
--- a/components/routing/src/crash_evidence/trial.rs
+++ b/components/routing/src/crash_evidence/trial.rs
@@ -7,13 +7,13 @@
 /// Time from a verdict to its first trial if no request with the key was ever answered.
 const FIRST_INTERVAL: Duration = Duration::from_secs(30);
 
-/// The same if some were answered, so that the verdict is in doubt.
+/// Time from a verdict to its first trial if some requests with the key were answered.
 const FIRST_INTERVAL_IN_DOUBT: Duration = Duration::from_secs(5);
 
-/// Factor from one interval to the next.
+/// Ratio of each interval between two trials to the one before.
 const INTERVAL_FACTOR: u32 = 4;
 
-/// Longest interval.
+/// Longest interval between two trials.
 const INTERVAL_MAX: Duration = Duration::from_secs(3_600);
 
 /// Trials of a verdict: single requests that may run although they contain something condemned.
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -1,5 +1,5 @@
 //! Endpoint selection: latency estimates, concurrency limits, the fair queue, retry
-//! budgets, ejection and the quarantine of content that crashes endpoints.
+//! budgets, ejection, and evidence on content that crashes endpoints.
 //!
 //! This crate contains decision logic only: it does no network I/O and never reads the
 //! clock. [`Scheduler`] combines the parts.
