--- a/components/relay/src/endpoints/endpoint.rs
+++ b/components/relay/src/endpoints/endpoint.rs
@@ -28,7 +28,7 @@
     /// Number of times that its process ended, as seen by this router, since its entry was written.
     /// Above zero, the entry is that of an earlier process.
     pub(super) ended: u32,
-    /// When it was last seen to have ended.
+    /// When its process was last seen to have ended.
     pub(super) ended_at: Timestamp,
     /// Failures seen by this router's requests.
     pub(super) health: Health,
--- a/components/relay/src/endpoints/versions.rs
+++ b/components/relay/src/endpoints/versions.rs
@@ -15,7 +15,7 @@
 /// Age of the last complete read of the list above which changes may be missing.
 const LIST_MAX_AGE: Duration = Duration::from_secs(2);
 
-/// Versions without endpoints.
+/// Versions that no endpoint of their service has any more.
 #[derive(Debug, Default)]
 pub(super) struct GoneVersions {
     /// When the last endpoint was known, by service and version.
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -55,7 +55,7 @@
     /// The sender asks where a stream began.
     #[prost(message, tag = "10")]
     OriginQuery(OriginQueryMessage),
-    /// The answer to such a query.
+    /// The answer to a query for where a stream began.
     #[prost(message, tag = "11")]
     OriginReply(OriginReplyMessage),
 }
