--- a/components/relay/src/serve/connections.rs
+++ b/components/relay/src/serve/connections.rs
@@ -1,6 +1,7 @@
 //! Pool of HTTP connections to endpoints.
 
 use std::{
+    io,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
@@ -38,7 +39,7 @@
     TimedOut,
     /// The connection could not be established.
     #[error("connection failed: {0}")]
-    Failed(std::io::Error),
+    Failed(io::Error),
     /// This router has reached its limit of connections to the endpoint.
     #[error("too many connections are open")]
     TooMany,
@@ -47,6 +48,26 @@
     Unusable(hyper::Error),
 }
 
+impl ConnectError {
+    /// Returns the label for metrics.
+    fn label(&self) -> &'static str {
+        match self {
+            ConnectError::TimedOut => "timed_out",
+            ConnectError::Failed(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                "refused"
+            }
+            ConnectError::Failed(_) => "failed",
+            ConnectError::TooMany => "too_many",
+            ConnectError::Unusable(_) => "unusable",
+        }
+    }
+}
+
+async fn open_stream(address: SocketAddr) -> Result<TcpStream, ConnectError> {
+    let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    connected.await.map_err(|_| ConnectError::TimedOut)?.map_err(ConnectError::Failed)
+}
+
 /// An open connection. Dropping it closes it and so cancels a request that runs on it.
 #[derive(Debug)]
 pub(super) struct Connection {
@@ -149,10 +170,10 @@
     ) -> Result<Connection, ConnectError> {
         let open = self.lock_open().entry(endpoint.clone()).or_default().clone();
         let counted = ConnectionCount::try_new(&open, max).ok_or(ConnectError::TooMany)?;
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-            .await
-            .map_err(|_| ConnectError::TimedOut)?
-            .map_err(ConnectError::Failed)?;
+        let stream = open_stream(address).await;
+        let outcome = stream.as_ref().err().map_or("opened", ConnectError::label);
+        metrics::counter!(telemetry::ENDPOINT_CONNECTS_TOTAL, "outcome" => outcome).increment(1);
+        let stream = stream?;
         set_socket_options(&stream);
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -124,11 +124,18 @@
     pub(super) failure: AttemptFailure,
     /// Placement on the endpoint.
     pub(super) guard: PlacementGuard,
+    /// Connection on which the request was sent, for the log: `kept`, `new`, or `none`.
+    pub(super) connection: &'static str,
 }
 
 impl FailedAttempt {
     fn new(failure: AttemptFailure, guard: PlacementGuard) -> Box<FailedAttempt> {
-        Box::new(FailedAttempt { failure, guard })
+        Box::new(FailedAttempt { failure, guard, connection: "none" })
+    }
+
+    fn on(mut self: Box<Self>, connection: &'static str) -> Box<FailedAttempt> {
+        self.connection = connection;
+        self
     }
 }
 
@@ -161,17 +168,19 @@
             }
         };
         let sent_at = cx.now();
+        let used = if connection.is_reused { "kept" } else { "new" };
         let sent = connection.sender.try_send_request(build_request(outgoing, headers.clone()));
         match tokio::time::timeout_at(cx.instant(deadline), sent).await {
-            Err(_) => return Err(FailedAttempt::new(AttemptFailure::TimedOut, guard)),
-            Ok(Ok(res)) => return read_head(cx, res, connection, guard, request_id, sent_at),
+            Err(_) => return Err(FailedAttempt::new(AttemptFailure::TimedOut, guard).on(used)),
+            Ok(Ok(res)) => {
+                let answer = read_head(cx, res, connection, guard, request_id, sent_at);
+                return answer.map_err(|it| it.on(used));
+            }
             Ok(Err(mut error)) => {
                 let is_unsent = error.take_message().is_some();
                 if !is_unsent {
-                    return Err(FailedAttempt::new(
-                        AttemptFailure::Lost(error.into_error().to_string()),
-                        guard,
-                    ));
+                    let failure = AttemptFailure::Lost(error.into_error().to_string());
+                    return Err(FailedAttempt::new(failure, guard).on(used));
                 }
             }
         }
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -182,6 +182,7 @@
     request.delivered_attempts += 1;
     request.attempt_events = 0;
     let outgoing: &OutgoingRequest = &request.outgoing;
+    let began_at = cx.now();
     let sent = exchange::send(&cx, guard, &request.head.id, outgoing, headers, deadline).await;
     match sent {
         Ok(answer) => {
@@ -189,7 +190,9 @@
             Ok(answer)
         }
         Err(failed) => {
-            let FailedAttempt { failure, guard } = *failed;
+            let FailedAttempt { failure, guard, connection } = *failed;
+            let after_ms = millis(cx.now().since(began_at));
+            log::info!(request:% = request.head.id, endpoint:% = guard.placement.endpoint, failure = failure.label(), connection, after_ms; "attempt failed: {failure:?}");
             if !failure.request_arrived() {
                 request.delivered_attempts = before.1;
             }
@@ -219,7 +222,6 @@
 ) {
     let cx = request.cx.clone();
     let endpoint = guard.placement.endpoint.clone();
-    log::info!(request:% = request.head.id, endpoint:% = endpoint, failure = failure.label(); "attempt failed: {failure:?}");
     metrics::counter!(telemetry::ATTEMPTS_TOTAL, "outcome" => failure.label()).increment(1);
     request.failed_endpoints.push(endpoint.clone());
     let now = cx.now();
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -138,6 +138,10 @@
 /// Gauge of halted rollouts of model versions, set by the holder of the controller lease.
 pub const HALTED_ROLLOUTS: &str = "auburncrank_halted_rollouts";
 
+/// Counter of connections to endpoints that this router tried to open, by `outcome`: `opened`,
+/// `refused`, `timed_out` or `failed`.
+pub const ENDPOINT_CONNECTS_TOTAL: &str = "auburncrank_endpoint_connects_total";
+
 /// Gauge of the endpoints that state a rate limit.
 pub const RATE_LIMITED_ENDPOINTS: &str = "auburncrank_rate_limited_endpoints";
 
