Count answers that the router cuts off, by reason

Neither the log nor a metric tells whether an answer that broke went on, why one was cut off, or how long after a change of the desired state; the end of a caller's connection is logged at level debug only. Adds a line and a counter by reason for each answer that the router ends before its end, and a counter of callers' connections by the reason of their end.

--- a/components/relay/src/serve/forwarding.rs
+++ b/components/relay/src/serve/forwarding.rs
@@ -7,7 +7,11 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use super::{connections::Connection, exchange::PlacementGuard, run::ActiveRequest};
+use super::{
+    connections::Connection,
+    exchange::PlacementGuard,
+    run::{ActiveRequest, CutReason},
+};
 
 /// An endpoint's answer whose head has been read.
 pub(super) struct EndpointStream {
@@ -31,12 +35,18 @@
         let (request, mut source) = state?;
         loop {
             match tokio::time::timeout_at(until, source.body.frame()).await {
-                Err(_) => return Some((Err(io::ErrorKind::TimedOut.into()), None)),
+                Err(_) => {
+                    request.record_cut(CutReason::Deadline);
+                    return Some((Err(io::ErrorKind::TimedOut.into()), None));
+                }
                 Ok(None) => {
                     request.cx.connections.release(source.connection);
                     return None;
                 }
-                Ok(Some(Err(error))) => return Some((Err(io::Error::other(error)), None)),
+                Ok(Some(Err(error))) => {
+                    request.record_cut(CutReason::Broken);
+                    return Some((Err(io::Error::other(error)), None));
+                }
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
                         return Some((Ok(data), Some((request, source))));
--- a/components/relay/src/serve/run.rs
+++ b/components/relay/src/serve/run.rs
@@ -23,6 +23,28 @@
 /// Outcome of a request whose caller disconnected; also the initial value while in progress.
 pub(super) const CALLER_LEFT: &str = "caller_left";
 
+/// Why this router ends an answer before its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CutReason {
+    /// The deadline of the request has passed.
+    Deadline,
+    /// The endpoint was silent, and no other one may go on.
+    Silence,
+    /// The endpoint broke off, and no other one may or can go on.
+    Broken,
+}
+
+impl CutReason {
+    /// Returns the label for metrics and logs.
+    fn label(self) -> &'static str {
+        match self {
+            CutReason::Deadline => "deadline",
+            CutReason::Silence => "silence",
+            CutReason::Broken => "broken",
+        }
+    }
+}
+
 /// A request in progress. Settles its tokens and logs its end when dropped.
 pub(super) struct ActiveRequest {
     /// Shared state of the relay.
@@ -103,6 +125,14 @@
         self.account.as_ref().and_then(|it| it.priority).unwrap_or(self.route.priority)
     }
 
+    /// Records that this router ends the answer before its end.
+    pub(super) fn record_cut(&self, reason: CutReason) {
+        let now = self.cx.now();
+        let newest = self.cx.in_force.load_full().map_or(self.in_force.since, |it| it.since);
+        metrics::counter!(telemetry::ANSWERS_CUT_TOTAL, "reason" => reason.label()).increment(1);
+        log::warn!(request:% = self.head.id, reason = reason.label(), endpoint:% = self.endpoint.as_deref().unwrap_or(""), events = self.events, since_config_ms = millis(now.since(newest)), time_left_ms = millis(self.time_left()); "answer cut off");
+    }
+
     /// Reports whether the caller disconnected before the first event. A request counts as run by
     /// a model engine from its first token on, and this one was cancelled before a token arrived.
     fn caller_left_before_run(&self) -> bool {
--- a/components/relay/src/serve/server.rs
+++ b/components/relay/src/serve/server.rs
@@ -1,6 +1,6 @@
 //! Accepts connections and serves HTTP on them, with graceful shutdown for callers.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{error::Error as _, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::{
@@ -43,12 +43,12 @@
 }
 
 /// Accepts the next connection; retries after failures.
-async fn accept(listener: &TcpListener) -> TcpStream {
+async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, address)) => {
                 set_socket_options(&stream);
-                return stream;
+                return (stream, address);
             }
             Err(error) => {
                 log::warn!("failed to accept a connection: {error}");
@@ -66,8 +66,8 @@
 ) {
     let graceful = GracefulShutdown::new();
     loop {
-        let stream = tokio::select! {
-            stream = accept(&listener) => stream,
+        let (stream, address) = tokio::select! {
+            accepted = accept(&listener) => accepted,
             _ = stopped.wait_for(|stopped| *stopped) => break,
         };
         let idle =
@@ -82,7 +82,7 @@
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             if let Err(error) = connection.await {
-                log::debug!("connection of a caller ended with an error: {error}");
+                record_end(&error, address);
             }
         });
     }
@@ -90,10 +90,22 @@
     graceful.shutdown().await;
 }
 
+/// Records that a caller's connection ended with an error.
+fn record_end(error: &hyper::Error, address: SocketAddr) {
+    let source = error.source().and_then(|it| it.downcast_ref::<io::Error>());
+    let reason = match source.map(io::Error::kind) {
+        _ if error.is_timeout() => "idle",
+        Some(io::ErrorKind::TimedOut) => "unacknowledged",
+        _ => "error",
+    };
+    metrics::counter!(telemetry::CALLER_CONNECTIONS_ENDED_TOTAL, "reason" => reason).increment(1);
+    log::debug!(reason, address:%; "connection of a caller ended with an error: {error}");
+}
+
 /// Serves the auxiliary API until the process ends.
 pub(crate) async fn serve_auxiliary_api(api: AuxiliaryApi, listener: TcpListener) {
     loop {
-        let stream = accept(&listener).await;
+        let (stream, _) = accept(&listener).await;
         let api = api.clone();
         let service = service_fn(move |req| {
             let api = api.clone();
--- a/components/relay/src/serve/stream_run.rs
+++ b/components/relay/src/serve/stream_run.rs
@@ -14,7 +14,7 @@
     forwarding::{EndpointStream, forward_bytes},
     framing::response_head_for_caller,
     placing::{send_until_answered, try_take_retry},
-    run::{ActiveRequest, CALLER_LEFT},
+    run::{ActiveRequest, CALLER_LEFT, CutReason},
     suspicion::{check_for_crash, record_survival},
 };
 use crate::{model::RetryPolicy, stream::EventSplitter};
@@ -106,11 +106,13 @@
                 }
                 StreamInput::Broken(reason) => {
                     if let Err(error) = self.resume(&reason, false).await {
+                        self.record_cut(CutReason::Broken);
                         return Some(Err(error));
                     }
                 }
                 StreamInput::Stalled => {
                     if let Err(error) = self.resume("no event arrived in time", true).await {
+                        self.record_cut(CutReason::Silence);
                         return Some(Err(error));
                     }
                 }
@@ -118,6 +120,11 @@
         }
     }
 
+    fn record_cut(&self, reason: CutReason) {
+        let is_late = self.request.outcome == "timed_out";
+        self.request.record_cut(if is_late { CutReason::Deadline } else { reason });
+    }
+
     async fn next_input(&mut self) -> StreamInput {
         let until = self.input_deadline();
         loop {
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -168,3 +168,11 @@
 /// began them, `no_endpoint` if that version has no endpoint left, `route` if the caller's route does
 /// not lead to its service.
 pub const STREAMS_NOT_TAKEN_UP_TOTAL: &str = "auburncrank_streams_not_taken_up_total";
+
+/// Counter of answers that this router ended before their end, by `reason`: `deadline`, `silence` or
+/// `broken`.
+pub const ANSWERS_CUT_TOTAL: &str = "auburncrank_answers_cut_total";
+
+/// Counter of callers' connections that did not end between two requests by the caller, by
+/// `reason`: `idle`, `unacknowledged` or `error`.
+pub const CALLER_CONNECTIONS_ENDED_TOTAL: &str = "auburncrank_caller_connections_ended_total";
