End a silent endpoint's run only once another run is granted

Callers saw streams that ended in the middle, and a 502 for requests that are not streams, although the endpoint was sound: it had been silent for a second. A silence of 800 ms (or four pause targets; two latency targets before the head) closed the endpoint's connection first, and only then were the attempts, the retry window, the capacity of other endpoints and the version of the stream asked. If one of them said no, nothing was left. When many endpoints are silent at once, all their streams ask for the same retries and places.

Resets, refusals and connections that end still end a run at once. A stream whose endpoint broke off, or whose next run fails, tries again until another run is granted or the caller has given up, instead of once. A request whose deadline has passed takes no retry any more.

--- a/components/relay/src/limits/retry_window.rs
+++ b/components/relay/src/limits/retry_window.rs
@@ -59,17 +59,21 @@
     /// Records one retry to `service` and returns `true`, or returns `false` if this router has
     /// used up its share of the limit. `routers` is the number of routers that share the allowance.
     pub fn try_take_retry(&mut self, service: &Arc<str>, routers: usize, now: Timestamp) -> bool {
+        let is_allowed = self.has_retry(service, routers, now);
+        if is_allowed {
+            self.counts.entry(service.clone()).or_default().retries.push_back(now);
+        }
+        is_allowed
+    }
+
+    /// Reports whether [`try_take_retry`](Self::try_take_retry) would allow a retry now.
+    pub fn has_retry(&mut self, service: &Arc<str>, routers: usize, now: Timestamp) -> bool {
         let counts = self.counts.entry(service.clone()).or_default();
         expire(&mut counts.requests, now, self.limits.window);
         expire(&mut counts.retries, now, self.limits.window);
         let allowance_share = self.limits.allowance / routers.max(1) as f64;
         let earned = counts.requests.len() as f64 * self.limits.ratio;
-        let is_allowed =
-            (counts.retries.len() + 1) as f64 <= (allowance_share + earned) * USED_SHARE;
-        if is_allowed {
-            counts.retries.push_back(now);
-        }
-        is_allowed
+        (counts.retries.len() + 1) as f64 <= (allowance_share + earned) * USED_SHARE
     }
 }
 
--- a/components/relay/src/serve/continuation.rs
+++ b/components/relay/src/serve/continuation.rs
@@ -94,10 +94,15 @@
     announce_origin(&request.cx, &record).await;
 }
 
-/// Returns the error of a request that goes on with a stream whose version has no endpoint left.
-pub(super) fn no_version_error(request: &ActiveRequest) -> Error {
+/// Counts a stream whose version has no endpoint left.
+pub(super) fn record_no_version() {
     metrics::counter!(telemetry::STREAMS_NOT_TAKEN_UP_TOTAL, "reason" => "no_endpoint")
         .increment(1);
+}
+
+/// Returns the error of a request that goes on with a stream whose version has no endpoint left.
+pub(super) fn no_version_error(request: &ActiveRequest) -> Error {
+    record_no_version();
     let message = "no endpoint of the version that began the stream is available";
     retryable_error(request, ErrorKind::NoEndpoint, message, Duration::ZERO)
 }
--- a/components/relay/src/serve/mod.rs
+++ b/components/relay/src/serve/mod.rs
@@ -9,6 +9,7 @@
 mod handler;
 mod placing;
 mod plain;
+mod replacement;
 mod request_body;
 mod run;
 mod server;
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -1,6 +1,6 @@
 //! Chooses endpoints for a request, sends it, and decides whether it is retried.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use errors::{Error, ErrorKind};
 use rand::Rng as _;
@@ -11,6 +11,7 @@
     exchange::{
         self, AttemptFailure, EndpointResponse, FailedAttempt, OutgoingRequest, PlacementGuard,
     },
+    replacement::{find_replacement, record_silence},
     run::ActiveRequest,
     suspicion::{check_before_sending, check_for_crash, suspect_of},
 };
@@ -36,9 +37,15 @@
 /// Minimum time left before the deadline for a request to be sent.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(5);
 
-/// The latency target times this is the time within which an endpoint has to answer; after it, the
-/// request is retried on another one.
-const ATTEMPT_TIME_FACTOR: u32 = 2;
+/// Result of one attempt.
+enum AttemptEnd {
+    /// The endpoint answered.
+    Answered(Box<EndpointResponse>),
+    /// The attempt failed.
+    Failed(AttemptFailure),
+    /// The endpoint was silent for too long, and another run was granted.
+    Replaced(PlacementGuard),
+}
 
 /// Returns an error that tells the caller to retry after a delay around `mean`, with jitter.
 pub(super) fn retryable_error(
@@ -62,7 +69,7 @@
     let wait_until = request.cx.now() + request.route.latency_target / PLACEMENT_WAIT_DIVISOR;
     loop {
         let mut wake_at = wait_until;
-        match choose_endpoint(request) {
+        match choose_endpoint(request, None) {
             Choice::Placed(placement) => {
                 return Ok(PlacementGuard::new(request.cx.clone(), placement));
             }
@@ -102,7 +109,10 @@
     if request.may_have_run { error.after_earlier_attempt() } else { error }
 }
 
-fn choose_endpoint(request: &ActiveRequest) -> Choice {
+/// Chooses an endpoint; `silent` is one that the request is to leave.
+pub(super) fn choose_endpoint(request: &ActiveRequest, silent: Option<&Arc<str>>) -> Choice {
+    let failed_endpoints: Vec<Arc<str>> =
+        request.failed_endpoints.iter().chain(silent).cloned().collect();
     let routers = request.cx.lock_roster().count();
     let fill_share = if request.priority() == 0 { 1.0 } else { LOW_PRIORITY_FILL_SHARE };
     let placement_request = PlacementRequest {
@@ -110,7 +120,7 @@
         spec: request.in_force.state.services.get(&request.service),
         tokens: request.head.tokens,
         parts: &request.head.parts,
-        failed_endpoints: &request.failed_endpoints,
+        failed_endpoints: &failed_endpoints,
         failure_domain: &request.cx.settings.failure_domain,
         routers,
         version: required_version(request),
@@ -123,25 +133,34 @@
 }
 
 /// Sends the request to endpoints until one answers. `last_event` is the id of the last event
-/// that the caller received.
+/// that the caller received, `granted` the place of a run that was granted before.
 ///
 /// # Errors
 /// Returns an error if no endpoint answered and the request may not be retried.
 pub(super) async fn send_until_answered(
     request: &mut ActiveRequest,
     last_event: Option<u64>,
+    mut granted: Option<PlacementGuard>,
 ) -> Result<EndpointResponse, Error> {
     let mut refusals = 0;
     loop {
         if request.time_left() < TIME_LEFT_MIN {
             return Err(deadline_error(request));
         }
-        let guard = find_placement(request).await?;
+        let guard = match granted.take() {
+            Some(guard) => guard,
+            None => find_placement(request).await?,
+        };
         check_before_sending(request)?;
         record_origin(request, &guard.placement).await;
         let failure = match send_attempt(request, guard, last_event).await {
-            Ok(answer) => return Ok(answer),
-            Err(failure) => failure,
+            AttemptEnd::Answered(answer) => return Ok(*answer),
+            AttemptEnd::Failed(failure) => failure,
+            AttemptEnd::Replaced(guard) => {
+                metrics::counter!(telemetry::RETRIES_TOTAL, "reason" => "silent").increment(1);
+                granted = Some(guard);
+                continue;
+            }
         };
         if !failure.request_may_have_run() {
             refusals += 1;
@@ -158,7 +177,7 @@
     request: &mut ActiveRequest,
     guard: PlacementGuard,
     last_event: Option<u64>,
-) -> Result<EndpointResponse, AttemptFailure> {
+) -> AttemptEnd {
     let cx = request.cx.clone();
     let endpoint = guard.placement.endpoint.clone();
     request.endpoint = Some(endpoint.clone());
@@ -170,7 +189,6 @@
         priority: Some(request.priority()),
     };
     let headers = cx.dialect.forward_headers(&request.outgoing.headers, &forwarding);
-    let deadline = attempt_deadline(request);
     log::info!(request:% = request.head.id, endpoint:% = endpoint, version:% = guard.placement.version, wait_ms:% = guard.placement.wait_ms.round(), time_left_ms = millis(request.time_left()); "request sent");
     if request.delivered_attempts == 0 {
         cx.lock_retries().record_request(&request.service, cx.now());
@@ -183,11 +201,21 @@
     request.attempt_events = 0;
     let outgoing: &OutgoingRequest = &request.outgoing;
     let began_at = cx.now();
-    let sent = exchange::send(&cx, guard, &request.head.id, outgoing, headers, deadline).await;
+    let sending = exchange::send(&cx, guard, &request.head.id, outgoing, headers, request.deadline);
+    let sent = tokio::select! {
+        biased;
+        sent = sending => sent,
+        // Dropping the other future closes the connection and so ends the run there.
+        guard = find_replacement(request, &endpoint, request.attempts + 1) => {
+            request.attempts += 1;
+            record_silence(request, &endpoint);
+            return AttemptEnd::Replaced(guard);
+        }
+    };
     match sent {
         Ok(answer) => {
             request.attempts += 1;
-            Ok(answer)
+            AttemptEnd::Answered(Box::new(answer))
         }
         Err(failed) => {
             let FailedAttempt { failure, guard, connection } = *failed;
@@ -198,23 +226,11 @@
             }
             request.may_have_run = before.0 || failure.request_may_have_run();
             record_failure(request, &failure, guard).await;
-            Err(failure)
+            AttemptEnd::Failed(failure)
         }
     }
 }
 
-/// Returns the time by which an endpoint has to answer; this is the deadline of the request if it
-/// cannot be retried.
-fn attempt_deadline(request: &ActiveRequest) -> types::Timestamp {
-    let may_repeat = request.route.retry_policy.may_run_again()
-        && request.attempts + 1 < request.route.max_attempts;
-    if !may_repeat {
-        return request.deadline;
-    }
-    let attempt_time = request.route.latency_target * ATTEMPT_TIME_FACTOR;
-    request.deadline.min(request.cx.now() + attempt_time)
-}
-
 async fn record_failure(
     request: &mut ActiveRequest,
     failure: &AttemptFailure,
@@ -248,6 +264,9 @@
 /// attempt so far arrived at an endpoint, takes a retry from the window.
 fn may_send_again(request: &ActiveRequest, failure: &AttemptFailure, refusals: u32) -> bool {
     let may_repeat = !request.may_have_run || request.route.retry_policy.may_run_again();
+    if request.time_left() < TIME_LEFT_MIN {
+        return false;
+    }
     if !may_repeat || request.attempts >= request.route.max_attempts || refusals >= REFUSALS_MAX {
         return false;
     }
@@ -257,6 +276,12 @@
     try_take_retry(request)
 }
 
+/// Reports whether a retry is left in this router's retry window.
+pub(super) fn has_retry(request: &ActiveRequest) -> bool {
+    let routers = request.cx.lock_roster().count();
+    request.cx.lock_retries().has_retry(&request.service, routers, request.cx.now())
+}
+
 /// Takes a retry from this router's retry window; returns `false` if none is left.
 pub(super) fn try_take_retry(request: &ActiveRequest) -> bool {
     let routers = request.cx.lock_roster().count();
--- a/components/relay/src/serve/plain.rs
+++ b/components/relay/src/serve/plain.rs
@@ -42,7 +42,7 @@
 ) -> Result<Response<ResponseBody>, (Error, ActiveRequest)> {
     let mut failed_answer = None;
     loop {
-        let answer = match send_until_answered(&mut request, None).await {
+        let answer = match send_until_answered(&mut request, None, None).await {
             Ok(answer) => answer,
             // An earlier endpoint's error answer tells the caller more than the failure to find
             // another endpoint.
--- a/components/relay/src/serve/run.rs
+++ b/components/relay/src/serve/run.rs
@@ -28,8 +28,6 @@
 pub(super) enum CutReason {
     /// The deadline of the request has passed.
     Deadline,
-    /// The endpoint was silent, and no other one may go on.
-    Silence,
     /// The endpoint broke off, and no other one may or can go on.
     Broken,
 }
@@ -39,7 +37,6 @@
     fn label(self) -> &'static str {
         match self {
             CutReason::Deadline => "deadline",
-            CutReason::Silence => "silence",
             CutReason::Broken => "broken",
         }
     }
--- a/components/relay/src/serve/stream_run.rs
+++ b/components/relay/src/serve/stream_run.rs
@@ -7,23 +7,26 @@
 use futures::{StreamExt, stream};
 use http::{Response, header::CONTENT_TYPE, response};
 use http_body_util::BodyExt;
+use types::Timestamp;
 
 use super::{
     body::ResponseBody,
-    exchange::EndpointResponse,
+    continuation::record_no_version,
+    exchange::{EndpointResponse, PlacementGuard},
     forwarding::{EndpointStream, forward_bytes},
     framing::response_head_for_caller,
-    placing::{send_until_answered, try_take_retry},
+    placing::send_until_answered,
+    replacement::{Denial, caller_patience, find_replacement, record_silence, wait_for_grant},
     run::{ActiveRequest, CALLER_LEFT, CutReason},
     suspicion::{check_for_crash, record_survival},
 };
 use crate::{model::RetryPolicy, stream::EventSplitter};
 
-/// A resumable stream counts as stalled after a pause of this many times the route's pause target.
-const STALL_FACTOR: u32 = 4;
+/// Minimum time left before the deadline for a stream to be resumed.
+const TIME_LEFT_MIN: Duration = Duration::from_millis(5);
 
-/// Minimum time without an event after which a stream counts as stalled.
-const STALL_MIN: Duration = Duration::from_millis(800);
+/// Pause after the first failure to resume a stream; it doubles with each further one.
+const RESUME_PAUSE: Duration = Duration::from_millis(200);
 
 /// A stream that is being relayed from an endpoint to the caller.
 struct StreamRelay {
@@ -43,8 +46,10 @@
     End,
     /// The stream broke; holds the reason.
     Broken(String),
-    /// Nothing arrived for too long.
-    Stalled,
+    /// Nothing arrived for too long, and another run was granted.
+    Replaced(PlacementGuard),
+    /// The deadline of the request has passed.
+    Late,
 }
 
 /// Relays a request whose answer is passed on event by event.
@@ -55,7 +60,7 @@
     mut request: ActiveRequest,
 ) -> Result<Response<ResponseBody>, (Error, ActiveRequest)> {
     let last_event = request.head.last_event;
-    let answer = match send_until_answered(&mut request, last_event).await {
+    let answer = match send_until_answered(&mut request, last_event, None).await {
         Ok(answer) => answer,
         Err(error) => return Err((error, request)),
     };
@@ -104,76 +109,61 @@
                     self.finish_stream();
                     return None;
                 }
+                StreamInput::Late => return Some(Err(self.cut_off(CutReason::Deadline))),
                 StreamInput::Broken(reason) => {
-                    if let Err(error) = self.resume(&reason, false).await {
-                        self.record_cut(CutReason::Broken);
-                        return Some(Err(error));
+                    self.leave_broken_endpoint(&reason).await;
+                    if let Err(reason) = self.resume(None).await {
+                        return Some(Err(self.cut_off(reason)));
                     }
                 }
-                StreamInput::Stalled => {
-                    if let Err(error) = self.resume("no event arrived in time", true).await {
-                        self.record_cut(CutReason::Silence);
-                        return Some(Err(error));
+                StreamInput::Replaced(guard) => {
+                    self.leave_silent_endpoint();
+                    if let Err(reason) = self.resume(Some(guard)).await {
+                        return Some(Err(self.cut_off(reason)));
                     }
                 }
             }
         }
     }
 
-    fn record_cut(&self, reason: CutReason) {
-        let is_late = self.request.outcome == "timed_out";
-        self.request.record_cut(if is_late { CutReason::Deadline } else { reason });
-    }
-
     async fn next_input(&mut self) -> StreamInput {
-        let until = self.input_deadline();
+        let deadline = self.request.cx.instant(self.request.deadline);
         loop {
             match self.take_events() {
                 Ok(Some(bytes)) => return StreamInput::Events(bytes),
                 Ok(None) => {}
                 Err(reason) => return StreamInput::Broken(reason),
             }
+            let request = &self.request;
             let Some(source) = &mut self.source else {
                 return StreamInput::Broken(
                     "the stream has no connection to an endpoint".to_owned(),
                 );
             };
-            match tokio::time::timeout_at(until, source.body.frame()).await {
-                Err(_) => return StreamInput::Stalled,
-                Ok(Some(Ok(frame))) => {
+            let endpoint = &source.guard.placement.endpoint;
+            let frame = tokio::select! {
+                biased;
+                frame = source.body.frame() => frame,
+                () = tokio::time::sleep_until(deadline) => return StreamInput::Late,
+                guard = find_replacement(request, endpoint, request.attempts) => {
+                    return StreamInput::Replaced(guard);
+                }
+            };
+            match frame {
+                Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.splitter.push(&data);
                     }
                 }
-                Ok(Some(Err(error))) => return StreamInput::Broken(error.to_string()),
-                Ok(None) if self.splitter.rest().is_empty() => return StreamInput::End,
-                Ok(None) => {
+                Some(Err(error)) => return StreamInput::Broken(error.to_string()),
+                None if self.splitter.rest().is_empty() => return StreamInput::End,
+                None => {
                     return StreamInput::Broken("the stream ended within an event".to_owned());
                 }
             }
         }
     }
 
-    /// Returns the time by which the next event has to arrive.
-    fn input_deadline(&self) -> tokio::time::Instant {
-        let request = &self.request;
-        let limit = request.cx.instant(request.deadline);
-        if !self.may_resume() {
-            return limit;
-        }
-        let pause = request.route.pause_target.unwrap_or(request.route.latency_target);
-        let stall = (pause * STALL_FACTOR).max(STALL_MIN);
-        let first = request.route.latency_target * 2;
-        let wait = if request.first_event_at.is_some() { stall } else { stall.max(first) };
-        limit.min(request.cx.instant(request.cx.now() + wait))
-    }
-
-    fn may_resume(&self) -> bool {
-        let request = &self.request;
-        request.route.retry_policy == RetryPolicy::ResumableStream
-            && request.attempts < request.route.max_attempts
-    }
-
     /// Returns all complete events that have arrived, joined into one buffer.
     fn take_events(&mut self) -> Result<Option<Bytes>, String> {
         let is_first_of_attempt = self.request.attempt_events == 0;
@@ -221,47 +211,103 @@
         self.request.cx.connections.release(source.connection);
     }
 
-    /// Resumes the stream on another endpoint after the last complete event.
+    /// Ends the answer before its end.
+    fn cut_off(&mut self, reason: CutReason) -> io::Error {
+        self.request.outcome = match reason {
+            CutReason::Deadline => "timed_out",
+            CutReason::Broken => "broken",
+        };
+        self.request.record_cut(reason);
+        io::Error::other("the answer is incomplete")
+    }
+
+    /// Closes the connection to an endpoint that broke off.
+    async fn leave_broken_endpoint(&mut self, reason: &str) {
+        let Some(source) = self.source.take() else { return };
+        let endpoint = source.guard.placement.endpoint.clone();
+        log::info!(request:% = self.request.head.id, endpoint:% = endpoint, events = self.request.events, last_event = self.splitter.last_id().unwrap_or_default(); "stream broken: {reason}");
+        let now = self.request.cx.now();
+        self.request.cx.lock_endpoints().record_outcome(&endpoint, true, now);
+        self.request.failed_endpoints.push(endpoint);
+        let EndpointStream { guard, connection, body } = source;
+        drop((body, connection));
+        check_for_crash(&self.request, &guard).await;
+    }
+
+    /// Closes the connection to a silent endpoint, which cancels the request there before it is sent
+    /// to the next one.
+    fn leave_silent_endpoint(&mut self) {
+        let Some(source) = self.source.take() else { return };
+        record_silence(&mut self.request, &source.guard.placement.endpoint);
+    }
+
+    /// Resumes the stream on another endpoint after the last complete event. Tries again until the
+    /// caller has given up or another run cannot be granted any more.
     ///
     /// # Errors
-    /// Returns an error if the stream cannot or may not be resumed.
-    async fn resume(&mut self, reason: &str, is_stalled: bool) -> io::Result<()> {
-        let now = self.request.cx.now();
+    /// Returns the reason if the stream cannot be resumed in time.
+    async fn resume(&mut self, mut granted: Option<PlacementGuard>) -> Result<(), CutReason> {
+        let until = self.request.cx.now() + caller_patience(&self.request.route);
+        let mut pause = RESUME_PAUSE;
         self.request.outcome = "broken";
-        if let Some(source) = self.source.take() {
-            let endpoint = source.guard.placement.endpoint.clone();
-            log::info!(request:% = self.request.head.id, endpoint:% = endpoint, events = self.request.events, last_event = self.splitter.last_id().unwrap_or_default(); "stream broken: {reason}");
-            if now < self.request.deadline {
-                self.request.cx.lock_endpoints().record_outcome(&endpoint, true, now);
-                self.request.failed_endpoints.push(endpoint);
-            }
-            // Closing the connection cancels the request on this endpoint before it is sent to
-            // the next one.
-            let EndpointStream { guard, connection, body } = source;
-            drop((body, connection));
-            if !is_stalled {
-                check_for_crash(&self.request, &guard).await;
+        loop {
+            if self.request.time_left() < TIME_LEFT_MIN {
+                return Err(CutReason::Deadline);
             }
+            let guard = match granted.take() {
+                Some(guard) => guard,
+                None => self.wait_for_grant(until.min(self.request.deadline)).await?,
+            };
+            metrics::counter!(telemetry::RETRIES_TOTAL, "reason" => "resumed").increment(1);
+            let last_event = self.splitter.last_id();
+            let sent = send_until_answered(&mut self.request, last_event, Some(guard)).await;
+            let failure = match sent {
+                Ok(answer) if answer.metadata.is_signed && is_event_stream(&answer.head) => {
+                    self.go_on_with(answer);
+                    return Ok(());
+                }
+                Ok(answer) => {
+                    let endpoint = answer.guard.placement.endpoint.clone();
+                    let now = self.request.cx.now();
+                    self.request.cx.lock_endpoints().record_outcome(&endpoint, true, now);
+                    self.request.failed_endpoints.push(endpoint);
+                    format!("answered with {}", answer.head.status)
+                }
+                Err(error) => error.to_string(),
+            };
+            log::info!(request:% = self.request.head.id, endpoint:% = self.request.endpoint.as_deref().unwrap_or(""), attempts = self.request.attempts; "stream not resumed: {failure}");
+            tokio::time::sleep(pause).await;
+            pause *= 2;
         }
-        if self.request.time_left() < Duration::from_millis(5) {
-            self.request.outcome = "timed_out";
-            return Err(io::Error::new(io::ErrorKind::TimedOut, "the request deadline has passed"));
-        }
-        if !self.may_resume() || !try_take_retry(&self.request) {
-            return Err(io::Error::other(reason.to_owned()));
+    }
+
+    /// Waits until another run is granted.
+    ///
+    /// # Errors
+    /// Returns the reason if none may be granted, or none is granted in time.
+    async fn wait_for_grant(&self, until: Timestamp) -> Result<PlacementGuard, CutReason> {
+        let request = &self.request;
+        let may_resume = request.route.retry_policy == RetryPolicy::ResumableStream
+            && request.attempts < request.route.max_attempts;
+        if !may_resume {
+            return Err(CutReason::Broken);
         }
-        metrics::counter!(telemetry::RETRIES_TOTAL, "reason" => "resumed").increment(1);
+        let granted = wait_for_grant(request, until.since(request.cx.now())).await;
+        granted.map_err(|denial| {
+            if denial == Denial::Version {
+                record_no_version();
+            }
+            log::info!(request:% = request.head.id, reason:? = denial; "no other run of the stream is granted");
+            if request.time_left() < TIME_LEFT_MIN { CutReason::Deadline } else { CutReason::Broken }
+        })
+    }
+
+    fn go_on_with(&mut self, answer: EndpointResponse) {
         let last_event = self.splitter.last_id();
-        let answer =
-            send_until_answered(&mut self.request, last_event).await.map_err(io::Error::other)?;
-        if !answer.metadata.is_signed || !is_event_stream(&answer.head) {
-            return Err(io::Error::other("the endpoint did not resume the stream"));
-        }
         log::info!(request:% = self.request.head.id, endpoint:% = answer.guard.placement.endpoint, version:% = answer.guard.placement.version, after = last_event.unwrap_or_default(); "stream resumed");
         self.splitter = EventSplitter::after(last_event);
         let EndpointResponse { body, connection, guard, .. } = answer;
         self.source = Some(EndpointStream { body, connection, guard });
         self.request.outcome = CALLER_LEFT;
-        Ok(())
     }
 }
--- a/components/relay/src/serve/suspicion.rs
+++ b/components/relay/src/serve/suspicion.rs
@@ -72,6 +72,11 @@
     }
 }
 
+/// Reports whether the request contains something condemned.
+pub(super) fn is_condemned(request: &ActiveRequest) -> bool {
+    matches!(standing(request), Standing::Condemned(_))
+}
+
 /// Returns the content that decides where the request is placed because it may crash endpoints.
 pub(super) fn suspect_of(request: &ActiveRequest) -> Option<Suspect> {
     match standing(request) {
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -169,7 +169,7 @@
 /// not lead to its service.
 pub const STREAMS_NOT_TAKEN_UP_TOTAL: &str = "auburncrank_streams_not_taken_up_total";
 
-/// Counter of answers that this router ended before their end, by `reason`: `deadline`, `silence` or
+/// Counter of answers that this router ended before their end, by `reason`: `deadline` or
 /// `broken`.
 pub const ANSWERS_CUT_TOTAL: &str = "auburncrank_answers_cut_total";
 
