Probe connections to endpoints, so that a dead path is found while an answer is silent

A request that waits for a silent endpoint sends nothing, so a path that is gone was found only by the silence, which is no evidence. Connections to endpoints now have TCP keep-alive: a probe after each second in which nothing arrives. On Linux TCP_USER_TIMEOUT decides when unanswered probes close the connection, whatever their number, at the first probe that is due after it; it is 1.9 s now, 2.5 s before, so that the second probe does, two seconds after the last byte.

Before, of platform/tests/silences.rs, from the field `tr` of /proc/net/tcp:

connection_to_a_silent_endpoint_is_probed left: Some("00") right: Some("02")

It passes with the change. That a dead path closes the connection after two seconds follows from the kernel's tcp_keepalive_timer and was not measured: the tests cannot cut a path on loopback.

--- a/components/relay/src/serve/connections.rs
+++ b/components/relay/src/serve/connections.rs
@@ -14,6 +14,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::{net::TcpStream, task::AbortHandle, time::Instant};
 use utils::{HashMap, HashSet};
@@ -21,9 +22,15 @@
 /// Timeout for opening a connection; usually this takes a millisecond or two.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time after which a connection to an endpoint with unacknowledged data is closed
-/// (`TCP_USER_TIMEOUT`).
-const ENDPOINT_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time after which a connection to an endpoint that acknowledges neither data nor keep-alive probes
+/// is closed (`TCP_USER_TIMEOUT`). On Linux it also replaces the number of unanswered probes: the
+/// first probe that is due after it closes the connection. Less than two [`KEEP_ALIVE_INTERVAL`]s, so
+/// that this is the second one.
+const ENDPOINT_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_900);
+
+/// Time after which a connection to an endpoint on which nothing arrives is probed, and time between
+/// probes. Linux takes whole seconds.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time after which a caller's connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`):
 /// longer than callers wait for an answer or leave one unread.
@@ -250,9 +257,16 @@
 }
 
 /// Sets the options of a connection to an endpoint. A path that does not acknowledge what was sent
-/// counts as broken after [`ENDPOINT_UNACKNOWLEDGED_TIMEOUT`], so that the request can go elsewhere.
+/// counts as broken after [`ENDPOINT_UNACKNOWLEDGED_TIMEOUT`], and one that carries nothing after two
+/// keep-alive probes, so that the request can go elsewhere. An endpoint whose process is silent
+/// still acknowledges both.
 pub(super) fn set_endpoint_socket_options(stream: &TcpStream) {
     set_socket_options(stream, ENDPOINT_UNACKNOWLEDGED_TIMEOUT);
+    let keep_alive =
+        TcpKeepalive::new().with_time(KEEP_ALIVE_INTERVAL).with_interval(KEEP_ALIVE_INTERVAL);
+    if let Err(error) = SockRef::from(stream).set_tcp_keepalive(&keep_alive) {
+        log::debug!("failed to enable keep-alive probes: {error}");
+    }
 }
 
 /// Sets the options of a caller's connection. A caller that acknowledges late, or does not read while
@@ -264,7 +278,7 @@
 
 /// Disables Nagle's algorithm and sets `TCP_USER_TIMEOUT`.
 fn set_socket_options(stream: &TcpStream, unacknowledged_timeout: Duration) {
-    let socket = socket2::SockRef::from(stream);
+    let socket = SockRef::from(stream);
     let set = socket
         .set_tcp_nodelay(true)
         .and_then(|()| socket.set_tcp_user_timeout(Some(unacknowledged_timeout)));
