Keep open connections of callers to the idle timeout in force

Callers that reused a connection within a raised idle timeout found it closed: the timeout was read once, when the connection was accepted. The timer of a connection now ends after the longer of the timeouts in force when it became idle and when it would end.

--- a/components/relay/src/serve/mod.rs
+++ b/components/relay/src/serve/mod.rs
@@ -7,6 +7,7 @@
 mod forwarding;
 mod framing;
 mod handler;
+mod idle_timer;
 mod placing;
 mod plain;
 mod replacement;
--- a/components/relay/src/serve/server.rs
+++ b/components/relay/src/serve/server.rs
@@ -13,7 +13,12 @@
     sync::watch,
 };
 
-use super::{connections::set_caller_socket_options, handler::handle, side_calls::AuxiliaryApi};
+use super::{
+    connections::set_caller_socket_options,
+    handler::handle,
+    idle_timer::{IDLE_TIMEOUT, IdleTimer},
+    side_calls::AuxiliaryApi,
+};
 use crate::context::RelayContext;
 
 /// Maximum number of connections that wait to be accepted.
@@ -22,10 +27,6 @@
 /// Size limit of the read buffer, in bytes; the desired state sets the limit on request heads.
 const HEAD_BUFFER_BYTES: usize = 64 * 1_024;
 
-/// Idle timeout of a caller's connection until a desired state sets one, and of connections to
-/// the auxiliary API.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-
 /// Pause after a failure to accept a connection, for instance when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -70,13 +71,11 @@
             accepted = accept(&listener) => accepted,
             _ = stopped.wait_for(|stopped| *stopped) => break,
         };
-        let idle =
-            cx.in_force.load().as_ref().map_or(IDLE_TIMEOUT, |it| it.state.limits.idle_timeout);
         let context = cx.clone();
         let service = service_fn(move |req| handle(context.clone(), req));
         let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(idle)
+            .timer(IdleTimer::new(cx.clone()))
+            .header_read_timeout(IDLE_TIMEOUT)
             .max_buf_size(HEAD_BUFFER_BYTES)
             .serve_connection(TokioIo::new(stream), service);
         let connection = graceful.watch(connection);
