Give up a silent engine's chat stream only once another engine is granted

Callers of chat got attempts_failed although the engine was sound: after 30 s without a byte the stream was cancelled, and a retry and another engine were asked for only afterwards. The router now asks for an endpoint and then for a retry while it still reads the stream, and cancels it when it has both; if more bytes arrive meanwhile, it gives the lease back. The idle timeout is a setting of the router, still 30 s in the daemon, so that tests can shorten it.

--- a/components/router/src/context.rs
+++ b/components/router/src/context.rs
@@ -1,6 +1,6 @@
 //! Context of the request handlers.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use client::HttpClient;
 use platform::Table;
@@ -27,6 +27,8 @@
     pub peers: Arc<dyn Peers>,
     /// The platform's transactional table.
     pub table: Arc<dyn Table>,
+    /// Pause within an endpoint's stream after which the request may go on at another endpoint.
+    pub stream_idle_timeout: Duration,
     /// HTTP client with pooled connections, for calls that may be repeated.
     pub pooled: HttpClient,
     /// HTTP client with a connection per call, for calls that must not run twice.
--- a/components/router/src/daemon/assembly.rs
+++ b/components/router/src/daemon/assembly.rs
@@ -85,6 +85,7 @@
         peers: peers.clone(),
         cfg,
         table,
+        stream_idle_timeout: settings.stream_idle_timeout,
         pooled: HttpClient::new(Connections::Pooled),
         unpooled: HttpClient::new(Connections::OnePerCall),
     };
--- a/components/router/src/daemon/settings.rs
+++ b/components/router/src/daemon/settings.rs
@@ -28,6 +28,8 @@
     pub http_limits: HttpLimits,
     /// Maximum duration of a graceful shutdown.
     pub drain_timeout: Duration,
+    /// Pause within an endpoint's stream after which the request may go on at another endpoint.
+    pub stream_idle_timeout: Duration,
     /// Number of threads that process requests.
     pub traffic_threads: usize,
     /// Hash of the key that has the admin role while the configuration has no operator.
--- a/components/router/src/traffic/chat_attempt.rs
+++ b/components/router/src/traffic/chat_attempt.rs
@@ -1,7 +1,5 @@
 //! One attempt of a chat request at one endpoint.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use client::SendError;
 use engine_api::{
@@ -13,16 +11,13 @@
 use hyper::body::Incoming;
 use types::Priority;
 
-use super::{ChatJob, attempt_error::AttemptError};
+use super::{ChatJob, attempt_error::AttemptError, stream_activity::StreamActivity};
 use crate::{
     RouterContext,
     answer::{AnswerHead, AnswerLog},
     dispatch::{AttemptOutcome, EndpointLease},
 };
 
-/// Longest pause within a stream before the attempt counts as timed out.
-const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Answer of a request so far, from all its attempts.
 #[derive(Debug, Default)]
 pub(super) struct ChatProgress {
@@ -46,7 +41,7 @@
 
 /// Makes one attempt. Writes the text to `log` as it arrives and adds it to `progress`, from
 /// which the next attempt continues if this one fails. `on_prompt_tokens` is called with the
-/// number of prompt tokens when an engine first reports it.
+/// number of prompt tokens when an engine first reports it. `activity` shows when bytes arrived.
 pub(super) async fn attempt_chat(
     cx: &RouterContext,
     job: &ChatJob,
@@ -54,6 +49,7 @@
     progress: &mut ChatProgress,
     mut on_prompt_tokens: impl FnMut(u64),
     log: &AnswerLog,
+    activity: &StreamActivity,
 ) -> Result<(), AttemptError> {
     let started = cx.clock.now();
     let body = encode_request(job, progress);
@@ -65,10 +61,11 @@
         error => AttemptError::new(AttemptOutcome::Lost, error.to_string()),
     })?;
     check_status(res.status())?;
+    activity.record(cx.clock.now());
     let mut stream = EngineEvents::new(res.into_body());
     let mut is_first = true;
     let tokens_before = progress.completion_tokens;
-    while let Some(chunk) = stream.next().await? {
+    while let Some(chunk) = stream.next(cx, activity).await? {
         if std::mem::take(&mut is_first) {
             let latency = cx.clock.now().since(started);
             cx.dispatcher.report_first_token(lease, latency);
@@ -176,7 +173,11 @@
     }
 
     /// Returns the next chunk; `None` after the event that marks the end of the stream.
-    async fn next(&mut self) -> Result<Option<ChatChunk>, AttemptError> {
+    async fn next(
+        &mut self,
+        cx: &RouterContext,
+        activity: &StreamActivity,
+    ) -> Result<Option<ChatChunk>, AttemptError> {
         loop {
             if let Some(data) = self.decoder.next_event() {
                 if data == DONE_MARK {
@@ -187,10 +188,8 @@
                     .map(Some)
                     .map_err(|error| lost_error(format!("malformed chunk: {error}")));
             }
-            let frame = tokio::time::timeout(STREAM_IDLE_TIMEOUT, self.body.frame()).await;
-            let frame = frame.map_err(|_| {
-                AttemptError::new(AttemptOutcome::TimedOut, "the stream was idle for too long")
-            })?;
+            let frame = self.body.frame().await;
+            activity.record(cx.clock.now());
             let frame = frame
                 .ok_or_else(|| lost_error("the stream ended before its final event".to_owned()))?;
             let frame = frame.map_err(|error| lost_error(error.to_string()))?;
--- a/components/router/src/traffic/chat_run.rs
+++ b/components/router/src/traffic/chat_run.rs
@@ -14,12 +14,13 @@
     ChatJob,
     attempt_error::AttemptError,
     chat_attempt::{ChatProgress, attempt_chat},
+    stream_activity::{StreamActivity, find_replacement},
 };
 use crate::{
     RouterContext,
     accounting::{Reservation, ReserveRequest},
     answer::{AnswerEnd, AnswerLog},
-    dispatch::AttemptOutcome,
+    dispatch::{AttemptOutcome, EndpointLease, EndpointNeed},
 };
 
 /// Timeout of the call that cancels a stream.
@@ -60,24 +61,30 @@
 ) -> Result<()> {
     let mut need = job.endpoint_need();
     let mut was_sent = false;
+    let mut granted: Option<EndpointLease> = None;
     loop {
-        let lease = match cx.dispatcher.acquire(&need).await {
-            Ok(lease) => lease,
-            Err(error) if was_sent && error.kind() != ErrorKind::Quarantined => {
-                return Err(Error::new(ErrorKind::AttemptsFailed, error.to_string()));
-            }
-            Err(error) => return Err(error),
+        let lease = match granted.take() {
+            Some(lease) => lease,
+            None => acquire(cx, &need, was_sent).await?,
         };
         let (endpoint, version) = (lease.endpoint.clone(), lease.version.clone());
         let shrink = |prompt_tokens: u64| {
             let tokens = Tokens(prompt_tokens.saturating_add(job.max_tokens));
             cx.accounting.shrink(reservation, tokens);
         };
-        let attempt = attempt_chat(cx, job, &lease, progress, shrink, log);
-        let left = cx.clock.time_left_until(job.deadline);
-        let result = tokio::time::timeout(left, attempt).await.unwrap_or_else(|_| {
-            Err(AttemptError::new(AttemptOutcome::Cancelled, "the deadline passed"))
-        });
+        let activity = StreamActivity::new();
+        let attempt = attempt_chat(cx, job, &lease, progress, shrink, log, &activity);
+        let result = tokio::select! {
+            biased;
+            result = attempt => result,
+            () = cx.clock.sleep_until(job.deadline) => {
+                Err(AttemptError::new(AttemptOutcome::Cancelled, "the deadline passed"))
+            }
+            replacement = find_replacement(cx, &need, &lease, &activity) => {
+                granted = Some(replacement);
+                Err(AttemptError::new(AttemptOutcome::TimedOut, "the stream was idle for too long"))
+            }
+        };
         let Err(failed) = result else {
             cx.dispatcher.finish(lease, &need, AttemptOutcome::Completed);
             return Ok(());
@@ -92,7 +99,7 @@
         if let Some(version) = version.filter(|_| !progress.text.is_empty()) {
             need.target.keep_version(&version);
         }
-        if !cx.dispatcher.may_retry(&need, failed.outcome) {
+        if granted.is_none() && !cx.dispatcher.may_retry(&need, failed.outcome) {
             return Err(final_error(&failed, was_sent));
         }
         metrics::counter!(telemetry::RETRIES_TOTAL, "reason" => failed.outcome.label())
@@ -101,6 +108,17 @@
     }
 }
 
+async fn acquire(cx: &RouterContext, need: &EndpointNeed, was_sent: bool) -> Result<EndpointLease> {
+    let acquired = cx.dispatcher.acquire(need).await;
+    acquired.map_err(|error| {
+        if was_sent && error.kind() != ErrorKind::Quarantined {
+            Error::new(ErrorKind::AttemptsFailed, error.to_string())
+        } else {
+            error
+        }
+    })
+}
+
 /// Asks an endpoint to cancel its stream, without waiting for the response.
 fn cancel_stream(cx: &RouterContext, job: &ChatJob, endpoint: SocketAddr) {
     let (client, path) = (cx.pooled.clone(), format!("/v1/streams/{}", job.engine_request_id()));
--- a/components/router/src/traffic/mod.rs
+++ b/components/router/src/traffic/mod.rs
@@ -8,5 +8,6 @@
 mod chat_job;
 mod chat_run;
 mod runs;
+mod stream_activity;
 
 pub(crate) use self::{action_job::ActionJob, chat_job::ChatJob, runs::Runs};
--- a/components/router/tests/administration.rs
+++ b/components/router/tests/administration.rs
@@ -100,6 +100,7 @@
         platform_address: platform.address(),
         platform_timeout: Duration::from_secs(2),
         http_limits: HttpLimits::default(),
+        stream_idle_timeout: Duration::from_secs(30),
         drain_timeout: Duration::from_secs(10),
         traffic_threads: 2,
         bootstrap_operator_key: Some(ApiKey::new(BOOTSTRAP).hash()),
--- a/components/router/tests/peers.rs
+++ b/components/router/tests/peers.rs
@@ -36,6 +36,7 @@
         platform_address: SocketAddr::from(([127, 0, 0, 1], 1)),
         platform_timeout: Duration::from_secs(1),
         http_limits: HttpLimits::default(),
+        stream_idle_timeout: Duration::from_secs(30),
         drain_timeout: Duration::from_secs(4),
         traffic_threads: 1,
     })
--- a/components/scene/src/router_set.rs
+++ b/components/scene/src/router_set.rs
@@ -118,6 +118,7 @@
             platform_timeout: Duration::from_secs(2),
             http_limits: self.spec.http_limits,
             drain_timeout: self.spec.drain_timeout,
+            stream_idle_timeout: self.spec.stream_idle_timeout,
             traffic_threads: 2,
         }
     }
--- a/components/scene/src/scene_spec.rs
+++ b/components/scene/src/scene_spec.rs
@@ -44,6 +44,8 @@
     pub http_limits: HttpLimits,
     /// Maximum time for the graceful shutdown of a router.
     pub drain_timeout: Duration,
+    /// Pause within an engine's stream after which a router may go on at another engine.
+    pub stream_idle_timeout: Duration,
 }
 
 /// Specification of a client account.
--- a/components/scene/src/two_account_spec.rs
+++ b/components/scene/src/two_account_spec.rs
@@ -42,6 +42,7 @@
         routers: FAILURE_DOMAINS.iter().map(|domain| router(domain)).collect(),
         http_limits: HttpLimits::default(),
         drain_timeout: Duration::from_secs(20),
+        stream_idle_timeout: Duration::from_secs(30),
     }
 }
 
--- a/programs/auburncrank-bench/src/cmd/path.rs
+++ b/programs/auburncrank-bench/src/cmd/path.rs
@@ -142,6 +142,7 @@
         routers: vec![RouterSpec { name: parse_name(RouterName::new, "router-1"), failure_domain }],
         http_limits: HttpLimits::default(),
         drain_timeout: Duration::from_secs(1),
+        stream_idle_timeout: Duration::from_secs(30),
     }
 }
 
--- a/programs/auburncrankd/src/cli.rs
+++ b/programs/auburncrankd/src/cli.rs
@@ -1,5 +1,7 @@
 //! Command line of the daemon: settings and help text.
 
+use std::time::Duration;
+
 use config::KeyHash;
 use log::LevelFilter;
 use router::{HttpLimits, RouterSettings};
@@ -11,6 +13,9 @@
 use types::{FailureDomain, RouterName};
 use utils::Digest;
 
+/// Pause within an endpoint's stream after which the request may go on at another endpoint.
+const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
 const SPEC: ProgramSpec = ProgramSpec {
     name: "auburncrankd",
     about: "Runs one router of an auburncrank fleet.",
@@ -165,6 +170,7 @@
         platform_timeout,
         http_limits,
         drain_timeout,
+        stream_idle_timeout: STREAM_IDLE_TIMEOUT,
         traffic_threads: traffic_threads?,
         bootstrap_operator_key,
     };
