Reach endpoints through other routers while this one is cut off

Cause: a router had one path to an endpoint, its own connection, and took every failure to connect for the endpoint's fault. A request was placed on up to four endpoints in turn, waited 400 ms for each, and was refused.

Change: if a connection fails or takes over 150 ms, the router asks another one to connect to the same endpoint (`tunnel`), which copies bytes and decides nothing: request id, tokens, retries, versions and verdicts stay at the first router. If the other router succeeds, the endpoint is up and the path is blocked (`reach`); two blocked endpoints with no connection in between mean that the router is cut off from the service, and requests no longer wait for connections of its own. One trial each half a second, started by a request but not awaited by it, finds the end of the cut. Tunnels lead to processes of endpoints that the other router reads from the list itself, never through a third router, and count among its connections; the end of a tunnel closes the endpoint's connection. An answer without a length is not passed on through a tunnel, and a router that leaves finishes what its tunnels carry.

--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -19,18 +19,28 @@
     allowance::{RouterAllowances, WitnessRecords},
     endpoints::EndpointRegistry,
     limits::RetryWindow,
-    model::DesiredState,
+    model::{DesiredState, ServiceSpec},
     origins::{OriginBook, OriginQueries},
     peers::{GossipSocket, Roster, SelfStatus},
     ports::{ControlSource, Dialect},
     rate::Rate,
+    reach::PathBook,
     serve::EndpointConnections,
     settings::RelaySettings,
+    tunnel::TunnelServer,
 };
 
 /// Time over which the rate of callers' requests is averaged.
 const ARRIVAL_RATE_WINDOW: Duration = Duration::from_secs(1);
 
+/// Number of equal shares of an endpoint's connections that one router may use. It is more than
+/// one since some routers have more callers than others, and few use up their share.
+const CONNECTION_SHARES_PER_ROUTER: usize = 2;
+
+/// Minimum number of connections that a router may open to an endpoint, however many routers share
+/// it.
+const CONNECTIONS_MIN: usize = 2;
+
 /// A desired state, and when this router put it in force.
 #[derive(Debug)]
 pub(crate) struct InForce {
@@ -53,6 +63,8 @@
     pub(crate) table: Arc<dyn Table>,
     /// Pool of connections to endpoints.
     pub(crate) connections: EndpointConnections,
+    /// Connections to endpoints that other routers use through this one.
+    pub(crate) tunnels: TunnelServer,
     /// Exchange of messages with other routers.
     pub(crate) gossip: GossipSocket,
     /// Random process number, chosen at each start of the router.
@@ -89,6 +101,7 @@
     arrivals: Mutex<Rate>,
     start: Instant,
     endpoints: Mutex<EndpointRegistry>,
+    paths: Mutex<PathBook>,
     roster: Mutex<Roster>,
     allowances: Mutex<RouterAllowances>,
     retries: Mutex<RetryWindow>,
@@ -126,6 +139,7 @@
             source: dependencies.source,
             table: dependencies.table,
             connections: EndpointConnections::default(),
+            tunnels: TunnelServer::default(),
             gossip,
             process,
             in_force: ArcSwapOption::empty(),
@@ -144,6 +158,7 @@
             arrivals: Mutex::new(Rate::new(ARRIVAL_RATE_WINDOW)),
             start: Instant::now(),
             endpoints: Mutex::default(),
+            paths: Mutex::default(),
             roster: Mutex::default(),
             allowances: Mutex::new(allowances),
             retries: Mutex::new(RetryWindow::new(settings.retries)),
@@ -203,6 +218,21 @@
         }
     }
 
+    /// Returns the number of connections that this router may open to an endpoint of `service`.
+    pub(crate) fn connections_max(&self, service: &str) -> usize {
+        let in_force = self.in_force.load();
+        let spec = in_force.as_ref().and_then(|it| it.state.services.get(service));
+        self.connections_share(spec)
+    }
+
+    /// Returns the number of connections that this router may open to an endpoint of a service with
+    /// this specification.
+    pub(crate) fn connections_share(&self, spec: Option<&ServiceSpec>) -> usize {
+        let connections = spec.map_or(CONNECTIONS_MIN, |it| it.max_connections as usize);
+        let share = connections * CONNECTION_SHARES_PER_ROUTER / self.lock_roster().count();
+        share.min(connections).max(CONNECTIONS_MIN)
+    }
+
     /// Returns the version of the desired state in force; zero if there is none.
     pub(crate) fn config_version(&self) -> u64 {
         self.in_force.load().as_ref().map_or(0, |it| it.state.version)
@@ -233,6 +263,11 @@
         self.endpoints.lock().expect("the lock is not poisoned")
     }
 
+    /// Locks the paths to the endpoints.
+    pub(crate) fn lock_paths(&self) -> MutexGuard<'_, PathBook> {
+        self.paths.lock().expect("the lock is not poisoned")
+    }
+
     /// Locks the list of routers.
     pub(crate) fn lock_roster(&self) -> MutexGuard<'_, Roster> {
         self.roster.lock().expect("the lock is not poisoned")
--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -8,7 +8,7 @@
 use super::{
     endpoint::Endpoint,
     load::{Load, LoadShare},
-    placement::ProcessId,
+    placement::{ConnectTarget, ProcessId},
     prompt_split::PromptSplit,
     store_contact::StoreContact,
     versions::GoneVersions,
@@ -175,6 +175,23 @@
         self.endpoints.get(id).is_some_and(Endpoint::is_in_service)
     }
 
+    /// Returns where a process of an endpoint accepts connections; `None` if it is not known or
+    /// accepts no new requests.
+    pub fn connect_target(&self, id: &str, started_at_ms: u64) -> Option<ConnectTarget> {
+        let endpoint = self.endpoints.get(id).filter(|it| it.is_in_service())?;
+        let entry = &endpoint.entry;
+        (entry.started_at_ms == started_at_ms).then(|| ConnectTarget {
+            endpoint: entry.id.clone(),
+            service: entry.service.clone(),
+            address: entry.address,
+        })
+    }
+
+    /// Reports whether an endpoint is known.
+    pub fn is_known(&self, id: &str) -> bool {
+        self.endpoints.contains_key(id)
+    }
+
     /// Returns the number of endpoints that accept new requests, and the number of all known
     /// endpoints.
     pub fn counts(&self) -> (usize, usize) {
--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -192,6 +192,8 @@
     let entry = &chosen.endpoint.entry;
     Choice::Placed(Placement {
         endpoint: entry.id.clone(),
+        service: entry.service.clone(),
+        failure_domain: entry.failure_domain.clone(),
         address: entry.address,
         process: ProcessId { started_at_ms: entry.started_at_ms, ended: chosen.endpoint.ended },
         version: entry.version.clone(),
--- a/components/relay/src/endpoints/mod.rs
+++ b/components/relay/src/endpoints/mod.rs
@@ -17,7 +17,9 @@
 pub use self::{
     book::{EndpointChange, EndpointRegistry},
     load::{Load, LoadShare},
-    placement::{Choice, LimitedWait, Placement, PlacementRequest, ProcessId, Suspect},
+    placement::{
+        Choice, ConnectTarget, LimitedWait, Placement, PlacementRequest, ProcessId, Suspect,
+    },
     rate_limit::{RateReport, RateStatement},
     statements::{StatementReport, Statements},
 };
--- a/components/relay/src/endpoints/placement.rs
+++ b/components/relay/src/endpoints/placement.rs
@@ -49,6 +49,10 @@
 pub struct Placement {
     /// Id of the endpoint.
     pub endpoint: Arc<str>,
+    /// Service of the endpoint.
+    pub service: Arc<str>,
+    /// Failure domain of the endpoint.
+    pub failure_domain: Arc<str>,
     /// Address to connect to.
     pub address: SocketAddr,
     /// Process of the endpoint.
@@ -62,6 +66,17 @@
     pub wait_ms: f64,
 }
 
+/// Where an endpoint accepts connections.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConnectTarget {
+    /// Id of the endpoint.
+    pub endpoint: Arc<str>,
+    /// Service of the endpoint.
+    pub service: Arc<str>,
+    /// Address to connect to.
+    pub address: SocketAddr,
+}
+
 /// One process of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ProcessId {
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! The crate depends on no wire format other than HTTP: [`Dialect`] and [`ControlSource`] are
 //! implemented elsewhere. The modules that make decisions ([`allowance`], [`endpoints`],
-//! [`limits`], [`origins`], [`stream`]) contain no network code; the time and random numbers are passed in.
+//! [`limits`], [`origins`], [`reach`], [`stream`]) contain no network code; the time and random numbers are passed in.
 
 pub mod allowance;
 mod context;
@@ -15,12 +15,14 @@
 mod ports;
 mod process;
 mod rate;
+pub mod reach;
 mod serve;
 mod settings;
 mod sockets;
 pub mod stream;
 mod sync;
 mod transfer;
+mod tunnel;
 mod units;
 
 pub use self::{
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -56,11 +56,6 @@
         Ok(GossipSocket { socket, loans: Mutex::default() })
     }
 
-    /// Returns the address that the socket is bound to.
-    pub(crate) fn local_address(&self) -> io::Result<SocketAddr> {
-        self.socket.local_addr()
-    }
-
     /// Sends the state of this router to other routers and to the configured seeds at once.
     /// `wants_answer` asks them to reply with their own state.
     pub(crate) async fn send_status(&self, cx: &RelayContext, wants_answer: bool) {
@@ -116,6 +111,7 @@
         let loads = cx.lock_endpoints().own_loads();
         let reports = cx.lock_endpoints().reports(cx.now());
         let evidence = cx.lock_crash_evidence().reports(cx.now());
+        let cut_off = cx.lock_paths().cut_off_services();
         let message = StatusMessage {
             name: own.name.to_string(),
             process: own.process,
@@ -131,6 +127,7 @@
             arrivals_per_s: own.arrivals_per_s,
             statements: reports.iter().map(StatementMessage::from_report).collect(),
             evidence: evidence.iter().map(EvidenceMessage::from_report).collect(),
+            cut_off_services: cut_off.iter().map(ToString::to_string).collect(),
         };
         encode(PeerContent::Status(message))
     }
@@ -289,6 +286,8 @@
     let shares: Vec<_> = message.loads.iter().map(LoadMessage::to_share).collect();
     cx.lock_endpoints().apply_peer_loads(&member.name, &shares, now);
     cx.record_peer_version(member.config_version);
+    let cut_off = message.cut_off_services.iter().map(|it| it.as_str().into()).collect();
+    cx.lock_paths().record_peer_statement(&member.name, cut_off, now);
     let mut roster = cx.lock_roster();
     roster.record_status(member, now);
     for report in message.liveness.iter().flat_map(LivenessMessage::reports) {
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -235,6 +235,9 @@
     /// Evidence on what crashes endpoints: all verdicts, and what changed recently. Replaces tag 9.
     #[prost(message, repeated, tag = "15")]
     pub evidence: Vec<EvidenceMessage>,
+    /// Names of the services whose endpoints the sender reaches only through other routers.
+    #[prost(string, repeated, tag = "16")]
+    pub cut_off_services: Vec<String>,
 }
 
 /// Liveness of other routers. The lists have the same length, and each router has the same index
--- a/components/relay/src/peers/roster.rs
+++ b/components/relay/src/peers/roster.rs
@@ -223,6 +223,11 @@
         ready.map(|it| it.member.load()).collect()
     }
 
+    /// Returns whether a router is alive and accepts new callers.
+    pub fn is_ready(&self, router: &str, now: Timestamp) -> bool {
+        self.entries.get(router).is_some_and(|it| it.is_live(now) && it.member.is_ready)
+    }
+
     /// Returns whether no other router is known.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -7,6 +7,7 @@
 
 use telemetry::MetricsHandle;
 use tokio::{sync::watch, task::JoinHandle, time::Instant};
+use utils::HashSet;
 
 use crate::{
     context::{RelayContext, RelayDependencies},
@@ -18,6 +19,7 @@
         remove_member_row, return_allowances, run_allowances, run_member_rows, run_verdict_rows,
         run_version_rows, watch_config, watch_endpoints,
     },
+    tunnel::serve_tunnels,
     units::millis,
 };
 
@@ -54,7 +56,7 @@
         dependencies: RelayDependencies,
         metrics: MetricsHandle,
     ) -> RelayProcess {
-        let RelaySockets { callers, auxiliary, gossip } = sockets;
+        let RelaySockets { callers, auxiliary, gossip, tunnels } = sockets;
         log::info!(router:% = settings.name, failure_domain:% = settings.failure_domain, callers:% = settings.caller_address; "router starts");
         let cx = Arc::new(RelayContext::new(settings, dependencies, gossip));
         let (stop, stopped) = watch::channel(false);
@@ -66,6 +68,7 @@
         tokio::spawn(watch_endpoints(cx.clone()));
         tokio::spawn(run_member_rows(cx.clone()));
         tokio::spawn(run_gossip(cx.clone()));
+        tokio::spawn(serve_tunnels(cx.clone(), tunnels));
         tokio::spawn(run_verdict_rows(cx.clone()));
         tokio::spawn(run_version_rows(cx.clone()));
         tokio::spawn(prune_connections(cx.clone()));
@@ -94,7 +97,10 @@
         cx.gossip.send_status(cx, false).await;
         tokio::time::sleep(ACCEPT_AFTER_LEAVING).await;
         let _ = self.stop.send(true);
-        while Instant::now() < end_by && !self.callers.is_finished() {
+        // Other routers close their idle tunnels once they know that this router leaves.
+        while Instant::now() < end_by
+            && !(self.callers.is_finished() && cx.tunnels.open_count() == 0)
+        {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         self.allowances.abort();
@@ -112,10 +118,17 @@
         tokio::time::sleep(PRUNE_INTERVAL).await;
         let connected = cx.connections.endpoints();
         let endpoints = cx.lock_endpoints();
-        let in_service: utils::HashSet<_> =
+        let in_service: HashSet<_> =
             connected.into_iter().filter(|it| endpoints.is_in_service(it)).collect();
         drop(endpoints);
-        cx.connections.prune(|endpoint| in_service.contains(endpoint));
+        let routers: HashSet<Arc<str>> = {
+            let roster = cx.lock_roster();
+            roster.ready_members(cx.now()).iter().map(|it| it.name.clone()).collect()
+        };
+        cx.connections.prune(|it| in_service.contains(it), |it| routers.contains(it));
+        let endpoints = cx.lock_endpoints();
+        cx.lock_paths().prune(|it| endpoints.is_known(it), |it| routers.contains(it));
+        drop(endpoints);
         report_gauges(&cx);
     }
 }
@@ -124,6 +137,10 @@
 fn report_gauges(cx: &RelayContext) {
     metrics::gauge!(telemetry::REQUESTS_IN_PROGRESS).set(cx.running.load(Ordering::Relaxed) as f64);
     metrics::gauge!(telemetry::LOG_LINES_DROPPED).set(telemetry::dropped_log_lines() as f64);
+    let cut_off = cx.lock_paths().cut_off_services().len();
+    metrics::gauge!(telemetry::CUT_OFF_SERVICES).set(cut_off as f64);
+    let tunnels = cx.tunnels.open_count();
+    metrics::gauge!(telemetry::TUNNELS_OPEN).set(tunnels as f64);
     let limited = cx.lock_endpoints().rate_limit_count();
     metrics::gauge!(telemetry::RATE_LIMITED_ENDPOINTS).set(limited as f64);
     let (records, condemned) = cx.lock_crash_evidence().counts();
--- a/components/relay/src/serve/connections.rs
+++ b/components/relay/src/serve/connections.rs
@@ -44,7 +44,7 @@
 
 /// Reason why no connection could be opened.
 #[derive(Debug, Error)]
-pub(super) enum ConnectError {
+pub(crate) enum ConnectError {
     /// The endpoint did not accept the connection in time.
     #[error("connection timed out")]
     TimedOut,
@@ -88,6 +88,8 @@
     pub(super) is_reused: bool,
     /// Id of the endpoint.
     endpoint: Arc<str>,
+    /// Router through which it leads; `None` if this router opened it itself.
+    peer: Option<TunnelPeer>,
     /// Idle time after which the connection is no longer reused.
     idle_limit: Duration,
     /// Task that drives the connection; aborted on drop.
@@ -96,6 +98,24 @@
     _count: ConnectionCount,
 }
 
+/// Router at the far end of a tunnel.
+#[derive(Debug)]
+struct TunnelPeer {
+    /// Name of the router.
+    name: Arc<str>,
+    /// Counts the connection among the tunnels through the router.
+    _count: ConnectionCount,
+}
+
+/// A TCP connection to an endpoint.
+#[derive(Debug)]
+pub(crate) struct CountedStream {
+    /// The connection.
+    pub(crate) stream: TcpStream,
+    /// Counts it among the endpoint's open ones.
+    count: ConnectionCount,
+}
+
 /// Counts one open connection until dropped.
 #[derive(Debug)]
 struct ConnectionCount(Arc<AtomicUsize>);
@@ -126,6 +146,21 @@
 }
 
 impl Connection {
+    /// Returns how it was opened, for the log: `kept`, `new`, or `tunnel` if it leads through another
+    /// router.
+    pub(super) fn label(&self) -> &'static str {
+        match (&self.peer, self.is_reused) {
+            (Some(_), _) => "tunnel",
+            (None, true) => "kept",
+            (None, false) => "new",
+        }
+    }
+
+    /// Reports whether it leads through another router.
+    pub(super) fn is_tunnel(&self) -> bool {
+        self.peer.is_some()
+    }
+
     /// Sets the idle limit from the timeout that the endpoint announced, in seconds.
     pub(super) fn set_idle_limit(&mut self, seconds: u64) {
         // Half of the timeout, so that no request is sent just as the endpoint closes the
@@ -143,66 +178,86 @@
     since: Instant,
 }
 
+/// Numbers of open connections by name.
+type OpenCounts = Mutex<HashMap<Arc<str>, Arc<AtomicUsize>>>;
+
 /// Pool of connections, keyed by the endpoint's id.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointConnections {
     /// Idle connections per endpoint, the most recently used last.
     idle: Mutex<HashMap<Arc<str>, Vec<IdleConnection>>>,
     /// Number of open connections per endpoint, idle and in use.
-    open_counts: Mutex<HashMap<Arc<str>, Arc<AtomicUsize>>>,
+    open_counts: OpenCounts,
+    /// Number of those that lead through another router, per router.
+    tunnel_counts: OpenCounts,
 }
 
 impl EndpointConnections {
-    /// Returns an idle connection, or opens one if fewer than `max` are open.
+    /// Opens a new connection if fewer than `max` are open.
     ///
     /// # Errors
-    /// Returns an error if none is idle and none could be opened.
-    pub(super) async fn acquire(
+    /// Returns an error if `max` are open already, or the endpoint did not accept it.
+    pub(super) async fn connect(
         &self,
         endpoint: &Arc<str>,
         address: SocketAddr,
         max: usize,
     ) -> Result<Connection, ConnectError> {
-        match self.take_idle(endpoint) {
-            Some(connection) => Ok(connection),
-            None => self.connect(endpoint, address, max).await,
-        }
+        let opened = self.open(endpoint, address, max).await?;
+        handshake(endpoint, opened, None).await
     }
 
-    /// Opens a new connection if fewer than `max` are open.
+    /// Opens a TCP connection if fewer than `max` are open.
     ///
     /// # Errors
     /// Returns an error if `max` are open already, or the endpoint did not accept it.
-    pub(super) async fn connect(
+    pub(crate) async fn open(
         &self,
         endpoint: &Arc<str>,
         address: SocketAddr,
         max: usize,
-    ) -> Result<Connection, ConnectError> {
-        let open = self.lock_open().entry(endpoint.clone()).or_default().clone();
-        let counted = ConnectionCount::try_new(&open, max).ok_or(ConnectError::TooMany)?;
+    ) -> Result<CountedStream, ConnectError> {
+        let count = count_one(&self.open_counts, endpoint, max)?;
         let stream = open_stream(address).await;
         let outcome = stream.as_ref().err().map_or("opened", ConnectError::label);
         metrics::counter!(telemetry::ENDPOINT_CONNECTS_TOTAL, "outcome" => outcome).increment(1);
         let stream = stream?;
         set_endpoint_socket_options(&stream);
-        let (sender, connection) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(ConnectError::Unusable)?;
-        let task = tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("connection to an endpoint ended with an error: {error}");
+        Ok(CountedStream { stream, count })
+    }
+
+    /// Opens a connection on a tunnel through another router if fewer than `max` are open to the
+    /// endpoint.
+    ///
+    /// # Errors
+    /// Returns an error if `max` are open already, or the connection is not usable.
+    pub(super) async fn connect_through(
+        &self,
+        peer: &Arc<str>,
+        endpoint: &Arc<str>,
+        stream: TcpStream,
+        max: usize,
+    ) -> Result<Connection, ConnectError> {
+        let count = count_one(&self.open_counts, endpoint, max)?;
+        let tunnel_count = count_one(&self.tunnel_counts, peer, usize::MAX)?;
+        let peer = TunnelPeer { name: peer.clone(), _count: tunnel_count };
+        handshake(endpoint, CountedStream { stream, count }, Some(peer)).await
+    }
+
+    /// Returns the number of open tunnels through another router.
+    pub(super) fn tunnels_through(&self, peer: &str) -> usize {
+        lock(&self.tunnel_counts).get(peer).map_or(0, |it| it.load(Ordering::Relaxed))
+    }
+
+    /// Closes the idle connections that this router opened itself: to `endpoint`, or to all
+    /// endpoints if `None`.
+    pub(super) fn close_idle_direct(&self, endpoint: Option<&str>) {
+        let mut idle = self.idle.lock().expect("the lock is not poisoned");
+        for (id, kept) in &mut *idle {
+            if endpoint.is_none_or(|it| **id == *it) {
+                kept.retain(|it| it.connection.is_tunnel());
             }
-        });
-        Ok(Connection {
-            sender,
-            is_reused: false,
-            endpoint: endpoint.clone(),
-            idle_limit: IDLE_TIMEOUT,
-            driver: DriverTask(task.abort_handle()),
-            _count: counted,
-        })
+        }
     }
 
     /// Returns a connection to the pool after its answer was read to the end.
@@ -218,16 +273,25 @@
         }
     }
 
-    /// Closes idle connections that have reached their idle limit, and those to endpoints for which
-    /// `is_known` returns `false`.
-    pub(crate) fn prune(&self, is_known: impl Fn(&str) -> bool) {
+    /// Closes idle connections that have reached their idle limit, those to endpoints for which
+    /// `is_known` returns `false`, and tunnels through routers for which `is_peer_usable` does.
+    pub(crate) fn prune(
+        &self,
+        is_known: impl Fn(&str) -> bool,
+        is_peer_usable: impl Fn(&str) -> bool,
+    ) {
         let mut idle = self.idle.lock().expect("the lock is not poisoned");
         for kept in idle.values_mut() {
-            kept.retain(is_usable);
+            kept.retain(|it| {
+                let peer = it.connection.peer.as_ref();
+                is_usable(it) && peer.is_none_or(|it| is_peer_usable(&it.name))
+            });
         }
         idle.retain(|endpoint, kept| !kept.is_empty() && is_known(endpoint));
         drop(idle);
-        self.lock_open().retain(|_, open| open.load(Ordering::Relaxed) > 0);
+        for counts in [&self.open_counts, &self.tunnel_counts] {
+            lock(counts).retain(|_, open| open.load(Ordering::Relaxed) > 0);
+        }
     }
 
     /// Returns the ids of the endpoints that have idle connections.
@@ -235,15 +299,19 @@
         self.idle.lock().expect("the lock is not poisoned").keys().cloned().collect()
     }
 
-    fn lock_open(&self) -> MutexGuard<'_, HashMap<Arc<str>, Arc<AtomicUsize>>> {
-        self.open_counts.lock().expect("the lock is not poisoned")
-    }
-
-    fn take_idle(&self, endpoint: &Arc<str>) -> Option<Connection> {
+    /// Takes an idle connection to an endpoint. Tunnels through routers for which `is_peer_usable`
+    /// returns `false` are closed instead.
+    pub(super) fn take_idle(
+        &self,
+        endpoint: &str,
+        is_peer_usable: impl Fn(&str) -> bool,
+    ) -> Option<Connection> {
         let mut idle = self.idle.lock().expect("the lock is not poisoned");
         let kept = idle.get_mut(endpoint)?;
         while let Some(it) = kept.pop() {
-            if is_usable(&it) && it.connection.sender.is_ready() {
+            let peer = it.connection.peer.as_ref();
+            let is_path_usable = peer.is_none_or(|it| is_peer_usable(&it.name));
+            if is_path_usable && is_usable(&it) && it.connection.sender.is_ready() {
                 return Some(it.connection);
             }
         }
@@ -251,16 +319,58 @@
     }
 }
 
+fn lock(counts: &OpenCounts) -> MutexGuard<'_, HashMap<Arc<str>, Arc<AtomicUsize>>> {
+    counts.lock().expect("the lock is not poisoned")
+}
+
+/// Counts one more connection under `name`.
+///
+/// # Errors
+/// Returns an error if `max` are open already.
+fn count_one(
+    counts: &OpenCounts,
+    name: &Arc<str>,
+    max: usize,
+) -> Result<ConnectionCount, ConnectError> {
+    let open = lock(counts).entry(name.clone()).or_default().clone();
+    ConnectionCount::try_new(&open, max).ok_or(ConnectError::TooMany)
+}
+
 fn is_usable(idle: &IdleConnection) -> bool {
     let connection = &idle.connection;
     !connection.sender.is_closed() && idle.since.elapsed() < connection.idle_limit
 }
 
+async fn handshake(
+    endpoint: &Arc<str>,
+    opened: CountedStream,
+    peer: Option<TunnelPeer>,
+) -> Result<Connection, ConnectError> {
+    let (sender, connection) = http1::Builder::new()
+        .handshake(TokioIo::new(opened.stream))
+        .await
+        .map_err(ConnectError::Unusable)?;
+    let task = tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("connection to an endpoint ended with an error: {error}");
+        }
+    });
+    Ok(Connection {
+        sender,
+        is_reused: false,
+        endpoint: endpoint.clone(),
+        peer,
+        idle_limit: IDLE_TIMEOUT,
+        driver: DriverTask(task.abort_handle()),
+        _count: opened.count,
+    })
+}
+
 /// Sets the options of a connection to an endpoint. A path that does not acknowledge what was sent
 /// counts as broken after [`ENDPOINT_UNACKNOWLEDGED_TIMEOUT`], and one that carries nothing after two
 /// keep-alive probes, so that the request can go elsewhere. An endpoint whose process is silent
 /// still acknowledges both.
-pub(super) fn set_endpoint_socket_options(stream: &TcpStream) {
+pub(crate) fn set_endpoint_socket_options(stream: &TcpStream) {
     set_socket_options(stream, ENDPOINT_UNACKNOWLEDGED_TIMEOUT);
     let keep_alive =
         TcpKeepalive::new().with_time(KEEP_ALIVE_INTERVAL).with_interval(KEEP_ALIVE_INTERVAL);
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -3,12 +3,19 @@
 use std::{io::ErrorKind, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Uri, response};
+use http::{
+    HeaderMap, Method, Request, Uri,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    response,
+};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use types::Timestamp;
 
-use super::connections::{ConnectError, Connection};
+use super::{
+    connections::{ConnectError, Connection},
+    dialing,
+};
 use crate::{
     context::RelayContext,
     endpoints::{Load, Placement},
@@ -124,7 +131,7 @@
     pub(super) failure: AttemptFailure,
     /// Placement on the endpoint.
     pub(super) guard: PlacementGuard,
-    /// Connection on which the request was sent, for the log: `kept`, `new`, or `none`.
+    /// Connection on which the request was sent, for the log: `kept`, `new`, `tunnel`, or `none`.
     pub(super) connection: &'static str,
 }
 
@@ -142,23 +149,18 @@
 /// Sends a request to the endpoint of `guard` and waits for the head of the answer until
 /// `deadline`.
 pub(super) async fn send(
-    cx: &RelayContext,
+    cx: &Arc<RelayContext>,
     guard: PlacementGuard,
     request_id: &str,
     outgoing: &OutgoingRequest,
     headers: HeaderMap,
     deadline: Timestamp,
 ) -> Result<EndpointResponse, Box<FailedAttempt>> {
-    let (endpoint, address) = (&guard.placement.endpoint, guard.placement.address);
     // The endpoint may close an idle connection just as it is reused, so a request that was not
     // sent is tried once more on a new one.
-    for is_new in [false, true] {
-        let opened = if is_new {
-            cx.connections.connect(endpoint, address, outgoing.connections_max).await
-        } else {
-            cx.connections.acquire(endpoint, address, outgoing.connections_max).await
-        };
-        let mut connection = match opened {
+    for may_reuse in [true, false] {
+        let opened = dialing::acquire(cx, &guard.placement, outgoing.connections_max, may_reuse);
+        let mut connection = match opened.await {
             Ok(connection) => connection,
             Err(ConnectError::TooMany) => {
                 return Err(FailedAttempt::new(AttemptFailure::NoConnection, guard));
@@ -168,7 +170,7 @@
             }
         };
         let sent_at = cx.now();
-        let used = if connection.is_reused { "kept" } else { "new" };
+        let used = connection.label();
         let sent = connection.sender.try_send_request(build_request(outgoing, headers.clone()));
         match tokio::time::timeout_at(cx.instant(deadline), sent).await {
             Err(_) => return Err(FailedAttempt::new(AttemptFailure::TimedOut, guard).on(used)),
@@ -225,6 +227,11 @@
             update_rate_shares(cx);
         }
     }
+    if connection.is_tunnel() && !is_framed(&head.headers, &body) {
+        // Its end and the end of the tunnel look the same.
+        let message = "the answer through another router has no length";
+        return Err(FailedAttempt::new(AttemptFailure::Lost(message.to_owned()), guard));
+    }
     if metadata.is_misdirected || metadata.is_not_executed {
         let failure = if metadata.is_misdirected {
             AttemptFailure::Misdirected
@@ -239,6 +246,12 @@
     Ok(EndpointResponse { head, metadata, body, connection, guard })
 }
 
+/// Reports whether the end of an answer's body can be told from its content.
+fn is_framed(headers: &HeaderMap, body: &Incoming) -> bool {
+    let has_length = headers.contains_key(CONTENT_LENGTH);
+    has_length || headers.contains_key(TRANSFER_ENCODING) || body.is_end_stream()
+}
+
 /// Returns the idle timeout, in seconds, that an endpoint announces in `keep-alive`.
 fn keep_alive_seconds(headers: &HeaderMap) -> Option<u64> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -36,14 +36,6 @@
 /// a few calls to the store.
 const STARTUP_WAIT: Duration = Duration::from_millis(60);
 
-/// Number of equal shares of an endpoint's connections that one router may use. It is more than
-/// one since some routers have more callers than others, and few use up their share.
-const CONNECTION_SHARES_PER_ROUTER: usize = 2;
-
-/// Minimum number of connections that a router may open to an endpoint, however many routers share
-/// it.
-const CONNECTIONS_MIN: usize = 2;
-
 /// Mean retry delay returned to callers while the router has no desired state.
 const STARTUP_RETRY_DELAY: Duration = Duration::from_millis(400);
 
@@ -175,9 +167,7 @@
     if is_prepaid && uses_tokens && request_head.tokens.is_none() {
         return Err(Error::new(ErrorKind::BadRequest, "the request does not declare its tokens"));
     }
-    let connections = spec.map_or(CONNECTIONS_MIN, |it| it.max_connections as usize);
-    let share = connections * CONNECTION_SHARES_PER_ROUTER / cx.lock_roster().count();
-    let connections_max = share.min(connections).max(CONNECTIONS_MIN);
+    let connections_max = cx.connections_share(spec);
     cx.running.fetch_add(1, Ordering::Relaxed);
     Ok(ActiveRequest {
         cx: cx.clone(),
--- a/components/relay/src/serve/mod.rs
+++ b/components/relay/src/serve/mod.rs
@@ -3,6 +3,7 @@
 mod body;
 mod connections;
 mod continuation;
+mod dialing;
 mod exchange;
 mod forwarding;
 mod framing;
@@ -22,7 +23,7 @@
 pub use self::framing::remove_hop_headers;
 
 pub(crate) use self::{
-    connections::EndpointConnections,
-    server::{bind, serve_auxiliary_api, serve_callers},
+    connections::{ConnectError, CountedStream, EndpointConnections, set_endpoint_socket_options},
+    server::{accept_stream, bind, serve_auxiliary_api, serve_callers},
     side_calls::AuxiliaryApi,
 };
--- a/components/relay/src/serve/server.rs
+++ b/components/relay/src/serve/server.rs
@@ -43,14 +43,18 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Accepts the next connection; retries after failures.
+/// Accepts the next connection of a caller; retries after failures.
 async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    let (stream, address) = accept_stream(listener).await;
+    set_caller_socket_options(&stream);
+    (stream, address)
+}
+
+/// Accepts the next connection; retries after failures.
+pub(crate) async fn accept_stream(listener: &TcpListener) -> (TcpStream, SocketAddr) {
     loop {
         match listener.accept().await {
-            Ok((stream, address)) => {
-                set_caller_socket_options(&stream);
-                return (stream, address);
-            }
+            Ok(accepted) => return accepted,
             Err(error) => {
                 log::warn!("failed to accept a connection: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
--- a/components/relay/src/sockets.rs
+++ b/components/relay/src/sockets.rs
@@ -26,8 +26,13 @@
     pub(crate) auxiliary: [TcpListener; 3],
     /// Exchanges messages with other routers.
     pub(crate) gossip: GossipSocket,
+    /// Accepts connections of other routers at the same port.
+    pub(crate) tunnels: TcpListener,
 }
 
+/// Number of tries to find a port that is free both for messages and for connections.
+const PEER_PORT_TRIES: usize = 8;
+
 impl RelaySockets {
     /// Binds all addresses of `settings`. An address with port 0 gets a free port, which is
     /// written to `settings`.
@@ -41,11 +46,29 @@
             listen(&mut settings.directory_address)?,
             listen(&mut settings.metrics_address)?,
         ];
-        let address = settings.peer_address;
-        let failed = |error| RelayBindError { address, error };
-        let gossip = GossipSocket::bind(address).await.map_err(failed)?;
-        settings.peer_address = gossip.local_address().map_err(failed)?;
-        Ok(RelaySockets { callers, auxiliary, gossip })
+        let (gossip, tunnels) = bind_peer_address(&mut settings.peer_address).await?;
+        Ok(RelaySockets { callers, auxiliary, gossip, tunnels })
+    }
+}
+
+/// Binds the same port for messages and for connections. If `address` has port 0, another one is
+/// tried if the first is free for one of them only.
+async fn bind_peer_address(
+    address: &mut SocketAddr,
+) -> Result<(GossipSocket, TcpListener), RelayBindError> {
+    let mut tries = if address.port() == 0 { PEER_PORT_TRIES } else { 1 };
+    loop {
+        let mut bound = *address;
+        let tunnels = listen(&mut bound)?;
+        tries -= 1;
+        match GossipSocket::bind(bound).await {
+            Ok(gossip) => {
+                *address = bound;
+                return Ok((gossip, tunnels));
+            }
+            Err(_) if tries > 0 => {}
+            Err(error) => return Err(RelayBindError { address: bound, error }),
+        }
     }
 }
 
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -142,6 +142,19 @@
 /// `refused`, `timed_out` or `failed`.
 pub const ENDPOINT_CONNECTS_TOTAL: &str = "auburncrank_endpoint_connects_total";
 
+/// Gauge of the services whose endpoints this router reaches only through other routers.
+pub const CUT_OFF_SERVICES: &str = "auburncrank_cut_off_services";
+
+/// Counter of tunnels that this router asked others for, by `outcome`: `opened`, `refused` or
+/// `unreachable` for the endpoint, `peer_unable` or `peer_failed` for the other router.
+pub const TUNNELS_ASKED_TOTAL: &str = "auburncrank_tunnels_asked_total";
+
+/// Counter of tunnels that other routers asked this one for, by `outcome`.
+pub const TUNNELS_SERVED_TOTAL: &str = "auburncrank_tunnels_served_total";
+
+/// Gauge of the tunnels that lead through this router.
+pub const TUNNELS_OPEN: &str = "auburncrank_tunnels_open";
+
 /// Gauge of the endpoints that state a rate limit.
 pub const RATE_LIMITED_ENDPOINTS: &str = "auburncrank_rate_limited_endpoints";
 
