Ask other routers before an endpoint counts as crashed

What callers would see: content that is refused as crashing endpoints ("quarantined") although the endpoints are sound. A router whose links are reset and whose connections are refused took each lost answer for a crash of the endpoint, and told the other routers so.

Cause: the same as of the refusals during a cut (a failure on the router's own path is taken for the endpoint's), in the check for crashes. Evidence: the new test, in which five answers to the same content are lost in five cuts of one router's links, ended with 503 "requests with this content crashed endpoints before" without this change.

Change: if the router cannot connect after a lost answer, it asks up to five others. The endpoint has crashed if one of them is refused as well and none succeeds, or if none could tell and this router is not known to be cut off. More are asked than for a request, since those that are asked first may be cut off by the same fault.

Result: the test passes; so do the three of crashing_parts.rs, where endpoints do crash.

--- a/components/relay/src/serve/dialing.rs
+++ b/components/relay/src/serve/dialing.rs
@@ -19,9 +19,13 @@
 /// Maximum number of other routers that are asked for a connection for one attempt.
 const PEERS_ASKED_MAX: usize = 3;
 
+/// The same if the result shows whether an endpoint's process has ended. It is higher since a wrong
+/// result would count as a crash, and the routers that are asked first may be cut off, too.
+const WITNESSES_MAX: usize = 5;
+
 /// What other routers know about an endpoint that this one does not reach.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum PeerVerdict {
+pub(super) enum PeerVerdict {
     /// Its address refuses their connections.
     Refused,
     /// It does not answer them.
@@ -53,14 +57,16 @@
     }
     match path {
         Path::Direct => connect_by_any_path(cx, placement, max).await,
-        Path::ThroughPeer { .. } => match connect_through_peers(cx, placement, max).await {
-            Ok(connection) => Ok(connection),
-            Err(PeerVerdict::Refused) => {
-                Err(ConnectError::Failed(io::ErrorKind::ConnectionRefused.into()))
+        Path::ThroughPeer { .. } => {
+            match connect_through_peers(cx, placement, max, PEERS_ASKED_MAX).await {
+                Ok(connection) => Ok(connection),
+                Err(PeerVerdict::Refused) => {
+                    Err(ConnectError::Failed(io::ErrorKind::ConnectionRefused.into()))
+                }
+                Err(PeerVerdict::Unreachable) => Err(ConnectError::TimedOut),
+                Err(PeerVerdict::Unknown) => connect_directly(cx, placement, max).await,
             }
-            Err(PeerVerdict::Unreachable) => Err(ConnectError::TimedOut),
-            Err(PeerVerdict::Unknown) => connect_directly(cx, placement, max).await,
-        },
+        }
     }
 }
 
@@ -77,7 +83,7 @@
 ) -> Result<Connection, ConnectError> {
     let mut direct = pin!(connect_directly(cx, placement, max));
     let early = tokio::time::timeout(DIRECT_PATIENCE, &mut direct).await;
-    let through_peers = connect_through_peers(cx, placement, max);
+    let through_peers = connect_through_peers(cx, placement, max, PEERS_ASKED_MAX);
     match early {
         Ok(Ok(connection)) => Ok(connection),
         Ok(Err(error @ (ConnectError::TooMany | ConnectError::Unusable(_)))) => Err(error),
@@ -114,7 +120,7 @@
     }
 }
 
-/// Connects through one of at most [`PEERS_ASKED_MAX`] other routers, which are asked one after the other.
+/// Connects through one of at most `peers_max` other routers, which are asked one after the other.
 ///
 /// # Errors
 /// Returns what the other routers found if none of them reached the endpoint.
@@ -122,10 +128,11 @@
     cx: &RelayContext,
     placement: &Placement,
     max: usize,
+    peers_max: usize,
 ) -> Result<Connection, PeerVerdict> {
     let mut asked: Vec<PeerCandidate> = Vec::new();
     let mut verdict = PeerVerdict::Unknown;
-    while asked.len() < PEERS_ASKED_MAX {
+    while asked.len() < peers_max {
         let Some(peer) = next_peer(cx, placement, &asked) else { break };
         let opened = open_tunnel(peer.address, placement).await;
         let outcome = opened.as_ref().err().map_or("opened", outcome_label);
@@ -203,6 +210,19 @@
     }
 }
 
+/// Asks other routers whether the process of an endpoint is up, after this router's own connection was
+/// refused or not answered. Returns `None` if it is.
+pub(super) async fn ask_peers(cx: &RelayContext, placement: &Placement) -> Option<PeerVerdict> {
+    let connected = connect_through_peers(cx, placement, usize::MAX, WITNESSES_MAX).await;
+    match connected {
+        Ok(connection) => {
+            cx.connections.release(connection);
+            None
+        }
+        Err(verdict) => Some(verdict),
+    }
+}
+
 fn outcome_label(error: &TunnelError) -> &'static str {
     match error {
         TunnelError::EndpointRefused => "refused",
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -14,7 +14,7 @@
 
 use super::{
     connections::{ConnectError, Connection},
-    dialing,
+    dialing::{self, PeerVerdict},
 };
 use crate::{
     context::RelayContext,
@@ -263,30 +263,38 @@
 /// connections.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(10);
 
-/// What a new connection shows about the process of an endpoint.
+/// What new connections show about the process of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ProcessState {
     /// It accepts connections.
     Up,
-    /// Its address refuses connections, so the process has ended.
+    /// Its address refuses connections, of other routers as well if any could tell, so the process
+    /// has ended.
     Ended,
-    /// Nothing answers: the endpoint or the network may be the cause.
+    /// The endpoint or the network may be the cause.
     Unreachable,
 }
 
-/// Finds out whether an endpoint's process has ended, by trying to open a new connection.
+/// Finds out whether an endpoint's process has ended, by trying to open a new connection. If this
+/// router cannot connect, others are asked: the cause may be its own network path.
 pub(super) async fn probe_process(cx: &RelayContext, placement: &Placement) -> ProcessState {
     tokio::time::sleep(CRASH_CHECK_DELAY).await;
     let connected =
         cx.connections.connect(&placement.endpoint, placement.address, usize::MAX).await;
-    match connected {
+    let is_refused = match connected {
         Ok(connection) => {
             cx.connections.release(connection);
-            ProcessState::Up
+            return ProcessState::Up;
         }
-        Err(ConnectError::Failed(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            ProcessState::Ended
-        }
-        Err(_) => ProcessState::Unreachable,
+        Err(ConnectError::Failed(error)) => error.kind() == ErrorKind::ConnectionRefused,
+        Err(_) => false,
+    };
+    let verdict = dialing::ask_peers(cx, placement).await;
+    let is_blocked = cx.lock_paths().is_blocked(&placement.service, &placement.endpoint);
+    match verdict {
+        None => ProcessState::Up,
+        Some(PeerVerdict::Refused) if is_refused || is_blocked => ProcessState::Ended,
+        Some(PeerVerdict::Unknown) if is_refused && !is_blocked => ProcessState::Ended,
+        Some(_) => ProcessState::Unreachable,
     }
 }
