Prefer other endpoints during a silence, and leave earlier before the first event

After 0.8 s (or the silence that the targets allow) the endpoint's health now counts a failure, which moves new requests to others and ends nothing; and a request without an event, which loses nothing of its answer, may leave after 1.2 s. Streams with events still wait 1.5 s.

--- a/components/relay/src/serve/replacement.rs
+++ b/components/relay/src/serve/replacement.rs
@@ -20,14 +20,21 @@
 /// Callers wait for the next event for at least this many times the pause target.
 const PATIENCE_PAUSE_FACTOR: u32 = 8;
 
-/// Minimum silence after which a request may leave an endpoint. Sound endpoints are silent for a
+/// Minimum silence after which a stream may leave its endpoint. Sound endpoints are silent for a
 /// second or so at times.
 const SILENCE_MIN: Duration = Duration::from_millis(1_500);
 
-/// Silences before an answer's first event are allowed to last this many times the latency target.
+/// The same for a request without an event: nothing of its answer is lost if it leaves a sound
+/// endpoint.
+const FIRST_SILENCE_MIN: Duration = Duration::from_millis(1_200);
+
+/// Minimum silence after which other endpoints are preferred for new requests.
+const SUSPICIOUS_SILENCE_MIN: Duration = Duration::from_millis(800);
+
+/// A silence before the first event may last this many times the latency target.
 const SILENCE_LATENCY_FACTOR: u32 = 2;
 
-/// Silences of streams are allowed to last this many times the pause target.
+/// A silence of a stream may last this many times the pause target.
 const SILENCE_PAUSE_FACTOR: u32 = 4;
 
 /// Time between two attempts to get another run granted.
@@ -52,21 +59,28 @@
     CALLER_PATIENCE_MIN.max(route.latency_target * PATIENCE_LATENCY_FACTOR).max(pause)
 }
 
+/// Returns the silence that the targets of the route allow.
+fn target_silence(request: &ActiveRequest) -> Duration {
+    let route = &request.route;
+    let pause = route.pause_target.unwrap_or_default() * SILENCE_PAUSE_FACTOR;
+    let first = route.latency_target * SILENCE_LATENCY_FACTOR;
+    if request.events > 0 { pause } else { pause.max(first) }
+}
+
 /// Returns the silence after which the request may leave its endpoint. A request without an event
 /// leaves it earlier if it has little time left.
 fn silence_limit(request: &ActiveRequest) -> Duration {
-    let route = &request.route;
-    let pause = route.pause_target.unwrap_or_default() * SILENCE_PAUSE_FACTOR;
-    let limit = SILENCE_MIN.max(pause);
+    let target = target_silence(request);
     if request.events > 0 {
-        return limit;
+        return target.max(SILENCE_MIN);
     }
-    limit.min(request.time_left() / 2).max(route.latency_target * SILENCE_LATENCY_FACTOR)
+    target.max(FIRST_SILENCE_MIN.min(request.time_left() / 2))
 }
 
 /// Waits until an endpoint has been silent for too long and another run of the request is granted.
 /// Silence is no evidence that the endpoint has failed, so the request leaves it only for another
-/// run that has a retry and a place; if none is granted, waits forever. `attempts` is the number of
+/// run that has a retry and a place; if none is granted, waits forever. New requests prefer other
+/// endpoints earlier. `attempts` is the number of
 /// attempts including the one on the silent endpoint.
 pub(super) async fn find_replacement(
     request: &ActiveRequest,
@@ -79,7 +93,10 @@
         return pending().await;
     }
     let limit = silence_limit(request);
-    tokio::time::sleep(limit).await;
+    let suspicious = target_silence(request).max(SUSPICIOUS_SILENCE_MIN).min(limit);
+    tokio::time::sleep(suspicious).await;
+    request.cx.lock_endpoints().record_outcome(silent, true, request.cx.now());
+    tokio::time::sleep(limit - suspicious).await;
     let mut is_first = true;
     loop {
         let denial = match try_grant(request, Some(silent)) {
@@ -139,7 +156,5 @@
 /// Records that the request leaves an endpoint that has been silent for too long.
 pub(super) fn record_silence(request: &mut ActiveRequest, endpoint: &Arc<str>) {
     log::info!(request:% = request.head.id, endpoint:% = endpoint, events = request.events, attempts = request.attempts; "request leaves a silent endpoint");
-    let now = request.cx.now();
-    request.cx.lock_endpoints().record_outcome(endpoint, true, now);
     request.failed_endpoints.push(endpoint.clone());
 }
