Leave a silent endpoint only while there is time for another run

A run that was granted just before the deadline ended one that could still have gone on, and could not end itself. A quarter of the latency target has to be left, as for retries of plain requests. Found by reading; no test.

--- a/components/relay/src/serve/replacement.rs
+++ b/components/relay/src/serve/replacement.rs
@@ -37,6 +37,9 @@
 /// A silence of a stream may last this many times the pause target.
 const SILENCE_PAUSE_FACTOR: u32 = 4;
 
+/// The latency target divided by this is the time that has to be left for another run.
+const RUN_TIME_DIVISOR: u32 = 4;
+
 /// Time between two attempts to get another run granted.
 const GRANT_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -51,6 +54,8 @@
     Version,
     /// The request contains something condemned.
     Content,
+    /// Too little time is left for another run.
+    Time,
 }
 
 /// Returns the time for which callers wait for the next event of a stream before they give up.
@@ -80,8 +85,8 @@
 /// Waits until an endpoint has been silent for too long and another run of the request is granted.
 /// Silence is no evidence that the endpoint has failed, so the request leaves it only for another
 /// run that has a retry and a place; if none is granted, waits forever. New requests prefer other
-/// endpoints earlier. `attempts` is the number of
-/// attempts including the one on the silent endpoint.
+/// endpoints earlier. `attempts` is the number of attempts including the one on the silent
+/// endpoint.
 pub(super) async fn find_replacement(
     request: &ActiveRequest,
     silent: &Arc<str>,
@@ -122,7 +127,7 @@
     loop {
         match try_grant(request, None) {
             Ok(guard) => return Ok(guard),
-            Err(denial @ (Denial::Version | Denial::Content)) => return Err(denial),
+            Err(denial @ (Denial::Version | Denial::Content | Denial::Time)) => return Err(denial),
             Err(denial) if request.cx.now() >= until => return Err(denial),
             Err(_) => tokio::time::sleep(GRANT_INTERVAL).await,
         }
@@ -135,6 +140,9 @@
     if is_condemned(request) {
         return Err(Denial::Content);
     }
+    if request.time_left() < request.route.latency_target / RUN_TIME_DIVISOR {
+        return Err(Denial::Time);
+    }
     if !has_retry(request) {
         return Err(Denial::Retries);
     }
