Keep tunnels whose callers read late

Callers at a router that reaches an endpoint through another one got a cut answer if they read nothing for two seconds and the answer did not fit into the buffers: 10 648 665 of 67 108 864 bytes. That router reads no faster than its caller, and Linux counts the time in which its window is full. The connection now has the timeout of callers' connections, and keep-alive probes as before.

--- a/components/relay/src/serve/connections.rs
+++ b/components/relay/src/serve/connections.rs
@@ -372,6 +372,18 @@
 /// still acknowledges both.
 pub(crate) fn set_endpoint_socket_options(stream: &TcpStream) {
     set_socket_options(stream, ENDPOINT_UNACKNOWLEDGED_TIMEOUT);
+    enable_keep_alive(stream);
+}
+
+/// Sets the options of a connection on which another router opens a tunnel through this one. That
+/// router reads answers no faster than its callers, so the connection is given up no earlier than
+/// theirs; keep-alive probes find a router that is gone while nothing is sent.
+pub(crate) fn set_tunnel_socket_options(stream: &TcpStream) {
+    set_socket_options(stream, CALLER_UNACKNOWLEDGED_TIMEOUT);
+    enable_keep_alive(stream);
+}
+
+fn enable_keep_alive(stream: &TcpStream) {
     let keep_alive =
         TcpKeepalive::new().with_time(KEEP_ALIVE_INTERVAL).with_interval(KEEP_ALIVE_INTERVAL);
     if let Err(error) = SockRef::from(stream).set_tcp_keepalive(&keep_alive) {
--- a/components/relay/src/serve/mod.rs
+++ b/components/relay/src/serve/mod.rs
@@ -23,7 +23,10 @@
 pub use self::framing::remove_hop_headers;
 
 pub(crate) use self::{
-    connections::{ConnectError, CountedStream, EndpointConnections, set_endpoint_socket_options},
+    connections::{
+        ConnectError, CountedStream, EndpointConnections, set_endpoint_socket_options,
+        set_tunnel_socket_options,
+    },
     server::{accept_stream, bind, serve_auxiliary_api, serve_callers},
     side_calls::AuxiliaryApi,
 };
--- a/components/relay/src/tunnel/server.rs
+++ b/components/relay/src/tunnel/server.rs
@@ -16,7 +16,7 @@
 use super::message::{TunnelOutcome, TunnelReply, TunnelRequest, encode, frames};
 use crate::{
     context::RelayContext,
-    serve::{ConnectError, CountedStream, accept_stream, set_endpoint_socket_options},
+    serve::{ConnectError, CountedStream, accept_stream, set_tunnel_socket_options},
 };
 
 /// Time within which a router has to send its request after it has connected.
@@ -59,7 +59,7 @@
 pub(crate) async fn serve_tunnels(cx: Arc<RelayContext>, listener: TcpListener) {
     loop {
         let (stream, _) = accept_stream(&listener).await;
-        set_endpoint_socket_options(&stream);
+        set_tunnel_socket_options(&stream);
         let cx = cx.clone();
         tokio::spawn(async move { serve_tunnel(&cx, stream).await });
     }
