Answer requests at their deadline while connections are being opened

Callers got the answer of a request up to 0.66 s after its deadline of 0.25 s while the router and all routers that it asks were cut off from the endpoint. Since requests may go through other routers, opening a connection can take several timeouts, and only the wait for the endpoint's answer kept to the deadline. The request now ends at its deadline as not run; the attempt to connect goes on, so that routers whose requests are short learn the path as well, and its connection is kept.

Before, platform/tests/review_silences.rs:

request_is_answered_at_its_deadline_while_connections_hang answered after the deadline of 250ms: [(503, 908.489378ms), (503, 907.635448ms), (503, 911.544303ms), ...]

It passes with the change, as do cut_off_routers and tunnels (one run each).

--- a/components/relay/src/serve/dialing.rs
+++ b/components/relay/src/serve/dialing.rs
@@ -3,6 +3,7 @@
 use std::{io, pin::pin, sync::Arc, time::Duration};
 
 use futures::future::{Either, select};
+use types::Timestamp;
 
 use super::connections::{ConnectError, Connection};
 use crate::{
@@ -44,11 +45,12 @@
 /// # Errors
 /// Returns an error if none could be opened, neither directly nor through another router.
 pub(super) async fn acquire(
-    cx: &Arc<RelayContext>,
-    placement: &Placement,
+    cx: Arc<RelayContext>,
+    placement: Placement,
     max: usize,
     may_reuse: bool,
 ) -> Result<Connection, ConnectError> {
+    let (cx, placement) = (&cx, &placement);
     let path = path_to(cx, placement);
     if let Path::ThroughPeer { is_trial_due: true } = path {
         tokio::spawn(try_direct(cx.clone(), placement.clone(), max));
@@ -87,6 +89,30 @@
     }
 }
 
+/// Waits until `deadline` for a connection to `endpoint`. If none is open by then, `opening` goes on
+/// without the request, so that the router learns whether a path leads to the endpoint, and the
+/// connection is kept for others.
+pub(super) async fn wait_until(
+    cx: &Arc<RelayContext>,
+    endpoint: &Arc<str>,
+    opening: impl Future<Output = Result<Connection, ConnectError>> + Send + 'static,
+    deadline: Timestamp,
+) -> Option<Result<Connection, ConnectError>> {
+    let mut opening = Box::pin(opening);
+    let opened = tokio::time::timeout_at(cx.instant(deadline), &mut opening).await;
+    if opened.is_err() {
+        let (cx, endpoint) = (cx.clone(), endpoint.clone());
+        tokio::spawn(async move {
+            match opening.await {
+                Ok(connection) => cx.connections.release(connection),
+                Err(ConnectError::TooMany) => {}
+                Err(_) => cx.lock_endpoints().record_unreachable(&endpoint, cx.now()),
+            }
+        });
+    }
+    opened.ok()
+}
+
 fn path_to(cx: &RelayContext, placement: &Placement) -> Path {
     let now = cx.now();
     cx.lock_paths().path(&placement.service, &placement.endpoint, now, &mut cx.lock_rng())
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -89,7 +89,8 @@
 pub(super) enum AttemptFailure {
     /// No byte of the request was sent.
     NotSent(String),
-    /// This router has reached its limit of connections to the endpoint; nothing was sent.
+    /// This router has reached its limit of connections to the endpoint, or the deadline passed while
+    /// one was being opened; nothing was sent.
     NoConnection,
     /// The endpoint refused the request and did not run it.
     Refused,
@@ -159,13 +160,15 @@
     // The endpoint may close an idle connection just as it is reused, so a request that was not
     // sent is tried once more on a new one.
     for may_reuse in [true, false] {
-        let opened = dialing::acquire(cx, &guard.placement, outgoing.connections_max, may_reuse);
-        let mut connection = match opened.await {
-            Ok(connection) => connection,
-            Err(ConnectError::TooMany) => {
+        let placement = guard.placement.clone();
+        let endpoint = placement.endpoint.clone();
+        let opening = dialing::acquire(cx.clone(), placement, outgoing.connections_max, may_reuse);
+        let mut connection = match dialing::wait_until(cx, &endpoint, opening, deadline).await {
+            Some(Ok(connection)) => connection,
+            None | Some(Err(ConnectError::TooMany)) => {
                 return Err(FailedAttempt::new(AttemptFailure::NoConnection, guard));
             }
-            Err(error) => {
+            Some(Err(error)) => {
                 return Err(FailedAttempt::new(AttemptFailure::NotSent(error.to_string()), guard));
             }
         };
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -248,7 +248,7 @@
     match failure {
         AttemptFailure::NotSent(_) => cx.lock_endpoints().record_unreached(&endpoint, now),
         AttemptFailure::Refused => cx.lock_endpoints().record_unreachable(&endpoint, now),
-        // Says nothing about the endpoint's health: this router has used up its connections to it.
+        // Says nothing about the endpoint's health.
         AttemptFailure::NoConnection => {}
         AttemptFailure::Misdirected => cx.lock_endpoints().remove_replaced(&endpoint, now),
         AttemptFailure::TimedOut => {
