Answer requests at their deadline after an answer was lost

Callers whose endpoint's answer was lost got the error 1.07 s after the deadline while the path was cut: the router first found out whether the endpoint had crashed, which takes several timeouts since other routers are asked (after 10 ms if the endpoint can be reached). The finding was also lost if the caller left meanwhile, since it was dropped with the request. The check now is a task of its own, for whose result the request waits until its deadline, so that a retry still knows it.

Before, platform/tests/review_silences.rs:

request_is_answered_at_its_deadline_after_its_answer_was_lost answered 1.467733744s after it was sent: Reply { status: 504, ... deadline_while_running

It passes with the change, as does crashing_parts (one run each). That a caller that leaves no longer ends the check is not covered by a test.

--- a/components/relay/src/serve/suspicion.rs
+++ b/components/relay/src/serve/suspicion.rs
@@ -1,5 +1,7 @@
 //! Keeps requests with content that crashes endpoints away from them, and collects the evidence.
 
+use std::sync::Arc;
+
 use errors::{Error, ErrorKind};
 use routing::{ContentItem, CrashId, Standing};
 use utils::stable_hash;
@@ -9,7 +11,8 @@
     run::ActiveRequest,
 };
 use crate::{
-    endpoints::Suspect,
+    context::RelayContext,
+    endpoints::{Placement, Suspect},
     peers::{apply_verdict_changes, is_responsible},
 };
 
@@ -106,32 +109,63 @@
 }
 
 /// Checks whether the endpoint crashed while it ran the request. If so, and if it had not begun to
-/// answer, the request's content becomes suspect, which other routers learn at once.
+/// answer, the request's content becomes suspect, which other routers learn at once. The request
+/// waits for the result until its deadline; the check goes on without it, also if its caller leaves.
 pub(super) async fn check_for_crash(request: &ActiveRequest, guard: &PlacementGuard) {
-    let cx = &request.cx;
-    let (endpoint, parts) = (&guard.placement.endpoint, request.part_ids());
-    let events = request.attempt_events;
-    let state = exchange::probe_process(cx, &guard.placement).await;
-    if state != ProcessState::Up {
-        cx.lock_endpoints().record_unreachable(endpoint, cx.now());
-    }
-    if state != ProcessState::Ended {
-        log::info!(request:% = request.head.id, endpoint:% = endpoint, events, parts:% = parts, state:? = state; "answer lost, but the endpoint has not crashed");
-        return;
-    }
-    metrics::counter!(telemetry::ENDPOINT_CRASHES_TOTAL).increment(1);
-    let now = cx.now();
-    cx.lock_endpoints().record_end(endpoint, guard.placement.process, now);
-    log::warn!(request:% = request.head.id, endpoint:% = endpoint, events, parts:% = parts; "endpoint lost while it ran the request");
-    if events > 0 {
-        return;
-    }
-    let process = guard.placement.process;
-    let crash = CrashId::new(endpoint, process.started_at_ms, process.ended);
     let account = request.account.as_ref().map_or("", |it| &it.name);
-    let account = stable_hash(&[account.as_bytes()]);
-    let items = content_items(request, true);
-    let changes = cx.lock_crash_evidence().record_crash(crash, account, &items, now);
-    apply_verdict_changes(cx, &changes, true);
-    cx.gossip.send_status(cx, false).await;
+    let lost = LostAnswer {
+        cx: request.cx.clone(),
+        request_id: request.head.id.clone(),
+        placement: guard.placement.clone(),
+        events: request.attempt_events,
+        parts: request.part_ids(),
+        account: stable_hash(&[account.as_bytes()]),
+        items: content_items(request, true),
+    };
+    let check = tokio::spawn(lost.check());
+    let _ = tokio::time::timeout_at(request.cx.instant(request.deadline), check).await;
+}
+
+/// An answer that was lost, and the request that it belongs to.
+struct LostAnswer {
+    /// Shared state of the relay.
+    cx: Arc<RelayContext>,
+    /// Id of the request.
+    request_id: Arc<str>,
+    /// Placement on the endpoint that ran the request.
+    placement: Placement,
+    /// Number of events that the endpoint sent.
+    events: u64,
+    /// Ids of the prompt's parts, for the log.
+    parts: String,
+    /// Hash of the client account's name.
+    account: u64,
+    /// What the request contains.
+    items: Vec<ContentItem>,
+}
+
+impl LostAnswer {
+    async fn check(self) {
+        let LostAnswer { cx, request_id, placement, events, parts, account, items } = self;
+        let endpoint = &placement.endpoint;
+        let state = exchange::probe_process(&cx, &placement).await;
+        if state != ProcessState::Up {
+            cx.lock_endpoints().record_unreachable(endpoint, cx.now());
+        }
+        if state != ProcessState::Ended {
+            log::info!(request:% = request_id, endpoint:% = endpoint, events, parts:% = parts, state:? = state; "answer lost, but the endpoint has not crashed");
+            return;
+        }
+        metrics::counter!(telemetry::ENDPOINT_CRASHES_TOTAL).increment(1);
+        let (process, now) = (placement.process, cx.now());
+        cx.lock_endpoints().record_end(endpoint, process, now);
+        log::warn!(request:% = request_id, endpoint:% = endpoint, events, parts:% = parts; "endpoint lost while it ran the request");
+        if events > 0 {
+            return;
+        }
+        let crash = CrashId::new(endpoint, process.started_at_ms, process.ended);
+        let changes = cx.lock_crash_evidence().record_crash(crash, account, &items, now);
+        apply_verdict_changes(&cx, &changes, true);
+        cx.gossip.send_status(&cx, false).await;
+    }
 }
