Leave a silent endpoint for one that accepts requests only

Callers lost their streams although the endpoint was sound: after a silence of 1.8 s, which is less than the gap after which callers leave, 49 of 70 streams were cut off, because the endpoint to which they moved refused them. All streams of an endpoint become silent at once, so all took a retry and a place before the first refusal arrived, and then no retry was left to go on anywhere. The former run still ends before the next begins, so the first streams that leave can be refused; they have retries left.

Before, platform/tests/review_silences.rs:

silent_endpoints_go_on_if_another_one_refuses_their_streams left: 49 right: 0 streams cut off of 70; refused 49

--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -152,6 +152,11 @@
         }
     }
 
+    /// Reports whether an endpoint refused a connection or a request a short while ago.
+    pub fn is_paused(&self, id: &str, now: Timestamp) -> bool {
+        self.endpoints.get(id).is_some_and(|it| it.health.is_paused(now))
+    }
+
     /// Returns the load of this router's requests on each endpoint that runs any.
     pub fn own_loads(&self) -> Vec<LoadShare> {
         let busy = self.endpoints.iter().filter(|(_, it)| it.own_load.requests > 0);
--- a/components/relay/src/serve/replacement.rs
+++ b/components/relay/src/serve/replacement.rs
@@ -3,6 +3,8 @@
 
 use std::{future::pending, sync::Arc, time::Duration};
 
+use rand::Rng as _;
+
 use super::{
     exchange::PlacementGuard,
     placing::{choose_endpoint, has_retry, try_take_retry},
@@ -101,7 +103,10 @@
     let suspicious = target_silence(request).max(SUSPICIOUS_SILENCE_MIN).min(limit);
     tokio::time::sleep(suspicious).await;
     request.cx.lock_endpoints().record_outcome(silent, true, request.cx.now());
-    tokio::time::sleep(limit - suspicious).await;
+    // All streams of an endpoint become silent at once. They leave it one after the other, so that
+    // few have left if the next endpoint refuses them.
+    let spread = GRANT_INTERVAL.mul_f64(request.cx.lock_rng().random());
+    tokio::time::sleep(limit - suspicious + spread).await;
     let mut is_first = true;
     loop {
         let denial = match try_grant(request, Some(silent)) {
@@ -135,7 +140,7 @@
 }
 
 /// Reserves a place on an endpoint and takes a retry. If the request still runs on a silent endpoint,
-/// the place is on one that has not failed it.
+/// the place is on one that has neither failed it nor refused requests just before.
 fn try_grant(request: &ActiveRequest, silent: Option<&Arc<str>>) -> Result<PlacementGuard, Denial> {
     if is_condemned(request) {
         return Err(Denial::Content);
@@ -155,8 +160,11 @@
     };
     let guard = PlacementGuard::new(request.cx.clone(), placement);
     let chosen = &guard.placement.endpoint;
-    let is_worse =
-        silent.is_some_and(|it| it == chosen || request.failed_endpoints.contains(chosen));
+    let is_worse = silent.is_some_and(|it| {
+        it == chosen
+            || request.failed_endpoints.contains(chosen)
+            || request.cx.lock_endpoints().is_paused(chosen, request.cx.now())
+    });
     if is_worse {
         return Err(Denial::Capacity);
     }
