Count a silence from the moment a request is sent

Callers whose request was sent to no endpoint got 504 "may have run" instead of 503, and the request used up a retry and an attempt. The silence after which a request leaves its endpoint was counted while a connection was being opened, which takes as long as such a silence since other routers are asked: 0.8 s and more. A request that was sent after a long detour would also leave an endpoint that had hardly begun. The silence now begins when a connection is open; opening one has timeouts of its own.

Before, platform/tests/review_silences.rs:

request_does_not_count_as_run_while_its_connections_hang left: 504 right: 503 {"code":"deadline_while_running",...,"ran":"unknown"}

It passes with the change (one run). That a request leaves too early after a detour follows from reading.

--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -10,6 +10,7 @@
 };
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
+use tokio::sync::Notify;
 use types::Timestamp;
 
 use super::{
@@ -148,7 +149,7 @@
 }
 
 /// Sends a request to the endpoint of `guard` and waits for the head of the answer until
-/// `deadline`.
+/// `deadline`. Notifies `sending` once a connection is open.
 pub(super) async fn send(
     cx: &Arc<RelayContext>,
     guard: PlacementGuard,
@@ -156,6 +157,7 @@
     outgoing: &OutgoingRequest,
     headers: HeaderMap,
     deadline: Timestamp,
+    sending: &Notify,
 ) -> Result<EndpointResponse, Box<FailedAttempt>> {
     // The endpoint may close an idle connection just as it is reused, so a request that was not
     // sent is tried once more on a new one.
@@ -172,6 +174,7 @@
                 return Err(FailedAttempt::new(AttemptFailure::NotSent(error.to_string()), guard));
             }
         };
+        sending.notify_one();
         let sent_at = cx.now();
         let used = connection.label();
         let sent = connection.sender.try_send_request(build_request(outgoing, headers.clone()));
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -4,6 +4,7 @@
 
 use errors::{Error, ErrorKind};
 use rand::Rng as _;
+use tokio::sync::Notify;
 use utils::jitter;
 
 use super::{
@@ -205,12 +206,17 @@
     request.attempt_events = 0;
     let outgoing: &OutgoingRequest = &request.outgoing;
     let began_at = cx.now();
-    let sending = exchange::send(&cx, guard, &request.head.id, outgoing, headers, request.deadline);
+    let (id, deadline) = (&request.head.id, request.deadline);
+    let sending = Notify::new();
     let sent = tokio::select! {
         biased;
-        sent = sending => sent,
+        sent = exchange::send(&cx, guard, id, outgoing, headers, deadline, &sending) => sent,
         // Dropping the other future closes the connection and so ends the run there.
-        guard = find_replacement(request, &endpoint, request.attempts + 1) => {
+        guard = async {
+            // The endpoint is not silent while a connection is being opened.
+            sending.notified().await;
+            find_replacement(request, &endpoint, request.attempts + 1).await
+        } => {
             request.attempts += 1;
             record_silence(request, &endpoint);
             return AttemptEnd::Replaced(guard);
