Keep the ports of stand-in endpoints while they are down

A stand-in endpoint that had crashed, and a proxy in front of one, gave its port free and could not always listen there again: "Address already in use", after which it stayed down unnoticed. A bound socket now reserves the port, and listening is tried again while a process that is being started holds the former listener.

--- a/programs/auburncrank-relay/tests/soak/proxy.rs
+++ b/programs/auburncrank-relay/tests/soak/proxy.rs
@@ -15,7 +15,7 @@
     sync::watch,
 };
 
-use crate::support::wait_until;
+use crate::support::{ReservedPort, wait_until};
 
 /// How a proxy treats the bytes it receives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -65,8 +65,8 @@
         target: SocketAddr,
         mut is_up: watch::Receiver<bool>,
     ) -> Proxy {
-        let mut listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
+        let port = ReservedPort::new();
+        let (address, mut listener) = (port.address, port.listen().await);
         let proxy = Proxy { address, fault: Arc::new(Mutex::new(LinkFault::None)) };
         let shared = proxy.clone();
         tokio::spawn(async move {
@@ -79,7 +79,7 @@
                     () = wait_until(&mut is_up, false) => {
                         drop(listener);
                         wait_until(&mut is_up, true).await;
-                        listener = TcpListener::bind(address).await.unwrap();
+                        listener = port.listen().await;
                     }
                 }
             }
