Admit requests to brittle endpoints by one owner each

Callers saw: when endpoints stated `Server-Brittle` and the load jumped above their capacity, they fell over one after the other, and nobody was served.

Cause: the header was read nowhere, and each router judged the room of an endpoint by reports of the others that are 300 ms old or more, so that many of them sent to the same free endpoint.

Change: the statement is read, kept for the process of the endpoint, holds for its siblings until they state otherwise, and travels in the status messages with the time of the last refusal. While an endpoint is brittle, its owner, the first router by rendezvous hashing over those that are alive and accept callers, admits each request of any router to it, by a message to and fro. It counts admitted requests and, after a change of the owner, those that others report. After a refusal, which it learns at once and all routers by a status message, it admits none for a second, then one, and then more. Requests without room wait in their router as before; if all endpoints are closed, callers are refused at once with a spread delay.

Dividing the room among the routers instead would leave most of 80 routers without a place at 4 endpoints with 6 places each.

An owner that can reach less than half of the routers fills only its part's share of the room. New owners, and those that can reach the others again, admit nothing for 400 ms, as the former one may have admitted requests that are not reported yet.

--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -11,13 +11,16 @@
 use arc_swap::ArcSwapOption;
 use platform::Table;
 use routing::{ContentKey, CrashEvidence};
-use tokio::{sync::Notify, time::Instant};
+use tokio::{
+    sync::{Notify, oneshot},
+    time::Instant,
+};
 use types::Timestamp;
-use utils::{HashSet, Rng};
+use utils::{HashMap, HashSet, Rng};
 
 use crate::{
     allowance::{RouterAllowances, WitnessRecords},
-    endpoints::EndpointRegistry,
+    endpoints::{Admission, AdmissionBook, EndpointRegistry},
     limits::RetryWindow,
     model::{DesiredState, ServiceSpec},
     origins::{OriginBook, OriginQueries},
@@ -102,6 +105,8 @@
     start: Instant,
     endpoints: Mutex<EndpointRegistry>,
     paths: Mutex<PathBook>,
+    admissions: Mutex<AdmissionBook>,
+    open_admissions: Mutex<HashMap<u64, oneshot::Sender<Admission>>>,
     roster: Mutex<Roster>,
     allowances: Mutex<RouterAllowances>,
     retries: Mutex<RetryWindow>,
@@ -159,6 +164,8 @@
             start: Instant::now(),
             endpoints: Mutex::default(),
             paths: Mutex::default(),
+            admissions: Mutex::default(),
+            open_admissions: Mutex::default(),
             roster: Mutex::default(),
             allowances: Mutex::new(allowances),
             retries: Mutex::new(RetryWindow::new(settings.retries)),
@@ -268,6 +275,19 @@
         self.paths.lock().expect("the lock is not poisoned")
     }
 
+    /// Locks the requests that this router has admitted to brittle endpoints. Locked after the
+    /// endpoints if both are needed.
+    pub(crate) fn lock_admissions(&self) -> MutexGuard<'_, AdmissionBook> {
+        self.admissions.lock().expect("the lock is not poisoned")
+    }
+
+    /// Locks the admission requests that other routers have not answered, keyed by number.
+    pub(crate) fn lock_open_admissions(
+        &self,
+    ) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<Admission>>> {
+        self.open_admissions.lock().expect("the lock is not poisoned")
+    }
+
     /// Locks the list of routers.
     pub(crate) fn lock_roster(&self) -> MutexGuard<'_, Roster> {
         self.roster.lock().expect("the lock is not poisoned")
--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -42,6 +42,12 @@
     pub(super) list_read_at: Option<Timestamp>,
     /// Versions whose endpoints are gone.
     pub(super) gone_versions: GoneVersions,
+    /// When an endpoint of a service last stated that it is brittle, keyed by service.
+    pub(super) brittle_services: HashMap<Arc<str>, Timestamp>,
+    /// Routers that share what endpoints state that they accept, sorted.
+    pub(super) sharers: Vec<Arc<str>>,
+    /// When `sharers` last changed.
+    pub(super) sharers_changed_at: Timestamp,
     /// Whether an answer has had a malformed statement; only the first one is logged.
     pub(super) has_malformed_statement: bool,
 }
@@ -91,6 +97,7 @@
             is_kept
         });
         self.forget_ended_rates(now);
+        self.forget_brittle_services(now);
     }
 
     /// Removes an endpoint whose address now belongs to another process.
--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -8,6 +8,7 @@
 
 use super::{
     book::EndpointRegistry,
+    brittleness::is_brittle,
     endpoint::Endpoint,
     load::Load,
     placement::{Choice, LimitedWait, Placement, PlacementRequest, ProcessId},
@@ -62,8 +63,10 @@
     wait_ms: f64,
     /// Cost that candidates are compared by, in milliseconds.
     cost_ms: f64,
-    /// When the rate limit that the endpoint states allows the request.
+    /// When the endpoint's statements allow the request.
     next_request: NextRequest,
+    /// Whether the endpoint is brittle.
+    is_brittle: bool,
     /// Whether it failed recently, or failed the request.
     is_last_resort: bool,
     /// Whether the answer is needed to learn if a rate limit still holds.
@@ -143,10 +146,12 @@
                 SHORT_ON_LONG_COST_MS
             }
         };
+        let brittle_since = self.service_stated_at(request.service, now);
         let with_capacity: Vec<Candidate<'_>> = serving
             .iter()
             .filter_map(|it| {
-                let mut candidate = evaluate(it, request, &cache_owners, now)?;
+                let is_brittle = is_brittle(it, brittle_since);
+                let mut candidate = evaluate(it, request, &cache_owners, is_brittle, now)?;
                 candidate.cost_ms += mixing_cost_ms(it) + replaced_cost_ms(it);
                 Some(candidate)
             })
@@ -202,6 +207,7 @@
         address: entry.address,
         process: ProcessId { started_at_ms: entry.started_at_ms, ended: chosen.endpoint.ended },
         version: entry.version.clone(),
+        is_brittle: chosen.is_brittle,
         load: chosen.load,
         wait_ms: chosen.wait_ms,
     })
@@ -255,13 +261,15 @@
     endpoint: &'a Endpoint,
     request: &PlacementRequest<'_>,
     cache_owners: &[Arc<str>],
+    is_brittle: bool,
     now: Timestamp,
 ) -> Option<Candidate<'a>> {
     let entry = &endpoint.entry;
     let total = endpoint.total_load(now);
     let capacity = request.spec.and_then(|it| it.capacity).unwrap_or(entry.capacity).max(1);
     let limit = (f64::from(capacity) * request.fill_share).ceil();
-    if f64::from(total.requests) >= limit {
+    // The owner of a brittle endpoint knows better whether it has room.
+    if !is_brittle && f64::from(total.requests) >= limit {
         return None;
     }
     let load = load_of(request, cache_owners.iter().position(|it| *it == entry.id));
@@ -291,7 +299,8 @@
         load,
         wait_ms,
         cost_ms,
-        next_request: endpoint.next_request(now),
+        next_request: endpoint.next_request(is_brittle, now),
+        is_brittle,
         is_last_resort,
         confirms_limit: !is_last_resort
             && endpoint.rate.is_some_and(|it| it.needs_confirmation(now)),
--- a/components/relay/src/endpoints/endpoint.rs
+++ b/components/relay/src/endpoints/endpoint.rs
@@ -6,6 +6,7 @@
 use utils::HashMap;
 
 use super::{
+    brittleness::Brittleness,
     health::Health,
     load::Load,
     pause::Pause,
@@ -42,6 +43,14 @@
     /// Pause that it has asked this router for. Unlike after a failure (see `health`), nothing is sent
     /// to it even if no other endpoint has capacity.
     pub(super) pause: Option<Pause>,
+    /// Its latest statement about whether it is brittle; `None` if no answer has arrived.
+    pub(super) brittleness: Option<Brittleness>,
+    /// When it last refused a request while it was brittle.
+    pub(super) refused_at: Option<Timestamp>,
+    /// Time before which the router that admits requests to it, being brittle, admits none.
+    pub(super) denied_until: Timestamp,
+    /// Router that admits requests to it while it is brittle; `None` if it has to be computed.
+    pub(super) owner: Option<Arc<str>>,
     /// When the endpoint is removed unless its entry comes back; set if the entry went missing
     /// shortly after an outage of the store.
     pub(super) expires_at: Option<Timestamp>,
@@ -61,6 +70,10 @@
             rate: None,
             is_leaving: false,
             pause: None,
+            brittleness: None,
+            refused_at: None,
+            denied_until: Timestamp::ZERO,
+            owner: None,
             expires_at: None,
         }
     }
@@ -76,23 +89,29 @@
     }
 
     /// Returns when this router may send it the next request, by the rate limit and the pause that
-    /// it states.
-    pub(super) fn next_request(&self, now: Timestamp) -> NextRequest {
+    /// it states and, if it is brittle, by its refusals and its owner's denials.
+    pub(super) fn next_request(&self, is_brittle: bool, now: Timestamp) -> NextRequest {
         let by_rate = self.rate.map_or(NextRequest::Now, |it| it.next_request(now));
-        match self.pause {
-            Some(pause) if now < pause.until => by_rate.max(NextRequest::At(pause.until)),
-            _ => by_rate,
-        }
+        let paused_until = self.pause.map_or(Timestamp::ZERO, |it| it.until);
+        let closed_until = if is_brittle { self.closed_until() } else { Timestamp::ZERO };
+        let until = paused_until.max(closed_until);
+        if now < until { by_rate.max(NextRequest::At(until)) } else { by_rate }
     }
 
     /// Returns the load of all routers' requests, leaving out outdated reports.
     pub(super) fn total_load(&self, now: Timestamp) -> Load {
         let mut total = self.own_load;
-        for (load, reported_at) in self.peer_loads.values() {
-            if now.since(*reported_at) <= PEER_LOAD_MAX_AGE {
-                total.add(*load);
-            }
-        }
+        self.fresh_peer_loads(now).for_each(|(_, it)| total.add(it));
         total
     }
+
+    /// Returns the load that other routers have reported, leaving out outdated reports.
+    pub(super) fn fresh_peer_loads(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (&Arc<str>, Load)> {
+        let loads = self.peer_loads.iter().map(|(router, (load, at))| (router, *load, *at));
+        let fresh = loads.filter(move |it| now.since(it.2) <= PEER_LOAD_MAX_AGE);
+        fresh.map(|(router, load, _)| (router, load))
+    }
 }
--- a/components/relay/src/endpoints/mod.rs
+++ b/components/relay/src/endpoints/mod.rs
@@ -1,7 +1,9 @@
 //! Endpoint state as this router knows it: list entries, health and load, and the choice of an
 //! endpoint for a request.
 
+mod admissions;
 mod book;
+mod brittleness;
 mod choice;
 mod endpoint;
 mod health;
@@ -16,11 +18,13 @@
 mod versions;
 
 pub use self::{
+    admissions::{Admission, AdmissionBook, AdmissionRequest, OwnerView},
     book::{EndpointChange, EndpointRegistry},
+    brittleness::BrittleStatement,
     load::{Load, LoadShare},
     placement::{
         Choice, ConnectTarget, LimitedWait, Placement, PlacementRequest, ProcessId, Suspect,
     },
     rate_limit::{RateReport, RateStatement},
-    statements::{StatementReport, Statements},
+    statements::{BrittleReport, StatementReport, Statements},
 };
--- a/components/relay/src/endpoints/placement.rs
+++ b/components/relay/src/endpoints/placement.rs
@@ -59,6 +59,8 @@
     pub process: ProcessId,
     /// Version of the endpoint's software.
     pub version: Arc<str>,
+    /// Whether the endpoint is brittle, so that its owner has to admit the request.
+    pub is_brittle: bool,
     /// Load of the request, to be subtracted when it ends.
     pub load: Load,
     /// Estimated wait for the requests and prompts ahead of this one, including the time for its
@@ -95,7 +97,7 @@
     /// All endpoints of the service are at capacity.
     Full,
     /// No endpoint may get the request now, at least one because of the rate limit or the pause that
-    /// it states.
+    /// it states, or because it is brittle.
     Limited(LimitedWait),
     /// No endpoint of the service accepts requests.
     NoEndpoint,
@@ -105,7 +107,7 @@
     NoVersion,
 }
 
-/// When a request that was held back by stated rate limits or pauses can be placed.
+/// When a request that was held back by what endpoints state can be placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LimitedWait {
     /// When the first of the endpoints may get a request from this router; `None` if none may.
--- a/components/relay/src/endpoints/statements.rs
+++ b/components/relay/src/endpoints/statements.rs
@@ -1,5 +1,5 @@
-//! What the endpoints say about themselves in answers: rate limits, pauses and that they are
-//! leaving. Rate limits and leaving endpoints are reported to other routers; a pause is asked of
+//! What the endpoints say about themselves in answers: rate limits, pauses, that they are leaving
+//! and that they are brittle. All but pauses are reported to other routers; a pause is asked of
 //! one router.
 
 use std::{sync::Arc, time::Duration};
@@ -8,6 +8,7 @@
 
 use super::{
     book::EndpointRegistry,
+    brittleness::BrittleStatement,
     pause::{PAUSE_MAX, Pause},
     rate_limit::{RATE_MAX_PER_S, RateReport, RateStatement, StatedRate, share_of},
 };
@@ -22,6 +23,8 @@
     pub is_leaving: bool,
     /// Time for which it wants no requests from this router.
     pub pause: Option<Duration>,
+    /// Whether it falls over if it has to refuse too many requests.
+    pub brittleness: BrittleStatement,
     /// Whether a statement is malformed and was left out.
     pub has_malformed: bool,
 }
@@ -37,6 +40,19 @@
     pub rate: Option<RateReport>,
     /// Whether it is shutting down.
     pub is_leaving: bool,
+    /// Its latest statement about whether it is brittle, if it is or was so recently.
+    pub brittleness: Option<BrittleReport>,
+}
+
+/// An endpoint's latest statement about whether it is brittle, as routers report it to each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BrittleReport {
+    /// Number of refusals within a second that it survives; `None` if it is no longer brittle.
+    pub refusals_max: Option<u32>,
+    /// Time since an answer with this statement arrived.
+    pub age: Duration,
+    /// Time since it refused a request, if it did so recently.
+    pub refusal_age: Option<Duration>,
 }
 
 impl EndpointRegistry {
@@ -64,6 +80,7 @@
             self.mark_leaving(id);
         }
         self.record_pause(id, pause, sent_at, now);
+        self.record_brittleness(id, statements.brittleness, sent_at, now);
         match rate {
             RateStatement::PerSecond(per_s) => self.restate_rate(id, Some(per_s), now, now),
             RateStatement::Unlimited => {
@@ -87,6 +104,9 @@
         if report.is_leaving {
             self.mark_leaving(&report.endpoint);
         }
+        if let Some(brittleness) = report.brittleness {
+            self.apply_brittle_report(&report.endpoint, brittleness, now);
+        }
         let Some(rate) = report.rate else { return false };
         let stated_at = now - rate.age;
         let is_newer = known.is_none_or(|it| it.stated_at() < stated_at);
@@ -150,8 +170,10 @@
         true
     }
 
-    /// Recomputes this router's share of each rate limit. `routers` are all that share limits.
+    /// Recomputes this router's share of each rate limit. `routers` are all that share limits and
+    /// own brittle endpoints.
     pub fn update_rate_shares(&mut self, own: &str, routers: &[Arc<str>], now: Timestamp) {
+        self.set_sharers(routers, now);
         for (id, endpoint) in &mut self.endpoints {
             if let Some(rate) = &mut endpoint.rate
                 && let Some(per_s) = rate.per_s()
@@ -172,8 +194,11 @@
                 started_at_ms: it.entry.started_at_ms,
                 rate,
                 is_leaving: it.is_leaving,
+                brittleness: it.brittle_report(now),
             };
-            (report.rate.is_some() || report.is_leaving).then_some(report)
+            let has_content =
+                report.rate.is_some() || report.is_leaving || report.brittleness.is_some();
+            has_content.then_some(report)
         });
         reports.collect()
     }
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -14,6 +14,9 @@
 use super::{
     EvidenceMessage, LivenessMessage, LoadMessage, Member, PeerContent, PeerMessage, PendingLoans,
     RouterLoad, StatementMessage, StatusMessage,
+    admissions::{
+        handle_admission_end, handle_admission_reply, handle_admission_request, update_admissions,
+    },
     evidence::{apply_evidence, expire_evidence},
     holders::update_holders,
     lending, origins,
@@ -106,6 +109,15 @@
         }
     }
 
+    /// Sends a datagram without waiting; drops it if the socket's buffer is full.
+    pub(super) fn try_send(&self, datagram: &[u8], target: SocketAddr) {
+        if let Err(error) = self.socket.try_send_to(datagram, target) {
+            metrics::counter!(telemetry::PEER_MESSAGES_DROPPED_TOTAL, "reason" => "send")
+                .increment(1);
+            log::debug!(target:% = target; "failed to send a message to a router: {error}");
+        }
+    }
+
     fn encode(&self, cx: &RelayContext, wants_answer: bool) -> Vec<u8> {
         let own = cx.self_status();
         let loads = cx.lock_endpoints().own_loads();
@@ -170,6 +182,7 @@
         cx.gossip.send_status(cx, false).await;
         update_holders(cx);
         update_rate_shares(cx);
+        update_admissions(cx);
         update_crowding(cx);
         witnessing::send_due_messages(cx).await;
         lending::return_surplus(cx).await;
@@ -239,6 +252,18 @@
                 origins::handle_reply(cx, &it, sender);
                 true
             }
+            Some(PeerContent::AdmissionRequest(it)) => {
+                handle_admission_request(cx, &it, sender).await;
+                true
+            }
+            Some(PeerContent::AdmissionReply(it)) => {
+                handle_admission_reply(cx, &it, sender);
+                true
+            }
+            Some(PeerContent::AdmissionEnd(it)) => {
+                handle_admission_end(cx, &it);
+                true
+            }
             None => false,
         };
         if !is_valid {
@@ -285,6 +310,7 @@
     let now = cx.now();
     let shares: Vec<_> = message.loads.iter().map(LoadMessage::to_share).collect();
     cx.lock_endpoints().apply_peer_loads(&member.name, &shares, now);
+    cx.lock_admissions().reconcile(&member.name, &shares, now);
     cx.record_peer_version(member.config_version);
     let cut_off = message.cut_off_services.iter().map(|it| it.as_str().into()).collect();
     cx.lock_paths().record_peer_statement(&member.name, cut_off, now);
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -5,8 +5,8 @@
 use prost::{Message, Oneof};
 
 use super::{
-    EvidenceMessage, LivenessReport, OriginMessage, OriginQueryMessage, OriginReplyMessage,
-    StatementMessage,
+    AdmissionEndMessage, AdmissionReplyMessage, AdmissionRequestMessage, EvidenceMessage,
+    LivenessReport, OriginMessage, OriginQueryMessage, OriginReplyMessage, StatementMessage,
 };
 use crate::{
     allowance::{RouterProcess, WitnessDeclaration, WitnessStatement},
@@ -17,7 +17,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerMessage {
     /// The message; `None` if its kind is unknown or missing.
-    #[prost(oneof = "PeerContent", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "PeerContent", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub content: Option<PeerContent>,
 }
 
@@ -58,6 +58,15 @@
     /// The answer to a query for where a stream began.
     #[prost(message, tag = "11")]
     OriginReply(OriginReplyMessage),
+    /// The sender asks the receiver to admit a request to a brittle endpoint.
+    #[prost(message, tag = "12")]
+    AdmissionRequest(AdmissionRequestMessage),
+    /// The answer to an admission request.
+    #[prost(message, tag = "13")]
+    AdmissionReply(AdmissionReplyMessage),
+    /// A request that the receiver admitted has ended.
+    #[prost(message, tag = "14")]
+    AdmissionEnd(AdmissionEndMessage),
 }
 
 /// A declaration to a witness, a query for one, or the answer to either.
--- a/components/relay/src/peers/mod.rs
+++ b/components/relay/src/peers/mod.rs
@@ -1,6 +1,8 @@
 //! Communication between routers: UDP datagrams that carry state, token loans and witness
 //! declarations.
 
+mod admission_message;
+mod admissions;
 mod crowding;
 mod evidence;
 mod evidence_message;
@@ -19,6 +21,7 @@
 
 pub use self::loans::PendingLoans;
 pub use self::{
+    admission_message::{AdmissionEndMessage, AdmissionReplyMessage, AdmissionRequestMessage},
     crowding::RouterLoad,
     evidence_message::EvidenceMessage,
     message::{
@@ -28,9 +31,10 @@
     origin_message::{OriginMessage, OriginQueryMessage, OriginReplyMessage},
     origins::holders_of,
     roster::{LivenessReport, Member, Roster, SelfStatus, process_key},
-    statement_message::{RateMessage, StatementMessage},
+    statement_message::{BrittleMessage, RateMessage, StatementMessage},
 };
 pub(crate) use self::{
+    admissions::{AdmissionTicket, ask_for_admission},
     evidence::{apply_verdict_changes, is_responsible},
     gossip::{GossipSocket, run_gossip},
     holders::update_holders,
--- a/components/relay/src/peers/roster.rs
+++ b/components/relay/src/peers/roster.rs
@@ -211,12 +211,22 @@
     /// and accept callers. If most of the known ones are unreachable, this router may itself be
     /// cut off, and all known ones are returned, so that it keeps to its former share.
     pub fn limit_sharers(&self, now: Timestamp) -> Vec<Arc<str>> {
-        let live = self.entries.values().filter(|it| it.is_live(now)).count();
-        let is_cut_off = live * 2 < self.entries.len();
+        let is_cut_off = self.reachable_share(now) < 1.0;
         let shares = |it: &&Entry| is_cut_off || it.is_live(now) && it.member.is_ready;
         self.entries.values().filter(shares).map(|it| it.member.name.clone()).collect()
     }
 
+    /// Returns the share of the known routers, this one included, that are alive if most of the others
+    /// are unreachable, so that this router may itself be cut off; otherwise one.
+    pub fn reachable_share(&self, now: Timestamp) -> f64 {
+        let live = self.entries.values().filter(|it| it.is_live(now)).count();
+        if live * 2 < self.entries.len() {
+            (live + 1) as f64 / (self.entries.len() + 1) as f64
+        } else {
+            1.0
+        }
+    }
+
     /// Returns the loads of the routers that are alive and accept new callers.
     pub fn loads(&self, now: Timestamp) -> Vec<RouterLoad> {
         let ready = self.entries.values().filter(|it| it.is_live(now) && it.member.is_ready);
--- a/components/relay/src/peers/statements.rs
+++ b/components/relay/src/peers/statements.rs
@@ -3,7 +3,7 @@
 use super::StatementMessage;
 use crate::context::RelayContext;
 
-/// Recomputes this router's shares of all stated limits.
+/// Recomputes this router's shares of all stated limits, and the owners of brittle endpoints.
 pub(crate) fn update_rate_shares(cx: &RelayContext) {
     let now = cx.now();
     let own = &cx.settings.name;
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -20,7 +20,7 @@
 use crate::{
     context::RelayContext,
     endpoints::{Load, Placement},
-    peers::update_rate_shares,
+    peers::{AdmissionTicket, update_rate_shares},
     ports::AnswerHead,
 };
 
@@ -46,13 +46,15 @@
     pub(super) placement: Placement,
     /// Load that is still to be subtracted.
     load: Load,
+    /// Permission of the endpoint's owner, if the endpoint is brittle.
+    pub(super) ticket: Option<AdmissionTicket>,
 }
 
 impl PlacementGuard {
     /// Creates the guard of a placement whose load was added to the endpoint.
     pub(super) fn new(cx: Arc<RelayContext>, placement: Placement) -> PlacementGuard {
         let load = placement.load;
-        PlacementGuard { cx, placement, load }
+        PlacementGuard { cx, placement, load, ticket: None }
     }
 
     /// Subtracts the prompt tokens from the endpoint's load once it has processed the prompt.
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -17,7 +17,9 @@
     suspicion::{check_before_sending, check_for_crash, suspect_of},
 };
 use crate::{
+    context::RelayContext,
     endpoints::{Choice, LimitedWait, PlacementRequest},
+    peers::ask_for_admission,
     ports::Forwarding,
     units::millis,
 };
@@ -45,7 +47,7 @@
     /// The attempt failed.
     Failed(AttemptFailure),
     /// The endpoint was silent for too long, and another run was granted.
-    Replaced(PlacementGuard),
+    Replaced(Box<PlacementGuard>),
 }
 
 /// Returns an error that tells the caller to retry after a delay around `mean`, with jitter.
@@ -72,7 +74,13 @@
         let mut wake_at = wait_until;
         match choose_endpoint(request, None) {
             Choice::Placed(placement) => {
-                return Ok(PlacementGuard::new(request.cx.clone(), placement));
+                let guard = PlacementGuard::new(request.cx.clone(), placement);
+                if let Some(guard) = admit(request, guard).await {
+                    return Ok(guard);
+                }
+                if request.cx.now() < wait_until {
+                    continue;
+                }
             }
             // The list of endpoints has not been read since the process started; wait for it.
             Choice::NoEndpoint if !request.cx.lock_endpoints().has_list() => {}
@@ -103,6 +111,23 @@
     }
 }
 
+/// Asks the owner of a brittle endpoint to admit the request there. Returns `None` if it does not.
+pub(super) async fn admit(
+    request: &ActiveRequest,
+    mut guard: PlacementGuard,
+) -> Option<PlacementGuard> {
+    if guard.placement.is_brittle {
+        let ticket = ask_for_admission(&request.cx, &guard.placement, fill_share(request)).await?;
+        guard.ticket = Some(ticket);
+    }
+    Some(guard)
+}
+
+/// Returns the share of an endpoint's capacity that requests of this priority may fill.
+fn fill_share(request: &ActiveRequest) -> f64 {
+    if request.priority() == 0 { 1.0 } else { LOW_PRIORITY_FILL_SHARE }
+}
+
 /// Returns the error of a request that the endpoints' statements do not allow in time. The
 /// retry delay is at least the time until the next request is allowed, and differs between
 /// callers, so that they do not return together.
@@ -119,7 +144,6 @@
     let failed_endpoints: Vec<Arc<str>> =
         request.failed_endpoints.iter().chain(silent).cloned().collect();
     let routers = request.cx.lock_roster().count();
-    let fill_share = if request.priority() == 0 { 1.0 } else { LOW_PRIORITY_FILL_SHARE };
     let placement_request = PlacementRequest {
         service: &request.service,
         spec: request.in_force.state.services.get(&request.service),
@@ -131,7 +155,7 @@
         version: required_version(request),
         is_stream: request.route.retry_policy.is_stream(),
         suspect: suspect_of(request),
-        fill_share,
+        fill_share: fill_share(request),
     };
     let now = request.cx.now();
     request.cx.lock_endpoints().place(&placement_request, now, &mut request.cx.lock_rng())
@@ -163,7 +187,7 @@
             AttemptEnd::Failed(failure) => failure,
             AttemptEnd::Replaced(guard) => {
                 metrics::counter!(telemetry::RETRIES_TOTAL, "reason" => "silent").increment(1);
-                granted = Some(guard);
+                granted = Some(*guard);
                 continue;
             }
         };
@@ -219,7 +243,7 @@
         } => {
             request.attempts += 1;
             record_silence(request, &endpoint);
-            return AttemptEnd::Replaced(guard);
+            return AttemptEnd::Replaced(Box::new(guard));
         }
     };
     match sent {
@@ -244,13 +268,16 @@
 async fn record_failure(
     request: &mut ActiveRequest,
     failure: &AttemptFailure,
-    guard: PlacementGuard,
+    mut guard: PlacementGuard,
 ) {
     let cx = request.cx.clone();
     let endpoint = guard.placement.endpoint.clone();
     metrics::counter!(telemetry::ATTEMPTS_TOTAL, "outcome" => failure.label()).increment(1);
     request.failed_endpoints.push(endpoint.clone());
     let now = cx.now();
+    if *failure == AttemptFailure::Refused && cx.lock_endpoints().is_brittle(&endpoint, now) {
+        record_brittle_refusal(&cx, &mut guard).await;
+    }
     match failure {
         AttemptFailure::NotSent(_) => cx.lock_endpoints().record_unreached(&endpoint, now),
         AttemptFailure::Refused => cx.lock_endpoints().record_unreachable(&endpoint, now),
@@ -269,6 +296,18 @@
     }
 }
 
+/// Keeps all routers from sending to a brittle endpoint for a while after it refused a request.
+async fn record_brittle_refusal(cx: &RelayContext, guard: &mut PlacementGuard) {
+    metrics::counter!(telemetry::BRITTLE_REFUSALS_TOTAL).increment(1);
+    if let Some(mut ticket) = guard.ticket.take() {
+        ticket.record_refusal();
+    }
+    let endpoint = &guard.placement.endpoint;
+    if cx.lock_endpoints().record_brittle_refusal(endpoint, cx.now()) {
+        cx.gossip.send_status(cx, false).await;
+    }
+}
+
 /// Reports whether the request is sent to another endpoint after a failure. If so, and if any
 /// attempt so far arrived at an endpoint, takes a retry from the window.
 fn may_send_again(request: &ActiveRequest, failure: &AttemptFailure, refusals: u32) -> bool {
--- a/components/relay/src/serve/replacement.rs
+++ b/components/relay/src/serve/replacement.rs
@@ -7,7 +7,7 @@
 
 use super::{
     exchange::PlacementGuard,
-    placing::{choose_endpoint, has_retry, try_take_retry},
+    placing::{admit, choose_endpoint, has_retry, try_take_retry},
     run::ActiveRequest,
     suspicion::is_condemned,
 };
@@ -109,7 +109,7 @@
     tokio::time::sleep(limit - suspicious + spread).await;
     let mut is_first = true;
     loop {
-        let denial = match try_grant(request, Some(silent)) {
+        let denial = match try_grant(request, Some(silent)).await {
             Ok(guard) => return guard,
             Err(denial) => denial,
         };
@@ -130,7 +130,7 @@
 ) -> Result<PlacementGuard, Denial> {
     let until = request.cx.now() + wait;
     loop {
-        match try_grant(request, None) {
+        match try_grant(request, None).await {
             Ok(guard) => return Ok(guard),
             Err(denial @ (Denial::Version | Denial::Content | Denial::Time)) => return Err(denial),
             Err(denial) if request.cx.now() >= until => return Err(denial),
@@ -141,7 +141,10 @@
 
 /// Reserves a place on an endpoint and takes a retry. If the request still runs on a silent endpoint,
 /// the place is on one that has neither failed it nor refused requests just before.
-fn try_grant(request: &ActiveRequest, silent: Option<&Arc<str>>) -> Result<PlacementGuard, Denial> {
+async fn try_grant(
+    request: &ActiveRequest,
+    silent: Option<&Arc<str>>,
+) -> Result<PlacementGuard, Denial> {
     if is_condemned(request) {
         return Err(Denial::Content);
     }
@@ -168,6 +171,7 @@
     if is_worse {
         return Err(Denial::Capacity);
     }
+    let guard = admit(request, guard).await.ok_or(Denial::Capacity)?;
     if try_take_retry(request) { Ok(guard) } else { Err(Denial::Retries) }
 }
 
--- a/components/relay/src/serve/stream_run.rs
+++ b/components/relay/src/serve/stream_run.rs
@@ -47,7 +47,7 @@
     /// The stream broke; holds the reason.
     Broken(String),
     /// Nothing arrived for too long, and another run was granted.
-    Replaced(PlacementGuard),
+    Replaced(Box<PlacementGuard>),
     /// The deadline of the request has passed.
     Late,
 }
@@ -118,7 +118,7 @@
                 }
                 StreamInput::Replaced(guard) => {
                     self.leave_silent_endpoint();
-                    if let Err(reason) = self.resume(Some(guard)).await {
+                    if let Err(reason) = self.resume(Some(*guard)).await {
                         return Some(Err(self.cut_off(reason)));
                     }
                 }
@@ -146,7 +146,7 @@
                 frame = source.body.frame() => frame,
                 () = tokio::time::sleep_until(deadline) => return StreamInput::Late,
                 guard = find_replacement(request, endpoint, request.attempts) => {
-                    return StreamInput::Replaced(guard);
+                    return StreamInput::Replaced(Box::new(guard));
                 }
             };
             match frame {
--- a/components/relay/tests/rate_limits/main.rs
+++ b/components/relay/tests/rate_limits/main.rs
@@ -16,7 +16,8 @@
 use rand::Rng as _;
 use relay::{
     endpoints::{
-        Choice, EndpointChange, EndpointRegistry, PlacementRequest, RateStatement, Statements,
+        BrittleStatement, Choice, EndpointChange, EndpointRegistry, PlacementRequest,
+        RateStatement, Statements,
     },
     model::{EndpointEntry, PromptPart, TokenDemand},
 };
@@ -133,6 +134,7 @@
         rate: RateStatement::PerSecond(1e300),
         is_leaving: false,
         pause: Some(Duration::from_secs(u64::MAX / 2)),
+        brittleness: BrittleStatement::Unknown,
         has_malformed: false,
     };
     assert!(!registry.record_statements(LIMITED, &statements, Timestamp::ZERO, now));
--- a/components/relay/tests/rate_limits/router.rs
+++ b/components/relay/tests/rate_limits/router.rs
@@ -4,7 +4,8 @@
 
 use relay::{
     endpoints::{
-        Choice, EndpointChange, EndpointRegistry, PlacementRequest, RateStatement, Statements,
+        BrittleStatement, Choice, EndpointChange, EndpointRegistry, PlacementRequest,
+        RateStatement, Statements,
     },
     model::{EndpointEntry, EndpointPhase},
     peers::{Member, Roster},
@@ -90,7 +91,13 @@
     sent_at: Timestamp,
     now: Timestamp,
 ) -> bool {
-    let statements = Statements { rate, is_leaving: false, pause: None, has_malformed: false };
+    let statements = Statements {
+        rate,
+        is_leaving: false,
+        pause: None,
+        brittleness: BrittleStatement::Unknown,
+        has_malformed: false,
+    };
     registry.record_statements(id, &statements, sent_at, now)
 }
 
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -161,6 +161,16 @@
 /// Counter of requests placed on endpoints that state a rate limit.
 pub const LIMITED_REQUESTS_TOTAL: &str = "auburncrank_limited_requests_total";
 
+/// Gauge of the endpoints that state that they are brittle.
+pub const BRITTLE_ENDPOINTS: &str = "auburncrank_brittle_endpoints";
+
+/// Counter of requests that brittle endpoints refused.
+pub const BRITTLE_REFUSALS_TOTAL: &str = "auburncrank_brittle_refusals_total";
+
+/// Counter of this router's requests to be admitted to brittle endpoints, by `outcome`: `admitted`,
+/// `full`, `closed` after a refusal, or `unanswered`.
+pub const ADMISSIONS_TOTAL: &str = "auburncrank_admissions_total";
+
 /// Counter of malformed statements in endpoints' answers.
 pub const MALFORMED_STATEMENTS_TOTAL: &str = "auburncrank_malformed_statements_total";
 
