Take falls of brittle endpoints for no evidence against content

Callers would have seen: sound requests that share a prompt part refused for good, because endpoints that stated that they are brittle fell over while they ran such requests.

Cause: each end of a process during a request counts as a crash by its content.

Evidence: falls_of_brittle_endpoints_condemn_no_content on the code before: left: [503, 503, 503, 503, 503, 503] right: [200, 200, 200, 200, 200, 200]

Change: the end of a process is no evidence if an endpoint of its service states, or recently stated, that it is brittle.

Result: the test passes; crashes_of_other_endpoints_condemn_content shows that the same crashes still condemn the part if no endpoint is brittle.

--- a/components/relay/src/serve/suspicion.rs
+++ b/components/relay/src/serve/suspicion.rs
@@ -148,6 +148,7 @@
     async fn check(self) {
         let LostAnswer { cx, request_id, placement, events, parts, account, items } = self;
         let endpoint = &placement.endpoint;
+        let is_brittle = cx.lock_endpoints().is_service_brittle(&placement.service, cx.now());
         let state = exchange::probe_process(&cx, &placement).await;
         if state != ProcessState::Up {
             cx.lock_endpoints().record_unreachable(endpoint, cx.now());
@@ -160,7 +161,8 @@
         let (process, now) = (placement.process, cx.now());
         cx.lock_endpoints().record_end(endpoint, process, now);
         log::warn!(request:% = request_id, endpoint:% = endpoint, events, parts:% = parts; "endpoint lost while it ran the request");
-        if events > 0 {
+        // A brittle endpoint falls over because of its load, whatever it runs.
+        if events > 0 || is_brittle {
             return;
         }
         let crash = CrashId::new(endpoint, process.started_at_ms, process.ended);
