Do not pause new owners when endpoints have only now become brittle

Callers saw: some refused in the first 400 ms after routers started, at half of the capacity of endpoints that had just begun to state that they are brittle.

Cause: an owner admits nothing for 400 ms after a change of the routers, since a former owner may have admitted requests. If the endpoints became brittle after the change, there was none.

Change: reports carry since when an endpoint has stated that it is brittle; the pause is left out if that is after the change of the routers.

--- a/components/relay/src/endpoints/admissions.rs
+++ b/components/relay/src/endpoints/admissions.rs
@@ -60,6 +60,8 @@
     pub refused_at: Option<Timestamp>,
     /// When the routers that may be owners last changed.
     pub owners_changed_at: Timestamp,
+    /// Since when an endpoint of the service has stated that it is brittle, as far as known.
+    pub brittle_since: Option<Timestamp>,
 }
 
 /// Answer to an [`AdmissionRequest`].
@@ -174,7 +176,8 @@
             return Admission::Admitted;
         }
         let changed_at = view.owners_changed_at.max(self.regained_at.unwrap_or(Timestamp::ZERO));
-        if room.owned_since >= changed_at && now.since(changed_at) <= REPORT_TIME {
+        let had_owner = view.brittle_since.is_none_or(|it| it <= changed_at);
+        if had_owner && room.owned_since >= changed_at && now.since(changed_at) <= REPORT_TIME {
             return Admission::Full;
         }
         let closed = room.refusal.map_or(Duration::ZERO, |(at, _)| (at + CLOSED_TIME).since(now));
--- a/components/relay/src/endpoints/brittleness.rs
+++ b/components/relay/src/endpoints/brittleness.rs
@@ -38,6 +38,8 @@
     refusals_max: Option<u32>,
     /// When the latest answer with this statement arrived at some router.
     stated_at: Timestamp,
+    /// When it first stated that it is brittle, as far as known; without meaning if it is not.
+    began_at: Timestamp,
     /// When it stopped being brittle; `None` if it is brittle or never was.
     ended_at: Option<Timestamp>,
 }
@@ -73,6 +75,7 @@
         Some(BrittleReport {
             refusals_max: it.refusals_max,
             age: now.since(it.stated_at),
+            begin_age: now.since(it.began_at),
             refusal_age: refusal.filter(|age| *age <= CLOSED_TIME),
         })
     }
@@ -117,11 +120,11 @@
         let Some(endpoint) = self.endpoints.get(id) else { return };
         match statement {
             BrittleStatement::Brittle(refusals_max) => {
-                self.restate_brittleness(id, Some(refusals_max), now, now);
+                self.restate_brittleness(id, Some(refusals_max), now, now, now);
             }
             BrittleStatement::Sturdy => {
                 if endpoint.brittleness.is_none_or(|it| it.stated_at < sent_at) {
-                    self.restate_brittleness(id, None, now, now);
+                    self.restate_brittleness(id, None, now, now, now);
                 }
             }
             BrittleStatement::Unknown => {}
@@ -142,7 +145,8 @@
         }
         let stated_at = now - report.age;
         if endpoint.brittleness.is_none_or(|it| it.stated_at < stated_at) {
-            self.restate_brittleness(id, report.refusals_max, stated_at, now);
+            let began_at = now - report.begin_age.max(report.age);
+            self.restate_brittleness(id, report.refusals_max, began_at, stated_at, now);
         }
     }
 
@@ -150,6 +154,7 @@
         &mut self,
         id: &str,
         refusals_max: Option<u32>,
+        began_at: Timestamp,
         stated_at: Timestamp,
         now: Timestamp,
     ) {
@@ -161,7 +166,11 @@
             None if was_stated => Some(now),
             None => before.and_then(|it| it.ended_at),
         };
-        endpoint.brittleness = Some(Brittleness { refusals_max, stated_at, ended_at });
+        let began_at = match before {
+            Some(it) if was_stated => it.began_at.min(began_at),
+            _ => began_at,
+        };
+        endpoint.brittleness = Some(Brittleness { refusals_max, stated_at, began_at, ended_at });
         match refusals_max {
             Some(refusals_max) if !was_stated => {
                 log::info!(endpoint = id, refusals_max; "endpoint states that it is brittle");
@@ -222,9 +231,17 @@
             capacity: endpoint.entry.capacity,
             refused_at: endpoint.refused_at,
             owners_changed_at: self.sharers_changed_at,
+            brittle_since: self.brittle_since(&endpoint.entry.service),
         })
     }
 
+    /// Returns since when an endpoint of the service has stated that it is brittle.
+    fn brittle_since(&self, service: &str) -> Option<Timestamp> {
+        let of_service = self.endpoints.values().filter(|it| *it.entry.service == *service);
+        let stated = of_service.filter_map(|it| it.brittleness).filter(Brittleness::is_stated);
+        stated.map(|it| it.began_at).min()
+    }
+
     /// Returns the number of requests that each router has reported at an endpoint; `own` is the
     /// name of this one.
     pub fn reported_requests(
--- a/components/relay/src/endpoints/statements.rs
+++ b/components/relay/src/endpoints/statements.rs
@@ -51,6 +51,8 @@
     pub refusals_max: Option<u32>,
     /// Time since an answer with this statement arrived.
     pub age: Duration,
+    /// Time since it first stated that it is brittle.
+    pub begin_age: Duration,
     /// Time since it refused a request, if it did so recently.
     pub refusal_age: Option<Duration>,
 }
--- a/components/relay/src/peers/statement_message.rs
+++ b/components/relay/src/peers/statement_message.rs
@@ -50,6 +50,9 @@
     /// Time since it refused a request, in milliseconds; absent if it did not do so recently.
     #[prost(uint32, optional, tag = "3")]
     pub refusal_age_ms: Option<u32>,
+    /// Time since it first stated that it is brittle, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub begin_age_ms: u32,
 }
 
 /// Rounds up, so that a report never gets younger when it is passed on.
@@ -69,6 +72,7 @@
             refusals_max: it.refusals_max,
             age_ms: to_age_ms(it.age),
             refusal_age_ms: it.refusal_age.map(to_age_ms),
+            begin_age_ms: to_age_ms(it.begin_age),
         });
         StatementMessage {
             endpoint: report.endpoint.to_string(),
@@ -98,6 +102,7 @@
                 refusals_max: it.refusals_max,
                 age: from_age_ms(it.age_ms),
                 refusal_age: it.refusal_age_ms.map(from_age_ms),
+                begin_age: from_age_ms(it.begin_age_ms),
             }),
         })
     }
