--- a/components/relay/tests/brittle_endpoints/fleet.rs
+++ b/components/relay/tests/brittle_endpoints/fleet.rs
@@ -299,7 +299,7 @@
             }
             Choice::Limited(limited) => limited.next_at.filter(|it| *it <= wait_until),
             Choice::Full => Some(wait_until),
-            Choice::NoEndpoint | Choice::NoVersion => None,
+            Choice::NoEndpoint | Choice::Unreached | Choice::NoVersion => None,
         };
         match next_at.filter(|_| now < wait_until) {
             Some(at) => {
