Read answers late in the soak

Two callers with small receive buffers request answers of 256 KB and read nothing for 0.9 to 1.6 s, so that the router's data stays unacknowledged that long; the check of answers that are cut off covers them.

--- a/programs/auburncrank-relay/tests/soak/callers.rs
+++ b/programs/auburncrank-relay/tests/soak/callers.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeSet,
     net::SocketAddr,
+    ops::Range,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -16,11 +17,12 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use rand::Rng as _;
-use tokio::{net::TcpStream, time::Instant};
+use tokio::{net::TcpSocket, time::Instant};
 use utils::Rng;
 
 use crate::{
     engines::{CRASHING_PART, ENGINE_KEY, FIRST_PART, SESSIONS},
+    late_readers::RECEIVE_BUFFER_BYTES,
     support::CALLER_KEY,
 };
 
@@ -44,6 +46,9 @@
 /// One of this many requests has the crashing part while such requests are sent.
 const CRASHING_REQUEST_RATIO: u32 = 20;
 
+/// Range of the time for which a late reader reads nothing, in milliseconds.
+const READ_PAUSE_MS: Range<u64> = 900..1_600;
+
 /// Kind of a request, named after its route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RequestKind {
@@ -57,6 +62,8 @@
     Crashing,
     /// A GET request to the brittle service.
     Brittle,
+    /// A GET request for a large answer, which the caller reads late.
+    Large,
 }
 
 impl RequestKind {
@@ -68,11 +75,16 @@
             RequestKind::Resume => "/resume/x",
             RequestKind::Engine | RequestKind::Crashing => "/engine/x",
             RequestKind::Brittle => "/brittle/x",
+            RequestKind::Large => "/large/x",
         }
     }
 
+    fn is_get(self) -> bool {
+        matches!(self, RequestKind::Get | RequestKind::Brittle | RequestKind::Large)
+    }
+
     fn is_stream(self) -> bool {
-        !matches!(self, RequestKind::Get | RequestKind::Order | RequestKind::Brittle)
+        !self.is_get() && self != RequestKind::Order
     }
 
     fn is_for_engines(self) -> bool {
@@ -211,6 +223,18 @@
         });
     }
 
+    /// Starts a caller that requests large answers and reads them late.
+    pub(crate) fn start_late_reader(&self, routers: Vec<SocketAddr>, mut rng: Rng) {
+        let callers = self.clone();
+        tokio::spawn(async move {
+            while !callers.is_stopped.load(Ordering::Relaxed) {
+                let router = routers[rng.random_range(0..routers.len())];
+                callers.call(RequestKind::Large, router, &mut None).await;
+                tokio::time::sleep(Duration::from_millis(rng.random_range(100..600))).await;
+            }
+        });
+    }
+
     /// Makes callers crowd the brittle service, or not.
     pub(crate) fn crowd(&self, is_crowding: bool) {
         self.is_crowding.store(is_crowding, Ordering::Relaxed);
@@ -274,7 +298,7 @@
             leaving_stated_at: None,
         };
         if connection.as_ref().is_none_or(SendRequest::is_closed) {
-            *connection = connect(router).await;
+            *connection = connect(router, kind).await;
         }
         if let Some(sender) = connection {
             let exchanged = exchange(sender, &mut outcome, number);
@@ -292,8 +316,12 @@
     }
 }
 
-async fn connect(router: SocketAddr) -> Option<SendRequest<Empty<Bytes>>> {
-    let connected = tokio::time::timeout(Duration::from_secs(1), TcpStream::connect(router));
+async fn connect(router: SocketAddr, kind: RequestKind) -> Option<SendRequest<Empty<Bytes>>> {
+    let socket = TcpSocket::new_v4().unwrap();
+    if kind == RequestKind::Large {
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+    }
+    let connected = tokio::time::timeout(Duration::from_secs(1), socket.connect(router));
     let stream = connected.await.ok()?.ok()?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     tokio::spawn(connection);
@@ -309,8 +337,7 @@
         return RequestEnd::NotSent;
     }
     let key = if outcome.kind.is_for_engines() { ENGINE_KEY } else { CALLER_KEY };
-    let is_get = matches!(outcome.kind, RequestKind::Get | RequestKind::Brittle);
-    let method = if is_get { "GET" } else { "POST" };
+    let method = if outcome.kind.is_get() { "GET" } else { "POST" };
     let mut req = Request::builder()
         .method(method)
         .uri(outcome.kind.path())
@@ -341,12 +368,18 @@
     let (head, mut body) = res.into_parts();
     outcome.limit_stated_at = head.headers.contains_key("server-limit").then(Instant::now);
     outcome.leaving_stated_at = head.headers.contains_key("server-leaving").then(Instant::now);
+    if outcome.kind == RequestKind::Large {
+        let pause = READ_PAUSE_MS.start + number * 37 % (READ_PAUSE_MS.end - READ_PAUSE_MS.start);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
     let mut text = String::new();
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else { return RequestEnd::Broken };
         if let Ok(data) = frame.into_data() {
             text.push_str(&String::from_utf8_lossy(&data));
-            outcome.read_events(&text);
+            if outcome.kind.is_stream() {
+                outcome.read_events(&text);
+            }
             if outcome.leaves_after(number).is_some_and(|it| outcome.events >= it) {
                 return RequestEnd::Left;
             }
--- a/programs/auburncrank-relay/tests/soak/main.rs
+++ b/programs/auburncrank-relay/tests/soak/main.rs
@@ -19,6 +19,7 @@
 mod changes;
 mod cuts;
 mod engines;
+mod late_readers;
 mod periods;
 mod proxy;
 mod router;
@@ -29,6 +30,7 @@
 
 use self::{
     callers::{PROMPT_TOKENS, RequestEnd, RequestKind, RequestOutcome, TOKENS_PER_EVENT},
+    late_readers::ANSWER_BYTES,
     world::{PREPAID_TOKENS, SoakFleet},
 };
 
@@ -123,7 +125,7 @@
     let mut outcomes = fleet.callers.outcomes();
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
     let endpoints = fleet.endpoints.iter().chain(&fleet.engines.endpoints);
-    let endpoints = endpoints.chain(&fleet.brittle.endpoints);
+    let endpoints = endpoints.chain(&fleet.brittle.endpoints).chain(&fleet.large);
     for received in endpoints.flat_map(|it| it.received()) {
         if received.is_refused {
             continue;
@@ -191,6 +193,7 @@
 fn expected_body(outcome: &RequestOutcome) -> String {
     match outcome.kind {
         RequestKind::Get | RequestKind::Order | RequestKind::Brittle => "ok".to_owned(),
+        RequestKind::Large => "a".repeat(ANSWER_BYTES),
         RequestKind::Stream | RequestKind::Resume | RequestKind::Engine | RequestKind::Crashing => {
             let first = callers::EVENTS_PER_STREAM + 1 - outcome.events;
             let events = first..=callers::EVENTS_PER_STREAM;
--- a/programs/auburncrank-relay/tests/soak/world.rs
+++ b/programs/auburncrank-relay/tests/soak/world.rs
@@ -22,6 +22,7 @@
     engines::{
         DOWN_TIME, ENGINES, Engines, LEAVING_ENGINES, NEW_ENGINES, desired_state_with_engines,
     },
+    late_readers,
     periods::Periods,
     proxy::{LinkFault, Proxy},
     router::{Router, SHUTDOWN_GRACE},
@@ -44,6 +45,9 @@
 /// Callers that crowd the brittle service.
 const CROWDING_CALLERS: usize = 36;
 
+/// Callers that read their answers late.
+const LATE_READERS: usize = 2;
+
 /// Prepaid tokens of the client account; few enough to be used up during a run.
 pub(crate) const PREPAID_TOKENS: u64 = 40_000;
 
@@ -70,6 +74,7 @@
 const CUTS_SEED: u64 = 1 << 32;
 const CHANGES_SEED: u64 = 2 << 32;
 const BRITTLE_SEED: u64 = 3 << 32;
+const LATE_READERS_SEED: u64 = 4 << 32;
 
 /// Range of the length of a silence, in milliseconds.
 const SILENCE_MS: Range<u64> = 700..1_500;
@@ -133,6 +138,8 @@
     pub(crate) endpoints: Vec<StandInEndpoint>,
     pub(crate) engines: Engines,
     pub(crate) brittle: BrittleService,
+    /// Endpoints with large answers.
+    pub(crate) large: Vec<StandInEndpoint>,
     pub(crate) faults: Vec<String>,
     store: StandInStore,
     store_links: Vec<Proxy>,
@@ -166,6 +173,7 @@
         let mut state = desired_state_with_engines(1, PREPAID_TOKENS);
         changes::add_service(&mut state);
         brittle::add_service(&mut state);
+        late_readers::add_service(&mut state);
         store.write("op", "config", &state);
         let (mut endpoints, mut endpoint_links) = (Vec::new(), Vec::new());
         for number in 0..ALL_ENDPOINTS {
@@ -181,6 +189,7 @@
         }
         let engines = Engines::start(&store).await;
         let brittle = BrittleService::start(&store).await;
+        let large = late_readers::start(&store).await;
         let ips = addresses_of(seed);
         let (mut routers, mut store_links) = (Vec::new(), Vec::new());
         let mut endpoint_views = Vec::new();
@@ -203,6 +212,7 @@
             endpoints,
             engines,
             brittle,
+            large,
             faults: Vec::new(),
             store,
             store_links,
@@ -236,6 +246,10 @@
             let rng = seeded_rng(seed * 100 + number as u64 + BRITTLE_SEED);
             fleet.callers.start_crowding(addresses.clone(), rng);
         }
+        for number in 0..LATE_READERS {
+            let rng = seeded_rng(seed * 100 + number as u64 + LATE_READERS_SEED);
+            fleet.callers.start_late_reader(addresses.clone(), rng);
+        }
         fleet
     }
 
