Hold no lease across an await while a chat stream is idle

The time is now read without waiting. No test: the await returns at once unless the task's budget is used up.

--- a/components/router/src/traffic/stream_activity.rs
+++ b/components/router/src/traffic/stream_activity.rs
@@ -37,6 +37,11 @@
         let begun = last.wait_for(Option::is_some).await.map(|it| *it);
         begun.ok().flatten().unwrap_or_default() + idle_timeout
     }
+
+    /// Reports whether the stream becomes idle at `idle_at` as far as bytes have arrived.
+    fn is_idle_at(&self, idle_at: Timestamp, idle_timeout: Duration) -> bool {
+        self.last.borrow().is_some_and(|it| it + idle_timeout == idle_at)
+    }
 }
 
 /// Waits until the stream on `silent` has been idle for too long, and another endpoint and a retry
@@ -61,7 +66,8 @@
         }
         match cx.dispatcher.acquire(&need).await {
             Ok(lease) => {
-                let is_idle = activity.idle_at(cx.stream_idle_timeout).await == idle_at;
+                // The lease must not be held across an await: it is not given back on drop.
+                let is_idle = activity.is_idle_at(idle_at, cx.stream_idle_timeout);
                 if is_idle && cx.dispatcher.may_retry(&need, AttemptOutcome::TimedOut) {
                     return lease;
                 }
