Answer a lost request at once if it may not run again

What callers saw: the error after a lost answer came only once the router had found out whether the endpoint had crashed, which takes several timeouts while the path is cut and cannot change that answer.

Before: lost_request_that_may_not_run_again_is_answered_at_once, "answered 1.475074912s after it was sent", with the answer lost after 0.3 s; it passes with the change. The check goes on in its own task, so that its evidence is kept.

--- a/components/relay/src/serve/suspicion.rs
+++ b/components/relay/src/serve/suspicion.rs
@@ -109,8 +109,9 @@
 }
 
 /// Checks whether the endpoint crashed while it ran the request. If so, and if it had not begun to
-/// answer, the request's content becomes suspect, which other routers learn at once. The request
-/// waits for the result until its deadline; the check goes on without it, also if its caller leaves.
+/// answer, the request's content becomes suspect, which other routers learn at once. A request that
+/// may run again waits for the result until its deadline; the check goes on without it, also if its
+/// caller leaves.
 pub(super) async fn check_for_crash(request: &ActiveRequest, guard: &PlacementGuard) {
     let account = request.account.as_ref().map_or("", |it| &it.name);
     let lost = LostAnswer {
@@ -123,7 +124,9 @@
         items: content_items(request, true),
     };
     let check = tokio::spawn(lost.check());
-    let _ = tokio::time::timeout_at(request.cx.instant(request.deadline), check).await;
+    if request.route.retry_policy.may_run_again() {
+        let _ = tokio::time::timeout_at(request.cx.instant(request.deadline), check).await;
+    }
 }
 
 /// An answer that was lost, and the request that it belongs to.
