Split the pool of connections, one connection, and the socket options

No behaviour changed: clippy is clean, and the tests of tunnels, cut-off routers, silences, whole paths and slow links pass.

--- a/components/relay/src/serve/dialing.rs
+++ b/components/relay/src/serve/dialing.rs
@@ -5,7 +5,7 @@
 use futures::future::{Either, select};
 use types::Timestamp;
 
-use super::connections::{ConnectError, Connection};
+use super::connection::{ConnectError, Connection};
 use crate::{
     context::RelayContext,
     endpoints::Placement,
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -14,7 +14,7 @@
 use types::Timestamp;
 
 use super::{
-    connections::{ConnectError, Connection},
+    connection::{ConnectError, Connection},
     dialing::{self, PeerVerdict},
 };
 use crate::{
--- a/components/relay/src/serve/forwarding.rs
+++ b/components/relay/src/serve/forwarding.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 
 use super::{
-    connections::Connection,
+    connection::Connection,
     exchange::PlacementGuard,
     run::{ActiveRequest, CutReason},
 };
--- a/components/relay/src/serve/mod.rs
+++ b/components/relay/src/serve/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP serving: accepts callers' requests, forwards them to endpoints and returns the answers.
 
 mod body;
+mod connection;
 mod connections;
 mod continuation;
 mod dialing;
@@ -16,6 +17,7 @@
 mod run;
 mod server;
 mod side_calls;
+mod socket_options;
 mod stream_run;
 mod suspicion;
 mod tokens;
@@ -23,10 +25,9 @@
 pub use self::framing::remove_hop_headers;
 
 pub(crate) use self::{
-    connections::{
-        ConnectError, CountedStream, EndpointConnections, set_endpoint_socket_options,
-        set_tunnel_socket_options,
-    },
+    connection::{ConnectError, CountedStream},
+    connections::EndpointConnections,
     server::{accept_stream, bind, serve_auxiliary_api, serve_callers},
     side_calls::AuxiliaryApi,
+    socket_options::{set_endpoint_socket_options, set_tunnel_socket_options},
 };
--- a/components/relay/src/serve/server.rs
+++ b/components/relay/src/serve/server.rs
@@ -14,10 +14,10 @@
 };
 
 use super::{
-    connections::set_caller_socket_options,
     handler::handle,
     idle_timer::{IDLE_TIMEOUT, IdleTimer},
     side_calls::AuxiliaryApi,
+    socket_options::set_caller_socket_options,
 };
 use crate::context::RelayContext;
 
