--- a/components/config/src/key_hash.rs
+++ b/components/config/src/key_hash.rs
@@ -24,13 +24,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use crate::ApiKey;
-
-    #[test]
-    fn hash_matches_only_its_own_key() {
-        let hash = ApiKey::new("correct horse battery staple").hash();
-        assert!(hash.matches(&ApiKey::new("correct horse battery staple").hash()));
-        assert!(!hash.matches(&ApiKey::new("correct horse battery stapl").hash()));
-    }
-}
+#[path = "key_hash_tests.rs"]
+mod tests;
--- a/components/router/src/configuration/poller.rs
+++ b/components/router/src/configuration/poller.rs
@@ -51,12 +51,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn polls_of_a_large_fleet_stay_within_the_tables_rate() {
-        assert_eq!(poll_interval(8), Duration::from_millis(500));
-        assert_eq!(poll_interval(1_700), Duration::from_secs(17));
-    }
-}
+#[path = "poller_tests.rs"]
+mod tests;
--- a/components/types/src/request_id.rs
+++ b/components/types/src/request_id.rs
@@ -69,14 +69,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn request_ids_are_checked() {
-        assert!(RequestId::new("order-17").is_ok());
-        for bad in ["", "a/b", "a b", "\u{e9}", &"x".repeat(129)] {
-            assert_eq!(RequestId::new(bad), Err(RequestIdError), "{bad:?}");
-        }
-    }
-}
+#[path = "request_id_tests.rs"]
+mod tests;
--- a/programs/auburncrank/src/cli.rs
+++ b/programs/auburncrank/src/cli.rs
@@ -155,9 +155,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    #[test]
-    fn help_names_every_command_setting_and_exit_code() {
-        insta::assert_snapshot!(super::help());
-    }
-}
+#[path = "cli_tests.rs"]
+mod tests;
--- a/programs/auburncrank/src/output.rs
+++ b/programs/auburncrank/src/output.rs
@@ -51,16 +51,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn columns_are_aligned() {
-        let mut table = Table::new(&["NAME", "TOKENS"]);
-        table.push(vec!["cooperative".to_owned(), "5".to_owned()]);
-        insta::assert_snapshot!(table.render(), @"
-        NAME         TOKENS
-        cooperative  5
-        ");
-    }
-}
+#[path = "output_tests.rs"]
+mod tests;
