Let late readers of the soak read nothing for up to 3.6 s

They now pause for up to 3.6 s and allow six seconds for a request; the check of cut-off answers uses seven tenths of each request's own timeout instead of 1.75 s for all, the same as before for all other kinds.

--- a/programs/auburncrank-relay/tests/soak/callers.rs
+++ b/programs/auburncrank-relay/tests/soak/callers.rs
@@ -26,8 +26,12 @@
     support::CALLER_KEY,
 };
 
-/// How long a caller waits for an answer.
-const CALLER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time that callers allow for a request, and for a large answer that they read late.
+const TIMEOUT: Duration = Duration::from_millis(2_500);
+const LATE_READER_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// Time after the timeout of a request at which its caller gives up.
+const CALLER_SLACK: Duration = Duration::from_millis(500);
 
 /// Tokens that a stream declares: those of its prompt, and its maximum output.
 pub(crate) const PROMPT_TOKENS: u64 = 100;
@@ -46,8 +50,9 @@
 /// One of this many requests has the crashing part while such requests are sent.
 const CRASHING_REQUEST_RATIO: u32 = 20;
 
-/// Range of the time for which a late reader reads nothing, in milliseconds.
-const READ_PAUSE_MS: Range<u64> = 900..1_600;
+/// Range of the time for which a late reader reads nothing, in milliseconds. The longest are above the
+/// timeouts of connections that detect a broken path.
+const READ_PAUSE_MS: Range<u64> = 900..3_600;
 
 /// Kind of a request, named after its route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,6 +72,11 @@
 }
 
 impl RequestKind {
+    /// Returns the time that the caller allows for the request.
+    pub(crate) fn timeout(self) -> Duration {
+        if self == RequestKind::Large { LATE_READER_TIMEOUT } else { TIMEOUT }
+    }
+
     fn path(self) -> &'static str {
         match self {
             RequestKind::Get => "/get/x",
@@ -302,7 +312,7 @@
         }
         if let Some(sender) = connection {
             let exchanged = exchange(sender, &mut outcome, number);
-            match tokio::time::timeout(CALLER_TIMEOUT, exchanged).await {
+            match tokio::time::timeout(kind.timeout() + CALLER_SLACK, exchanged).await {
                 Ok(end) => outcome.end = end,
                 Err(_) => outcome.end = RequestEnd::Broken,
             }
@@ -343,7 +353,7 @@
         .uri(outcome.kind.path())
         .header("host", "a.example")
         .header("x-auburncrank-attempt-id", &outcome.id)
-        .header("x-auburncrank-deadline-ms", "2500")
+        .header("x-auburncrank-deadline-ms", outcome.kind.timeout().as_millis().to_string())
         .header("authorization", format!("Bearer {key}"));
     if outcome.kind.is_stream() {
         let tokens = format!("{PROMPT_TOKENS},{OUTPUT_TOKENS_MAX}");
--- a/programs/auburncrank-relay/tests/soak/changes.rs
+++ b/programs/auburncrank-relay/tests/soak/changes.rs
@@ -20,9 +20,9 @@
 /// Time after a change within which answers that are cut off count.
 const CHANGE_EFFECT: Duration = Duration::from_secs(3);
 
-/// Time that a request may have taken before its answer is cut off: seven tenths of its deadline. A
+/// Share of its timeout that a request may have taken before its answer is cut off, from 0 to 1. A
 /// later end counts as the deadline's.
-const CHECKED_TIME: Duration = Duration::from_millis(1_750);
+const CHECKED_SHARE: f64 = 0.7;
 
 /// Routes that move between services, and the services.
 const ROUTES: [&str; 4] = ["get", "order", "stream", "resume"];
@@ -94,7 +94,7 @@
         .map(|it| (it.caller_address, endpoints_by_request(&it.log())))
         .collect();
     let broken = outcomes.iter().filter(|it| {
-        let is_early = it.ended_at - it.sent_at < CHECKED_TIME;
+        let is_early = it.ended_at - it.sent_at < it.kind.timeout().mul_f64(CHECKED_SHARE);
         let beside = it.sent_at - CHANGE_EFFECT..it.ended_at;
         let is_beside = fleet.changes.iter().any(|at| beside.contains(at));
         it.is_broken() && it.kind != RequestKind::Crashing && is_early && is_beside
--- a/programs/auburncrank-relay/tests/soak/late_readers.rs
+++ b/programs/auburncrank-relay/tests/soak/late_readers.rs
@@ -1,5 +1,5 @@
-//! A service with large answers, for callers that read nothing for a second or so and acknowledge
-//! nothing meanwhile.
+//! A service with large answers, for callers that read nothing for one to four seconds and
+//! acknowledge nothing meanwhile.
 
 use serde_json::{Value, json};
 
