--- a/components/relay/tests/brittle_endpoints/main.rs
+++ b/components/relay/tests/brittle_endpoints/main.rs
@@ -9,15 +9,23 @@
 )]
 
 mod endpoint;
+mod event;
 mod fleet;
+mod owners;
 mod router;
+mod runs;
+mod setup;
 mod statements;
+mod statuses;
 
 use std::time::Duration;
 
 use rand::Rng as _;
 
-use self::fleet::{Counts, Fleet, Setup};
+use self::{
+    fleet::Fleet,
+    setup::{Counts, Setup},
+};
 
 /// Time after endpoints first state that they are brittle from which fewer requests may wait there
 /// and falls count.
@@ -90,8 +98,7 @@
     }
 }
 
-/// Guards against a simulation whose endpoints survive routers that know nothing of their
-/// brittleness.
+/// Guards against a simulation in which endpoints cannot fall over.
 #[test]
 fn endpoints_fall_over_if_they_do_not_state_that_they_are_brittle() {
     for setup in setups() {
