--- a/programs/auburncrank-relay/tests/soak/brittle.rs
+++ b/programs/auburncrank-relay/tests/soak/brittle.rs
@@ -13,10 +13,11 @@
 
 use crate::{
     callers::RequestOutcome,
+    faults::TimedAction,
     support::{
         Behaviour, Brittleness, EndpointLinks, StandInEndpoint, StandInStore, keep_registered,
     },
-    world::{CONTACT_TIME, SoakFleet, TimedAction},
+    world::{CONTACT_TIME, SoakFleet},
 };
 
 const SERVICE: &str = "brittle";
--- a/programs/auburncrank-relay/tests/soak/changes.rs
+++ b/programs/auburncrank-relay/tests/soak/changes.rs
@@ -11,7 +11,8 @@
 use crate::{
     callers::{RequestKind, RequestOutcome},
     engines::{ENGINES, NEW_ENGINES},
-    world::{ALL_ENDPOINTS, CONTACT_TIME, SoakFleet, TimedAction},
+    faults::TimedAction,
+    world::{ALL_ENDPOINTS, CONTACT_TIME, SoakFleet},
 };
 
 /// Time during which changes and silences begin.
--- a/programs/auburncrank-relay/tests/soak/world.rs
+++ b/programs/auburncrank-relay/tests/soak/world.rs
@@ -1,34 +1,28 @@
-//! Fleet of router processes with a stand-in store and stand-in endpoints, and the faults that
-//! the soak test injects into it.
+//! Fleet of router processes with a stand-in store and stand-in endpoints.
 
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
-    ops::Range,
     time::Duration,
 };
 
-use http::StatusCode;
 use rand::Rng as _;
-use rustix::process::Signal;
 use serde_json::Value;
 use tokio::time::Instant;
 use utils::{Rng, seeded_rng};
 
 use crate::{
     brittle::{self, BrittleService},
-    callers::{Callers, EVENTS_PER_STREAM, RequestKind, RequestOutcome},
+    callers::{Callers, EVENTS_PER_STREAM},
     changes::{self, SPARE_SERVICE},
     cuts::{self, CutPeriod, FAILURE_DOMAINS},
-    engines::{
-        DOWN_TIME, ENGINES, Engines, LEAVING_ENGINES, NEW_ENGINES, desired_state_with_engines,
-    },
+    engines::{Engines, desired_state_with_engines},
+    faults::TimedAction,
     late_readers,
     periods::Periods,
-    proxy::{LinkFault, Proxy},
-    router::{Router, SHUTDOWN_GRACE},
+    proxy::Proxy,
+    router::Router,
     support::{
-        Behaviour, Cut, EndpointLinks, StandInEndpoint, StandInStore, endpoint_entry,
-        readiness_status,
+        Behaviour, EndpointLinks, StandInEndpoint, StandInStore, endpoint_entry, readiness_status,
     },
 };
 
@@ -36,7 +30,7 @@
 const ROUTERS: usize = 3;
 const MANY_ROUTERS: usize = 20;
 const MOST_ROUTERS: usize = 40;
-const ENDPOINTS: usize = 6;
+pub(crate) const ENDPOINTS: usize = 6;
 
 /// Number of endpoints, including those of the service to which routes move.
 pub(crate) const ALL_ENDPOINTS: usize = ENDPOINTS + 2;
@@ -76,42 +70,11 @@
 const BRITTLE_SEED: u64 = 3 << 32;
 const LATE_READERS_SEED: u64 = 4 << 32;
 
-/// Range of the length of a silence, in milliseconds.
-const SILENCE_MS: Range<u64> = 700..1_500;
-
 /// Time during which faults begin.
 const FAULT_PERIOD: Duration = Duration::from_secs(8);
 
 /// Time after the last fault within which every router must serve again.
-const RECOVERY_TIME: Duration = Duration::from_secs(6);
-
-/// Time after which a change must have taken effect, so that a leaving endpoint receives no new
-/// requests.
-const PROPAGATION_TIME: Duration = Duration::from_secs(2);
-
-/// Action at a set time: ends a fault, or changes what an endpoint states.
-pub(crate) enum TimedAction {
-    StartRouter(usize),
-    ContinueRouter(usize),
-    ClearStoreLink(usize),
-    ClearEndpointLink(usize),
-    ClearEngineLink(usize),
-    ClearStoreRefusal,
-    RestoreHistory,
-    LeaveEndpoint,
-    PauseEndpoints,
-    ResumeEndpoints,
-    SendCrashing,
-    AddEngine(usize),
-    RemoveEngine(usize),
-    BeginCut(usize),
-    EndCut(usize),
-    SilenceEndpoint(usize),
-    SilenceEngine(usize),
-    ChangeState,
-    SetBrittle(bool),
-    ShortenQueues,
-}
+pub(crate) const RECOVERY_TIME: Duration = Duration::from_secs(6);
 
 /// Returns the routers' IP addresses. They differ between seeds and between processes of the
 /// soak test, so that several can run at the same time.
@@ -141,30 +104,30 @@
     /// Endpoints with large answers.
     pub(crate) large: Vec<StandInEndpoint>,
     pub(crate) faults: Vec<String>,
-    store: StandInStore,
-    store_links: Vec<Proxy>,
-    endpoint_links: Vec<Proxy>,
-    version: u64,
-    rng: Rng,
+    pub(crate) store: StandInStore,
+    pub(crate) store_links: Vec<Proxy>,
+    pub(crate) endpoint_links: Vec<Proxy>,
+    pub(crate) version: u64,
+    pub(crate) rng: Rng,
     /// Routers whose process was stopped or suspended, and when this began or ended.
     pub(crate) disturbances: Vec<(SocketAddr, Instant)>,
     /// Endpoints whose answers did not arrive, and from when to when.
     pub(crate) lost_answers: Vec<(usize, Instant, Instant)>,
-    timed_actions: Vec<(Instant, TimedAction)>,
+    pub(crate) timed_actions: Vec<(Instant, TimedAction)>,
     is_calm: bool,
     /// Links of each router to all endpoints.
-    endpoint_views: Vec<EndpointLinks>,
+    pub(crate) endpoint_views: Vec<EndpointLinks>,
     pub(crate) cuts: Vec<CutPeriod>,
     /// When routers' processes were stopped, suspended or shutting down.
     pub(crate) stopped: Periods<SocketAddr>,
     /// When routers did not reach the store.
     pub(crate) store_faults: Periods<SocketAddr>,
     /// When endpoints were down, or their links did more than fall silent.
-    endpoint_faults: Periods<String>,
+    pub(crate) endpoint_faults: Periods<String>,
     /// Desired state, and when operators changed it.
-    state: Value,
+    pub(crate) state: Value,
     pub(crate) changes: Vec<Instant>,
-    changes_rng: Rng,
+    pub(crate) changes_rng: Rng,
 }
 
 impl SoakFleet {
@@ -253,7 +216,7 @@
         fleet
     }
 
-    fn addresses(&self) -> Vec<SocketAddr> {
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         self.routers.iter().map(|it| it.caller_address).collect()
     }
 
@@ -292,7 +255,7 @@
 
     /// Waits for `time`; meanwhile ends faults that are due and restarts routers whose process
     /// has ended.
-    async fn run_for(&mut self, time: Duration) {
+    pub(crate) async fn run_for(&mut self, time: Duration) {
         let until = Instant::now() + time;
         loop {
             let now = Instant::now();
@@ -318,289 +281,16 @@
         }
     }
 
-    /// Makes endpoints state that they are leaving or want a pause, at random times.
-    fn begin_statements(&mut self) {
-        let now = Instant::now();
-        let mut time_until =
-            |least: u64| Duration::from_millis(self.rng.random_range(least..least + 2_000));
-        let (leave, pause) = (now + time_until(1_000), now + time_until(500));
-        let resume = pause + time_until(2_000);
-        self.timed_actions.push((leave, TimedAction::LeaveEndpoint));
-        self.timed_actions.push((pause, TimedAction::PauseEndpoints));
-        self.timed_actions.push((resume, TimedAction::ResumeEndpoints));
-        let send_crashing = now + Duration::from_millis(self.rng.random_range(0..1_500));
-        self.timed_actions.push((send_crashing, TimedAction::SendCrashing));
-        let mut release_at = now + Duration::from_millis(self.rng.random_range(500..2_000));
-        for number in 0..NEW_ENGINES {
-            self.timed_actions.push((release_at, TimedAction::AddEngine(ENGINES + number)));
-            release_at += Duration::from_millis(self.rng.random_range(200..800));
-            if let Some(leaving) = LEAVING_ENGINES.get(number) {
-                self.timed_actions.push((release_at, TimedAction::RemoveEngine(*leaving)));
-            }
-        }
-    }
-
-    fn begin_cuts(&mut self) {
-        for (number, cut) in self.cuts.iter().enumerate() {
-            self.timed_actions.push((cut.from, TimedAction::BeginCut(number)));
-            self.timed_actions.push((cut.until, TimedAction::EndCut(number)));
-            self.faults.push(format!("routers {:?} cut off: {:?}", cut.routers, cut.cut));
-        }
-    }
-
-    fn begin_fault(&mut self) {
-        let now = Instant::now();
-        let router = self.rng.random_range(0..self.routers.len());
-        let endpoint = self.rng.random_range(0..ENDPOINTS);
-        let end_at = now + Duration::from_millis(self.rng.random_range(200..2_500));
-        let link_fault = match self.rng.random_range(0..4) {
-            0 => LinkFault::Delay(self.rng.random_range(20..300)),
-            1 => LinkFault::Reset,
-            2 => LinkFault::Silent,
-            _ => LinkFault::AnswersLost,
-        };
-        let engine = self.rng.random_range(0..ENGINES + NEW_ENGINES);
-        let name = match self.rng.random_range(0..12) {
-            0 if self.routers[router].is_running() => {
-                self.routers[router].kill();
-                let restart = now + Duration::from_millis(self.rng.random_range(300..1_500));
-                self.record_disturbance(router, now, restart);
-                self.timed_actions.push((restart, TimedAction::StartRouter(router)));
-                format!("kill router {router}")
-            }
-            1 => {
-                self.routers[router].signal(Signal::STOP);
-                self.record_disturbance(router, now, end_at);
-                self.timed_actions.push((end_at, TimedAction::ContinueRouter(router)));
-                format!("pause router {router}")
-            }
-            2 => {
-                self.routers[router].signal(Signal::TERM);
-                self.record_disturbance(router, now, now + SHUTDOWN_GRACE);
-                format!("terminate router {router}")
-            }
-            3 => {
-                self.routers[router].signal(Signal::HUP);
-                format!("send SIGHUP to router {router}")
-            }
-            4 | 5 => {
-                self.store_links[router].set_fault(link_fault);
-                let address = self.routers[router].caller_address;
-                self.store_faults.add(address, now, end_at);
-                self.timed_actions.push((end_at, TimedAction::ClearStoreLink(router)));
-                format!("store link of router {router}: {link_fault:?}")
-            }
-            6 | 7 => {
-                self.endpoint_links[endpoint].set_fault(link_fault);
-                self.endpoint_faults.add(format!("i-{endpoint}"), now, end_at);
-                if !matches!(link_fault, LinkFault::Delay(_)) {
-                    self.lost_answers.push((endpoint, now, end_at));
-                }
-                self.timed_actions.push((end_at, TimedAction::ClearEndpointLink(endpoint)));
-                format!("link of endpoint {endpoint}: {link_fault:?}")
-            }
-            8 => {
-                let status = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS]
-                    [self.rng.random_range(0..2)];
-                self.store.refuse_all(Some(status));
-                for address in self.addresses() {
-                    self.store_faults.add(address, now, end_at);
-                }
-                self.timed_actions.push((end_at, TimedAction::ClearStoreRefusal));
-                format!("store refuses: {status}")
-            }
-            9 => {
-                self.engines.kill(engine);
-                self.endpoint_faults.add(format!("m-{engine}"), now, now + DOWN_TIME);
-                format!("kill engine {engine}")
-            }
-            10 => {
-                self.engines.links[engine].set_fault(link_fault);
-                self.endpoint_faults.add(format!("m-{engine}"), now, end_at);
-                self.timed_actions.push((end_at, TimedAction::ClearEngineLink(engine)));
-                format!("link of engine {engine}: {link_fault:?}")
-            }
-            _ => {
-                self.store.set_history_lost(true);
-                self.timed_actions.push((end_at, TimedAction::RestoreHistory));
-                self.write_state();
-                format!("store loses its history, version {}", self.version)
-            }
-        };
-        self.faults.push(name);
-    }
-
-    /// Returns whether a router's process was stopped or suspended in a period.
-    pub(crate) fn was_disturbed(&self, router: SocketAddr, from: Instant, until: Instant) -> bool {
-        self.disturbances.iter().any(|it| it.0 == router && it.1 >= from && it.1 <= until)
-    }
-
-    /// Returns whether the router of a request was in touch with callers, store and other routers
-    /// from [`CONTACT_TIME`] before the request to its end.
-    pub(crate) fn is_in_touch(&self, outcome: &RequestOutcome) -> bool {
-        let (from, until) = (outcome.sent_at - CONTACT_TIME, outcome.ended_at);
-        !self.stopped.overlap(&outcome.router, from, until)
-            && !self.store_faults.overlap(&outcome.router, from, until)
-    }
-
-    /// Returns whether the router of a request was cut off from all endpoints between
-    /// [`CONTACT_TIME`] before the request and its end.
-    pub(crate) fn was_cut_off(&self, outcome: &RequestOutcome) -> bool {
-        self.was_cut(outcome.router, outcome.sent_at - CONTACT_TIME, outcome.ended_at)
-    }
-
-    /// Returns whether a router was cut off from all endpoints in a period.
-    pub(crate) fn was_cut(&self, router: SocketAddr, from: Instant, until: Instant) -> bool {
-        let mut cuts = self.cuts.iter().filter(|it| it.from <= until && it.until >= from);
-        cuts.any(|it| it.routers.iter().any(|it| self.routers[*it].caller_address == router))
-    }
-
-    fn record_disturbance(&mut self, router: usize, from: Instant, until: Instant) {
+    pub(crate) fn record_disturbance(&mut self, router: usize, from: Instant, until: Instant) {
         let address = self.routers[router].caller_address;
         self.disturbances.push((address, Instant::now()));
         self.stopped.add(address, from, until);
     }
 
-    /// Returns whether an endpoint was down in a period, or its link did more than fall silent.
-    pub(crate) fn was_unsound(&self, id: &String, from: Instant, until: Instant) -> bool {
-        let engine = id.strip_prefix("m-").and_then(|it| it.parse::<usize>().ok());
-        let crashes = engine.map(|it| self.engines.endpoints[it].part_crashes());
-        self.endpoint_faults.overlap(id, from, until)
-            || crashes
-                .into_iter()
-                .flatten()
-                .map(Instant::from)
-                .any(|it| it <= until && it + DOWN_TIME >= from)
-    }
-
-    fn write_state(&mut self) {
+    pub(crate) fn write_state(&mut self) {
         self.version += 1;
         self.state["version"] = self.version.into();
         self.store.write("op", "config", &self.state);
         self.changes.push(Instant::now());
     }
-
-    /// Makes an endpoint or an engine silent for a moment, unless its link has a fault.
-    fn begin_silence(&mut self, endpoint: Option<usize>, engine: Option<usize>) {
-        let now = Instant::now();
-        let end_at = now + Duration::from_millis(self.changes_rng.random_range(SILENCE_MS));
-        if let Some(number) = endpoint.filter(|it| !self.endpoint_links[*it].has_fault()) {
-            self.endpoint_links[number].set_fault(LinkFault::AnswersHeld);
-            self.lost_answers.push((number, now, end_at));
-            self.timed_actions.push((end_at, TimedAction::ClearEndpointLink(number)));
-        }
-        if let Some(number) = engine.filter(|it| !self.engines.links[*it].has_fault()) {
-            self.engines.links[number].set_fault(LinkFault::AnswersHeld);
-            self.timed_actions.push((end_at, TimedAction::ClearEngineLink(number)));
-        }
-    }
-
-    fn set_cut(&self, number: usize, cut: Cut) {
-        self.cuts[number].routers.iter().for_each(|it| self.endpoint_views[*it].cut(cut));
-    }
-
-    fn act(&mut self, action: &TimedAction) {
-        let now = Instant::now();
-        match *action {
-            TimedAction::StartRouter(router) if !self.routers[router].is_running() => {
-                self.routers[router].start();
-                self.record_disturbance(router, now, Instant::now());
-            }
-            TimedAction::StartRouter(_) => {}
-            TimedAction::ContinueRouter(router) => {
-                self.routers[router].signal(Signal::CONT);
-                self.record_disturbance(router, now, Instant::now());
-            }
-            TimedAction::ClearStoreLink(router) => {
-                self.store_links[router].set_fault(LinkFault::None)
-            }
-            TimedAction::ClearEndpointLink(it) => {
-                self.endpoint_links[it].set_fault(LinkFault::None)
-            }
-            TimedAction::ClearEngineLink(it) => self.engines.links[it].set_fault(LinkFault::None),
-            TimedAction::AddEngine(it) => self.engines.register(it, &self.store),
-            TimedAction::RemoveEngine(it) => self.engines.leave(it, &self.store),
-            TimedAction::BeginCut(it) => self.set_cut(it, self.cuts[it].cut),
-            TimedAction::EndCut(it) => self.set_cut(it, Cut::None),
-            TimedAction::SilenceEndpoint(it) => self.begin_silence(Some(it), None),
-            TimedAction::SilenceEngine(it) => self.begin_silence(None, Some(it)),
-            TimedAction::ChangeState => {
-                let change = changes::change(&mut self.state, &mut self.changes_rng);
-                self.write_state();
-                self.faults.push(format!("version {}: {change}", self.version));
-            }
-            TimedAction::SetBrittle(is_brittle) => {
-                self.brittle.state(is_brittle);
-                self.callers.crowd(is_brittle);
-                if !is_brittle {
-                    self.brittle.shorten_queues(false);
-                }
-            }
-            TimedAction::ShortenQueues => self.brittle.shorten_queues(true),
-            TimedAction::SendCrashing => self.callers.send_crashing(true),
-            TimedAction::ClearStoreRefusal => self.store.refuse_all(None),
-            TimedAction::RestoreHistory => self.store.set_history_lost(false),
-            TimedAction::LeaveEndpoint => {
-                self.endpoints[LEAVING_ENDPOINT].state("server-leaving: 1\r\n");
-            }
-            TimedAction::PauseEndpoints => {
-                for endpoint in PAUSING_ENDPOINTS.map(|it| &self.endpoints[it]) {
-                    endpoint.state(&format!("retry-after: {}\r\n", PAUSE.as_secs_f64()));
-                    endpoint.set_behaviour(Behaviour::Refuse);
-                }
-            }
-            TimedAction::ResumeEndpoints => {
-                for endpoint in PAUSING_ENDPOINTS.map(|it| &self.endpoints[it]) {
-                    endpoint.set_behaviour(Behaviour::ByPath(EVENTS_PER_STREAM));
-                    endpoint.state("");
-                }
-            }
-        }
-    }
-
-    /// Checks that the fleet recovers once all faults have ended.
-    pub(crate) async fn check_recovery(&mut self) {
-        // A router that received SIGTERM may take its whole grace period to end.
-        self.run_for(SHUTDOWN_GRACE).await;
-        let until = Instant::now() + RECOVERY_TIME;
-        for router in self.addresses() {
-            while self.callers.call(RequestKind::Get, router, &mut None).await.status() != Some(200)
-            {
-                assert!(Instant::now() < until, "{router} does not serve again");
-                self.run_for(Duration::from_millis(100)).await;
-            }
-        }
-        self.check_leaving_endpoint().await;
-        self.check_shutdown().await;
-    }
-
-    async fn check_leaving_endpoint(&mut self) {
-        let leaving = endpoint_entry(self.endpoint_links[0].address, "draining");
-        self.store.write("servers", "i-0", &leaving);
-        self.run_for(PROPAGATION_TIME).await;
-        let before = self.endpoints[0].received().len();
-        self.run_for(Duration::from_secs(1)).await;
-        let after = self.endpoints[0].received().len();
-        assert_eq!(after, before, "a leaving endpoint received new requests");
-    }
-
-    async fn check_shutdown(&mut self) {
-        let signalled_at = Instant::now();
-        let router = &mut self.routers[0];
-        router.signal(Signal::TERM);
-        let status = router
-            .wait_for_exit(SHUTDOWN_GRACE)
-            .await
-            .expect("the router must end within its grace period");
-        assert!(status.success(), "the router ended with {status}");
-        // A request that arrives while the router closes the connection is not read and may fail.
-        let log = self.routers[0].log();
-        let was_read = |id: &str| log.contains(&format!("request={id} "));
-        let outcomes = self.callers.outcomes();
-        let interrupted = outcomes.iter().find(|it| {
-            let is_interrupted = it.sent_at >= signalled_at && it.is_broken();
-            it.router == self.routers[0].caller_address && is_interrupted && was_read(&it.id)
-        });
-        assert!(interrupted.is_none(), "interrupted by the shutdown: {interrupted:?}");
-    }
 }
