--- a/programs/auburncrank-relay/tests/soak/brittle.rs
+++ b/programs/auburncrank-relay/tests/soak/brittle.rs
@@ -12,8 +12,8 @@
 use utils::Rng;
 
 use crate::{
-    callers::RequestOutcome,
     faults::TimedAction,
+    outcome::RequestOutcome,
     support::{
         Behaviour, Brittleness, EndpointLinks, StandInEndpoint, StandInStore, keep_registered,
     },
--- a/programs/auburncrank-relay/tests/soak/changes.rs
+++ b/programs/auburncrank-relay/tests/soak/changes.rs
@@ -9,9 +9,10 @@
 use utils::Rng;
 
 use crate::{
-    callers::{RequestKind, RequestOutcome},
+    callers::RequestKind,
     engines::{ENGINES, NEW_ENGINES},
     faults::TimedAction,
+    outcome::RequestOutcome,
     world::{ALL_ENDPOINTS, CONTACT_TIME, SoakFleet},
 };
 
--- a/programs/auburncrank-relay/tests/soak/contact.rs
+++ b/programs/auburncrank-relay/tests/soak/contact.rs
@@ -5,8 +5,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    callers::RequestOutcome,
     engines::DOWN_TIME,
+    outcome::RequestOutcome,
     world::{CONTACT_TIME, SoakFleet},
 };
 
--- a/programs/auburncrank-relay/tests/soak/cuts.rs
+++ b/programs/auburncrank-relay/tests/soak/cuts.rs
@@ -8,7 +8,8 @@
 use utils::Rng;
 
 use crate::{
-    callers::{RequestEnd, RequestKind, RequestOutcome},
+    callers::RequestKind,
+    outcome::{RequestEnd, RequestOutcome},
     support::Cut,
     world::{CONTACT_TIME, SoakFleet},
 };
--- a/programs/auburncrank-relay/tests/soak/engines.rs
+++ b/programs/auburncrank-relay/tests/soak/engines.rs
@@ -10,7 +10,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    callers::{EVENTS_PER_STREAM, RequestEnd, RequestKind, RequestOutcome},
+    callers::{EVENTS_PER_STREAM, RequestKind},
+    outcome::{RequestEnd, RequestOutcome},
     proxy::Proxy,
     support::{
         Behaviour, EndpointLinks, StandInEndpoint, StandInStore, desired_state, endpoint_entry,
--- a/programs/auburncrank-relay/tests/soak/main.rs
+++ b/programs/auburncrank-relay/tests/soak/main.rs
@@ -22,6 +22,7 @@
 mod engines;
 mod faults;
 mod late_readers;
+mod outcome;
 mod periods;
 mod proxy;
 mod recovery;
@@ -32,8 +33,9 @@
 use std::collections::BTreeMap;
 
 use self::{
-    callers::{PROMPT_TOKENS, RequestEnd, RequestKind, RequestOutcome, TOKENS_PER_EVENT},
+    callers::{PROMPT_TOKENS, RequestKind, TOKENS_PER_EVENT},
     late_readers::ANSWER_BYTES,
+    outcome::{RequestEnd, RequestOutcome},
     world::{PREPAID_TOKENS, SoakFleet},
 };
 
--- a/programs/auburncrank-relay/tests/soak/statements.rs
+++ b/programs/auburncrank-relay/tests/soak/statements.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    callers::RequestOutcome,
+    outcome::RequestOutcome,
     world::{
         LEAVING_ENDPOINT, LIMITED_ENDPOINT, PAUSE, PAUSING_ENDPOINTS, STATED_LIMIT, SoakFleet,
     },
