Use the field's terms for connecting through other routers

Reading the change as a newcomer: "detour", "patience", "unhelpful" and "sturdy" had to be guessed, and "witnesses" already means the routers that keep declarations of tokens. They are now direct connections and tunnels, a fallback delay, an event gap limit, avoided peers, not brittle, and peers of a crash check.

--- a/components/relay/src/endpoints/brittleness.rs
+++ b/components/relay/src/endpoints/brittleness.rs
@@ -24,7 +24,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BrittleStatement {
     /// It does not say so.
-    Sturdy,
+    NotBrittle,
     /// The endpoint falls over if it has to refuse more than this number of requests in a second.
     Brittle(u32),
     /// The statement is malformed, or the answer lacks both a statement and a signature.
@@ -122,7 +122,7 @@
             BrittleStatement::Brittle(refusals_max) => {
                 self.restate_brittleness(id, Some(refusals_max), now, now, now);
             }
-            BrittleStatement::Sturdy => {
+            BrittleStatement::NotBrittle => {
                 if endpoint.brittleness.is_none_or(|it| it.stated_at < sent_at) {
                     self.restate_brittleness(id, None, now, now, now);
                 }
--- a/components/relay/src/endpoints/statements.rs
+++ b/components/relay/src/endpoints/statements.rs
@@ -172,8 +172,8 @@
         true
     }
 
-    /// Recomputes this router's share of each rate limit. `routers` are all that share limits and
-    /// own brittle endpoints.
+    /// Recomputes this router's share of each rate limit, and the owners of brittle endpoints.
+    /// `routers` are all that take part in both.
     pub fn update_rate_shares(&mut self, own: &str, routers: &[Arc<str>], now: Timestamp) {
         self.set_sharers(routers, now);
         for (id, endpoint) in &mut self.endpoints {
--- a/components/relay/src/reach/path_book.rs
+++ b/components/relay/src/reach/path_book.rs
@@ -13,11 +13,11 @@
 /// Number of blocked endpoints of a service from which on the router counts as cut off from it.
 const CUT_OFF_MIN: usize = 2;
 
-/// Mean time between two attempts to reach the endpoints of a service again without a detour.
+/// Mean time between two attempts to open a direct connection to a service while it is cut off.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time for which a router that could not help is not asked again about the same service.
-const UNHELPFUL_TIME: Duration = Duration::from_secs(1);
+const PEER_AVOIDANCE_TIME: Duration = Duration::from_secs(1);
 
 /// Time for which a router's statement that it is cut off holds: four of its send intervals.
 const PEER_STATEMENT_MAX_AGE: Duration = Duration::from_millis(1_200);
@@ -55,7 +55,7 @@
     /// When it said so.
     stated_at: Timestamp,
     /// Services to whose endpoints it could open no connection, and until when it is not asked.
-    unhelpful_until: HashMap<Arc<str>, Timestamp>,
+    avoided_until: HashMap<Arc<str>, Timestamp>,
 }
 
 /// Paths of this router to the endpoints, and what is known of other routers' paths.
@@ -151,9 +151,9 @@
     }
 
     /// Records that another router could not help to reach a service.
-    pub fn record_unhelpful(&mut self, router: &Arc<str>, service: &Arc<str>, now: Timestamp) {
+    pub fn avoid_peer(&mut self, router: &Arc<str>, service: &Arc<str>, now: Timestamp) {
         let peer = self.peers.entry(router.clone()).or_default();
-        peer.unhelpful_until.insert(service.clone(), now + UNHELPFUL_TIME);
+        peer.avoided_until.insert(service.clone(), now + PEER_AVOIDANCE_TIME);
     }
 
     /// Reports whether another router may reach the endpoints of a service.
@@ -161,6 +161,6 @@
         let Some(peer) = self.peers.get(router) else { return true };
         let is_recent = now.since(peer.stated_at) <= PEER_STATEMENT_MAX_AGE;
         let is_cut_off = is_recent && peer.cut_off.contains(service);
-        !is_cut_off && peer.unhelpful_until.get(service).is_none_or(|until| *until <= now)
+        !is_cut_off && peer.avoided_until.get(service).is_none_or(|until| *until <= now)
     }
 }
--- a/components/relay/src/serve/dialing.rs
+++ b/components/relay/src/serve/dialing.rs
@@ -15,7 +15,7 @@
 
 /// Time without a direct connection after which other routers are asked, too; many times what a
 /// connection usually takes.
-const DIRECT_PATIENCE: Duration = Duration::from_millis(150);
+const PEER_FALLBACK_DELAY: Duration = Duration::from_millis(150);
 
 /// Timeout for opening a connection by any path. It leaves time for a direct connection that fails
 /// and for at least one other router.
@@ -26,7 +26,7 @@
 
 /// The same if the result shows whether an endpoint's process has ended. It is higher since a wrong
 /// result would count as a crash, and the routers that are asked first may be cut off, too.
-const WITNESSES_MAX: usize = 5;
+const CRASH_CHECK_PEERS_MAX: usize = 5;
 
 /// What other routers know about an endpoint that this one does not reach.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -64,7 +64,7 @@
     let opened = async {
         match path {
             Path::Direct => connect_by_any_path(cx, placement, max).await,
-            Path::ThroughPeer { .. } => connect_with_detour(cx, placement, max).await,
+            Path::ThroughPeer { .. } => connect_through_peers_first(cx, placement, max).await,
         }
     };
     let opened = tokio::time::timeout(ANY_PATH_TIMEOUT, opened).await;
@@ -74,7 +74,7 @@
 }
 
 /// Connects through other routers, and directly only if none of them could tell.
-async fn connect_with_detour(
+async fn connect_through_peers_first(
     cx: &RelayContext,
     placement: &Placement,
     max: usize,
@@ -125,7 +125,7 @@
     max: usize,
 ) -> Result<Connection, ConnectError> {
     let mut direct = pin!(connect_directly(cx, placement, max));
-    let early = tokio::time::timeout(DIRECT_PATIENCE, &mut direct).await;
+    let early = tokio::time::timeout(PEER_FALLBACK_DELAY, &mut direct).await;
     let through_peers = connect_through_peers(cx, placement, max, PEERS_ASKED_MAX);
     match early {
         Ok(Ok(connection)) => Ok(connection),
@@ -150,13 +150,13 @@
     let was_cut_off =
         cx.lock_paths().record_direct(&placement.service, &placement.endpoint, cx.now());
     if was_cut_off {
-        log::info!(service:% = placement.service, endpoint:% = placement.endpoint; "endpoints reached without a detour again");
+        log::info!(service:% = placement.service, endpoint:% = placement.endpoint; "router connects to the endpoints of a service itself again");
         cx.gossip.send_status(cx, false).await;
     }
     Ok(connection)
 }
 
-/// Finds out whether an endpoint can be reached without a detour again.
+/// Finds out whether a direct connection to an endpoint can be opened again.
 async fn try_direct(cx: Arc<RelayContext>, placement: Placement, max: usize) {
     if let Ok(connection) = connect_directly(&cx, &placement, max).await {
         cx.connections.release(connection);
@@ -197,7 +197,7 @@
             Err(error) => {
                 log::debug!(router:% = peer.name, endpoint:% = placement.endpoint; "tunnel not opened: {error}");
                 let now = cx.now();
-                cx.lock_paths().record_unhelpful(&peer.name, &placement.service, now);
+                cx.lock_paths().avoid_peer(&peer.name, &placement.service, now);
             }
         }
         asked.push(peer);
@@ -256,7 +256,7 @@
 /// Asks other routers whether the process of an endpoint is up, after this router's own connection was
 /// refused or not answered. Returns `None` if it is.
 pub(super) async fn ask_peers(cx: &RelayContext, placement: &Placement) -> Option<PeerVerdict> {
-    let connected = connect_through_peers(cx, placement, usize::MAX, WITNESSES_MAX).await;
+    let connected = connect_through_peers(cx, placement, usize::MAX, CRASH_CHECK_PEERS_MAX).await;
     match connected {
         Ok(connection) => {
             cx.connections.release(connection);
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -236,7 +236,7 @@
         }
     }
     if connection.is_tunnel() && !is_framed(&head.headers, &body) {
-        // Its end and the end of the tunnel look the same.
+        // The end of such an answer cannot be told from a tunnel that breaks.
         let message = "the answer through another router has no length";
         return Err(FailedAttempt::new(AttemptFailure::Lost(message.to_owned()), guard));
     }
--- a/components/relay/src/serve/idle_timer.rs
+++ b/components/relay/src/serve/idle_timer.rs
@@ -40,7 +40,7 @@
 }
 
 /// Ends once a connection has been idle for the longer of two timeouts: the one in force when it
-/// became idle, and the one in force now. Callers may have reused it by either.
+/// became idle, and the one in force now. Callers may rely on either.
 struct IdleSleep {
     /// Shared state of the relay.
     cx: Arc<RelayContext>,
--- a/components/relay/src/serve/replacement.rs
+++ b/components/relay/src/serve/replacement.rs
@@ -14,13 +14,13 @@
 use crate::{endpoints::Choice, model::Route, units::millis};
 
 /// Minimum time for which callers wait for the next event of a stream.
-const CALLER_PATIENCE_MIN: Duration = Duration::from_secs(2);
+const EVENT_GAP_MIN: Duration = Duration::from_secs(2);
 
 /// Callers wait for the next event for at least this many times the latency target.
-const PATIENCE_LATENCY_FACTOR: u32 = 4;
+const EVENT_GAP_LATENCY_FACTOR: u32 = 4;
 
 /// Callers wait for the next event for at least this many times the pause target.
-const PATIENCE_PAUSE_FACTOR: u32 = 8;
+const EVENT_GAP_PAUSE_FACTOR: u32 = 8;
 
 /// Minimum silence after which a stream may leave its endpoint. Sound endpoints are silent for a
 /// second or so at times.
@@ -61,9 +61,9 @@
 }
 
 /// Returns the time for which callers wait for the next event of a stream before they give up.
-pub(super) fn caller_patience(route: &Route) -> Duration {
-    let pause = route.pause_target.unwrap_or_default() * PATIENCE_PAUSE_FACTOR;
-    CALLER_PATIENCE_MIN.max(route.latency_target * PATIENCE_LATENCY_FACTOR).max(pause)
+pub(super) fn event_gap_limit(route: &Route) -> Duration {
+    let pause = route.pause_target.unwrap_or_default() * EVENT_GAP_PAUSE_FACTOR;
+    EVENT_GAP_MIN.max(route.latency_target * EVENT_GAP_LATENCY_FACTOR).max(pause)
 }
 
 /// Returns the silence that the targets of the route allow.
--- a/components/relay/src/serve/stream_run.rs
+++ b/components/relay/src/serve/stream_run.rs
@@ -16,7 +16,7 @@
     forwarding::{EndpointStream, forward_bytes},
     framing::response_head_for_caller,
     placing::send_until_answered,
-    replacement::{Denial, caller_patience, find_replacement, record_silence, wait_for_grant},
+    replacement::{Denial, event_gap_limit, find_replacement, record_silence, wait_for_grant},
     run::{ActiveRequest, CALLER_LEFT, CutReason},
     suspicion::{check_for_crash, record_survival},
 };
@@ -247,7 +247,7 @@
     /// # Errors
     /// Returns the reason if the stream cannot be resumed in time.
     async fn resume(&mut self, mut granted: Option<PlacementGuard>) -> Result<(), CutReason> {
-        let until = self.request.cx.now() + caller_patience(&self.request.route);
+        let until = self.request.cx.now() + event_gap_limit(&self.request.route);
         let mut pause = RESUME_PAUSE;
         self.request.outcome = "broken";
         loop {
--- a/components/relay/src/tunnel/client.rs
+++ b/components/relay/src/tunnel/client.rs
@@ -17,10 +17,10 @@
 #[derive(Debug, Error)]
 pub(crate) enum TunnelError {
     /// The endpoint's address refused the other router's connection.
-    #[error("the endpoint refuses connections from the other router, too")]
+    #[error("the endpoint refused the other router's connection")]
     EndpointRefused,
     /// The endpoint did not answer the other router.
-    #[error("the endpoint does not answer the other router either")]
+    #[error("the endpoint did not answer the other router")]
     EndpointUnreachable,
     /// The other router cannot help.
     #[error("the other router cannot help: {0}")]
--- a/components/relay/tests/brittle_endpoints/fleet.rs
+++ b/components/relay/tests/brittle_endpoints/fleet.rs
@@ -234,7 +234,7 @@
                 Some(refusals_max) if self.setup.is_stated => {
                     BrittleStatement::Brittle(refusals_max)
                 }
-                _ => BrittleStatement::Sturdy,
+                _ => BrittleStatement::NotBrittle,
             };
             let statements = Statements {
                 rate: RateStatement::Unlimited,
--- a/components/relay/tests/brittle_endpoints/statements.rs
+++ b/components/relay/tests/brittle_endpoints/statements.rs
@@ -45,11 +45,11 @@
     let (first, second) = (SimEndpoint::new(0, 6), SimEndpoint::new(1, 6));
     let mut registry = registry(&[&first, &second]);
     let at = Timestamp::from_millis;
-    record(&mut registry, &second.id(), BrittleStatement::Sturdy, 100);
+    record(&mut registry, &second.id(), BrittleStatement::NotBrittle, 100);
     record(&mut registry, &first.id(), BrittleStatement::Brittle(3), 1_000);
     assert!(registry.is_brittle(&first.id(), at(1_100)));
     assert!(registry.is_brittle(&second.id(), at(1_100)));
-    record(&mut registry, &second.id(), BrittleStatement::Sturdy, 1_200);
+    record(&mut registry, &second.id(), BrittleStatement::NotBrittle, 1_200);
     assert!(!registry.is_brittle(&second.id(), at(1_300)));
     assert!(registry.is_brittle(&first.id(), at(60_000)), "no answer of its own says otherwise");
     assert_eq!(registry.brittle_count(), 1);
@@ -63,10 +63,10 @@
     let mut registry = registry(&[&endpoint]);
     let (id, at) = (endpoint.id(), Timestamp::from_millis);
     record(&mut registry, &id, BrittleStatement::Brittle(3), 100);
-    record(&mut registry, &id, BrittleStatement::Sturdy, 110);
+    record(&mut registry, &id, BrittleStatement::NotBrittle, 110);
     record(&mut registry, &id, BrittleStatement::Unknown, 500);
     assert!(registry.is_brittle(&id, at(600)));
-    record(&mut registry, &id, BrittleStatement::Sturdy, 700);
+    record(&mut registry, &id, BrittleStatement::NotBrittle, 700);
     assert!(!registry.is_brittle(&id, at(800)));
 }
 
@@ -104,6 +104,6 @@
     assert_eq!(exchange(&sender, at(200)), (true, None));
     sender.record_brittle_refusal(&endpoint.id(), at(300));
     assert_eq!(exchange(&sender, at(310)), (true, Some(at(300))));
-    record(&mut sender, &endpoint.id(), BrittleStatement::Sturdy, 400);
+    record(&mut sender, &endpoint.id(), BrittleStatement::NotBrittle, 400);
     assert!(!exchange(&sender, at(500)).0);
 }
--- a/components/relay/tests/paths.rs
+++ b/components/relay/tests/paths.rs
@@ -36,7 +36,7 @@
     }
 }
 
-/// Guards against a detour to all endpoints because of a single bad path.
+/// Guards against tunnels to all endpoints because of a single blocked path.
 #[test]
 fn one_blocked_endpoint_does_not_cut_the_service_off() {
     let mut world = World::new();
@@ -83,7 +83,7 @@
     assert!((13..=40).contains(&trials), "{trials} trials in ten seconds");
 }
 
-/// Guards against a detour that outlives the endpoints that were blocked.
+/// Guards against tunnels that go on after the blocked endpoints are gone.
 #[test]
 fn endpoints_that_are_gone_are_forgotten() {
     let mut world = World::new();
@@ -107,7 +107,7 @@
     assert!(world.paths.is_usable_peer("r", "svc", at(1_300)), "the statement is outdated");
     world.paths.record_peer_statement(&peer, utils::HashSet::default(), at(1_400));
     assert!(world.paths.is_usable_peer("r", "svc", at(1_400)));
-    world.paths.record_unhelpful(&peer, &name("svc"), at(1_500));
+    world.paths.avoid_peer(&peer, &name("svc"), at(1_500));
     assert!(!world.paths.is_usable_peer("r", "svc", at(1_600)));
     assert!(world.paths.is_usable_peer("r", "svc", at(2_500)));
 }
@@ -121,7 +121,7 @@
     }
 }
 
-/// Guards against all detours through one router, and against traffic between failure domains that
+/// Guards against all tunnels through one router, and against traffic between failure domains that
 /// is not needed.
 #[test]
 fn tunnels_spread_over_the_routers_near_the_endpoint() {
