--- a/components/router/src/registry/fleet.rs
+++ b/components/router/src/registry/fleet.rs
@@ -9,9 +9,7 @@
 use errors::{Error, ErrorKind, Ran, Result};
 use platform::{Commit, ObjectStore, Table};
 use protocol::RequestsBody;
-use requests::{
-    Attempt, Claim, ClaimDecision, EndState, IntentAdmission, IntentState, StoredAnswer,
-};
+use requests::{EndState, IntentAdmission, IntentState};
 use types::{RequestKey, RouterId, Timestamp};
 use utils::Digest;
 
@@ -24,8 +22,8 @@
     kept_store::{KeptItem, KeptStore},
     message_handler::MessageHandler,
     open_guard::{OpenGuard, end_state},
-    relay::{Fetch, Relay},
-    stored::{count_joined, stored_answer, write_stored},
+    relay::Relay,
+    stored::{count_joined, stored_answer},
 };
 use crate::{
     Clock,
@@ -40,9 +38,6 @@
 /// intent row. A row that says "withdrawn" is not used if it was read later.
 const WITHDRAWN_READ_MAX: Duration = Duration::from_millis(200);
 
-/// Maximum number of claims that one call of `begin` makes before it fails.
-const CLAIMS_PER_BEGIN_MAX: usize = 4;
-
 /// Arguments of [`FleetRegistry::start`].
 pub struct RegistryParts {
     /// Identity of this router.
@@ -68,13 +63,13 @@
     /// Intent rows in the table.
     intents: Arc<Intents>,
     /// Copies answers between routers.
-    relay: Relay,
+    pub(super) relay: Relay,
     /// Kept answers in the object store.
-    kept: KeptStore,
+    pub(super) kept: KeptStore,
     /// Clock.
     clock: Clock,
     /// Reference to itself, for the tasks that it spawns.
-    weak_self: Weak<FleetRegistry>,
+    pub(super) weak_self: Weak<FleetRegistry>,
 }
 
 impl FleetRegistry {
@@ -112,7 +107,7 @@
     /// idempotent or the row cannot be used. A row that says "withdrawn" is used only if it
     /// was read soon after the arrival: if it was written later, by the refusal of another
     /// attempt, this attempt must not run.
-    async fn read_intent(&self, req: &BeginRequest) -> Option<IntentAdmission> {
+    pub(super) async fn read_intent(&self, req: &BeginRequest) -> Option<IntentAdmission> {
         if req.idempotent {
             return None;
         }
@@ -124,102 +119,9 @@
         (!is_late || !is_withdrawn).then_some(admission)
     }
 
-    /// Claims a request at its home router; joins its attempt if another router runs or has
-    /// run it.
-    async fn claim_or_join(&self, req: &BeginRequest, entry: &Entry) -> Result<Begin> {
-        let intent = self.read_intent(req).await;
-        let mut given_up = None;
-        for _ in 0..CLAIMS_PER_BEGIN_MAX {
-            let claim = Claim {
-                key: req.key.clone(),
-                fingerprint: req.fingerprint,
-                attempt: entry.attempt.clone(),
-                given_up: given_up.take(),
-            };
-            let (attempt, found) = match self.home.claim(&claim).await {
-                None => return self.admit(req, entry, HomeReply::Unreachable, intent),
-                Some(ClaimDecision::Granted { is_first }) => {
-                    return self.admit(req, entry, HomeReply::Granted { is_first }, intent);
-                }
-                Some(ClaimDecision::Reused) => return Err(id_reused()),
-                Some(ClaimDecision::RunsAt(attempt)) => {
-                    let found = self.join_remote(req, entry, &attempt).await;
-                    (attempt, found)
-                }
-                Some(ClaimDecision::Kept { attempt, object }) => {
-                    let found = self.join_from_object(req, entry, &attempt, &object).await;
-                    (attempt, found)
-                }
-            };
-            if let Some(begin) = found {
-                return Ok(begin);
-            }
-            given_up = Some(attempt);
-        }
-        Err(Error::new(
-            ErrorKind::AttemptsFailed,
-            "the answer could not be read from the routers that ran the request; send it again",
-        ))
-    }
-
-    /// Joins the attempt of another router; `None` if that router is unreachable or does not
-    /// know the attempt.
-    async fn join_remote(
-        &self,
-        req: &BeginRequest,
-        entry: &Entry,
-        attempt: &Attempt,
-    ) -> Option<Begin> {
-        let fetch =
-            Fetch { key: req.key.clone(), fingerprint: req.fingerprint, attempt: attempt.clone() };
-        let first = self.relay.fetch(&fetch, 0, false).await?;
-        count_joined("other_router");
-        self.entries.update(&req.key, |it| it.is_remote = true);
-        let (this, log, own) =
-            (self.weak_self.upgrade()?, entry.log.clone(), entry.attempt.clone());
-        tokio::spawn(async move {
-            let result = this.relay.copy(&fetch, first, &log).await;
-            match result {
-                Ok(end) => {
-                    this.entries.keep(&fetch.key, log.body().len());
-                    log.finish(end);
-                }
-                Err(error) => {
-                    this.entries.remove(&fetch.key, &own);
-                    log.fail(error);
-                }
-            }
-        });
-        Some(Begin::Join(entry.log.clone()))
-    }
-
-    /// Uses the answer that a router stored in the object store before it ended; `None` if it
-    /// cannot be read.
-    async fn join_from_object(
-        &self,
-        req: &BeginRequest,
-        entry: &Entry,
-        attempt: &Attempt,
-        object: &str,
-    ) -> Option<Begin> {
-        let item = self.kept.load(object, &req.key, attempt).await?;
-        if item.fingerprint != req.fingerprint {
-            return None;
-        }
-        count_joined("object_store");
-        self.entries.update(&req.key, |it| it.is_remote = true);
-        Some(self.join_stored(req, entry, &item.answer))
-    }
-
-    fn join_stored(&self, req: &BeginRequest, entry: &Entry, answer: &StoredAnswer) -> Begin {
-        let bytes = write_stored(answer, &entry.log);
-        self.entries.keep(&req.key, bytes);
-        Begin::Join(entry.log.clone())
-    }
-
     /// Admits a request that is to run on this router. A non-idempotent one is admitted by its
     /// intent row, or without it only by a grant of the home router.
-    fn admit(
+    pub(super) fn admit(
         &self,
         req: &BeginRequest,
         entry: &Entry,
--- a/components/router/src/registry/mod.rs
+++ b/components/router/src/registry/mod.rs
@@ -9,6 +9,7 @@
 mod home_link;
 mod intent_permit;
 mod intents;
+mod joining;
 mod kept_store;
 mod message_handler;
 mod open_guard;
