Follow an account's tokens from the deposit to the bill in logs and metrics

Logs and metrics could not tell its hypotheses apart: the line of a takeover named neither the tokens nor the commit whose row was read, the line of a commit had no number, loans had none, and nothing summed up what a process has drawn, borrowed, taken over, lent, returned and spent.

Each account on a router now has a ledger with these totals, in the counter auburncrank_account_tokens_total and in a line at most every 10 s and at the end of the process.

--- a/components/relay/src/allowance/account/loans.rs
+++ b/components/relay/src/allowance/account/loans.rs
@@ -54,6 +54,7 @@
         }
         self.held -= lent;
         self.ceilings.subtract(lent);
+        self.ledger.lent += lent;
         lent
     }
 
@@ -97,6 +98,7 @@
         }
         self.held -= surplus;
         self.ceilings.subtract(surplus);
+        self.ledger.lent += surplus;
         surplus
     }
 
@@ -119,5 +121,6 @@
     pub(in crate::allowance) fn credit(&mut self, tokens: u64) {
         self.held += tokens;
         self.ceilings.add(tokens);
+        self.ledger.borrowed += tokens;
     }
 }
--- a/components/relay/src/allowance/account/mod.rs
+++ b/components/relay/src/allowance/account/mod.rs
@@ -1,5 +1,6 @@
 //! The tokens of one account on one router.
 
+mod ledger;
 mod loans;
 mod planning;
 
@@ -7,6 +8,7 @@
 
 use types::Timestamp;
 
+pub use self::ledger::TokenLedger;
 pub(super) use self::planning::{Change, changed_row};
 use super::{
     ceiling::Ceilings,
@@ -54,6 +56,8 @@
     returning: u64,
     /// Ceilings on how many of the held tokens may be spent or lent.
     ceilings: Ceilings,
+    /// Totals of the tokens received and given away.
+    ledger: TokenLedger,
     /// Tokens of the largest request so far.
     largest_request: u64,
     /// Maximum number of tokens that a request or a loan needed and did not get since the last
@@ -90,6 +94,7 @@
             unreported: 0,
             returning: 0,
             ceilings: Ceilings::default(),
+            ledger: TokenLedger::default(),
             largest_request: 0,
             unmet_demand: 0,
             taken_over_at: None,
@@ -124,7 +129,7 @@
     }
 
     /// Returns the prepaid tokens of the account.
-    pub(super) fn limit(&self) -> u64 {
+    pub fn limit(&self) -> u64 {
         self.limit
     }
 
@@ -179,6 +184,7 @@
         self.held -= used;
         self.ceilings.subtract(used);
         self.unreported += used;
+        self.ledger.spent += used;
     }
 
     /// Returns whether fewer than `tokens` of the account's tokens are unspent, wherever they are
@@ -240,6 +246,8 @@
         self.returning -= change.give_back;
         if is_applied {
             self.held += change.draw;
+            self.ledger.drawn += change.draw;
+            self.ledger.returned += change.give_back;
             self.unreported -= change.spent;
             self.unmet_demand = 0;
             self.may_draw_directly = false;
@@ -248,6 +256,16 @@
         }
     }
 
+    /// Returns the totals of the tokens that this process has received and given away.
+    pub fn ledger(&self) -> TokenLedger {
+        self.ledger
+    }
+
+    /// Returns the tokens that a commit with an unknown outcome returns.
+    pub fn returning(&self) -> u64 {
+        self.returning
+    }
+
     /// Returns the tokens reserved by running requests.
     pub fn reserved(&self) -> u64 {
         self.reserved
@@ -256,6 +274,7 @@
     /// Adds tokens that a previous process of this router held.
     pub(super) fn take_over(&mut self, tokens: u64, now: Timestamp) {
         self.held += tokens;
+        self.ledger.taken_over += tokens;
         self.taken_over_at = Some(now);
     }
 
--- a/components/relay/src/allowance/book/commits.rs
+++ b/components/relay/src/allowance/book/commits.rs
@@ -174,7 +174,8 @@
         let allowance = self.accounts.get(name)?;
         let known = self.rows.get(name);
         let row = known.map(|(row, _)| row.clone()).unwrap_or_default();
-        log::info!(account:% = name, draw = change.draw, give_back = change.give_back, report = change.spent, held = allowance.held(), drawn = row.drawn, limit = allowance.limit(); "allowance to change");
+        let number = self.last_commit_id.number;
+        log::info!(account:% = name, commit = number, draw = change.draw, give_back = change.give_back, report = change.spent, held = allowance.held(), drawn = row.drawn, limit = allowance.limit(); "allowance to change");
         let next = changed_row(&row, change, allowance.limit_version());
         let key = AllowanceRow::key(name);
         commit.preconditions.push(precondition(key.clone(), known.map(|(_, revision)| *revision)));
@@ -182,6 +183,11 @@
         Some(next)
     }
 
+    /// Returns the number of the last commit of this process.
+    pub fn last_commit_number(&self) -> u64 {
+        self.last_commit_id.number
+    }
+
     /// Handles the outcome of the commit that [`next_commit`](Self::next_commit) returned.
     /// `is_resent` means that an earlier copy may have taken effect or may still do so.
     pub fn on_outcome(&mut self, outcome: &CommitOutcome, is_resent: bool, now: Timestamp) {
@@ -279,6 +285,7 @@
         if is_applied {
             for (name, tokens) in &pending.taken_over {
                 if let Some(allowance) = self.accounts.get_mut(name) {
+                    log::info!(account:% = name, tokens, commit = number; "tokens of the earlier process taken over");
                     allowance.take_over(*tokens, now);
                 }
             }
--- a/components/relay/src/allowance/book/inheritance.rs
+++ b/components/relay/src/allowance/book/inheritance.rs
@@ -7,6 +7,7 @@
 use super::{CommitInputs, RouterAllowances};
 use crate::allowance::{
     ceiling::CEILING_VALIDITY,
+    rows::HoldingsRow,
     witness::{RouterProcess, WitnessStatement},
 };
 
@@ -60,11 +61,11 @@
         let age_ms = ages.map(|(time, known)| time.millis.saturating_sub(known));
         if age_ms.is_some_and(|it| u128::from(it) < CEILING_VALIDITY.as_millis()) {
             let tokens = row.kept();
-            log::info!(age_ms = age_ms.unwrap_or_default(), accounts = tokens.len(); "tokens of the earlier process taken over");
+            log_takeover(row, "row", age_ms);
             return Some(self.settle_takeover(tokens));
         }
         if !row.witnesses.is_empty() {
-            log::info!(age_ms = age_ms.unwrap_or_default(), witnesses = row.witnesses.len(); "witnesses of the earlier process asked");
+            log_takeover(row, "witnesses", age_ms);
             let (unanswered, kept) = (row.witnesses.clone(), row.kept());
             self.takeover = Takeover::Awaiting { unanswered, kept, since: inputs.now };
             return None;
@@ -117,8 +118,14 @@
         }
         if unanswered.is_empty() {
             let tokens = std::mem::take(kept);
-            log::info!(witness:% = witness.router, accounts = tokens.len(); "tokens of the earlier process taken over according to its witnesses");
+            log::info!(process = row.mark.process, row_commit = last_commit, last_witness:% = witness.router, accounts = tokens.len(); "witnesses of the earlier process have answered");
             self.settle_takeover(tokens);
         }
     }
 }
+
+/// Logs by which source this process decides what the previous one has certainly not spent.
+fn log_takeover(row: &HoldingsRow, source: &str, age_ms: Option<u64>) {
+    let kept: u64 = row.kept().iter().map(|(_, kept)| kept).sum();
+    log::info!(process = row.mark.process, row_commit = row.mark.number, source, kept, age_ms = age_ms.unwrap_or_default(); "row of the earlier process found");
+}
--- a/components/relay/src/allowance/book/mod.rs
+++ b/components/relay/src/allowance/book/mod.rs
@@ -184,6 +184,9 @@
         for account in accounts.values() {
             if let Some(limit) = account.prepaid_tokens {
                 let allowance = self.accounts.entry(account.name.clone()).or_default();
+                if allowance.limit() != limit {
+                    log::info!(account:% = account.name, limit, before = allowance.limit(), version; "prepaid tokens set");
+                }
                 allowance.set_limit(limit, version);
             }
         }
@@ -194,9 +197,9 @@
         self.rows.get(account).map(|(row, _)| row.clone()).unwrap_or_default()
     }
 
-    /// Returns for each account the tokens that are held and, of these, the reserved ones.
-    pub fn held_and_reserved(&self) -> impl Iterator<Item = (&Arc<str>, u64, u64)> {
-        self.accounts.iter().map(|(name, it)| (name, it.held(), it.reserved()))
+    /// Returns all accounts with their tokens on this router.
+    pub fn accounts(&self) -> impl Iterator<Item = (&Arc<str>, &AccountAllowance)> {
+        self.accounts.iter()
     }
 
     /// Returns the tokens of an account; `None` if the account is unknown here.
--- a/components/relay/src/allowance/mod.rs
+++ b/components/relay/src/allowance/mod.rs
@@ -19,7 +19,7 @@
 mod witness;
 
 pub use self::{
-    account::AccountAllowance,
+    account::{AccountAllowance, TokenLedger},
     book::{CommitInputs, LoanStep, Reservation, RouterAllowances, Shortage, Stage},
     ceiling::CEILING_VALIDITY,
     holders::{HOLDERS_MAX, HolderCandidate, Role, choose_holders, sole_holder},
--- a/components/relay/src/peers/lending.rs
+++ b/components/relay/src/peers/lending.rs
@@ -77,7 +77,7 @@
         let tokens = allowances.lend(account, request.tokens, request.for_borrower, cx.now());
         (tokens, allowances.known_spent(account), allowances.known_undrawn(account))
     };
-    log::info!(account = request.account.as_str(), tokens, wanted = request.tokens, borrower:% = borrower; "tokens lent");
+    log::info!(account = request.account.as_str(), number = request.number, tokens, wanted = request.tokens, borrower:% = borrower; "tokens lent");
     metrics::counter!(telemetry::LOANED_TOKENS_TOTAL, "direction" => "lent").increment(tokens);
     let loan = LoanMessage { tokens, spent, undrawn, ..request };
     cx.gossip.send(&encode(PeerContent::Loan(loan)), borrower).await;
@@ -86,10 +86,10 @@
 /// Credits a loan that this router requested.
 pub(super) fn handle_loan(cx: &RelayContext, loan: &LoanMessage, lender: SocketAddr) {
     if !cx.gossip.lock_loans().close(loan.number) {
-        log::warn!(account = loan.account.as_str(), tokens = loan.tokens, lender:% = lender; "unsolicited or duplicate loan ignored");
+        log::warn!(account = loan.account.as_str(), number = loan.number, tokens = loan.tokens, lender:% = lender; "unsolicited or duplicate loan ignored");
         return;
     }
-    log::info!(account = loan.account.as_str(), tokens = loan.tokens, lender:% = lender; "tokens borrowed");
+    log::info!(account = loan.account.as_str(), number = loan.number, tokens = loan.tokens, lender:% = lender; "tokens borrowed");
     credit_loan(cx, loan);
     if loan.for_borrower {
         cx.lock_allowances().apply_holder_totals(&loan.account, loan.spent, loan.undrawn);
@@ -115,7 +115,7 @@
             continue;
         };
         let number = rand::Rng::random(&mut *cx.lock_rng());
-        log::info!(account:% = account, tokens, lender:% = address; "tokens given back");
+        log::info!(account:% = account, number, tokens, lender:% = address; "tokens given back");
         let account = account.to_string();
         let message = LoanMessage { number, account, tokens, spent, ..LoanMessage::default() };
         cx.gossip.send(&encode(PeerContent::LoanReturn(message)), address).await;
@@ -125,9 +125,10 @@
 /// Credits tokens that another router returns.
 pub(super) fn handle_return(cx: &RelayContext, returned: &LoanMessage, borrower: SocketAddr) {
     if !cx.gossip.lock_loans().record_arrival(returned.number, cx.now()) {
-        log::warn!(account = returned.account.as_str(), tokens = returned.tokens, borrower:% = borrower; "duplicate return of tokens ignored");
+        log::warn!(account = returned.account.as_str(), number = returned.number, tokens = returned.tokens, borrower:% = borrower; "duplicate return of tokens ignored");
         return;
     }
+    log::info!(account = returned.account.as_str(), number = returned.number, tokens = returned.tokens, borrower:% = borrower; "tokens received back");
     credit_loan(cx, returned);
     cx.lock_allowances().report_for_borrower(&returned.account, returned.spent);
     cx.allowance_changed.notify_waiters();
--- a/components/relay/src/peers/witnessing.rs
+++ b/components/relay/src/peers/witnessing.rs
@@ -33,6 +33,8 @@
 pub(super) async fn send_declaration(cx: &RelayContext) {
     let declaration = cx.lock_allowances().witness_declaration(cx.now());
     if let Some((witnesses, declaration)) = declaration {
+        let kept: u64 = declaration.kept.values().sum();
+        log::info!(number = declaration.number, last_commit = declaration.last_commit, kept, witnesses = witnesses.len(); "tokens declared to witnesses");
         let message = DeclarationMessage::new(&own_process(cx), &declaration);
         send_to(cx, &witnesses, &PeerContent::Declaration(message)).await;
     }
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -7,9 +7,10 @@
 
 use telemetry::MetricsHandle;
 use tokio::{sync::watch, task::JoinHandle, time::Instant};
-use utils::HashSet;
+use utils::{HashMap, HashSet};
 
 use crate::{
+    allowance::TokenLedger,
     context::{RelayContext, RelayDependencies},
     peers::run_gossip,
     serve::{AuxiliaryApi, serve_auxiliary_api, serve_callers},
@@ -37,6 +38,9 @@
 /// Interval at which idle connections are pruned and the gauges are updated.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Minimum time between two log lines with the totals of an account.
+const LEDGER_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Handle to a running relay.
 pub struct RelayProcess {
     cx: Arc<RelayContext>,
@@ -109,13 +113,20 @@
             remove_member_row(cx).await;
         })
         .await;
+        log_ledgers(cx, &mut HashMap::default());
         log::info!(running = cx.running.load(Ordering::Relaxed), after_ms = millis(started.elapsed()); "router ended");
     }
 }
 
 async fn prune_connections(cx: Arc<RelayContext>) {
+    let mut logged = HashMap::default();
+    let mut ledgers_logged_at = cx.now();
     loop {
         tokio::time::sleep(PRUNE_INTERVAL).await;
+        if cx.now().since(ledgers_logged_at) >= LEDGER_INTERVAL {
+            ledgers_logged_at = cx.now();
+            log_ledgers(&cx, &mut logged);
+        }
         let connected = cx.connections.endpoints();
         let endpoints = cx.lock_endpoints();
         let in_service: HashSet<_> =
@@ -154,9 +165,32 @@
     metrics::gauge!(telemetry::ENDPOINTS, "state" => "leaving").set((all - ready) as f64);
     let ready_routers = cx.lock_roster().ready_members(cx.now()).len();
     metrics::gauge!(telemetry::MEMBERS, "state" => "ready").set(ready_routers as f64);
-    for (account, held, reserved) in cx.lock_allowances().held_and_reserved() {
-        let account = account.to_string();
-        metrics::gauge!(telemetry::GRANTED_TOKENS, "account" => account.clone()).set(held as f64);
-        metrics::gauge!(telemetry::RESERVED_TOKENS, "account" => account).set(reserved as f64);
+    report_tokens(cx);
+}
+
+/// Updates the gauges and counters of the tokens of each account.
+fn report_tokens(cx: &RelayContext) {
+    let allowances = cx.lock_allowances();
+    for (name, allowance) in allowances.accounts() {
+        let account = name.to_string();
+        metrics::gauge!(telemetry::GRANTED_TOKENS, "account" => account.clone())
+            .set(allowance.held() as f64);
+        metrics::gauge!(telemetry::RESERVED_TOKENS, "account" => account.clone())
+            .set(allowance.reserved() as f64);
+        for (kind, total) in allowance.ledger().totals() {
+            metrics::counter!(telemetry::ACCOUNT_TOKENS_TOTAL, "account" => account.clone(), "kind" => kind)
+                .absolute(total);
+        }
+    }
+}
+
+/// Logs the totals of each account that have changed since the last call.
+fn log_ledgers(cx: &RelayContext, logged: &mut HashMap<Arc<str>, TokenLedger>) {
+    let allowances = cx.lock_allowances();
+    for (name, allowance) in allowances.accounts() {
+        let it = allowance.ledger();
+        if logged.insert(name.clone(), it).is_none_or(|before| before != it) {
+            log::info!(account:% = name, limit = allowance.limit(), held = allowance.held(), reserved = allowance.reserved(), drawn = it.drawn, borrowed = it.borrowed, taken_over = it.taken_over, spent = it.spent, lent = it.lent, returned = it.returned; "account totals");
+        }
     }
 }
--- a/components/relay/src/serve/run.rs
+++ b/components/relay/src/serve/run.rs
@@ -159,6 +159,7 @@
     fn drop(&mut self) {
         let now = self.cx.now();
         let spent = self.spent_tokens();
+        let reserved = self.reservation.as_ref().map_or(0, |it| it.tokens);
         if let Some(reservation) = self.reservation.take() {
             self.cx.lock_allowances().settle(reservation, spent);
         }
@@ -179,6 +180,7 @@
             events = self.events,
             prompt = self.head.tokens.map_or(0, |it| it.prompt),
             max_output = self.head.tokens.map_or(0, |it| it.max_output),
+            reserved,
             tokens = spent,
             first_ms = first_ms.unwrap_or_default(),
             total_ms = millis(total),
--- a/components/relay/src/sync/allowance_task.rs
+++ b/components/relay/src/sync/allowance_task.rs
@@ -77,7 +77,8 @@
     let Some(commit) = commit else { return Ok(false) };
     let outcome = cx.table.commit(&commit).await;
     if commit.writes.len() > 1 || !matches!(outcome, CommitOutcome::Committed(_)) {
-        log::info!(rows = commit.writes.len(), resent = is_resent, outcome:? = outcome; "allowance commit");
+        let number = cx.lock_allowances().last_commit_number();
+        log::info!(commit = number, rows = commit.writes.len(), resent = is_resent, outcome:? = outcome; "allowance commit");
     }
     cx.lock_allowances().on_outcome(&outcome, is_resent, cx.now());
     cx.allowance_changed.notify_waiters();
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -133,6 +133,10 @@
 
 /// Gauge of log lines dropped because their reader was too slow.
 pub const LOG_LINES_DROPPED: &str = "auburncrank_log_lines_dropped";
+/// Counter of the tokens that a router has received and given away, by `account` and `kind`: `drawn`,
+/// `borrowed` or `taken_over`; `spent`, `lent` or `returned`.
+pub const ACCOUNT_TOKENS_TOTAL: &str = "auburncrank_account_tokens_total";
+
 /// Counter of tokens lent between routers, by `direction`: `lent` or `borrowed`.
 pub const LOANED_TOKENS_TOTAL: &str = "auburncrank_loaned_tokens_total";
 /// Gauge of halted rollouts of model versions, set by the holder of the controller lease.
