Decide a takeover anew if the earlier process's row is replaced

Cause: a new process decided once, by the row of the earlier process, which tokens are unspent. A commit of the earlier process that took effect only after that read made the takeover's commit conflict; the rows were read again, but the takeover was repeated with the first result. If the late commit had returned tokens, as the last one of a shutdown does with all of them, they counted both at the account and at the new process.

Evidence: the simulation of allowances never saw this, as its routers read and committed in one step and never shut down.

Now what is known of the earlier process's tokens belongs to the commit that wrote the row, and is determined anew, witnesses included, if the row is another one.

--- a/components/relay/src/allowance/book/inheritance.rs
+++ b/components/relay/src/allowance/book/inheritance.rs
@@ -7,7 +7,7 @@
 use super::{CommitInputs, RouterAllowances};
 use crate::allowance::{
     ceiling::CEILING_VALIDITY,
-    rows::HoldingsRow,
+    rows::{CommitId, HoldingsRow},
     witness::{RouterProcess, WitnessStatement},
 };
 
@@ -15,13 +15,17 @@
 /// witnesses.
 const STATEMENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// What is known of the tokens that the previous process held.
+/// What is known of the tokens that the previous process held, from one of its rows. A commit of that
+/// process that was in progress when it ended may still replace the row, and the tokens are then
+/// determined anew: the commit may have returned some of them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Takeover {
-    /// Its row was not examined yet.
+    /// No row was examined yet.
     Unknown,
-    /// Its witnesses were asked.
+    /// The witnesses that the row names were asked.
     Awaiting {
+        /// Commit that wrote the row.
+        row: CommitId,
         /// Witnesses that have not answered.
         unanswered: Vec<RouterProcess>,
         /// Tokens that are certainly unspent according to its row and the statements so far.
@@ -29,8 +33,23 @@
         /// When the witnesses were asked.
         since: Timestamp,
     },
-    /// These tokens are certainly unspent.
-    Settled(Vec<(Arc<str>, u64)>),
+    /// Some tokens are certainly unspent.
+    Settled {
+        /// Commit that wrote the row.
+        row: CommitId,
+        /// These tokens, by account.
+        kept: Vec<(Arc<str>, u64)>,
+    },
+}
+
+impl Takeover {
+    /// Returns whether this is what is known from the row that `mark` wrote.
+    fn is_about(&self, mark: CommitId) -> bool {
+        match self {
+            Takeover::Unknown => false,
+            Takeover::Awaiting { row, .. } | Takeover::Settled { row, .. } => *row == mark,
+        }
+    }
 }
 
 impl RouterAllowances {
@@ -44,14 +63,18 @@
         let Some(row) = row.filter(|it| it.mark.process != self.last_commit_id.process) else {
             return Some(Vec::new());
         };
+        let mark = row.mark;
+        if !self.takeover.is_about(mark) {
+            self.takeover = Takeover::Unknown;
+        }
         match &self.takeover {
-            Takeover::Settled(tokens) => return Some(tokens.clone()),
+            Takeover::Settled { kept, .. } => return Some(kept.clone()),
             Takeover::Awaiting { since, .. } if inputs.now.since(*since) < STATEMENT_TIMEOUT => {
                 return None;
             }
             Takeover::Awaiting { unanswered, .. } => {
                 log::warn!(silent:? = unanswered; "tokens of the earlier process counted as spent: not all of its witnesses answered");
-                return Some(self.settle_takeover(Vec::new()));
+                return Some(self.settle_takeover(mark, Vec::new()));
             }
             Takeover::Unknown => {}
         }
@@ -62,33 +85,35 @@
         if age_ms.is_some_and(|it| u128::from(it) < CEILING_VALIDITY.as_millis()) {
             let tokens = row.kept();
             log_takeover(row, "row", age_ms);
-            return Some(self.settle_takeover(tokens));
+            return Some(self.settle_takeover(mark, tokens));
         }
         if !row.witnesses.is_empty() {
             log_takeover(row, "witnesses", age_ms);
             let (unanswered, kept) = (row.witnesses.clone(), row.kept());
-            self.takeover = Takeover::Awaiting { unanswered, kept, since: inputs.now };
+            self.takeover = Takeover::Awaiting { row: mark, unanswered, kept, since: inputs.now };
             return None;
         }
         let kept: u64 = row.kept().iter().map(|(_, kept)| kept).sum();
         if kept > 0 {
             log::warn!(age_ms = age_ms.unwrap_or_default(), tokens = kept; "tokens of the earlier process counted as spent: its row is too old and names no witnesses");
         }
-        Some(self.settle_takeover(Vec::new()))
+        Some(self.settle_takeover(mark, Vec::new()))
     }
 
-    fn settle_takeover(&mut self, tokens: Vec<(Arc<str>, u64)>) -> Vec<(Arc<str>, u64)> {
-        let mut tokens = tokens;
-        tokens.retain(|(name, it)| *it > 0 && self.accounts.contains_key(name));
-        self.takeover = Takeover::Settled(tokens.clone());
-        tokens
+    fn settle_takeover(
+        &mut self,
+        row: CommitId,
+        mut kept: Vec<(Arc<str>, u64)>,
+    ) -> Vec<(Arc<str>, u64)> {
+        kept.retain(|(name, it)| *it > 0 && self.accounts.contains_key(name));
+        self.takeover = Takeover::Settled { row, kept: kept.clone() };
+        kept
     }
 
     /// Returns the witnesses that have not answered yet, and the process that they are asked about.
     pub fn witness_query(&self) -> Option<(Vec<RouterProcess>, RouterProcess)> {
-        let Takeover::Awaiting { unanswered, .. } = &self.takeover else { return None };
-        let (row, _) = self.holdings.as_ref()?;
-        let about = RouterProcess { router: self.router.clone(), process: row.mark.process };
+        let Takeover::Awaiting { row, unanswered, .. } = &self.takeover else { return None };
+        let about = RouterProcess { router: self.router.clone(), process: row.process };
         Some((unanswered.clone(), about))
     }
 
@@ -102,13 +127,15 @@
         let is_asked = self
             .witness_query()
             .is_some_and(|(asked, asked_about)| asked.contains(witness) && asked_about == *about);
-        let Some((row, _)) = self.holdings.as_ref().filter(|_| is_asked) else { return };
-        let last_commit = row.mark.number;
-        let Takeover::Awaiting { unanswered, kept, .. } = &mut self.takeover else { return };
+        if !is_asked {
+            return;
+        }
+        let Takeover::Awaiting { row, unanswered, kept, .. } = &mut self.takeover else { return };
+        let row = *row;
         unanswered.retain(|it| it != witness);
         match statement {
             WitnessStatement::Nothing => {}
-            WitnessStatement::Declared(it) if it.last_commit < last_commit => {}
+            WitnessStatement::Declared(it) if it.last_commit < row.number => {}
             WitnessStatement::Declared(it) => {
                 for (name, tokens) in kept.iter_mut() {
                     *tokens = (*tokens).min(it.kept.get(name).copied().unwrap_or_default());
@@ -118,8 +145,8 @@
         }
         if unanswered.is_empty() {
             let tokens = std::mem::take(kept);
-            log::info!(process = row.mark.process, row_commit = last_commit, last_witness:% = witness.router, accounts = tokens.len(); "witnesses of the earlier process have answered");
-            self.settle_takeover(tokens);
+            log::info!(process = row.process, row_commit = row.number, last_witness:% = witness.router, accounts = tokens.len(); "witnesses of the earlier process have answered");
+            self.settle_takeover(row, tokens);
         }
     }
 }
--- a/components/relay/tests/allowance_faults/main.rs
+++ b/components/relay/tests/allowance_faults/main.rs
@@ -33,6 +33,9 @@
     power_loss: 0.0,
     lost_loan: 0.0,
     differing_holders: 0.0,
+    shutdown: 0.0,
+    limit_change: 0.0,
+    no_call: 0.5,
 };
 
 #[test]
@@ -46,6 +49,7 @@
             power_loss: 0.002,
             lost_loan: 0.1,
             differing_holders: if seed % 3 == 0 { 0.0 } else { 0.02 },
+            ..NO_FAULTS
         };
         let mut world = World::new(seed, faults);
         world.run();
@@ -54,6 +58,20 @@
     assert!(taken_over > 0, "no process took over any tokens");
 }
 
+/// Guards against tokens that count twice: a commit of an ended process returned them late, and the
+/// next process took them over by the row that this commit had replaced.
+#[test]
+fn tokens_returned_by_a_late_commit_are_not_taken_over() {
+    let mut taken_over = 0;
+    for seed in 0..60 {
+        let faults = Faults { lost_answer: 0.8, shutdown: 0.01, no_call: 0.4, ..NO_FAULTS };
+        let mut world = World::new(seed, faults);
+        world.run();
+        taken_over += world.store.taken_over;
+    }
+    assert!(taken_over > 0, "no process took over any tokens");
+}
+
 #[test]
 fn run_without_faults_spends_nearly_all_tokens() {
     for seed in 0..5 {
--- a/components/relay/tests/allowance_faults/router.rs
+++ b/components/relay/tests/allowance_faults/router.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use platform::Commit;
+use platform::{Commit, Row};
 use relay::{
-    allowance::{HoldingsRow, Reservation, RouterAllowances, RouterProcess, WitnessRecords},
+    allowance::{HoldingsRow, Reservation, RouterAllowances, RouterProcess, Stage, WitnessRecords},
     model::Account,
 };
 use utils::HashMap;
@@ -24,6 +24,13 @@
     /// Step in which the router restarts after a crash.
     pub(crate) down_until: Option<u64>,
     pub(crate) last_taken_over: u64,
+    /// Version of the limit that it knows.
+    pub(crate) version: u64,
+    /// How far its call to the store has come.
+    pub(crate) sync: SyncStep,
+    pub(crate) stage: Stage,
+    /// Step in which the process ends at the latest, once it is shutting down.
+    pub(crate) ends_at: Option<u64>,
 }
 
 impl Router {
@@ -41,6 +48,17 @@
             store_time: None,
             down_until: None,
             last_taken_over: 0,
+            version: account.version,
+            sync: SyncStep::Idle,
+            stage: Stage::Serving,
+            ends_at: None,
+        }
+    }
+
+    /// Ends all requests with the tokens that they have used.
+    pub(crate) fn end_requests(&mut self) {
+        for (reservation, used) in std::mem::take(&mut self.running) {
+            self.allowances.settle(reservation, used);
         }
     }
 
@@ -63,6 +81,18 @@
     }
 }
 
+/// Steps in which a router reads its rows and then commits. Other commits may take effect in between.
+#[derive(Debug, Clone, Default)]
+pub(crate) enum SyncStep {
+    /// It has read nothing since its last commit.
+    #[default]
+    Idle,
+    /// It has read the accounts' rows, but not the holdings rows.
+    AccountsRead(Vec<Row>),
+    /// It has read all rows and commits next.
+    RowsRead,
+}
+
 /// The account as the operator has configured it.
 pub(crate) struct ConfiguredAccount {
     pub(crate) limit: u64,
--- a/components/relay/tests/allowance_faults/world.rs
+++ b/components/relay/tests/allowance_faults/world.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     ACCOUNT, LIMIT, ROUTERS, STEP, STEPS,
-    router::{ConfiguredAccount, Router},
+    router::{ConfiguredAccount, Router, SyncStep},
     store::{SentCommit, Store},
 };
 
@@ -29,6 +29,14 @@
     pub(crate) lost_loan: f64,
     /// Probability that a router changes its view of which routers are holders in a step.
     pub(crate) differing_holders: f64,
+    /// Probability that a router begins to shut down in a step.
+    pub(crate) shutdown: f64,
+    /// Probability that the operator changes the limit in a step, to between half of the first one and
+    /// that.
+    pub(crate) limit_change: f64,
+    /// Probability that a router makes no call to the store in a step, so that other commits take
+    /// effect between its calls.
+    pub(crate) no_call: f64,
 }
 
 /// A simulation: the routers, the store, and the tokens actually spent.
@@ -81,19 +89,32 @@
             if self.rng.random_bool(self.faults.power_loss) {
                 (0..ROUTERS).for_each(|index| self.crash(index));
             }
+            self.change_limit_sometimes();
             for index in 0..ROUTERS {
                 self.step_router(index);
+                self.check_ledger(index);
             }
-            assert!(
-                self.spent <= self.account.limit,
-                "step {}: {} spent of {}",
-                self.step,
-                self.spent,
-                self.account.limit
-            );
+            assert!(self.spent <= LIMIT, "step {}: {} spent of {LIMIT}", self.step, self.spent);
         }
     }
 
+    /// Checks that a router has given away or still holds what it has received, and that it holds no
+    /// more than what is its own.
+    fn check_ledger(&self, index: usize) {
+        if self.routers[index].down_until.is_some() {
+            return;
+        }
+        let own = self.store.unspent.get(&self.routers[index].process).copied().unwrap_or_default();
+        let used: u64 = self.routers[index].running.iter().map(|(_, used)| used).sum();
+        let unspent = (self.routers[index].held() - used).cast_signed();
+        assert!(unspent <= own, "step {}: {unspent} held of {own}", self.step);
+        let Some(allowance) = self.routers[index].allowances.account(ACCOUNT) else { return };
+        let it = allowance.ledger();
+        let received = it.drawn + it.borrowed + it.taken_over;
+        let kept = allowance.held() + allowance.returning();
+        assert_eq!(received, kept + it.spent + it.lent + it.returned, "{it:?}");
+    }
+
     pub(crate) fn step_router(&mut self, index: usize) {
         if let Some(until) = self.routers[index].down_until {
             if self.step < until {
@@ -106,7 +127,15 @@
         if self.rng.random_bool(self.faults.differing_holders) {
             self.choose_random_holders(index);
         }
-        self.serve_requests(index);
+        self.shut_down_sometimes(index);
+        if self.routers[index].down_until.is_some() {
+            return;
+        }
+        if self.routers[index].stage == Stage::Serving {
+            self.serve_requests(index);
+        } else {
+            self.routers[index].end_requests();
+        }
         self.sync_with_store(index);
         self.exchange_with_witnesses(index);
         if self.rng.random_bool(0.3) {
@@ -118,12 +147,54 @@
         }
     }
 
+    /// Changes the limit; each router learns it later, or at its restart.
+    fn change_limit_sometimes(&mut self) {
+        if self.rng.random_bool(self.faults.limit_change) {
+            let limit = self.rng.random_range(LIMIT / 2..=LIMIT);
+            let version = self.account.version + 1;
+            self.account = ConfiguredAccount { limit, version };
+        }
+        for router in &mut self.routers {
+            if router.version < self.account.version && self.rng.random_bool(0.1) {
+                router.version = self.account.version;
+                router.allowances.set_accounts(&self.account.by_key(), self.account.version);
+            }
+        }
+    }
+
     pub(crate) fn crash(&mut self, index: usize) {
         let down = self.rng.random_range(5..90);
         self.routers[index].down_until = Some(self.step + down);
         self.routers[index].running.clear();
     }
 
+    /// Begins to shut a router down, or ends its process once it has returned its tokens or its time
+    /// is over. It starts again soon after.
+    fn shut_down_sometimes(&mut self, index: usize) {
+        let (step, now) = (self.step, self.now());
+        let begins = self.rng.random_bool(self.faults.shutdown);
+        let router = &mut self.routers[index];
+        match router.ends_at {
+            None if begins => {
+                router.stage = Stage::Leaving;
+                router.ends_at = Some(step + self.rng.random_range(10..60));
+            }
+            None => {}
+            Some(at) => {
+                if step + 8 >= at {
+                    router.stage = Stage::Ended;
+                }
+                let is_done = router.stage == Stage::Ended
+                    && !router.allowances.has_pending()
+                    && !router.allowances.must_read_rows(now)
+                    && router.held() == 0;
+                if is_done || step >= at {
+                    router.down_until = Some(step + self.rng.random_range(2..20));
+                }
+            }
+        }
+    }
+
     /// Starts requests, lets running ones use tokens, and ends some.
     pub(crate) fn serve_requests(&mut self, index: usize) {
         let now = self.now();
@@ -154,20 +225,28 @@
     }
 
     pub(crate) fn sync_with_store(&mut self, index: usize) {
-        if self.is_store_unavailable() || self.rng.random_bool(0.5) {
+        if self.is_store_unavailable() || self.rng.random_bool(self.faults.no_call) {
             return;
         }
         let (now, millis, step) = (self.now(), self.store_millis(), self.step);
         let router = &mut self.routers[index];
         router.store_time = Some((millis, step));
-        if router.allowances.must_read_rows(now) {
-            let accounts = self.store.rows_of("allowance");
-            let holdings = self.store.rows_of(HOLDINGS_PREFIX);
-            router.allowances.apply_rows(&accounts, &holdings, now);
+        match std::mem::take(&mut router.sync) {
+            SyncStep::Idle if router.allowances.must_read_rows(now) => {
+                router.sync = SyncStep::AccountsRead(self.store.rows_of("allowance"));
+                return;
+            }
+            SyncStep::AccountsRead(accounts) => {
+                let holdings = self.store.rows_of(HOLDINGS_PREFIX);
+                router.allowances.apply_rows(&accounts, &holdings, now);
+                router.sync = SyncStep::RowsRead;
+                return;
+            }
+            SyncStep::Idle | SyncStep::RowsRead => {}
         }
         let inputs = CommitInputs {
             routers: ROUTERS,
-            stage: Stage::Serving,
+            stage: router.stage,
             store_time: router
                 .store_time
                 .map(|(millis, at)| StoreTime { millis, age: STEP * (step - at) as u32 }),
