Count answers without events with their maximum output

What callers saw: nothing; an account could get more output than it had paid for.

Cause: spent_tokens counts the events of an answer.

Evidence: answers_without_events_count_with_their_maximum_output failed on the code before: with 420 tokens, three requests of 100 and at most 50 tokens were served ('left: 3, right: 2').

An answer with a success status and without events that is passed on now counts with the maximum output that its request declares, as where the tokens of an event are not known. Errors of endpoints still count as before.

--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -198,6 +198,7 @@
         fingerprint: OnceLock::new(),
         first_event_at: None,
         is_complete: false,
+        has_uncounted_output: false,
         outcome: CALLER_LEFT,
         endpoint: None,
     })
--- a/components/relay/src/serve/plain.rs
+++ b/components/relay/src/serve/plain.rs
@@ -52,6 +52,7 @@
         match read_answer(&request, answer).await {
             Ok(ReadAnswer::Long(head, start, source)) => {
                 request.outcome = "forwarded";
+                request.has_uncounted_output = true;
                 let body = ResponseBody::Chunks(forward_bytes(request, start, *source));
                 return Ok(Response::from_parts(response_head_for_caller(head), body));
             }
@@ -62,6 +63,7 @@
                 let res = build_response(head, body);
                 if !is_failure {
                     request.outcome = "answered";
+                    request.has_uncounted_output = res.status().is_success();
                     return Ok(res);
                 }
                 request.outcome = "endpoint_failed";
--- a/components/relay/src/serve/run.rs
+++ b/components/relay/src/serve/run.rs
@@ -89,6 +89,8 @@
     pub(super) first_event_at: Option<Timestamp>,
     /// Whether the whole answer was read.
     pub(super) is_complete: bool,
+    /// Whether a success without events is passed on, so that its output cannot be counted.
+    pub(super) has_uncounted_output: bool,
     /// How the request ended, for the log.
     pub(super) outcome: &'static str,
     /// Endpoint of the last attempt.
@@ -136,8 +138,8 @@
         self.outcome == CALLER_LEFT && self.route.retry_policy.is_stream() && self.events == 0
     }
 
-    /// Returns the number of tokens that count as spent. If the answer is incomplete, events in
-    /// flight are counted too.
+    /// Returns the number of tokens that count as spent: with the maximum output if the output cannot
+    /// be counted. If the answer is incomplete, events in flight are counted too.
     fn spent_tokens(&self) -> u64 {
         let Some(tokens) = self.head.tokens.filter(|_| self.delivered_attempts > 0) else {
             return 0;
@@ -146,7 +148,8 @@
             return 0;
         }
         let spec = self.in_force.state.services.get(&self.service);
-        let Some(per_event) = spec.and_then(|it| it.tokens_per_event) else {
+        let per_event = spec.and_then(|it| it.tokens_per_event);
+        let Some(per_event) = per_event.filter(|_| !self.has_uncounted_output) else {
             return tokens.total();
         };
         let events_in_flight = if self.is_complete { 0 } else { EVENTS_IN_FLIGHT };
--- a/components/relay/src/serve/stream_run.rs
+++ b/components/relay/src/serve/stream_run.rs
@@ -78,6 +78,7 @@
     let res_head = response_head_for_caller(head);
     if !is_stream {
         request.outcome = "endpoint_failed";
+        request.has_uncounted_output = res_head.status.is_success();
         return Ok(Response::from_parts(
             res_head,
             ResponseBody::Chunks(forward_bytes(request, Bytes::new(), source)),
