Recover the accounts' rows after the store came back from an older copy

Cause: no code read the era. The draws of the last seconds were gone from the account's row while the routers still held their tokens, which were drawn again; holdings rows went back to ceilings that had been replaced; a commit of the former era could fit a row of the new one. The desired state was read by cursors of the former era, and the older copy's entries brought leaving endpoints back.

Change: all commits on allowances depend on a recovery row, which belongs to one era. After a change of the era the routers report there the highest totals of the accounts' rows that they know; a draw is told to two other routers before its tokens are usable, so the totals are complete if at most one process of the last 12 s is missing, and the rows are written again. Otherwise all undrawn tokens count as drawn after 15 s. Rows of another era are not taken over; commits in progress are abandoned. Cursors belong to an era; endpoints that were leaving stay so; member rows and verdicts are written again. Stores that state no era: no change.

--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -24,7 +24,7 @@
     object_store::ObjectStore,
     precondition::Precondition,
     row::{Revision, Row, RowError},
-    table::{SCAN_MAX_ROWS, StoreTime, Table},
+    table::{Era, SCAN_MAX_ROWS, StoreTime, Table},
     weight_store::{WeightId, WeightStore},
     write::Write,
 };
--- a/components/platform/src/table.rs
+++ b/components/platform/src/table.rs
@@ -18,7 +18,13 @@
     pub age: Duration,
 }
 
-/// The platform's transactional table service. Calls are linearizable.
+/// Era of a table's contents, as the table states it. It changes when the table comes back from an
+/// older copy: acknowledged commits may be missing then, and their revisions are given out again, so
+/// that revisions of different eras cannot be compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Era(pub u64);
+
+/// The platform's transactional table service. Calls are linearizable within an era.
 #[async_trait]
 pub trait Table: Send + Sync {
     /// Reads the rows of `keys`, in the same order; `None` for a key without a row.
@@ -38,6 +44,11 @@
     /// a row that only this commit writes.
     async fn commit(&self, commit: &Commit) -> CommitOutcome;
 
+    /// Returns the era that the table last stated; `None` if it states none.
+    fn era(&self) -> Option<Era> {
+        None
+    }
+
     /// Returns the latest reading of the table's clock; `None` if the table has no clock.
     fn store_time(&self) -> Option<StoreTime> {
         None
--- a/components/relay/src/allowance/account/mod.rs
+++ b/components/relay/src/allowance/account/mod.rs
@@ -240,13 +240,20 @@
     }
 
     /// Ends a commit: applies its change, or takes the set-aside tokens back if it did not take
-    /// effect.
-    pub(super) fn finish_commit(&mut self, change: &Change, number: u64, is_applied: bool) {
+    /// effect. `is_held_back` means that the drawn tokens are not usable yet.
+    pub(super) fn finish_commit(
+        &mut self,
+        change: &Change,
+        number: u64,
+        is_applied: bool,
+        is_held_back: bool,
+    ) {
         self.ceilings.finish(number, is_applied);
         self.returning -= change.give_back;
         if is_applied {
-            self.held += change.draw;
-            self.ledger.drawn += change.draw;
+            if !is_held_back {
+                self.credit_draw(change.draw);
+            }
             self.ledger.returned += change.give_back;
             self.unreported -= change.spent;
             self.unmet_demand = 0;
@@ -266,6 +273,25 @@
         self.returning
     }
 
+    /// Adds drawn tokens that were held back until other routers know of the draw. Ceilings that are in
+    /// force already allow for them.
+    pub(super) fn credit_draw(&mut self, tokens: u64) {
+        self.held += tokens;
+        self.ledger.drawn += tokens;
+    }
+
+    /// Ends a commit whose outcome will never be known: its tokens count as spent.
+    pub(super) fn abandon_commit(&mut self, change: &Change) {
+        self.returning -= change.give_back;
+        self.ledger.returned += change.give_back;
+        self.unreported -= change.spent;
+    }
+
+    /// Removes all ceilings: no process will take over tokens by the declarations they belong to.
+    pub(super) fn clear_ceilings(&mut self) {
+        self.ceilings.clear();
+    }
+
     /// Returns the tokens reserved by running requests.
     pub fn reserved(&self) -> u64 {
         self.reserved
--- a/components/relay/src/allowance/book/commits.rs
+++ b/components/relay/src/allowance/book/commits.rs
@@ -4,12 +4,14 @@
 
 use platform::{Commit, CommitOutcome, Key, Precondition, Revision, Row, Write};
 use types::Timestamp;
+use utils::HashMap;
 
 use super::{CommitInputs, RouterAllowances};
 use crate::allowance::{
     account::{Change, changed_row},
     ceiling::ceiling_valid_until,
     holders::Role,
+    recovery::RecoveryRow,
     rows::{ACCOUNT_PREFIX, AllowanceRow, HoldingsRow},
 };
 
@@ -44,6 +46,9 @@
         let has_unconfirmed_limit = self.accounts.values().any(|it| !it.is_limit_confirmed());
         let is_old = || self.read_at.is_none_or(|at| now.since(at) >= ROWS_MAX_AGE);
         let is_stale = self.role == Role::Holder && is_old();
+        if self.is_recovering() {
+            return !self.is_loaded || self.polls_recovery(now);
+        }
         !self.is_loaded || self.pending.is_some() || has_unconfirmed_limit || is_stale
     }
 
@@ -58,7 +63,7 @@
         if let Some(pending) = &self.pending {
             return Some(pending.commit.clone());
         }
-        if !self.is_loaded {
+        if !self.is_loaded || self.is_recovering() {
             return None;
         }
         let taken_over = self.tokens_to_take_over(inputs)?;
@@ -106,7 +111,9 @@
             let role = self.effective_role(name, is_low);
             let drawing_routers = RouterAllowances::drawing_routers(inputs.routers, is_low);
             let change = allowance.plan(&row, (role, drawing_routers), inputs.stage, inputs.now);
-            if let Some(change) = change {
+            // The tokens of the last draw will be usable soon.
+            let is_drawn_twice = change.is_some_and(|it| it.draw > 0) && self.eras.holds_back(name);
+            if let Some(change) = change.filter(|_| !is_drawn_twice) {
                 changes.push((name.clone(), change));
             }
             if changes.len() == COMMIT_ACCOUNTS_MAX {
@@ -131,6 +138,7 @@
         let mut holdings = HoldingsRow {
             mark: self.last_commit_id,
             known_store_ms: inputs.store_time.map(|it| it.millis),
+            era: self.eras.number(),
             witnesses: if self.role == Role::Borrower {
                 Vec::new()
             } else {
@@ -156,6 +164,7 @@
         let key = HoldingsRow::key(&self.router);
         let revision = self.holdings.as_ref().map(|(_, revision)| *revision);
         commit.preconditions.push(precondition(key.clone(), revision));
+        commit.preconditions.extend(self.eras.precondition());
         commit.writes.push(Write::put(key, &holdings));
         let changes = changes.into_iter().map(|(name, change)| {
             let next = self.add_account_write(&mut commit, &name, &change);
@@ -204,15 +213,20 @@
     pub fn apply_rows(&mut self, accounts: &[Row], holdings: &[Row], now: Timestamp) {
         self.is_loaded = true;
         self.read_at = Some(now);
+        let mut rows = HashMap::default();
         for row in accounts {
             let Some(name) = name_from_key(row.key.as_str(), ACCOUNT_PREFIX) else { continue };
             match row.decode::<AllowanceRow>() {
                 Ok(read) => {
-                    self.rows.insert(name.into(), (read, row.revision));
+                    rows.insert(name.into(), (read, row.revision));
+                }
+                Err(error) => {
+                    log::error!("{error}");
+                    rows.extend(self.rows.remove_entry(name));
                 }
-                Err(error) => log::error!("{error}"),
             }
         }
+        self.rows = rows;
         for (name, allowance) in &mut self.accounts {
             let row = self.rows.get(name).map(|(row, _)| row.clone()).unwrap_or_default();
             allowance.confirm_limit(&row);
@@ -243,6 +257,7 @@
             let key = it.key().as_str();
             let revision = match name_from_key(key, ACCOUNT_PREFIX) {
                 Some(name) => self.rows.get(name).map(|(_, revision)| *revision),
+                None if *it.key() == RecoveryRow::key() => self.eras.revision(),
                 None => self.holdings.as_ref().map(|(_, revision)| *revision),
             };
             match it {
@@ -277,10 +292,18 @@
     fn finish(&mut self, is_applied: bool, now: Timestamp) {
         let Some(pending) = self.pending.take() else { return };
         let number = pending.holdings.mark.number;
+        let (holds_back_draws, mut held_back) = (self.holds_back_draws(), Vec::new());
         for (name, allowance) in &mut self.accounts {
             let change = pending.changes.iter().find(|(it, ..)| it == name);
             let change = change.map(|(_, change, _)| *change).unwrap_or_default();
-            allowance.finish_commit(&change, number, is_applied);
+            let is_held_back = holds_back_draws && is_applied && change.draw > 0;
+            allowance.finish_commit(&change, number, is_applied, is_held_back);
+            if is_held_back {
+                held_back.push((name.clone(), change.draw));
+            }
+        }
+        for (name, tokens) in held_back {
+            self.hold_back_draw(number, &name, tokens);
         }
         if is_applied {
             for (name, tokens) in &pending.taken_over {
@@ -293,7 +316,7 @@
     }
 }
 
-fn precondition(key: Key, revision: Option<Revision>) -> Precondition {
+pub(super) fn precondition(key: Key, revision: Option<Revision>) -> Precondition {
     match revision {
         Some(revision) => Precondition::Revision(key, revision),
         None => Precondition::Absent(key),
--- a/components/relay/src/allowance/book/inheritance.rs
+++ b/components/relay/src/allowance/book/inheritance.rs
@@ -64,6 +64,13 @@
             return Some(Vec::new());
         };
         let mark = row.mark;
+        if !self.eras.is_current(row.era) {
+            let kept: u64 = row.kept().iter().map(|(_, kept)| kept).sum();
+            if kept > 0 && !self.takeover.is_about(mark) {
+                log::warn!(process = mark.process, row_commit = mark.number, tokens = kept; "tokens of the earlier process counted as spent: its row is of another era of the store");
+            }
+            return Some(self.settle_takeover(mark, Vec::new()));
+        }
         if !self.takeover.is_about(mark) {
             self.takeover = Takeover::Unknown;
         }
--- a/components/relay/src/allowance/book/mod.rs
+++ b/components/relay/src/allowance/book/mod.rs
@@ -1,18 +1,19 @@
 //! The tokens of all accounts on one router, and the commits that move them.
 
 mod commits;
+mod eras;
 mod inheritance;
 mod requests;
 mod witnesses;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use platform::{Revision, StoreTime};
 use types::Timestamp;
 use utils::HashMap;
 
-pub use self::requests::LoanStep;
-use self::{commits::PendingCommit, inheritance::Takeover};
+use self::{commits::PendingCommit, eras::EraState, inheritance::Takeover};
+pub use self::{eras::DrawNotice, requests::LoanStep};
 use super::{
     account::AccountAllowance,
     holders::{HOLDERS_MAX, Role, sole_holder},
@@ -21,6 +22,9 @@
 };
 use crate::model::Account;
 
+/// Interval at which the rows are read while the store's era is being recovered.
+const RECOVERY_POLL: Duration = Duration::from_millis(150);
+
 /// Why a request gets no tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Shortage {
@@ -96,6 +100,8 @@
     witness_number: u64,
     /// What this process takes over from the previous one.
     takeover: Takeover,
+    /// Era of the store that the rows belong to.
+    eras: EraState,
     /// How this router obtains the tokens that it lacks.
     role: Role,
     /// Holders, in the order in which this router asks them; it may be one itself.
@@ -120,6 +126,7 @@
             witnesses: Vec::new(),
             witness_number: 0,
             takeover: Takeover::Unknown,
+            eras: EraState::default(),
             role: Role::default(),
             holders: Vec::new(),
         }
--- a/components/relay/src/allowance/ceiling.rs
+++ b/components/relay/src/allowance/ceiling.rs
@@ -84,6 +84,12 @@
         }
     }
 
+    /// Removes all ceilings.
+    pub(super) fn clear(&mut self) {
+        self.stored.clear();
+        self.witnessed.clear();
+    }
+
     /// Subtracts tokens that were spent or lent.
     pub(super) fn subtract(&mut self, tokens: u64) {
         for remaining in self.all_remaining() {
--- a/components/relay/src/allowance/mod.rs
+++ b/components/relay/src/allowance/mod.rs
@@ -10,19 +10,26 @@
 //! spend or lend before its next declaration. After a crash, the router's next process takes over
 //! the tokens above the ceiling. While the store is unavailable, the router sends its declarations
 //! to other routers, its witnesses.
+//!
+//! If the store comes back from an older copy, no tokens are drawn until the routers have told what
+//! they know of the lost draws; see `recovery`.
 
 mod account;
 mod book;
 mod ceiling;
 mod holders;
+mod recovery;
 mod rows;
 mod witness;
 
 pub use self::{
     account::{AccountAllowance, TokenLedger},
-    book::{CommitInputs, LoanStep, Reservation, RouterAllowances, Shortage, Stage},
+    book::{CommitInputs, DrawNotice, LoanStep, Reservation, RouterAllowances, Shortage, Stage},
     ceiling::CEILING_VALIDITY,
     holders::{HOLDERS_MAX, HolderCandidate, Role, choose_holders, sole_holder},
+    recovery::{RECOVERY_PREFIX, RecoveryDecision, RecoveryReport, RecoveryRow},
     rows::{ACCOUNT_PREFIX, AllowanceRow, CommitId, HOLDINGS_PREFIX, Holding, HoldingsRow},
-    witness::{RouterProcess, WitnessDeclaration, WitnessRecords, WitnessStatement},
+    witness::{
+        RouterProcess, RouterProcessError, WitnessDeclaration, WitnessRecords, WitnessStatement,
+    },
 };
--- a/components/relay/src/allowance/rows.rs
+++ b/components/relay/src/allowance/rows.rs
@@ -27,6 +27,16 @@
 }
 
 impl AllowanceRow {
+    /// Returns the higher one of each number of both rows: at least as many drawn tokens as the newer one
+    /// of them has.
+    pub fn highest(&self, other: &AllowanceRow) -> AllowanceRow {
+        AllowanceRow {
+            drawn: self.drawn.max(other.drawn),
+            spent: self.spent.max(other.spent),
+            limit_version: self.limit_version.max(other.limit_version),
+        }
+    }
+
     /// Returns the key of the row of `account`.
     pub fn key(account: &str) -> Key {
         Key::from_parts(&[ACCOUNT_PREFIX, account])
@@ -60,6 +70,10 @@
     /// Latest store time that the writer knew, in milliseconds; not later than the write. The
     /// ceilings are in force for `CEILING_VALIDITY` from this time.
     pub known_store_ms: Option<u64>,
+    /// Era of the store in which the row was written. The row of another era is void: the tokens may have
+    /// been spent or returned since.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub era: Option<u64>,
     /// Routers to which declarations are sent while the store is unavailable. The declaring router
     /// needs only one of them to store a declaration; its next process asks all of them.
     pub witnesses: Vec<RouterProcess>,
--- a/components/relay/src/allowance/witness.rs
+++ b/components/relay/src/allowance/witness.rs
@@ -4,9 +4,10 @@
 //! next declaration. Its next process asks the witnesses for these numbers if the router's row in
 //! the store is too old to rely on.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, fmt, str::FromStr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 use utils::HashMap;
 
 /// Maximum number of declarations that a witness stores: far more than the number of processes that
@@ -14,7 +15,7 @@
 const RECORDS_MAX: usize = 16_384;
 
 /// One process of a router.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RouterProcess {
     /// Name of the router.
     pub router: Arc<str>,
@@ -22,6 +23,27 @@
     pub process: u64,
 }
 
+impl fmt::Display for RouterProcess {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{:016x}", self.router, self.process)
+    }
+}
+
+/// Error for a text that does not identify a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("a process is written as NAME/NUMBER, with the number in hexadecimal")]
+pub struct RouterProcessError;
+
+impl FromStr for RouterProcess {
+    type Err = RouterProcessError;
+
+    fn from_str(text: &str) -> Result<RouterProcess, RouterProcessError> {
+        let (router, process) = text.rsplit_once('/').ok_or(RouterProcessError)?;
+        let process = u64::from_str_radix(process, 16).map_err(|_| RouterProcessError)?;
+        Ok(RouterProcess { router: router.into(), process })
+    }
+}
+
 /// The declaration that a router sends to its witnesses.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct WitnessDeclaration {
--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -13,11 +13,22 @@
     store_contact::StoreContact,
     versions::GoneVersions,
 };
-use crate::{model::EndpointEntry, units::millis};
+use crate::{
+    model::{EndpointEntry, EndpointPhase},
+    units::millis,
+};
 
 /// Time after the end of a process within which an entry that it wrote may still arrive.
 const LATE_ENTRY_TIME: Duration = Duration::from_millis(2_500);
 
+/// Time within which live endpoints write their entries again after the store has come back from an
+/// older copy. The requirement is about two seconds; until then an entry may be outdated.
+const OLD_ENTRY_TIME: Duration = Duration::from_secs(3);
+
+/// Time for which it is remembered that an endpoint was leaving: longer than the age of a copy from
+/// which the store comes back, and the time until its entries are written again.
+const DEPARTURE_MEMORY: Duration = Duration::from_secs(16);
+
 /// A change in the platform's list of endpoints.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EndpointChange {
@@ -48,6 +59,10 @@
     pub(super) sharers: Vec<Arc<str>>,
     /// When `sharers` last changed.
     pub(super) sharers_changed_at: Timestamp,
+    /// Processes that were leaving or whose entry was removed, by the endpoint's id, with the time.
+    departed: HashMap<Arc<str>, (u64, Timestamp)>,
+    /// Until when entries may be older than what this router has read before.
+    may_read_old_until: Timestamp,
     /// Whether an answer has had a malformed statement; only the first one is logged.
     pub(super) has_malformed_statement: bool,
 }
@@ -61,6 +76,14 @@
         }
     }
 
+    /// Records that the list comes from an older copy of the store: entries that are missing may come
+    /// back, and others are outdated until the endpoints write them again.
+    pub fn record_older_copy(&mut self, now: Timestamp) {
+        log::warn!(endpoints = self.endpoints.len(); "the list of endpoints comes from an older copy of the store");
+        self.contact.record_recovery(now);
+        self.may_read_old_until = now + OLD_ENTRY_TIME;
+    }
+
     /// Replaces the known list; endpoints that are not in `entries` are treated as removed.
     pub fn apply_list(&mut self, entries: Vec<EndpointEntry>, now: Timestamp) {
         self.has_list = true;
@@ -96,6 +119,7 @@
             }
             is_kept
         });
+        self.departed.retain(|_, (_, at)| now.since(*at) < DEPARTURE_MEMORY);
         self.forget_ended_rates(now);
         self.forget_brittle_services(now);
     }
@@ -216,7 +240,29 @@
         self.has_list
     }
 
+    /// Returns whether an entry of an older copy of the store says that a process accepts requests which
+    /// was leaving or gone.
+    fn is_outdated(&self, entry: &EndpointEntry, now: Timestamp) -> bool {
+        let departed = self.departed.get(&entry.id);
+        let is_departed = departed.is_some_and(|(process, _)| entry.started_at_ms <= *process);
+        now < self.may_read_old_until && entry.phase == EndpointPhase::Ready && is_departed
+    }
+
+    fn record_departure(&mut self, id: &Arc<str>, started_at_ms: u64, now: Timestamp) {
+        self.departed.insert(id.clone(), (started_at_ms, now));
+    }
+
     fn write(&mut self, entry: EndpointEntry, now: Timestamp) {
+        if self.is_outdated(&entry, now) {
+            log::info!(endpoint:% = entry.id; "outdated entry of an endpoint that was leaving ignored");
+            if let Some(known) = self.endpoints.get_mut(&entry.id) {
+                known.expires_at = None;
+            }
+            return;
+        }
+        if entry.phase != EndpointPhase::Ready {
+            self.record_departure(&entry.id, entry.started_at_ms, now);
+        }
         let Some(known) = self.endpoints.get_mut(&entry.id) else {
             log::info!(endpoint:% = entry.id, service:% = entry.service, address:% = entry.address, version:% = entry.version; "endpoint added");
             self.endpoints.insert(entry.id.clone(), Endpoint::new(entry));
@@ -256,6 +302,8 @@
         }
         log::info!(endpoint:% = id, service:% = endpoint.entry.service; "endpoint removed: entry deleted");
         self.gone_versions.record(&endpoint.entry.service, &endpoint.entry.version, now);
+        let started_at_ms = endpoint.entry.started_at_ms;
         self.endpoints.remove(id);
+        self.record_departure(id, started_at_ms, now);
     }
 }
--- a/components/relay/src/endpoints/store_contact.rs
+++ b/components/relay/src/endpoints/store_contact.rs
@@ -27,6 +27,11 @@
         self.is_unreachable = !is_answered;
     }
 
+    /// Records that entries may be missing because the store has come back from an older copy.
+    pub(super) fn record_recovery(&mut self, now: Timestamp) {
+        self.recovered_at = Some(now);
+    }
+
     /// Returns when an endpoint whose entry is missing at `now` is to be removed: at once, or when
     /// the time for restoring entries after an outage has passed.
     pub(super) fn expires_at(&self, now: Timestamp) -> Timestamp {
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -17,6 +17,7 @@
     admissions::{
         handle_admission_end, handle_admission_reply, handle_admission_request, update_admissions,
     },
+    draws,
     evidence::{apply_evidence, expire_evidence},
     holders::update_holders,
     lending, origins,
@@ -140,6 +141,7 @@
             statements: reports.iter().map(StatementMessage::from_report).collect(),
             evidence: evidence.iter().map(EvidenceMessage::from_report).collect(),
             cut_off_services: cut_off.iter().map(ToString::to_string).collect(),
+            keeps_draws: true,
         };
         encode(PeerContent::Status(message))
     }
@@ -186,6 +188,7 @@
         update_crowding(cx);
         witnessing::send_due_messages(cx).await;
         lending::return_surplus(cx).await;
+        draws::announce_draws(cx).await;
         let now = cx.now();
         cx.gossip.lock_loans().expire(now);
         cx.lock_roster().expire(now);
@@ -264,6 +267,14 @@
                 handle_admission_end(cx, &it);
                 true
             }
+            Some(PeerContent::DrawNotice(it)) => {
+                draws::handle_notice(cx, &it, sender).await;
+                true
+            }
+            Some(PeerContent::DrawAck(it)) => {
+                draws::handle_ack(cx, &it);
+                true
+            }
             None => false,
         };
         if !is_valid {
@@ -315,7 +326,9 @@
     let cut_off = message.cut_off_services.iter().map(|it| it.as_str().into()).collect();
     cx.lock_paths().record_peer_statement(&member.name, cut_off, now);
     let mut roster = cx.lock_roster();
+    let name = member.name.clone();
     roster.record_status(member, now);
+    roster.record_keeps_draws(&name, message.keeps_draws);
     for report in message.liveness.iter().flat_map(LivenessMessage::reports) {
         roster.record_report(&report, now);
     }
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -5,8 +5,9 @@
 use prost::{Message, Oneof};
 
 use super::{
-    AdmissionEndMessage, AdmissionReplyMessage, AdmissionRequestMessage, EvidenceMessage,
-    LivenessReport, OriginMessage, OriginQueryMessage, OriginReplyMessage, StatementMessage,
+    AdmissionEndMessage, AdmissionReplyMessage, AdmissionRequestMessage, DrawAckMessage,
+    DrawNoticeMessage, EvidenceMessage, LivenessReport, OriginMessage, OriginQueryMessage,
+    OriginReplyMessage, StatementMessage,
 };
 use crate::{
     allowance::{RouterProcess, WitnessDeclaration, WitnessStatement},
@@ -17,7 +18,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerMessage {
     /// The message; `None` if its kind is unknown or missing.
-    #[prost(oneof = "PeerContent", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "PeerContent", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
     pub content: Option<PeerContent>,
 }
 
@@ -67,6 +68,12 @@
     /// A request that the receiver admitted has ended.
     #[prost(message, tag = "14")]
     AdmissionEnd(AdmissionEndMessage),
+    /// The sender tells of its draws of tokens.
+    #[prost(message, tag = "15")]
+    DrawNotice(DrawNoticeMessage),
+    /// The sender keeps what the receiver has told of its draws.
+    #[prost(message, tag = "16")]
+    DrawAck(DrawAckMessage),
 }
 
 /// A declaration to a witness, a query for one, or the answer to either.
@@ -247,6 +254,9 @@
     /// Names of the services whose endpoints the sender reaches only through other routers.
     #[prost(string, repeated, tag = "16")]
     pub cut_off_services: Vec<String>,
+    /// Whether the sender keeps and confirms notices of draws.
+    #[prost(bool, tag = "17")]
+    pub keeps_draws: bool,
 }
 
 /// Liveness of other routers. The lists have the same length, and each router has the same index
--- a/components/relay/src/peers/mod.rs
+++ b/components/relay/src/peers/mod.rs
@@ -4,6 +4,8 @@
 mod admission_message;
 mod admissions;
 mod crowding;
+mod draw_message;
+mod draws;
 mod evidence;
 mod evidence_message;
 mod gossip;
@@ -23,6 +25,7 @@
 pub use self::{
     admission_message::{AdmissionEndMessage, AdmissionReplyMessage, AdmissionRequestMessage},
     crowding::RouterLoad,
+    draw_message::{DrawAckMessage, DrawNoticeMessage, TotalsMessage},
     evidence_message::EvidenceMessage,
     message::{
         DeclarationMessage, LivenessMessage, LoadMessage, LoanMessage, PeerContent, PeerMessage,
@@ -35,6 +38,7 @@
 };
 pub(crate) use self::{
     admissions::{AdmissionTicket, ask_for_admission},
+    draws::{announce_draws, announce_end},
     evidence::{apply_verdict_changes, is_responsible},
     gossip::{GossipSocket, run_gossip},
     holders::update_holders,
--- a/components/relay/src/peers/roster.rs
+++ b/components/relay/src/peers/roster.rs
@@ -69,6 +69,10 @@
     stable_hash(&[member.name.as_bytes(), &member.process.to_le_bytes()])
 }
 
+fn process_of(member: &Member) -> RouterProcess {
+    RouterProcess { router: member.name.clone(), process: member.process }
+}
+
 /// A member and its liveness.
 #[derive(Debug)]
 struct Entry {
@@ -80,6 +84,17 @@
     listed_at: Timestamp,
     /// Whether [`Roster::expire`] found it unreachable and it has not been alive since.
     is_unreachable: bool,
+    /// Whether it keeps and confirms notices of draws.
+    keeps_draws: bool,
+}
+
+/// Other routers that confirm notices of draws.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DrawWitnesses {
+    /// Number of the known ones.
+    pub known: usize,
+    /// Peer addresses of those that are alive, in a random order that differs between routers.
+    pub live: Vec<SocketAddr>,
 }
 
 impl Entry {
@@ -95,6 +110,9 @@
     entries: HashMap<Arc<str>, Entry>,
     /// Router names by process key; may still hold keys of earlier processes.
     names_by_key: HashMap<u64, Arc<str>>,
+    /// Processes that were replaced by others of the same router, and when each was last known to be
+    /// alive.
+    replaced: Vec<(RouterProcess, Timestamp)>,
 }
 
 impl Roster {
@@ -102,8 +120,18 @@
     pub fn record_status(&mut self, member: Member, now: Timestamp) {
         let entry = self.entries.entry(member.name.clone()).or_insert_with(|| {
             log::info!(router:% = member.name, address:% = member.caller_address; "router found");
-            Entry { member: member.clone(), last_seen: None, listed_at: now, is_unreachable: false }
+            Entry {
+                member: member.clone(),
+                last_seen: None,
+                listed_at: now,
+                is_unreachable: false,
+                keeps_draws: false,
+            }
         });
+        if entry.member.process != member.process {
+            let former = process_of(&entry.member);
+            self.replaced.push((former, entry.last_seen.unwrap_or(entry.listed_at)));
+        }
         if entry.is_unreachable {
             log::info!(router:% = member.name; "router reachable again");
         }
@@ -111,7 +139,14 @@
             log::info!(router:% = member.name, ready = member.is_ready; "router changed its readiness");
         }
         self.names_by_key.insert(process_key(&member), member.name.clone());
-        *entry = Entry { member, last_seen: Some(now), listed_at: now, is_unreachable: false };
+        let keeps_draws = entry.keeps_draws;
+        *entry = Entry {
+            member,
+            last_seen: Some(now),
+            listed_at: now,
+            is_unreachable: false,
+            keeps_draws,
+        };
     }
 
     /// Records a liveness report from another router. Reports that are older than what is
@@ -157,7 +192,13 @@
         };
         if is_new {
             self.names_by_key.insert(process_key(&member), member.name.clone());
-            let entry = Entry { member, last_seen: None, listed_at: now, is_unreachable: false };
+            let entry = Entry {
+                member,
+                last_seen: None,
+                listed_at: now,
+                is_unreachable: false,
+                keeps_draws: false,
+            };
             self.entries.insert(entry.member.name.clone(), entry);
         }
     }
@@ -174,6 +215,38 @@
         self.entries
             .retain(|_, it| now.since(it.last_seen.unwrap_or(it.listed_at)) < REMOVAL_TIMEOUT);
         self.names_by_key.retain(|_, name| self.entries.contains_key(name));
+        self.replaced.retain(|(_, at)| now.since(*at) < REMOVAL_TIMEOUT);
+    }
+
+    /// Records whether a router keeps and confirms notices of draws.
+    pub fn record_keeps_draws(&mut self, router: &str, keeps_draws: bool) {
+        if let Some(entry) = self.entries.get_mut(router) {
+            entry.keeps_draws = keeps_draws;
+        }
+    }
+
+    /// Returns the other routers that confirm notices of draws.
+    pub fn draw_witnesses(&self, now: Timestamp) -> DrawWitnesses {
+        let keeping = self.entries.values().filter(|it| it.keeps_draws);
+        let live = keeping.clone().filter(|it| it.is_live(now));
+        // The iteration order of a hash map is fixed for a set of names, so it is shuffled by the time.
+        let mut live: Vec<SocketAddr> = live.map(|it| it.member.peer_address).collect();
+        if !live.is_empty() {
+            let shift = usize::try_from(now.0 % 97).unwrap_or(0) % live.len();
+            live.rotate_left(shift);
+        }
+        DrawWitnesses { known: keeping.count(), live }
+    }
+
+    /// Returns the processes of other routers that were alive within `time`, or may have been: of those
+    /// that are only listed, it is not known.
+    pub fn recent_processes(&self, time: Duration, now: Timestamp) -> Vec<RouterProcess> {
+        let current = self
+            .entries
+            .values()
+            .map(|it| (process_of(&it.member), it.last_seen.unwrap_or(it.listed_at)));
+        let all = current.chain(self.replaced.iter().cloned());
+        all.filter(|(_, at)| now.since(*at) <= time).map(|(it, _)| it).collect()
     }
 
     /// Returns the peer addresses of all known routers.
@@ -184,9 +257,7 @@
     /// Returns the processes of the live routers, sorted by router name.
     pub fn live_processes(&self, now: Timestamp) -> Vec<RouterProcess> {
         let live = self.entries.values().filter(|it| it.is_live(now));
-        let mut processes: Vec<RouterProcess> = live
-            .map(|it| RouterProcess { router: it.member.name.clone(), process: it.member.process })
-            .collect();
+        let mut processes: Vec<RouterProcess> = live.map(|it| process_of(&it.member)).collect();
         processes.sort_by(|a, b| a.router.cmp(&b.router));
         processes
     }
--- a/components/relay/src/ports.rs
+++ b/components/relay/src/ports.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use errors::Error;
 use http::{HeaderMap, Response, request, response};
-use platform::PlatformError;
+use platform::{Era, PlatformError};
 
 use crate::{
     endpoints::{EndpointChange, Statements},
@@ -72,9 +72,14 @@
     fn is_readiness_call(&self, head: &request::Parts) -> bool;
 }
 
-/// Position in a feed of changes; later positions are greater.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Cursor(pub u64);
+/// Position in a feed of changes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Cursor {
+    /// Revision up to which changes have been read.
+    pub revision: u64,
+    /// Era of the source to which the revision belongs; `None` if the source states none.
+    pub era: Option<Era>,
+}
 
 /// Result of reading a feed after a cursor.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -12,7 +12,7 @@
 use crate::{
     allowance::TokenLedger,
     context::{RelayContext, RelayDependencies},
-    peers::run_gossip,
+    peers::{announce_end, run_gossip},
     serve::{AuxiliaryApi, serve_auxiliary_api, serve_callers},
     settings::RelaySettings,
     sockets::RelaySockets,
@@ -110,6 +110,7 @@
         self.allowances.abort();
         let _ = tokio::time::timeout_at(end_by + reserve / 2, async {
             return_allowances(cx).await;
+            announce_end(cx).await;
             remove_member_row(cx).await;
         })
         .await;
@@ -165,6 +166,8 @@
     metrics::gauge!(telemetry::ENDPOINTS, "state" => "leaving").set((all - ready) as f64);
     let ready_routers = cx.lock_roster().ready_members(cx.now()).len();
     metrics::gauge!(telemetry::MEMBERS, "state" => "ready").set(ready_routers as f64);
+    let is_recovering = cx.lock_allowances().is_recovering();
+    metrics::gauge!(telemetry::ALLOWANCES_RECOVERING).set(f64::from(u8::from(is_recovering)));
     report_tokens(cx);
 }
 
--- a/components/relay/src/sync/allowance_task.rs
+++ b/components/relay/src/sync/allowance_task.rs
@@ -8,11 +8,11 @@
 use platform::{CommitOutcome, PlatformError};
 use utils::jitter;
 
-use super::backoff::Backoff;
+use super::{backoff::Backoff, verdict_rows::store_verdicts_again};
 use crate::{
-    allowance::{ACCOUNT_PREFIX, CommitInputs, HOLDINGS_PREFIX, Stage},
+    allowance::{ACCOUNT_PREFIX, CommitInputs, HOLDINGS_PREFIX, RECOVERY_PREFIX, Stage},
     context::RelayContext,
-    peers::serve_deferred_loans,
+    peers::{announce_draws, serve_deferred_loans},
 };
 
 /// Mean interval between checks whether tokens are to be drawn or returned.
@@ -22,6 +22,9 @@
 /// for tokens cause.
 const COMMIT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Longest time whose writes are missing when the store comes back from an older copy, with a margin.
+const OLDER_COPY_MAX_AGE: Duration = Duration::from_secs(12);
+
 /// Pause between two attempts to return all tokens at shutdown.
 const RETURN_PAUSE: Duration = Duration::from_millis(60);
 
@@ -61,10 +64,12 @@
     if cx.in_force.load().is_none() {
         return Ok(false);
     }
-    if cx.lock_allowances().must_read_rows(cx.now()) {
-        let accounts = cx.table.scan(ACCOUNT_PREFIX, None).await?;
-        let holdings = cx.table.scan(HOLDINGS_PREFIX, None).await?;
-        cx.lock_allowances().apply_rows(&accounts, &holdings, cx.now());
+    observe_era(cx);
+    if cx.lock_allowances().must_read_rows(cx.now()) && !read_rows(cx).await? {
+        return Ok(true);
+    }
+    if stage == Stage::Ended {
+        cx.lock_allowances().release_all_draws();
     }
     let inputs = CommitInputs {
         routers: cx.lock_roster().count(),
@@ -72,6 +77,16 @@
         store_time: cx.table.store_time(),
         now: cx.now(),
     };
+    let recovery = cx.lock_allowances().next_recovery_commit(&inputs);
+    if let Some(commit) = recovery {
+        let outcome = cx.table.commit(&commit).await;
+        cx.lock_allowances().on_recovery_outcome(&outcome);
+        return match outcome {
+            CommitOutcome::NotApplied(error) => Err(error),
+            CommitOutcome::Unknown => Err(PlatformError::Unavailable),
+            CommitOutcome::Committed(_) | CommitOutcome::Conflict(_) => Ok(true),
+        };
+    }
     let is_resent = cx.lock_allowances().has_pending();
     let commit = cx.lock_allowances().next_commit(&inputs);
     let Some(commit) = commit else { return Ok(false) };
@@ -80,7 +95,9 @@
         let number = cx.lock_allowances().last_commit_number();
         log::info!(commit = number, rows = commit.writes.len(), resent = is_resent, outcome:? = outcome; "allowance commit");
     }
+    observe_era(cx);
     cx.lock_allowances().on_outcome(&outcome, is_resent, cx.now());
+    announce_draws(cx).await;
     cx.allowance_changed.notify_waiters();
     serve_deferred_loans(cx).await;
     match outcome {
@@ -91,6 +108,38 @@
     }
 }
 
+/// Reads all rows. Returns false if the era of the store changed meanwhile, so that they have to be read
+/// again.
+async fn read_rows(cx: &RelayContext) -> Result<bool, PlatformError> {
+    let era = cx.table.era();
+    // Read first: if it says that a recovery is complete, the accounts' rows are as recovered.
+    let recovery =
+        if era.is_some() { cx.table.scan(RECOVERY_PREFIX, None).await? } else { Vec::new() };
+    let accounts = cx.table.scan(ACCOUNT_PREFIX, None).await?;
+    let holdings = cx.table.scan(HOLDINGS_PREFIX, None).await?;
+    if cx.table.era() != era {
+        return Ok(false);
+    }
+    let mut allowances = cx.lock_allowances();
+    allowances.apply_recovery_row(&recovery);
+    allowances.apply_rows(&accounts, &holdings, cx.now());
+    Ok(true)
+}
+
+/// Lets the allowances know of the era that the store states.
+fn observe_era(cx: &RelayContext) {
+    let era = cx.table.era();
+    if cx.lock_allowances().era() != era {
+        let recent = cx.lock_roster().recent_processes(OLDER_COPY_MAX_AGE, cx.now());
+        let is_known = cx.lock_allowances().era().is_some();
+        cx.lock_allowances().observe_era(era, &recent);
+        if is_known {
+            metrics::counter!(telemetry::STORE_ERA_CHANGES_TOTAL).increment(1);
+            store_verdicts_again(cx);
+        }
+    }
+}
+
 /// Returns this router's remaining tokens after its last request; retries until the store has
 /// accepted them.
 pub(crate) async fn return_allowances(cx: &RelayContext) {
--- a/components/relay/src/sync/endpoint_watch.rs
+++ b/components/relay/src/sync/endpoint_watch.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use platform::PlatformError;
+use platform::{Era, PlatformError};
 
 use super::backoff::Backoff;
 use crate::{
@@ -18,8 +18,9 @@
 pub(crate) async fn watch_endpoints(cx: Arc<RelayContext>) {
     let mut backoff = Backoff::new("endpoint list");
     let mut cursor: Option<Cursor> = None;
+    let mut era = None;
     loop {
-        let result = read_changes(&cx, cursor).await;
+        let result = read_changes(&cx, cursor, &mut era).await;
         let now = cx.now();
         cx.lock_endpoints().record_store_contact(result.is_ok(), now);
         let delay = match result {
@@ -37,12 +38,17 @@
 async fn read_changes(
     cx: &RelayContext,
     cursor: Option<Cursor>,
+    era: &mut Option<Era>,
 ) -> Result<Option<Cursor>, PlatformError> {
     let Some(cursor) = cursor else {
         let (entries, cursor) = cx.source.endpoints().await?;
         let now = cx.now();
         let mut endpoints = cx.lock_endpoints();
         endpoints.record_store_contact(true, now);
+        if era.is_some() && *era != cursor.era {
+            endpoints.record_older_copy(now);
+        }
+        *era = cursor.era;
         endpoints.apply_list(entries, now);
         cx.capacity_freed.notify_waiters();
         return Ok(Some(cursor));
--- a/components/relay/src/sync/member_rows.rs
+++ b/components/relay/src/sync/member_rows.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use platform::{Commit, CommitOutcome, Key, PlatformError, Write};
+use platform::{Commit, CommitOutcome, Era, Key, PlatformError, Write};
 use serde::{Deserialize, Serialize};
 
 use super::backoff::Backoff;
@@ -46,10 +46,11 @@
 /// Writes this router's member row once and reads those of the others until the process ends.
 pub(crate) async fn run_member_rows(cx: Arc<RelayContext>) {
     let mut backoff = Backoff::new("router rows");
-    let mut is_written = false;
+    // Era of the store in which the own row was written.
+    let mut written_in = None;
     let mut reads = 0;
     loop {
-        let result = sync_rows(&cx, &mut is_written).await;
+        let result = sync_rows(&cx, &mut written_in).await;
         let delay = match result {
             Ok(()) => {
                 backoff.record_success();
@@ -62,10 +63,13 @@
     }
 }
 
-async fn sync_rows(cx: &RelayContext, is_written: &mut bool) -> Result<(), PlatformError> {
-    if !*is_written {
+async fn sync_rows(
+    cx: &RelayContext,
+    written_in: &mut Option<Option<Era>>,
+) -> Result<(), PlatformError> {
+    if *written_in != Some(cx.table.era()) {
         write_own_row(cx).await?;
-        *is_written = true;
+        *written_in = Some(cx.table.era());
     }
     let rows = cx.table.scan(KEY_PREFIX, None).await?;
     let now = cx.now();
--- a/components/relay/src/sync/verdict_rows.rs
+++ b/components/relay/src/sync/verdict_rows.rs
@@ -83,6 +83,13 @@
     }
 }
 
+/// Stores all verdicts again, since the store has come back from an older copy.
+pub(super) fn store_verdicts_again(cx: &RelayContext) {
+    let condemned: Vec<ContentKey> = cx.lock_crash_evidence().condemned().collect();
+    cx.lock_unstored_verdicts().extend(condemned);
+    cx.verdicts_changed.notify_one();
+}
+
 async fn read_verdicts(cx: &RelayContext) -> Result<(), PlatformError> {
     let rows = cx.table.scan(KEY_PREFIX, None).await?;
     let mut reports = Vec::new();
--- a/components/relay/tests/allowance_faults/main.rs
+++ b/components/relay/tests/allowance_faults/main.rs
@@ -35,6 +35,7 @@
     differing_holders: 0.0,
     shutdown: 0.0,
     limit_change: 0.0,
+    old_copy: 0.0,
     no_call: 0.5,
 };
 
@@ -72,6 +73,58 @@
     assert!(taken_over > 0, "no process took over any tokens");
 }
 
+/// Guards against tokens that are drawn a second time after the store has come back from an older copy,
+/// in which some draws and ceilings are missing.
+#[test]
+fn tokens_are_not_drawn_twice_after_the_store_returned_to_an_older_copy() {
+    for seed in 0..80 {
+        let faults = Faults {
+            outages: seed % 4 == 0,
+            crash: if seed % 2 == 0 { 0.002 } else { 0.0 },
+            power_loss: if seed % 5 == 0 { 0.001 } else { 0.0 },
+            lost_answer: 0.1,
+            lost_loan: 0.05,
+            shutdown: if seed % 3 == 0 { 0.002 } else { 0.0 },
+            old_copy: 0.004,
+            no_call: 0.2,
+            ..NO_FAULTS
+        };
+        World::new(seed, faults).run();
+    }
+}
+
+#[test]
+fn tokens_stay_usable_after_the_store_returned_to_an_older_copy() {
+    for seed in 0..10 {
+        // The store states its era; it comes back when this test says so.
+        let mut world = World::new(seed, Faults { old_copy: f64::MIN_POSITIVE, ..NO_FAULTS });
+        world.run_until(STEPS / 3);
+        world.store.return_to_copy(100);
+        world.run_until(STEPS / 2);
+        world.crash(0);
+        world.store.return_to_copy(60);
+        world.run_until(STEPS + STEPS / 2);
+        assert!(world.spent * 100 >= LIMIT * 90, "seed {seed}: {} of {LIMIT}", world.spent);
+    }
+}
+
+#[test]
+fn draws_that_no_process_knows_count_as_spent_until_a_top_up() {
+    for seed in 0..10 {
+        let mut world = World::new(seed, Faults { old_copy: f64::MIN_POSITIVE, ..NO_FAULTS });
+        world.run_until(STEPS / 3);
+        (0..ROUTERS).for_each(|index| world.crash(index));
+        world.store.return_to_copy(100);
+        let before = world.spent;
+        world.run_until(STEPS);
+        assert_eq!(world.spent, before, "seed {seed}");
+        world.set_limit(2 * LIMIT);
+        world.run_until(3 * STEPS);
+        assert!(world.spent > before + LIMIT * 9 / 10, "seed {seed}: {} spent", world.spent);
+        assert!(world.spent <= before + LIMIT, "seed {seed}: {} spent", world.spent);
+    }
+}
+
 #[test]
 fn run_without_faults_spends_nearly_all_tokens() {
     for seed in 0..5 {
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -175,7 +175,13 @@
 /// `full`, `closed` after a refusal, or `unanswered`.
 pub const ADMISSIONS_TOTAL: &str = "auburncrank_admissions_total";
 
-/// Counter of malformed statements in endpoints' answers.
+/// Counter of changes of the store's era: the store came back from an older copy.
+pub const STORE_ERA_CHANGES_TOTAL: &str = "auburncrank_store_era_changes_total";
+
+/// Gauge that is one while no tokens are drawn because the store came back from an older copy.
+pub const ALLOWANCES_RECOVERING: &str = "auburncrank_allowances_recovering";
+
+/// Counter of malformed statements in endpoints' and the store's answers.
 pub const MALFORMED_STATEMENTS_TOTAL: &str = "auburncrank_malformed_statements_total";
 
 /// Counter of pauses that endpoints asked this router for.
--- a/programs/auburncrank-relay/tests/soak/faults.rs
+++ b/programs/auburncrank-relay/tests/soak/faults.rs
@@ -1,10 +1,11 @@
 //! The faults of the soak test: when they begin, and what they do.
 
-use std::{ops::Range, time::Duration};
+use std::{collections::BTreeMap, ops::Range, time::Duration};
 
 use http::StatusCode;
 use rand::Rng as _;
 use rustix::process::Signal;
+use serde_json::Value;
 use tokio::time::Instant;
 
 use crate::{
@@ -42,6 +43,8 @@
     ChangeState,
     SetBrittle(bool),
     ShortenQueues,
+    ReturnToCopy { age: Duration, missing: Duration },
+    WriteEntries(BTreeMap<String, Value>),
 }
 
 impl SoakFleet {
@@ -214,6 +217,8 @@
                 }
             }
             TimedAction::ShortenQueues => self.brittle.shorten_queues(true),
+            TimedAction::ReturnToCopy { age, missing } => self.return_to_copy(age, missing),
+            TimedAction::WriteEntries(ref entries) => self.store.write_entries(entries),
             TimedAction::SendCrashing => self.callers.send_crashing(true),
             TimedAction::ClearStoreRefusal => self.store.refuse_all(None),
             TimedAction::RestoreHistory => self.store.set_history_lost(false),
--- a/programs/auburncrank-relay/tests/soak/main.rs
+++ b/programs/auburncrank-relay/tests/soak/main.rs
@@ -22,6 +22,7 @@
 mod engines;
 mod faults;
 mod late_readers;
+mod older_copies;
 mod outcome;
 mod periods;
 mod proxy;
