--- a/programs/auburncrank-relay/tests/soak/faults.rs
+++ b/programs/auburncrank-relay/tests/soak/faults.rs
@@ -1,6 +1,6 @@
 //! The faults of the soak test: when they begin, and what they do.
 
-use std::{collections::BTreeMap, ops::Range, time::Duration};
+use std::{collections::BTreeMap, ops::Range, path::PathBuf, time::Duration};
 
 use http::StatusCode;
 use rand::Rng as _;
@@ -45,6 +45,7 @@
     ShortenQueues,
     ReturnToCopy { age: Duration, missing: Duration },
     WriteEntries(BTreeMap<String, Value>),
+    ReplaceRouter(usize, PathBuf),
 }
 
 impl SoakFleet {
@@ -219,6 +220,7 @@
             TimedAction::ShortenQueues => self.brittle.shorten_queues(true),
             TimedAction::ReturnToCopy { age, missing } => self.return_to_copy(age, missing),
             TimedAction::WriteEntries(ref entries) => self.store.write_entries(entries),
+            TimedAction::ReplaceRouter(router, ref program) => self.replace_router(router, program),
             TimedAction::SendCrashing => self.callers.send_crashing(true),
             TimedAction::ClearStoreRefusal => self.store.refuse_all(None),
             TimedAction::RestoreHistory => self.store.set_history_lost(false),
--- a/programs/auburncrank-relay/tests/soak/main.rs
+++ b/programs/auburncrank-relay/tests/soak/main.rs
@@ -15,6 +15,7 @@
 mod support;
 
 mod brittle;
+mod builds;
 mod callers;
 mod changes;
 mod contact;
@@ -34,6 +35,7 @@
 use std::collections::BTreeMap;
 
 use self::{
+    builds::{EARLIER_BUILDS, EarlierProgram},
     callers::{PROMPT_TOKENS, RequestKind, TOKENS_PER_EVENT},
     late_readers::ANSWER_BYTES,
     outcome::{RequestEnd, RequestOutcome},
@@ -59,6 +61,10 @@
 ///   cut the answer off.
 const SILENT_AND_CUT_SEEDS: [u64; 5] = [313, 319, 326, 334, 341];
 
+/// Seeds in whose runs the store comes back from an older copy. With routers that did not know its era,
+/// 506 and 520 spent more tokens than the account had.
+const OLDER_COPY_SEEDS: [u64; 3] = [506, 513, 520];
+
 /// Number of seeds that run at the same time.
 const PARALLEL_SEEDS: usize = 8;
 
@@ -77,12 +83,13 @@
 
 #[test]
 fn guarantees_hold_under_external_faults() {
+    run_seeds(&seeds_from_environment().unwrap_or(SEEDS.to_vec()));
+}
+
+fn seeds_from_environment() -> Option<Vec<u64>> {
     let number = |name: &str| std::env::var(name).ok().map(|it| it.parse::<u64>().unwrap());
-    let seeds: Vec<u64> = match number("AUBURNCRANK_SOAK_FIRST") {
-        Some(first) => (first..first + number("AUBURNCRANK_SOAK_COUNT").unwrap_or(1)).collect(),
-        None => SEEDS.to_vec(),
-    };
-    run_seeds(&seeds);
+    let first = number("AUBURNCRANK_SOAK_FIRST")?;
+    Some((first..first + number("AUBURNCRANK_SOAK_COUNT").unwrap_or(1)).collect())
 }
 
 /// Guards against routers that refuse their callers while cut off from all endpoints, answers that
@@ -92,13 +99,40 @@
     run_seeds(&SILENT_AND_CUT_SEEDS);
 }
 
+/// Guards against tokens that are drawn a second time after the store has come back from an older copy.
+#[test]
+fn guarantees_hold_while_the_store_comes_back_from_older_copies() {
+    run_seeds(&OLDER_COPY_SEEDS);
+}
+
+/// Guards against routers of two builds that break a guarantee together, while one replaces the other.
+#[test]
+fn guarantees_hold_while_routers_of_an_earlier_build_are_replaced() {
+    let chosen = seeds_from_environment();
+    let mut runs = Vec::new();
+    for build in &EARLIER_BUILDS {
+        let program = builds::earlier_program(build);
+        let seeds = chosen.clone().unwrap_or(build.seeds.to_vec());
+        runs.extend(seeds.into_iter().map(|seed| (seed, Some(program.clone()))));
+    }
+    run_all(&runs);
+}
+
 fn run_seeds(seeds: &[u64]) {
+    run_all(&seeds.iter().map(|seed| (*seed, None)).collect::<Vec<_>>());
+}
+
+/// Runs seeds, each with routers of this build or of an earlier one that are replaced.
+fn run_all(runs: &[(u64, Option<EarlierProgram>)]) {
     let mut failed = Vec::new();
-    for seeds in seeds.chunks(PARALLEL_SEEDS) {
+    for runs in runs.chunks(PARALLEL_SEEDS) {
         // Its end closes the sockets of the stand-ins.
         let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
         runtime.block_on(async {
-            let runs: Vec<_> = seeds.iter().map(|it| (*it, tokio::spawn(run(*it)))).collect();
+            let start = |(seed, earlier): &(u64, Option<EarlierProgram>)| {
+                (*seed, tokio::spawn(run(*seed, earlier.clone())))
+            };
+            let runs: Vec<_> = runs.iter().map(start).collect();
             for (seed, run) in runs {
                 if run.await.is_err() {
                     failed.push(seed);
@@ -109,8 +143,8 @@
     assert!(failed.is_empty(), "seeds {failed:?} failed");
 }
 
-async fn run(seed: u64) {
-    let mut fleet = SoakFleet::start(seed).await;
+async fn run(seed: u64, earlier: Option<EarlierProgram>) {
+    let mut fleet = SoakFleet::start(seed, earlier.as_ref().map(|it| &*it.path)).await;
     let log = fleet.routers[0].log_path();
     println!("seed {seed}: log of the first router in {}", log.display());
     fleet.inject_faults().await;
@@ -119,6 +153,9 @@
     fleet.callers.stop();
     tokio::time::sleep(std::time::Duration::from_secs(3)).await;
     check_invariants(&fleet);
+    if earlier.is_some_and(|it| !it.keeps_all) {
+        return;
+    }
     let outcomes = fleet.callers.outcomes();
     let mut failures = cuts::check(&fleet, &outcomes);
     failures.extend(changes::check(&fleet, &outcomes));
--- a/programs/auburncrank-relay/tests/soak/router.rs
+++ b/programs/auburncrank-relay/tests/soak/router.rs
@@ -31,6 +31,8 @@
     pub(crate) ready_address: SocketAddr,
     /// Number of processes started so far.
     pub(crate) start_count: u32,
+    /// Program that the next process runs.
+    pub(crate) program: PathBuf,
     folder: PathBuf,
     child: Option<Child>,
     started_at: Instant,
@@ -44,6 +46,7 @@
         ip: IpAddr,
         store: SocketAddr,
         seeds: &[IpAddr],
+        program: PathBuf,
     ) -> Router {
         let folder = std::env::temp_dir().join(format!("auburncrank-soak-{ip}"));
         std::fs::create_dir_all(&folder).unwrap();
@@ -62,6 +65,7 @@
             caller_address: at(CALLER_PORT),
             ready_address: at(READY_PORT),
             start_count: 0,
+            program,
             folder,
             child: None,
             started_at: Instant::now(),
@@ -70,7 +74,7 @@
 
     pub(crate) fn start(&mut self) {
         let log = File::options().create(true).append(true).open(self.folder.join("log")).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_auburncrank-relay"))
+        let child = Command::new(&self.program)
             .arg("--settings-file")
             .arg(self.folder.join("settings.json"))
             .stdin(Stdio::null())
--- a/programs/auburncrank-relay/tests/soak/world.rs
+++ b/programs/auburncrank-relay/tests/soak/world.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::Path,
     time::Duration,
 };
 
@@ -12,6 +13,7 @@
 
 use crate::{
     brittle::{self, BrittleService},
+    builds,
     callers::{Callers, EVENTS_PER_STREAM},
     changes::{self, SPARE_SERVICE},
     cuts::{self, CutPeriod, FAILURE_DOMAINS},
@@ -70,6 +72,7 @@
 const BRITTLE_SEED: u64 = 3 << 32;
 const LATE_READERS_SEED: u64 = 4 << 32;
 const OLDER_COPIES_SEED: u64 = 5 << 32;
+const BUILDS_SEED: u64 = 6 << 32;
 
 /// Time during which faults begin.
 const FAULT_PERIOD: Duration = Duration::from_secs(8);
@@ -132,9 +135,12 @@
 }
 
 impl SoakFleet {
-    pub(crate) async fn start(seed: u64) -> SoakFleet {
+    /// Starts a fleet of this build, or of an earlier one that is replaced during the run.
+    pub(crate) async fn start(seed: u64, earlier: Option<&Path>) -> SoakFleet {
         let store = StandInStore::start().await;
-        if older_copies::has_older_copies(seed) {
+        // Earlier builds do not know eras.
+        let has_older_copies = earlier.is_none() && older_copies::has_older_copies(seed);
+        if has_older_copies {
             store.state_era();
         }
         let mut state = desired_state_with_engines(1, PREPAID_TOKENS);
@@ -167,7 +173,8 @@
             let link = Proxy::start(view.store_address).await;
             let domain = FAILURE_DOMAINS[number % FAILURE_DOMAINS.len()];
             let name = format!("router-{number}");
-            let mut router = Router::new(&name, domain, *ip, link.address, &ips);
+            let program = earlier.map_or_else(builds::current_program, Path::to_owned);
+            let mut router = Router::new(&name, domain, *ip, link.address, &ips, program);
             router.start();
             routers.push(router);
             store_links.push(link);
@@ -189,7 +196,7 @@
             disturbances: Vec::new(),
             lost_answers: Vec::new(),
             timed_actions: Vec::new(),
-            is_calm: is_calm(seed),
+            is_calm: is_calm(seed) || earlier.is_some(),
             endpoint_views,
             cuts: Vec::new(),
             stopped: Periods::default(),
@@ -203,11 +210,15 @@
         let mut rng = seeded_rng(seed + CUTS_SEED);
         let brittle = brittle::plan(Instant::now(), &mut seeded_rng(seed + BRITTLE_SEED));
         fleet.timed_actions.extend(brittle);
-        if older_copies::has_older_copies(seed) {
+        if has_older_copies {
             let mut rng = seeded_rng(seed + OLDER_COPIES_SEED);
             fleet.timed_actions.extend(older_copies::plan(Instant::now(), &mut rng));
         }
         fleet.cuts = cuts::plan(Instant::now(), ips.len(), &mut rng);
+        if let Some(earlier) = earlier {
+            let mut rng = seeded_rng(seed + BUILDS_SEED);
+            fleet.timed_actions.extend(builds::plan(Instant::now(), ips.len(), earlier, &mut rng));
+        }
         fleet.endpoints[LIMITED_ENDPOINT].state_limit(Some(&STATED_LIMIT.to_string()));
         let addresses = fleet.addresses();
         for number in 0..CALLERS {
