Count tries at cut-off routers only while another router is in touch

The rule compares routers in touch, and there was no other one.

A try now counts only if a router outside the cut was in touch from CONTACT_TIME before it to its end. Nothing else of the check changes.

--- a/programs/auburncrank-relay/tests/soak/cuts.rs
+++ b/programs/auburncrank-relay/tests/soak/cuts.rs
@@ -58,7 +58,8 @@
 }
 
 /// Checks that from [`CONTACT_TIME`] after a cut began, callers' first tries are served about as
-/// often at the cut-off routers as at the others. Only routers in touch count. Returns the failures.
+/// often at the cut-off routers as at the others. Only routers in touch count, and only while another
+/// router is in touch, through which endpoints can be reached. Returns the failures.
 pub(crate) fn check(fleet: &SoakFleet, outcomes: &[RequestOutcome]) -> Vec<String> {
     let mut failures = Vec::new();
     for cut in &fleet.cuts {
@@ -66,7 +67,8 @@
         let tries = outcomes.iter().filter(|it| {
             let is_sound = !matches!(it.kind, RequestKind::Crashing | RequestKind::Brittle);
             let is_first = it.resumes.is_none() && is_sound;
-            is_first && counted.contains(&it.sent_at) && fleet.is_in_touch(it)
+            let is_counted = is_first && counted.contains(&it.sent_at) && fleet.is_in_touch(it);
+            is_counted && has_path(fleet, cut, it)
         });
         let is_in_cut = |it: &&RequestOutcome| {
             cut.routers.iter().any(|router| fleet.routers[*router].caller_address == it.router)
@@ -89,6 +91,17 @@
     failures
 }
 
+/// Returns whether a router that was not cut off was in touch from [`CONTACT_TIME`] before a request to
+/// its end.
+fn has_path(fleet: &SoakFleet, cut: &CutPeriod, outcome: &RequestOutcome) -> bool {
+    let (from, until) = (outcome.sent_at - CONTACT_TIME, outcome.ended_at);
+    let mut others = (0..fleet.routers.len()).filter(|it| !cut.routers.contains(it));
+    others.any(|it| {
+        let router = fleet.routers[it].caller_address;
+        !fleet.stopped.overlap(&router, from, until) && !fleet.was_cut(router, from, until)
+    })
+}
+
 /// Returns how many requests were served, and their number.
 fn count<'a>(tries: impl Iterator<Item = &'a RequestOutcome>) -> (usize, usize) {
     let tries: Vec<_> = tries.collect();
