Let two of three witnesses vouch for the tokens of a router

The new log lines show that three killed routers of eight lost 1.03 million tokens, as each had another one among its two witnesses, and both had to answer the next process.

A router now names three witnesses; two have to store a declaration before it relies on it, and two have to answer the next process, so that any two that answer include one that has the declaration. With two witnesses or one, and for rows of earlier builds, nothing changes: the row says how many confirmations its writer needs.

--- a/components/relay/src/allowance/book/commits.rs
+++ b/components/relay/src/allowance/book/commits.rs
@@ -146,6 +146,7 @@
             },
             ..HoldingsRow::default()
         };
+        holdings.confirmations = HoldingsRow::confirmations_of(holdings.witnesses.len());
         for (name, allowance) in &mut self.accounts {
             let change = changes.iter().find(|(it, _)| it == name).map(|(_, it)| *it);
             let change = change.unwrap_or_default();
--- a/components/relay/src/allowance/book/inheritance.rs
+++ b/components/relay/src/allowance/book/inheritance.rs
@@ -28,6 +28,8 @@
         row: CommitId,
         /// Witnesses that have not answered.
         unanswered: Vec<RouterProcess>,
+        /// Number of statements that are still needed.
+        needed: usize,
         /// Tokens that are certainly unspent according to its row and the statements so far.
         kept: Vec<(Arc<str>, u64)>,
         /// When the witnesses were asked.
@@ -80,7 +82,7 @@
                 return None;
             }
             Takeover::Awaiting { unanswered, .. } => {
-                log::warn!(silent:? = unanswered; "tokens of the earlier process counted as spent: not all of its witnesses answered");
+                log::warn!(silent:? = unanswered; "tokens of the earlier process counted as spent: not enough of its witnesses answered");
                 return Some(self.settle_takeover(mark, Vec::new()));
             }
             Takeover::Unknown => {}
@@ -97,7 +99,8 @@
         if !row.witnesses.is_empty() {
             log_takeover(row, "witnesses", age_ms);
             let (unanswered, kept) = (row.witnesses.clone(), row.kept());
-            self.takeover = Takeover::Awaiting { row: mark, unanswered, kept, since: inputs.now };
+            let (needed, since) = (row.statements_needed(), inputs.now);
+            self.takeover = Takeover::Awaiting { row: mark, unanswered, needed, kept, since };
             return None;
         }
         let kept: u64 = row.kept().iter().map(|(_, kept)| kept).sum();
@@ -137,9 +140,12 @@
         if !is_asked {
             return;
         }
-        let Takeover::Awaiting { row, unanswered, kept, .. } = &mut self.takeover else { return };
+        let Takeover::Awaiting { row, unanswered, needed, kept, .. } = &mut self.takeover else {
+            return;
+        };
         let row = *row;
         unanswered.retain(|it| it != witness);
+        *needed = needed.saturating_sub(1);
         match statement {
             WitnessStatement::Nothing => {}
             WitnessStatement::Declared(it) if it.last_commit < row.number => {}
@@ -150,7 +156,7 @@
             }
             WitnessStatement::Forgotten => kept.clear(),
         }
-        if unanswered.is_empty() {
+        if *needed == 0 {
             let tokens = std::mem::take(kept);
             log::info!(process = row.process, row_commit = row.number, last_witness:% = witness.router, accounts = tokens.len(); "witnesses of the earlier process have answered");
             self.settle_takeover(row, tokens);
@@ -161,5 +167,6 @@
 /// Logs by which source this process decides what the previous one has certainly not spent.
 fn log_takeover(row: &HoldingsRow, source: &str, age_ms: Option<u64>) {
     let kept: u64 = row.kept().iter().map(|(_, kept)| kept).sum();
-    log::info!(process = row.mark.process, row_commit = row.mark.number, source, kept, age_ms = age_ms.unwrap_or_default(); "row of the earlier process found");
+    let held: u64 = row.accounts.values().map(|it| it.held).sum();
+    log::info!(process = row.mark.process, row_commit = row.mark.number, source, held, kept, age_ms = age_ms.unwrap_or_default(); "row of the earlier process found");
 }
--- a/components/relay/src/allowance/book/mod.rs
+++ b/components/relay/src/allowance/book/mod.rs
@@ -98,6 +98,8 @@
     witnesses: Vec<RouterProcess>,
     /// Number of the last declaration to the witnesses.
     witness_number: u64,
+    /// Number of the last declaration that each witness has confirmed.
+    confirmed_by: HashMap<RouterProcess, u64>,
     /// What this process takes over from the previous one.
     takeover: Takeover,
     /// Era of the store that the rows belong to.
@@ -125,6 +127,7 @@
             pending: None,
             witnesses: Vec::new(),
             witness_number: 0,
+            confirmed_by: HashMap::default(),
             takeover: Takeover::Unknown,
             eras: EraState::default(),
             role: Role::default(),
--- a/components/relay/src/allowance/book/witnesses.rs
+++ b/components/relay/src/allowance/book/witnesses.rs
@@ -13,8 +13,9 @@
 /// Once the last declaration to the store is this old, declarations also go to the witnesses.
 const WITNESS_DECLARATION_AGE: Duration = Duration::from_millis(1_000);
 
-/// Number of witnesses of a router: with two, one may fail while the store is unavailable.
-const WITNESS_COUNT: usize = 2;
+/// Number of witnesses of a router. Two of three have to store a declaration, and two have to answer the
+/// next process, so that one may fail at any time.
+const WITNESS_COUNT: usize = 3;
 
 impl RouterAllowances {
     /// Chooses the routers to which declarations are sent while the store is unavailable. Chosen
@@ -73,14 +74,24 @@
 
     /// Handles a witness's confirmation that it has stored a declaration.
     pub fn on_witness_confirmed(&mut self, witness: &RouterProcess, number: u64) {
-        let names = |row: &HoldingsRow| row.witnesses.contains(witness);
-        let is_named = self.holdings.as_ref().is_some_and(|(row, _)| names(row))
-            && self.pending.as_ref().is_none_or(|it| names(&it.holdings));
-        if !is_named {
-            return;
-        }
+        let confirmed = self.confirmed_by.entry(witness.clone()).or_default();
+        *confirmed = number.max(*confirmed);
+        // The next process may find either row.
+        let rows = self.holdings.iter().map(|(row, _)| row);
+        let rows = rows.chain(self.pending.iter().map(|it| &it.holdings));
+        let numbers = rows.map(|row| self.confirmed_number(row));
+        let Some(number) = numbers.min().flatten() else { return };
         for allowance in self.accounts.values_mut() {
             allowance.confirm_witnessed(number);
         }
     }
+
+    /// Returns the highest number of a declaration such that enough of the witnesses named in `row` have
+    /// stored it or a later one.
+    fn confirmed_number(&self, row: &HoldingsRow) -> Option<u64> {
+        let stored = row.witnesses.iter().filter_map(|it| self.confirmed_by.get(it));
+        let mut stored: Vec<u64> = stored.copied().collect();
+        stored.sort_unstable_by(|a, b| b.cmp(a));
+        stored.get(row.confirmations_needed() - 1).copied()
+    }
 }
--- a/components/relay/src/allowance/rows.rs
+++ b/components/relay/src/allowance/rows.rs
@@ -74,13 +74,21 @@
     /// been spent or returned since.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub era: Option<u64>,
-    /// Routers to which declarations are sent while the store is unavailable. The declaring router
-    /// needs only one of them to store a declaration; its next process asks all of them.
+    /// Routers to which declarations are sent while the store is unavailable.
     pub witnesses: Vec<RouterProcess>,
+    /// Number of witnesses that have to store a declaration before the writer relies on it. Zero in the
+    /// rows of builds for which one is enough.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub confirmations: u32,
     /// Holdings by account.
     pub accounts: BTreeMap<Arc<str>, Holding>,
 }
 
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "the signature is that of serde")]
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
 impl HoldingsRow {
     /// Returns the key of the row of `router`.
     pub fn key(router: &str) -> Key {
@@ -89,6 +97,23 @@
 }
 
 impl HoldingsRow {
+    /// Returns how many of `witnesses` have to store a declaration: with two or fewer one, otherwise more
+    /// than half of them.
+    pub fn confirmations_of(witnesses: usize) -> u32 {
+        u32::try_from(witnesses.div_ceil(2)).unwrap_or(u32::MAX)
+    }
+
+    /// Returns how many witnesses have to store a declaration before the writer relies on it.
+    pub fn confirmations_needed(&self) -> usize {
+        usize::try_from(self.confirmations).unwrap_or(usize::MAX).max(1)
+    }
+
+    /// Returns how many witnesses have to make a statement to the next process, so that at least one of
+    /// them has stored each declaration that the writer relied on.
+    pub fn statements_needed(&self) -> usize {
+        (self.witnesses.len() + 1).saturating_sub(self.confirmations_needed())
+    }
+
     /// Returns the tokens that may be neither spent nor lent before the next declaration, by
     /// account.
     pub fn kept(&self) -> Vec<(Arc<str>, u64)> {
--- a/components/relay/tests/allowance_takeover.rs
+++ b/components/relay/tests/allowance_takeover.rs
@@ -194,6 +194,47 @@
     assert!(first.reserve(&Arc::from(ACCOUNT), 500, later).is_ok());
 }
 
+/// Guards against tokens that are lost because one witness ended together with their router.
+#[test]
+fn two_of_three_witnesses_are_enough_for_the_next_process() {
+    let third = RouterProcess { router: "router-4".into(), process: 4 };
+    let mut store = Store::default();
+    let mut first = new_allowances(1);
+    first.choose_witnesses(&[witness(), other_witness(), third.clone()]);
+    for millis in [0, 10, 600] {
+        sync_with_store(&mut first, &mut store, millis);
+    }
+    let held = first.account(ACCOUNT).unwrap().held();
+    let later = at(700 + CEILING_VALIDITY.as_millis() as u64 * 2);
+    let account = Arc::from(ACCOUNT);
+    let _ = first.reserve(&account, 4_000, later);
+    let (witnesses, declaration) =
+        first.witness_declaration(later).expect("the store is unavailable");
+    assert_eq!(witnesses.len(), 3);
+    first.on_witness_confirmed(&witness(), declaration.number);
+    assert!(first.reserve(&account, 4_000, later).is_err(), "one of three is not enough");
+    first.on_witness_confirmed(&third, declaration.number);
+    let reservation = first.reserve(&account, 4_000, later).unwrap();
+    first.settle(reservation, 4_000);
+
+    let mut records = WitnessRecords::default();
+    let declarer = RouterProcess { router: "router-1".into(), process: 1 };
+    assert!(records.store(declarer, declaration));
+    for (silent, declared) in [(&witness(), &third), (&third, &witness())] {
+        let mut copy = Store { rows: store.rows.clone(), revision: store.revision };
+        let mut second = new_allowances(3);
+        assert!(!sync_with_store(&mut second, &mut copy, 9_000));
+        let (asked, about) = second.witness_query().unwrap();
+        assert!(asked.contains(silent));
+        second.on_witness_statement(&other_witness(), &about, &WitnessStatement::Nothing);
+        assert!(!sync_with_store(&mut second, &mut copy, 9_010), "one statement is not enough");
+        second.on_witness_statement(declared, &about, &records.statement(&about));
+        sync_with_store(&mut second, &mut copy, 9_020);
+        let taken_over = second.account(ACCOUNT).unwrap().held();
+        assert!(taken_over > 0 && taken_over <= held - 4_000, "{taken_over} of {held}");
+    }
+}
+
 #[test]
 fn witness_statement_limits_the_takeover() {
     let mut store = Store::default();
