Tell others of draws with the row after the draw, and forget old totals

Found when reading the recovery of the store's era again; no test showed it. A draw whose commit was found by reading may be newer than the account's row that was read just before, so that the notice to other routers could lack it. Totals from long before the change of the era also counted, with tokens that had been returned since.

The notice now has the row that the commit wrote. Only totals of the last 12 s are reported: whatever is older is in the copy. What is known of draws has a file of its own.

--- a/components/relay/src/allowance/book/commits.rs
+++ b/components/relay/src/allowance/book/commits.rs
@@ -112,7 +112,8 @@
             let drawing_routers = RouterAllowances::drawing_routers(inputs.routers, is_low);
             let change = allowance.plan(&row, (role, drawing_routers), inputs.stage, inputs.now);
             // The tokens of the last draw will be usable soon.
-            let is_drawn_twice = change.is_some_and(|it| it.draw > 0) && self.eras.holds_back(name);
+            let is_drawn_twice =
+                change.is_some_and(|it| it.draw > 0) && self.eras.draws.holds_back(name);
             if let Some(change) = change.filter(|_| !is_drawn_twice) {
                 changes.push((name.clone(), change));
             }
@@ -293,18 +294,20 @@
     fn finish(&mut self, is_applied: bool, now: Timestamp) {
         let Some(pending) = self.pending.take() else { return };
         let number = pending.holdings.mark.number;
-        let (holds_back_draws, mut held_back) = (self.holds_back_draws(), Vec::new());
+        let (holds_back_draws, mut held_back) = (self.eras.number().is_some(), Vec::new());
         for (name, allowance) in &mut self.accounts {
             let change = pending.changes.iter().find(|(it, ..)| it == name);
             let change = change.map(|(_, change, _)| *change).unwrap_or_default();
             let is_held_back = holds_back_draws && is_applied && change.draw > 0;
             allowance.finish_commit(&change, number, is_applied, is_held_back);
             if is_held_back {
-                held_back.push((name.clone(), change.draw));
+                let row = pending.changes.iter().find(|(it, ..)| it == name);
+                let row = row.and_then(|(_, _, row)| row.clone());
+                held_back.push((name.clone(), change.draw, row));
             }
         }
-        for (name, tokens) in held_back {
-            self.hold_back_draw(number, &name, tokens);
+        for (name, tokens, row) in held_back {
+            self.hold_back_draw(number, (&name, tokens), row.as_ref(), now);
         }
         if is_applied {
             for (name, tokens) in &pending.taken_over {
--- a/components/relay/src/allowance/book/eras.rs
+++ b/components/relay/src/allowance/book/eras.rs
@@ -1,17 +1,13 @@
-//! What a router does when the store comes back from an older copy, and how its draws become known to
-//! others before that.
+//! What a router does when the store comes back from an older copy.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
+use std::{collections::BTreeSet, sync::Arc};
 
 use platform::{Commit, CommitOutcome, Era, Precondition, Revision, Row, Write};
 use types::Timestamp;
 
-use super::{CommitInputs, RouterAllowances, commits::precondition};
+use super::{CommitInputs, RouterAllowances, commits::precondition, draws::DrawBook};
 use crate::allowance::{
-    recovery::{RecoveryDecision, RecoveryReport, RecoveryRow},
+    recovery::{OLDER_COPY_MAX_AGE, RecoveryDecision, RecoveryReport, RecoveryRow},
     rows::AllowanceRow,
     witness::RouterProcess,
 };
@@ -19,9 +15,6 @@
 /// Maximum number of accounts' rows that one commit of a recovery writes.
 const COMMIT_ACCOUNTS_MAX: usize = 40;
 
-/// Number of other routers that have to know of a draw before its tokens are usable.
-const DRAW_WITNESSES: usize = 2;
-
 /// Era of the store that the rows of this router belong to, and what is known of former ones.
 #[derive(Debug, Default)]
 pub(super) struct EraState {
@@ -31,46 +24,14 @@
     row: Option<(RecoveryRow, Revision)>,
     /// What this process reports of the former era.
     report: RecoveryReport,
-    /// Totals of accounts' rows that other routers have told of in this era.
-    told: BTreeMap<Arc<str>, AllowanceRow>,
-    /// Processes that have ended after they told this one of their draws.
-    concluded: BTreeSet<RouterProcess>,
-    /// Draws that too few other routers know of; their tokens are not usable.
-    unwitnessed: Vec<UnwitnessedDraw>,
-}
-
-/// A draw that took effect, and the routers that know of it.
-#[derive(Debug)]
-struct UnwitnessedDraw {
-    /// Number of the commit.
-    number: u64,
-    /// Account of the tokens.
-    account: Arc<str>,
-    /// Number of tokens.
-    tokens: u64,
-    /// Routers that have confirmed that they know of it.
-    known_to: BTreeSet<Arc<str>>,
-}
-
-/// Totals of accounts' rows that a router tells others, so that its draws are known to them.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct DrawNotice {
-    /// The process that draws.
-    pub process: RouterProcess,
-    /// Number of the last commit with a draw.
-    pub number: u64,
-    /// Whether the process ends, so that no draws follow.
-    pub is_final: bool,
-    /// Era of the store.
-    pub era: u64,
-    /// Accounts' rows after the draws.
-    pub accounts: BTreeMap<Arc<str>, AllowanceRow>,
+    /// What is known of draws in this era.
+    pub(super) draws: DrawBook,
 }
 
 impl EraState {
     /// Returns whether commits on allowances are allowed: the store states no era, or the recovery of
     /// its era is complete.
-    fn is_open(&self) -> bool {
+    pub(super) fn is_open(&self) -> bool {
         self.era.is_none_or(|era| self.current_row(era).is_some_and(|(it, _)| it.is_complete))
     }
 
@@ -90,11 +51,6 @@
         Some(Precondition::Revision(RecoveryRow::key(), *revision))
     }
 
-    /// Returns whether drawn tokens of an account are held back until other routers know of the draw.
-    pub(super) fn holds_back(&self, account: &str) -> bool {
-        self.unwitnessed.iter().any(|it| *it.account == *account)
-    }
-
     /// Returns the revision of the recovery row as last read.
     pub(super) fn revision(&self) -> Option<Revision> {
         self.row.as_ref().map(|(_, revision)| *revision)
@@ -110,7 +66,7 @@
     /// Records the era that the store states. `recent` are the other processes that were alive within
     /// the last seconds. If the store has come back from an older copy, all that was read from it is
     /// void, and no tokens are drawn before the recovery.
-    pub fn observe_era(&mut self, era: Option<Era>, recent: &[RouterProcess]) {
+    pub fn observe_era(&mut self, era: Option<Era>, recent: &[RouterProcess], now: Timestamp) {
         let former = self.eras.era;
         if era.is_none() || era == former {
             return;
@@ -125,14 +81,16 @@
             // What was known before is part of this era's rows.
             self.eras.report = RecoveryReport::default();
         }
+        let read_at = self.read_at.filter(|_| was_open);
         let state = &mut self.eras;
-        state.report.has_history |= was_open && self.read_at.is_some();
+        state.report.has_history |= read_at.is_some();
         state.report.expected.extend(recent.iter().cloned());
-        state.report.concluded.extend(state.concluded.iter().cloned());
-        let told = std::mem::take(&mut state.told);
-        let read = self.rows.iter().map(|(name, (row, _))| (name.clone(), row.clone()));
-        let read: Vec<_> = if was_open { read.collect() } else { Vec::new() };
-        for (name, row) in read.into_iter().chain(told) {
+        state.report.concluded.extend(state.draws.concluded().cloned());
+        // Whatever is older is in the copy.
+        let is_recent = read_at.is_some_and(|at| now.since(at) <= OLDER_COPY_MAX_AGE);
+        let read = self.rows.iter().filter(|_| is_recent);
+        let read = read.map(|(name, (row, _))| (name.clone(), row.clone()));
+        for (name, row) in read.chain(state.draws.take_told(now)) {
             let known = state.report.accounts.entry(name).or_default();
             *known = known.highest(&row);
         }
@@ -181,11 +139,10 @@
         let has_reported = row.reported.contains(&own);
         log::info!(era = row.era, reported = row.reported.len(), missing = row.missing().count(), has_history = row.has_history, has_reported; "tokens may be drawn in this era of the store");
         let report = std::mem::take(&mut self.eras.report);
-        let unwitnessed = std::mem::take(&mut self.eras.unwitnessed);
-        for it in unwitnessed {
+        for it in self.eras.draws.take_unwitnessed() {
             // The report of this process contained the draw.
             if has_reported && report.has_history {
-                self.credit_draw(&it.account, it.tokens);
+                self.credit_draw(&it);
             } else {
                 log::warn!(account:% = it.account, tokens = it.tokens; "drawn tokens counted as spent: their draw may be unknown in this era of the store");
             }
@@ -208,8 +165,6 @@
         if is_missing || must_report {
             if must_report {
                 row.add_report(own, &self.eras.report);
-            }
-            if must_report {
                 log::info!(era = era.0, accounts = self.eras.report.accounts.len(), reported = row.reported.len(), had_former_era = row.had_former_era; "reporting what is known of the former era of the store");
             } else {
                 log::info!(era = era.0, had_former_era = row.had_former_era; "no recovery row in this era of the store; writing one");
@@ -279,97 +234,7 @@
         self.is_loaded = false;
     }
 
-    /// Holds back the tokens of a draw that took effect until other routers know of it.
-    pub(super) fn hold_back_draw(&mut self, number: u64, account: &Arc<str>, tokens: u64) {
-        let known_to = BTreeSet::new();
-        let account = account.clone();
-        self.eras.unwitnessed.push(UnwitnessedDraw { number, account, tokens, known_to });
-    }
-
-    /// Returns whether draws are held back until other routers know of them.
-    pub(super) fn holds_back_draws(&self) -> bool {
-        self.eras.era.is_some()
-    }
-
-    /// Makes the tokens of draws usable that enough other routers know of. `known` and `live` are the
-    /// numbers of other routers that can confirm draws: those that this router knows, and of these the
-    /// ones that are alive. Without any, draws are usable at once. Returns whether tokens have become
-    /// usable.
-    pub fn release_draws(&mut self, known: usize, live: usize) -> bool {
-        let needed = if known == 0 { 0 } else { live.clamp(1, DRAW_WITNESSES) };
-        if self.eras.unwitnessed.is_empty() || !self.eras.is_open() {
-            return false;
-        }
-        let draws = std::mem::take(&mut self.eras.unwitnessed);
-        let (known, open): (Vec<_>, Vec<_>) =
-            draws.into_iter().partition(|it| it.known_to.len() >= needed);
-        self.eras.unwitnessed = open;
-        for it in &known {
-            self.credit_draw(&it.account, it.tokens);
-        }
-        !known.is_empty()
-    }
-
-    /// Makes all drawn tokens usable, to return them: other routers need not know of the draws then.
-    pub fn release_all_draws(&mut self) {
-        for it in std::mem::take(&mut self.eras.unwitnessed) {
-            self.credit_draw(&it.account, it.tokens);
-        }
-    }
-
-    fn credit_draw(&mut self, account: &Arc<str>, tokens: u64) {
-        if let Some(allowance) = self.accounts.get_mut(account) {
-            allowance.credit_draw(tokens);
-        }
-    }
-
-    /// Returns what other routers have to be told before this router's last draws are usable; `None`
-    /// if there is nothing to tell.
-    pub fn draw_notice(&self) -> Option<DrawNotice> {
-        let era = self.eras.era.filter(|_| self.eras.is_open())?;
-        let number = self.eras.unwitnessed.iter().map(|it| it.number).max()?;
-        let names = self.eras.unwitnessed.iter().map(|it| &it.account);
-        let accounts = names.map(|name| (name.clone(), self.row(name))).collect();
-        let process = self.own_process();
-        Some(DrawNotice { process, number, is_final: false, era: era.0, accounts })
-    }
-
-    /// Returns what other routers have to be told when this process ends, so that they need not wait
-    /// for it in a recovery.
-    pub fn final_notice(&self) -> Option<DrawNotice> {
-        let era = self.eras.era.filter(|_| self.eras.is_open())?;
-        let rows = self.rows.iter().map(|(name, (row, _))| (name.clone(), row.clone()));
-        let (process, number) = (self.own_process(), self.last_commit_id.number);
-        Some(DrawNotice { process, number, is_final: true, era: era.0, accounts: rows.collect() })
-    }
-
-    /// Keeps what another router tells of its draws. Returns false if its rows are of another era than
-    /// those of this router, so that it must not rely on it.
-    pub fn apply_draw_notice(&mut self, notice: &DrawNotice) -> bool {
-        if self.eras.number() != Some(notice.era) || !self.eras.is_open() {
-            return false;
-        }
-        for (name, row) in &notice.accounts {
-            let told = self.eras.told.entry(name.clone()).or_default();
-            *told = told.highest(row);
-        }
-        if notice.is_final {
-            self.eras.concluded.insert(notice.process.clone());
-        }
-        true
-    }
-
-    /// Handles another router's confirmation that it knows of the draws up to a commit.
-    pub fn on_draw_confirmed(&mut self, router: &Arc<str>, number: u64, era: u64) {
-        if self.eras.number() != Some(era) {
-            return;
-        }
-        for it in self.eras.unwitnessed.iter_mut().filter(|it| it.number <= number) {
-            it.known_to.insert(router.clone());
-        }
-    }
-
-    fn own_process(&self) -> RouterProcess {
+    pub(super) fn own_process(&self) -> RouterProcess {
         RouterProcess { router: self.router.clone(), process: self.last_commit_id.process }
     }
 
--- a/components/relay/src/allowance/book/mod.rs
+++ b/components/relay/src/allowance/book/mod.rs
@@ -1,6 +1,7 @@
 //! The tokens of all accounts on one router, and the commits that move them.
 
 mod commits;
+mod draws;
 mod eras;
 mod inheritance;
 mod requests;
@@ -13,7 +14,7 @@
 use utils::HashMap;
 
 use self::{commits::PendingCommit, eras::EraState, inheritance::Takeover};
-pub use self::{eras::DrawNotice, requests::LoanStep};
+pub use self::{draws::DrawNotice, requests::LoanStep};
 use super::{
     account::AccountAllowance,
     holders::{HOLDERS_MAX, Role, sole_holder},
--- a/components/relay/src/allowance/mod.rs
+++ b/components/relay/src/allowance/mod.rs
@@ -27,7 +27,9 @@
     book::{CommitInputs, DrawNotice, LoanStep, Reservation, RouterAllowances, Shortage, Stage},
     ceiling::CEILING_VALIDITY,
     holders::{HOLDERS_MAX, HolderCandidate, Role, choose_holders, sole_holder},
-    recovery::{RECOVERY_PREFIX, RecoveryDecision, RecoveryReport, RecoveryRow},
+    recovery::{
+        OLDER_COPY_MAX_AGE, RECOVERY_PREFIX, RecoveryDecision, RecoveryReport, RecoveryRow,
+    },
     rows::{ACCOUNT_PREFIX, AllowanceRow, CommitId, HOLDINGS_PREFIX, Holding, HoldingsRow},
     witness::{
         RouterProcess, RouterProcessError, WitnessDeclaration, WitnessRecords, WitnessStatement,
--- a/components/relay/src/allowance/recovery.rs
+++ b/components/relay/src/allowance/recovery.rs
@@ -24,6 +24,9 @@
 /// Prefix of the key of the recovery row.
 pub const RECOVERY_PREFIX: &str = "recovery";
 
+/// Longest time whose writes are missing when the store comes back from an older copy, with a margin.
+pub const OLDER_COPY_MAX_AGE: Duration = Duration::from_secs(12);
+
 /// Number of processes that may be missing without a usable draw being unknown: a draw is known to its
 /// process and at least one other.
 const MISSING_MAX: usize = 1;
--- a/components/relay/src/peers/draws.rs
+++ b/components/relay/src/peers/draws.rs
@@ -50,7 +50,7 @@
     message: &DrawNoticeMessage,
     sender: SocketAddr,
 ) {
-    if !cx.lock_allowances().apply_draw_notice(&message.to_notice()) {
+    if !cx.lock_allowances().apply_draw_notice(&message.to_notice(), cx.now()) {
         log::info!(router = message.router.as_str(), era = message.era; "notice of a draw in another era of the store ignored");
         return;
     }
--- a/components/relay/src/sync/allowance_task.rs
+++ b/components/relay/src/sync/allowance_task.rs
@@ -10,7 +10,9 @@
 
 use super::{backoff::Backoff, verdict_rows::store_verdicts_again};
 use crate::{
-    allowance::{ACCOUNT_PREFIX, CommitInputs, HOLDINGS_PREFIX, RECOVERY_PREFIX, Stage},
+    allowance::{
+        ACCOUNT_PREFIX, CommitInputs, HOLDINGS_PREFIX, OLDER_COPY_MAX_AGE, RECOVERY_PREFIX, Stage,
+    },
     context::RelayContext,
     peers::{announce_draws, serve_deferred_loans},
 };
@@ -22,9 +24,6 @@
 /// for tokens cause.
 const COMMIT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Longest time whose writes are missing when the store comes back from an older copy, with a margin.
-const OLDER_COPY_MAX_AGE: Duration = Duration::from_secs(12);
-
 /// Pause between two attempts to return all tokens at shutdown.
 const RETURN_PAUSE: Duration = Duration::from_millis(60);
 
@@ -132,7 +131,7 @@
     if cx.lock_allowances().era() != era {
         let recent = cx.lock_roster().recent_processes(OLDER_COPY_MAX_AGE, cx.now());
         let is_known = cx.lock_allowances().era().is_some();
-        cx.lock_allowances().observe_era(era, &recent);
+        cx.lock_allowances().observe_era(era, &recent, cx.now());
         if is_known {
             metrics::counter!(telemetry::STORE_ERA_CHANGES_TOTAL).increment(1);
             store_verdicts_again(cx);
--- a/components/relay/tests/allowance_faults/main.rs
+++ b/components/relay/tests/allowance_faults/main.rs
@@ -7,6 +7,8 @@
     reason = "a test may panic, and its numbers are small"
 )]
 
+mod eras;
+mod loans;
 mod router;
 mod store;
 mod world;
--- a/components/relay/tests/allowance_faults/world.rs
+++ b/components/relay/tests/allowance_faults/world.rs
@@ -2,11 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use platform::{Commit, CommitOutcome, Era, PlatformError, StoreTime};
+use platform::{CommitOutcome, PlatformError, StoreTime};
 use rand::Rng as _;
 use relay::allowance::{
-    CommitInputs, HOLDINGS_PREFIX, LoanStep, RECOVERY_PREFIX, Role, RouterProcess, Stage,
-    WitnessDeclaration,
+    CommitInputs, HOLDINGS_PREFIX, RECOVERY_PREFIX, RouterProcess, Stage, WitnessDeclaration,
 };
 use types::Timestamp;
 use utils::{Rng, seeded_rng};
@@ -58,7 +57,7 @@
     pub(crate) faults: Faults,
     pub(crate) served: u64,
     /// Processes, and the last step in which each of them was alive.
-    alive: BTreeMap<RouterProcess, u64>,
+    pub(crate) alive: BTreeMap<RouterProcess, u64>,
 }
 
 impl World {
@@ -270,14 +269,14 @@
         router.store_time = Some((millis, step));
         match std::mem::take(&mut router.sync) {
             SyncStep::Idle if router.allowances.must_read_rows(now) => {
-                router.allowances.observe_era(era, &recent);
+                router.allowances.observe_era(era, &recent, now);
                 router.era_at_read = era;
                 router.allowances.apply_recovery_row(&self.store.rows_of(RECOVERY_PREFIX));
                 router.sync = SyncStep::AccountsRead(self.store.rows_of("allowance"));
                 return;
             }
             SyncStep::AccountsRead(_) if router.era_at_read != era => {
-                router.allowances.observe_era(era, &recent);
+                router.allowances.observe_era(era, &recent, now);
                 return;
             }
             SyncStep::AccountsRead(accounts) => {
@@ -332,69 +331,11 @@
         };
         let router = &mut self.routers[index];
         if outcome != CommitOutcome::Unknown {
-            router.allowances.observe_era(era, &recent);
+            router.allowances.observe_era(era, &recent, now);
         }
         router.allowances.on_outcome(&outcome, is_resent, now);
     }
 
-    /// Sends a commit of a recovery; its answer may be lost, and it may take effect late.
-    fn commit_recovery(&mut self, index: usize, commit: Commit) {
-        let process = self.routers[index].process;
-        let sent = SentCommit { commit, process, taken_over: 0 };
-        let outcome = if self.rng.random_bool(self.faults.lost_answer) {
-            let late = self.step + self.rng.random_range(0..80);
-            self.store.late.push((late, sent));
-            CommitOutcome::Unknown
-        } else {
-            match self.store.commit(&sent) {
-                Ok(revision) => CommitOutcome::Committed(revision),
-                Err(key) => CommitOutcome::Conflict(key),
-            }
-        };
-        self.routers[index].allowances.on_recovery_outcome(&outcome);
-    }
-
-    /// Returns the era that the store states; `None` if it never comes back from an older copy.
-    fn store_era(&self) -> Option<Era> {
-        (self.faults.old_copy > 0.0).then_some(Era(self.store.era))
-    }
-
-    /// Returns the other processes that were alive within the last twelve seconds.
-    fn recent_processes(&self, index: usize) -> Vec<RouterProcess> {
-        let own = self.routers[index].identity();
-        let recent = self.alive.iter().filter(|(_, at)| self.step - **at <= 240);
-        recent.map(|(it, _)| it.clone()).filter(|it| *it != own).collect()
-    }
-
-    /// Tells the other routers that a process has ended; the message may be lost.
-    fn send_final_notice(&mut self, index: usize) {
-        let Some(notice) = self.routers[index].allowances.final_notice() else { return };
-        for other in 0..ROUTERS {
-            if self.routers[other].down_until.is_none() && self.rng.random_bool(0.7) {
-                self.routers[other].allowances.apply_draw_notice(&notice);
-            }
-        }
-    }
-
-    /// Tells other routers of draws; the message or its confirmation may be lost.
-    fn exchange_draw_notices(&mut self, index: usize) {
-        let others: Vec<usize> = (0..ROUTERS)
-            .filter(|&it| it != index && self.routers[it].down_until.is_none())
-            .collect();
-        if let Some(notice) = self.routers[index].allowances.draw_notice() {
-            for &other in &others {
-                let is_known = self.rng.random_bool(0.7)
-                    && self.routers[other].allowances.apply_draw_notice(&notice);
-                if is_known && self.rng.random_bool(0.7) {
-                    let name = self.routers[other].name.clone();
-                    let allowances = &mut self.routers[index].allowances;
-                    allowances.on_draw_confirmed(&name, notice.number, notice.era);
-                }
-            }
-        }
-        self.routers[index].allowances.release_draws(ROUTERS - 1, others.len());
-    }
-
     pub(crate) fn exchange_with_witnesses(&mut self, index: usize) {
         let now = self.now();
         let live = |it: &Router| it.down_until.is_none();
@@ -439,55 +380,6 @@
         }
     }
 
-    /// Borrows tokens; the loan may be lost in transit.
-    fn request_loan(&mut self, index: usize, tokens: u64) {
-        let now = self.now();
-        let lender = self.choose_lender(index);
-        if lender == index || self.routers[lender].down_until.is_some() {
-            return;
-        }
-        let for_borrower = self.routers[index].allowances.role_for(ACCOUNT) == Role::Borrower;
-        let spent = self.routers[index].allowances.take_unreported(ACCOUNT);
-        let allowances = &mut self.routers[lender].allowances;
-        allowances.report_for_borrower(ACCOUNT, spent);
-        if allowances.prepare_loan(ACCOUNT, tokens, for_borrower, now) == LoanStep::Lend {
-            let tokens = allowances.lend(ACCOUNT, tokens, for_borrower, now);
-            let (spent, undrawn) =
-                (allowances.known_spent(ACCOUNT), allowances.known_undrawn(ACCOUNT));
-            self.routers[index].allowances.apply_holder_totals(ACCOUNT, spent, undrawn);
-            self.transfer_tokens(lender, index, tokens);
-        }
-    }
-
-    /// Returns the lender that a router asks: mostly the first in its order, sometimes any router.
-    fn choose_lender(&mut self, index: usize) -> usize {
-        let lenders = self.routers[index].allowances.lenders(ACCOUNT);
-        let first = lenders.first().filter(|_| self.rng.random_bool(0.8));
-        let number = first.and_then(|it| it.trim_start_matches("router-").parse().ok());
-        number.unwrap_or_else(|| self.rng.random_range(0..ROUTERS))
-    }
-
-    /// Gives back tokens that a borrower does not need; they may be lost in transit.
-    fn return_surplus(&mut self, index: usize) {
-        let now = self.now();
-        for (_, tokens) in self.routers[index].allowances.take_surplus(now) {
-            let lender = self.choose_lender(index);
-            self.transfer_tokens(index, lender, tokens);
-        }
-    }
-
-    /// Adds tokens that were taken out of one router to another one, if that is running.
-    fn transfer_tokens(&mut self, from: usize, to: usize, tokens: u64) {
-        let process = self.routers[from].process;
-        *self.store.unspent.entry(process).or_default() -= tokens.cast_signed();
-        let is_up = self.routers[to].down_until.is_none();
-        if is_up && !self.rng.random_bool(self.faults.lost_loan) {
-            self.routers[to].allowances.credit(ACCOUNT, tokens);
-            let process = self.routers[to].process;
-            *self.store.unspent.entry(process).or_default() += tokens.cast_signed();
-        }
-    }
-
     /// Makes a router regard a random set of routers as the holders.
     fn choose_random_holders(&mut self, index: usize) {
         let names: Vec<_> = self.routers.iter().map(|it| it.name.clone()).collect();
