Expect reports of processes that a member row replaced

A router whose restart was learned from its row in the store, not from a message, hid its former process from the list of those that may have drawn tokens; the recovery of the store's era could then miss one of its draws. Found when reading; recent_processes_include_those_that_were_replaced failed on the code before for that process. Notices of draws go to routers in a random order, as other messages.

--- a/components/relay/src/peers/draws.rs
+++ b/components/relay/src/peers/draws.rs
@@ -3,6 +3,8 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use rand::seq::SliceRandom;
+
 use super::{DrawAckMessage, DrawNoticeMessage, PeerContent, gossip::encode};
 use crate::{allowance::DrawNotice, context::RelayContext};
 
@@ -29,9 +31,11 @@
 }
 
 async fn send_notice(cx: &RelayContext, notice: &DrawNotice, count: usize) {
-    let targets = cx.lock_roster().draw_witnesses(cx.now());
+    let mut targets = cx.lock_roster().draw_witnesses(cx.now()).live;
+    // A random order spreads the notices over the routers.
+    targets.shuffle(&mut *cx.lock_rng());
     let datagram = encode(PeerContent::DrawNotice(DrawNoticeMessage::new(notice)));
-    for target in targets.live.into_iter().take(count) {
+    for target in targets.into_iter().take(count) {
         cx.gossip.send(&datagram, target).await;
     }
 }
--- a/components/relay/src/peers/roster.rs
+++ b/components/relay/src/peers/roster.rs
@@ -93,11 +93,16 @@
 pub struct DrawWitnesses {
     /// Number of the known ones.
     pub known: usize,
-    /// Peer addresses of those that are alive, in a random order that differs between routers.
+    /// Peer addresses of those that are alive.
     pub live: Vec<SocketAddr>,
 }
 
 impl Entry {
+    /// Returns the process, and when it was last known to be alive or was listed.
+    fn process_and_time(&self) -> (RouterProcess, Timestamp) {
+        (process_of(&self.member), self.last_seen.unwrap_or(self.listed_at))
+    }
+
     fn is_live(&self, now: Timestamp) -> bool {
         self.last_seen.is_some_and(|at| now.since(at) <= LIVENESS_TIMEOUT)
     }
@@ -129,8 +134,7 @@
             }
         });
         if entry.member.process != member.process {
-            let former = process_of(&entry.member);
-            self.replaced.push((former, entry.last_seen.unwrap_or(entry.listed_at)));
+            self.replaced.push(entry.process_and_time());
         }
         if entry.is_unreachable {
             log::info!(router:% = member.name; "router reachable again");
@@ -199,7 +203,8 @@
                 is_unreachable: false,
                 keeps_draws: false,
             };
-            self.entries.insert(entry.member.name.clone(), entry);
+            let former = self.entries.insert(entry.member.name.clone(), entry);
+            self.replaced.extend(former.map(|it| it.process_and_time()));
         }
     }
 
@@ -229,22 +234,14 @@
     pub fn draw_witnesses(&self, now: Timestamp) -> DrawWitnesses {
         let keeping = self.entries.values().filter(|it| it.keeps_draws);
         let live = keeping.clone().filter(|it| it.is_live(now));
-        // The iteration order of a hash map is fixed for a set of names, so it is shuffled by the time.
-        let mut live: Vec<SocketAddr> = live.map(|it| it.member.peer_address).collect();
-        if !live.is_empty() {
-            let shift = usize::try_from(now.0 % 97).unwrap_or(0) % live.len();
-            live.rotate_left(shift);
-        }
+        let live = live.map(|it| it.member.peer_address).collect();
         DrawWitnesses { known: keeping.count(), live }
     }
 
     /// Returns the processes of other routers that were alive within `time`, or may have been: of those
     /// that are only listed, it is not known.
     pub fn recent_processes(&self, time: Duration, now: Timestamp) -> Vec<RouterProcess> {
-        let current = self
-            .entries
-            .values()
-            .map(|it| (process_of(&it.member), it.last_seen.unwrap_or(it.listed_at)));
+        let current = self.entries.values().map(Entry::process_and_time);
         let all = current.chain(self.replaced.iter().cloned());
         all.filter(|(_, at)| now.since(*at) <= time).map(|(it, _)| it).collect()
     }
--- a/components/relay/tests/roster.rs
+++ b/components/relay/tests/roster.rs
@@ -125,3 +125,22 @@
     assert_eq!(names(true), ["router-1", "router-2"]);
     assert_eq!(names(false), ["router-2"]);
 }
+
+/// Guards against a process that may have drawn tokens and is forgotten because its router has restarted.
+#[test]
+fn recent_processes_include_those_that_were_replaced() {
+    let mut roster = Roster::default();
+    let at = Timestamp::from_millis;
+    roster.record_status(member(1, true), at(1_000));
+    roster.record_status(Member { process: 11, ..member(1, true) }, at(4_000));
+    roster.record_status(member(2, true), at(5_000));
+    roster.add_listed(Member { process: 22, ..member(2, true) }, at(9_000));
+    let recent = |time: u64, now: u64| {
+        let recent = roster.recent_processes(Duration::from_millis(time), at(now));
+        let mut recent: Vec<String> = recent.iter().map(ToString::to_string).collect();
+        recent.sort();
+        recent.join(" ")
+    };
+    insta::assert_snapshot!(recent(12_000, 10_000), @"router-1/0000000000000001 router-1/000000000000000b router-2/0000000000000002 router-2/0000000000000016");
+    insta::assert_snapshot!(recent(5_500, 10_000), @"router-2/0000000000000002 router-2/0000000000000016");
+}
