--- a/programs/auburncrank-relay/tests/soak/main.rs
+++ b/programs/auburncrank-relay/tests/soak/main.rs
@@ -59,7 +59,12 @@
 ///   brittle endpoints fell over more often than allowed.
 /// - 334, 341: a router took a silent endpoint as dead, could not send the stream to another one, and
 ///   cut the answer off.
-const SILENT_AND_CUT_SEEDS: [u64; 5] = [313, 319, 326, 334, 341];
+/// - 2023: the other routers were killed or shutting down, and the check counted the refusals of one that
+///   was cut off.
+const SILENT_AND_CUT_SEEDS: [u64; 6] = [313, 319, 326, 334, 341, 2023];
+
+/// Seed in whose run 17 of 20 routers are cut off from all endpoints.
+const MOST_CUT_OFF_SEED: u64 = 2246;
 
 /// Seeds in whose runs the store comes back from an older copy. With routers that did not know its era,
 /// 506 and 520 spent more tokens than the account had.
@@ -99,6 +104,12 @@
     run_seeds(&SILENT_AND_CUT_SEEDS);
 }
 
+/// Guards against routers that do not find the few others through which they reach endpoints.
+#[test]
+fn guarantees_hold_while_most_routers_are_cut_off() {
+    run_seeds(&[MOST_CUT_OFF_SEED]);
+}
+
 /// Guards against tokens that are drawn a second time after the store has come back from an older copy.
 #[test]
 fn guarantees_hold_while_the_store_comes_back_from_older_copies() {
