--- a/components/relay/src/allowance/book/draws.rs
+++ b/components/relay/src/allowance/book/draws.rs
@@ -20,7 +20,7 @@
 pub(super) struct DrawBook {
     /// Highest totals of accounts' rows that this router has written with a draw or that others have told
     /// of, each with the time of the last one.
-    told: HashMap<Arc<str>, (AllowanceRow, Timestamp)>,
+    totals: HashMap<Arc<str>, (AllowanceRow, Timestamp)>,
     /// Processes that have ended after they told this one of their draws.
     concluded: BTreeSet<RouterProcess>,
     /// Draws that too few other routers know of; their tokens are not usable.
@@ -67,20 +67,20 @@
     }
 
     /// Keeps the totals of an account's row after a draw.
-    fn tell(&mut self, account: &Arc<str>, row: &AllowanceRow, now: Timestamp) {
+    fn record_totals(&mut self, account: &Arc<str>, row: &AllowanceRow, now: Timestamp) {
         let is_recent = |at: Timestamp| now.since(at) <= OLDER_COPY_MAX_AGE;
-        let known = self.told.get(account).filter(|(_, at)| is_recent(*at));
+        let known = self.totals.get(account).filter(|(_, at)| is_recent(*at));
         let highest = known.map_or_else(|| row.clone(), |(known, _)| known.highest(row));
-        self.told.insert(account.clone(), (highest, now));
+        self.totals.insert(account.clone(), (highest, now));
     }
 
     /// Removes and returns the totals after draws that may be missing in an older copy of the store.
-    pub(super) fn take_told(
+    pub(super) fn take_totals(
         &mut self,
         now: Timestamp,
     ) -> impl Iterator<Item = (Arc<str>, AllowanceRow)> + use<> {
-        let told = std::mem::take(&mut self.told).into_iter();
-        let recent = told.filter(move |(_, (_, at))| now.since(*at) <= OLDER_COPY_MAX_AGE);
+        let totals = std::mem::take(&mut self.totals).into_iter();
+        let recent = totals.filter(move |(_, (_, at))| now.since(*at) <= OLDER_COPY_MAX_AGE);
         recent.map(|(name, (row, _))| (name, row))
     }
 
@@ -101,7 +101,7 @@
         now: Timestamp,
     ) {
         if let Some(row) = row {
-            self.eras.draws.tell(account, row, now);
+            self.eras.draws.record_totals(account, row, now);
         }
         let known_to = BTreeSet::new();
         let account = account.clone();
@@ -146,7 +146,7 @@
         let draws = &self.eras.draws;
         let number = draws.unwitnessed.iter().map(|it| it.number).max()?;
         let accounts = draws.unwitnessed.iter().filter_map(|it| {
-            let (row, _) = draws.told.get(&it.account)?;
+            let (row, _) = draws.totals.get(&it.account)?;
             Some((it.account.clone(), row.clone()))
         });
         let (process, accounts) = (self.own_process(), accounts.collect());
@@ -157,9 +157,10 @@
     /// for it in a recovery.
     pub fn final_notice(&self) -> Option<DrawNotice> {
         let era = self.eras.number().filter(|_| self.eras.is_open())?;
-        let told = self.eras.draws.told.iter().map(|(name, (row, _))| (name.clone(), row.clone()));
+        let totals =
+            self.eras.draws.totals.iter().map(|(name, (row, _))| (name.clone(), row.clone()));
         let (process, number) = (self.own_process(), self.last_commit_id.number);
-        Some(DrawNotice { process, number, is_final: true, era, accounts: told.collect() })
+        Some(DrawNotice { process, number, is_final: true, era, accounts: totals.collect() })
     }
 
     /// Keeps what another router tells of its draws. Returns false if its rows are of another era than
@@ -169,7 +170,7 @@
             return false;
         }
         for (name, row) in &notice.accounts {
-            self.eras.draws.tell(name, row, now);
+            self.eras.draws.record_totals(name, row, now);
         }
         if notice.is_final {
             self.eras.draws.concluded.insert(notice.process.clone());
--- a/components/relay/src/allowance/book/eras.rs
+++ b/components/relay/src/allowance/book/eras.rs
@@ -86,11 +86,11 @@
         state.report.has_history |= read_at.is_some();
         state.report.expected.extend(recent.iter().cloned());
         state.report.concluded.extend(state.draws.concluded().cloned());
-        // Whatever is older is in the copy.
+        // Rows that were read earlier contain nothing that the copy lacks.
         let is_recent = read_at.is_some_and(|at| now.since(at) <= OLDER_COPY_MAX_AGE);
         let read = self.rows.iter().filter(|_| is_recent);
         let read = read.map(|(name, (row, _))| (name.clone(), row.clone()));
-        for (name, row) in read.chain(state.draws.take_told(now)) {
+        for (name, row) in read.chain(state.draws.take_totals(now)) {
             let known = state.report.accounts.entry(name).or_default();
             *known = known.highest(&row);
         }
