--- a/programs/auburncrank-relay/tests/soak/main.rs
+++ b/programs/auburncrank-relay/tests/soak/main.rs
@@ -32,7 +32,10 @@
 mod statements;
 mod world;
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
 
 use self::{
     builds::{EARLIER_BUILDS, EarlierProgram},
@@ -70,6 +73,9 @@
 /// 506 and 520 spent more tokens than the account had.
 const OLDER_COPY_SEEDS: [u64; 3] = [506, 513, 520];
 
+/// Held by the test that builds or runs routers.
+static TURN: Mutex<()> = Mutex::new(());
+
 /// Number of seeds that run at the same time.
 const PARALLEL_SEEDS: usize = 8;
 
@@ -122,7 +128,10 @@
     let chosen = seeds_from_environment();
     let mut runs = Vec::new();
     for build in &EARLIER_BUILDS {
-        let program = builds::earlier_program(build);
+        let program = {
+            let _turn = take_turn();
+            builds::earlier_program(build)
+        };
         let seeds = chosen.clone().unwrap_or(build.seeds.to_vec());
         runs.extend(seeds.into_iter().map(|seed| (seed, Some(program.clone()))));
     }
@@ -133,8 +142,15 @@
     run_all(&seeds.iter().map(|seed| (*seed, None)).collect::<Vec<_>>());
 }
 
+/// Waits until no other test of this program builds or runs routers: all of them at once are more processes
+/// than the seeds of one test.
+fn take_turn() -> MutexGuard<'static, ()> {
+    TURN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Runs seeds, each with routers of this build or of an earlier one that are replaced.
 fn run_all(runs: &[(u64, Option<EarlierProgram>)]) {
+    let _turn = take_turn();
     let mut failed = Vec::new();
     for runs in runs.chunks(PARALLEL_SEEDS) {
         // Its end closes the sockets of the stand-ins.
