Let ceilings on tokens grow with the age of their declaration

What callers saw: after a power loss of all routers requests were refused because the account's tokens were out of reach; each loss took 2.8 s of spending, and everything if the restart took over 3.2 s. Cause: a ceiling was one number for 3.2 s, however soon the process ended, and after that only witnesses helped, which had lost their memory, too. Change: a declaration states how the ceiling grows, which holds for six seconds whatever witnesses confirm; the next process takes the age of the row into account, learns from new processes that witnesses have ended, and starts from its predecessor's rate of spending.

--- a/components/relay/src/allowance/account/loans.rs
+++ b/components/relay/src/allowance/account/loans.rs
@@ -26,9 +26,11 @@
         now: Timestamp,
     ) -> bool {
         let free = self.held - self.reserved;
-        let is_capped = self.is_limit_confirmed && self.available(now) < wanted.min(free);
+        let is_capped = self.is_limit_confirmed
+            && self.available(now) < wanted.min(free)
+            && self.ceilings.can_witness_raise(now);
         if is_capped {
-            self.unmet_demand = self.unmet_demand.max(wanted.min(free));
+            self.record_unmet_demand(wanted.min(free), now);
         }
         is_capped
     }
@@ -71,7 +73,7 @@
         let would_help = free + self.undrawn(row) >= wanted;
         let needs_commit = available < wanted && would_help;
         if needs_commit {
-            self.unmet_demand = self.unmet_demand.max(wanted);
+            self.record_unmet_demand(wanted, now);
         }
         needs_commit
     }
--- a/components/relay/src/allowance/account/mod.rs
+++ b/components/relay/src/allowance/account/mod.rs
@@ -11,8 +11,8 @@
 pub use self::ledger::TokenLedger;
 pub(super) use self::planning::{Change, changed_row};
 use super::{
-    ceiling::Ceilings,
-    rows::{AllowanceRow, Holding},
+    ceiling::{Ceilings, Growth},
+    rows::AllowanceRow,
 };
 use crate::rate::Rate;
 
@@ -63,6 +63,8 @@
     /// Maximum number of tokens that a request or a loan needed and did not get since the last
     /// commit.
     unmet_demand: u64,
+    /// When a request or a loan last found enough tokens, but too many of them above the ceiling.
+    capped_at: Option<Timestamp>,
     /// Rate at which tokens are reserved or lent to borrowers, in tokens per second.
     rate: Rate,
     /// Whether the account's row was read since the limit was set or lowered, and not more than the
@@ -97,6 +99,7 @@
             ledger: TokenLedger::default(),
             largest_request: 0,
             unmet_demand: 0,
+            capped_at: None,
             taken_over_at: None,
             is_low: false,
             may_draw_directly: false,
@@ -154,7 +157,7 @@
         if tokens > self.available(now) {
             // A request above the limit can never be served, so no tokens are obtained for it.
             if tokens <= self.limit {
-                self.unmet_demand = self.unmet_demand.max(tokens);
+                self.record_unmet_demand(tokens, now);
                 self.largest_request = self.largest_request.max(tokens);
             }
             return false;
@@ -166,6 +169,14 @@
         true
     }
 
+    /// Records a request or a loan that did not get its tokens.
+    fn record_unmet_demand(&mut self, tokens: u64, now: Timestamp) {
+        self.unmet_demand = self.unmet_demand.max(tokens);
+        if tokens <= self.held - self.reserved {
+            self.capped_at = Some(now);
+        }
+    }
+
     /// Records a refused request for this many tokens; until `until`, requests that are no smaller
     /// are refused at once.
     pub(super) fn record_refusal(&mut self, tokens: u64, until: Timestamp) {
@@ -224,14 +235,14 @@
     pub(super) fn begin_commit(
         &mut self,
         change: &Change,
-        declared: Holding,
+        growth: Growth,
         number: u64,
-        valid_until: Timestamp,
+        known_at: Option<Timestamp>,
         has_witness: bool,
     ) {
         self.held -= change.give_back;
         self.returning += change.give_back;
-        self.ceilings.begin(number, declared.ceiling, valid_until, has_witness);
+        self.ceilings.begin(number, growth, known_at, has_witness);
     }
 
     /// Marks a declaration to the witnesses as confirmed.
--- a/components/relay/src/allowance/account/planning.rs
+++ b/components/relay/src/allowance/account/planning.rs
@@ -4,11 +4,10 @@
 
 use types::Timestamp;
 
-use super::{
-    AccountAllowance, BORROWER_SPARE_REQUESTS, MIN_CHANGE_DIVISOR, OWN_DEMAND_WINDOW, RATE_WINDOW,
-};
+use super::{AccountAllowance, BORROWER_SPARE_REQUESTS, MIN_CHANGE_DIVISOR, OWN_DEMAND_WINDOW};
 use crate::allowance::{
     book::Stage,
+    ceiling::Growth,
     holders::Role,
     rows::{AllowanceRow, Holding},
 };
@@ -28,30 +27,60 @@
 /// requests that wait for them.
 const UNDRAWN_RESERVE_DIVISOR: u64 = 50;
 
-/// Time of expected spending that the ceiling of a declaration covers; more is declared on demand.
-/// Tokens below the ceiling that were not spent are lost in a crash.
-const CEILING_WINDOW: Duration = Duration::from_millis(2_800);
+/// Time of expected spending that a ceiling covers at once; more is declared on demand. Tokens below
+/// the ceiling that were not spent are lost in a crash.
+const START_WINDOW: Duration = Duration::from_millis(1_000);
+
+/// The same if few tokens are undrawn: then a loss in a crash is worse than more declarations.
+const START_WINDOW_LOW: Duration = Duration::from_millis(600);
+
+/// Time of expected spending that a ceiling covers at once after tokens were short of it.
+const START_WINDOW_CAPPED: Duration = Duration::from_millis(2_000);
+
+/// The same if few tokens are undrawn.
+const START_WINDOW_LOW_CAPPED: Duration = Duration::from_millis(1_000);
+
+/// Time for which `START_WINDOW_CAPPED` applies.
+const CAPPED_TIME: Duration = Duration::from_secs(1);
 
-/// Time that the ceiling covers if few tokens are undrawn: then a loss in a crash is worse than a
-/// shortage at the start of an outage.
-const CEILING_WINDOW_LOW: Duration = Duration::from_millis(1_000);
+/// Factor by which a ceiling grows faster than tokens are expected to be spent.
+const GROWTH_FACTOR: f64 = 1.2;
 
-/// If the undrawn tokens are below this part of the prepaid tokens, given as a divisor, ceilings
-/// cover only `CEILING_WINDOW_LOW`, so that less is lost in a crash. In a complete power loss all
-/// routers lose tokens at the same time.
+/// The same from `UNWITNESSED_TIME` on, when witnesses have to confirm what is spent. Few processes
+/// start that late after a power loss of all routers.
+const LATER_GROWTH_FACTOR: f64 = 3.0;
+
+/// If the undrawn tokens are below this part of the prepaid tokens, given as a divisor, ceilings grow
+/// only from `UNWITNESSED_TIME` on: then a loss in a crash is worse than a shortage at the start of an
+/// outage. In a complete power loss all routers lose tokens at the same time.
 const CEILING_LOW_DIVISOR: u64 = 3;
 
+/// Time of expected spending that the ceiling of a declaration to witnesses covers. Declarations
+/// follow each other every 0.3 s, and on demand.
+const WITNESSED_WINDOW: Duration = Duration::from_millis(2_800);
+
 /// Time for which the last tokens of an account should last on their holder.
 const DRAW_HORIZON_LOW: Duration = Duration::from_secs(4);
 
-/// Minimum part of the held tokens, given as a divisor, that a ceiling allows in addition to the
-/// reserved ones, so that a router without recent requests can serve the first ones when the store
-/// becomes unavailable.
-const MIN_CEILING_DIVISOR: u64 = 16;
+/// Minimum part of the held tokens, given as a divisor, that a ceiling allows at once in addition to
+/// the reserved ones, so that a router without recent requests can serve the first ones when the
+/// store becomes unavailable.
+const MIN_START_DIVISOR: u64 = 16;
+
+/// The same part after tokens were short of the ceiling.
+const MIN_START_DIVISOR_CAPPED: u64 = 8;
+
+/// The same part for a process that has just taken over tokens.
+const MIN_START_DIVISOR_NEW: u64 = 3;
+
+/// Time after a takeover for which `MIN_START_DIVISOR_NEW` applies.
+const NEW_TIME: Duration = Duration::from_secs(1);
 
-/// The same part for a new process that has taken over tokens and does not know its rate of
-/// spending yet.
-const MIN_CEILING_DIVISOR_NEW: u64 = 3;
+/// Minimum part of the held tokens, given as a divisor, by which a ceiling grows in a second.
+const MIN_GROWTH_DIVISOR: u64 = 32;
+
+/// The same from `UNWITNESSED_TIME` on.
+const MIN_LATER_GROWTH_DIVISOR: u64 = 4;
 
 /// A change of an account's row that a router wants to commit.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -140,8 +169,8 @@
     }
 
     /// Returns what to declare with a change: the tokens held after it, including those taken over
-    /// from a previous process, and how many of them may be spent or lent while the ceiling is in
-    /// force.
+    /// from a previous process, and how many of them may be spent or lent by the age of the
+    /// declaration.
     pub(in crate::allowance) fn declare(
         &self,
         change: &Change,
@@ -151,17 +180,40 @@
     ) -> Holding {
         let held = self.held + change.draw - change.give_back + taken_over;
         if role == Role::Borrower {
-            return Holding { held, ceiling: held };
+            return Holding::with_growth(held, Growth::constant(held));
         }
-        let uses_low_window = undrawn < self.limit / CEILING_LOW_DIVISOR;
-        let window = if uses_low_window { CEILING_WINDOW_LOW } else { CEILING_WINDOW };
+        let is_low = undrawn < self.limit / CEILING_LOW_DIVISOR;
+        let is_capped = self.capped_at.is_some_and(|at| now.since(at) < CAPPED_TIME);
+        let is_new = self.taken_over_at.is_some_and(|at| now.since(at) < NEW_TIME);
+        let window = match (is_low, is_capped) {
+            (false, false) => START_WINDOW,
+            (false, true) => START_WINDOW_CAPPED,
+            (true, false) => START_WINDOW_LOW,
+            (true, true) => START_WINDOW_LOW_CAPPED,
+        };
+        let divisor = match (is_new || taken_over > 0, is_capped && !is_low) {
+            (true, _) => MIN_START_DIVISOR_NEW,
+            (false, true) => MIN_START_DIVISOR_CAPPED,
+            (false, false) => MIN_START_DIVISOR,
+        };
         let expected = self.rate.expected(window, now);
-        let is_new = self.taken_over_at.is_some_and(|at| now.since(at) < RATE_WINDOW);
-        let divisor =
-            if is_new || taken_over > 0 { MIN_CEILING_DIVISOR_NEW } else { MIN_CEILING_DIVISOR };
         let margin = expected.max(self.unmet_demand).max(held / divisor);
-        let ceiling = self.reserved + margin;
-        Holding { held, ceiling: ceiling.min(held) }
+        let growth_by = |factor: f64, min_divisor: u64| {
+            let expected = self.rate.expected(Duration::from_secs(1).mul_f64(factor), now);
+            expected.max(held / min_divisor)
+        };
+        let per_second = growth_by(GROWTH_FACTOR, MIN_GROWTH_DIVISOR);
+        let growth = Growth {
+            start: self.reserved + margin,
+            per_second: if is_low { 0 } else { per_second },
+            later_per_second: growth_by(LATER_GROWTH_FACTOR, MIN_LATER_GROWTH_DIVISOR),
+        };
+        Holding::with_growth(held, growth)
+    }
+
+    /// Starts from the rate at which the previous process spent tokens, as its declaration shows.
+    pub(in crate::allowance) fn continue_rate(&mut self, declared: &Holding, now: Timestamp) {
+        self.rate.continue_at(declared.later_per_second as f64 / LATER_GROWTH_FACTOR, now);
     }
 
     /// Returns whether a request waits for tokens that are held but may not be spent before the
@@ -170,18 +222,28 @@
         self.unmet_demand > self.available(now) && self.unmet_demand <= self.held - self.reserved
     }
 
-    /// Starts a declaration to the witnesses; returns how many tokens will neither be spent nor
-    /// lent before the next one.
+    /// Returns whether a request waits for tokens that are held and that a declaration to the witnesses
+    /// could free.
+    pub(in crate::allowance) fn needs_witness_declaration(&self, now: Timestamp) -> bool {
+        self.needs_declaration(now) && self.ceilings.can_witness_raise(now)
+    }
+
+    /// Starts a declaration to the witnesses; returns how many of the held tokens will neither be spent
+    /// nor lent before the next one.
     pub(in crate::allowance) fn declare_to_witness(
         &mut self,
-        number: u64,
+        (number, last_commit): (u64, u64),
         role: Role,
-        undrawn: u64,
         now: Timestamp,
     ) -> u64 {
-        let declared = self.declare(&Change::default(), 0, (role, undrawn), now);
-        self.ceilings.begin_witnessed(number, declared.ceiling);
-        declared.held - declared.ceiling + self.returning
+        let expected = self.rate.expected(WITNESSED_WINDOW, now);
+        let margin = expected.max(self.unmet_demand).max(self.held / MIN_START_DIVISOR);
+        let ceiling = match role {
+            Role::Borrower => self.held,
+            _ => (self.reserved + margin).min(self.held),
+        };
+        self.ceilings.begin_witnessed(number, last_commit, ceiling);
+        self.held - ceiling
     }
 }
 
--- a/components/relay/src/allowance/book/commits.rs
+++ b/components/relay/src/allowance/book/commits.rs
@@ -9,7 +9,7 @@
 use super::{CommitInputs, RouterAllowances};
 use crate::allowance::{
     account::{Change, changed_row},
-    ceiling::ceiling_valid_until,
+    ceiling::{CAP_TIME, UNWITNESSED_TIME, whole_millis},
     holders::Role,
     recovery::RecoveryRow,
     rows::{ACCOUNT_PREFIX, AllowanceRow, HoldingsRow},
@@ -135,10 +135,11 @@
         self.last_commit_id.number += 1;
         let number = self.last_commit_id.number;
         let known_at = inputs.store_time.map(|it| now - it.age);
-        let valid_until = known_at.map_or(Timestamp::ZERO, ceiling_valid_until);
         let mut holdings = HoldingsRow {
             mark: self.last_commit_id,
             known_store_ms: inputs.store_time.map(|it| it.millis),
+            unwitnessed_ms: Some(whole_millis(UNWITNESSED_TIME)),
+            cap_ms: Some(whole_millis(CAP_TIME)),
             era: self.eras.number(),
             witnesses: if self.role == Role::Borrower {
                 Vec::new()
@@ -157,7 +158,7 @@
                 taken_over.iter().find(|(it, _)| it == name).map_or(0, |(_, it)| *it);
             let declared = allowance.declare(&change, from_previous, (self.role, undrawn), now);
             let has_witness = !holdings.witnesses.is_empty();
-            allowance.begin_commit(&change, declared, number, valid_until, has_witness);
+            allowance.begin_commit(&change, declared.growth(), number, known_at, has_witness);
             if declared.held > 0 {
                 holdings.accounts.insert(name.clone(), declared);
             }
--- a/components/relay/src/allowance/book/requests.rs
+++ b/components/relay/src/allowance/book/requests.rs
@@ -90,7 +90,7 @@
     /// Returns whether a request of `account` waits for tokens that are held but may not be spent
     /// before the next declaration.
     pub fn needs_declaration(&self, account: &str, now: Timestamp) -> bool {
-        self.accounts.get(account).is_some_and(|it| it.needs_declaration(now))
+        self.accounts.get(account).is_some_and(|it| it.needs_witness_declaration(now))
     }
 
     /// Returns whether a declaration to the witnesses would allow more of `wanted` tokens to be
--- a/components/relay/src/allowance/book/witnesses.rs
+++ b/components/relay/src/allowance/book/witnesses.rs
@@ -55,20 +55,19 @@
             return None;
         }
         self.witness_number += 1;
-        let (number, role) = (self.witness_number, self.role);
+        let numbers = (self.witness_number, self.last_commit_id.number);
+        let role = self.role;
         let kept = self
             .accounts
             .iter_mut()
-            .map(|(name, it)| {
-                let known = self.rows.get(name).map(|(row, _)| row);
-                let undrawn = known.map_or(0, |row| it.undrawn(row));
-                (name.clone(), it.declare_to_witness(number, role, undrawn, now))
-            })
+            .map(|(name, it)| (name.clone(), it.declare_to_witness(numbers, role, now)))
             .filter(|(_, kept)| *kept > 0);
         let kept = kept.collect();
+        let returning = self.accounts.iter().map(|(name, it)| (name.clone(), it.returning()));
+        let returning = returning.filter(|(_, it)| *it > 0).collect();
         Some((
             witnesses,
-            WitnessDeclaration { number, last_commit: self.last_commit_id.number, kept },
+            WitnessDeclaration { number: numbers.0, last_commit: numbers.1, kept, returning },
         ))
     }
 
--- a/components/relay/src/allowance/mod.rs
+++ b/components/relay/src/allowance/mod.rs
@@ -6,9 +6,9 @@
 //! holders, draw tokens; the others borrow from them. When few tokens of an account are left, only
 //! one holder draws them, so that they are not split into parts that are too small for any request.
 //!
-//! Each router's own row declares the tokens that it holds and a ceiling: how many of them it may
-//! spend or lend before its next declaration. After a crash, the router's next process takes over
-//! the tokens above the ceiling. While the store is unavailable, the router sends its declarations
+//! Each router's own row declares the tokens that it holds and a ceiling that grows with time: how
+//! many of them it may spend or lend before its next declaration. After a crash, the router's next
+//! process takes over the tokens above the ceiling. While the store is unavailable, the router sends its declarations
 //! to other routers, its witnesses.
 //!
 //! If the store comes back from an older copy, no tokens are drawn until the routers have told what
@@ -25,7 +25,7 @@
 pub use self::{
     account::{AccountAllowance, TokenLedger},
     book::{CommitInputs, DrawNotice, LoanStep, Reservation, RouterAllowances, Shortage, Stage},
-    ceiling::CEILING_VALIDITY,
+    ceiling::{CAP_TIME, UNWITNESSED_TIME},
     holders::{HOLDERS_MAX, HolderCandidate, Role, choose_holders, sole_holder},
     recovery::{
         OLDER_COPY_MAX_AGE, RECOVERY_PREFIX, RecoveryDecision, RecoveryReport, RecoveryRow,
--- a/components/relay/src/allowance/rows.rs
+++ b/components/relay/src/allowance/rows.rs
@@ -1,6 +1,6 @@
 //! Rows of accounts and of routers in the store.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use platform::Key;
 use serde::{Deserialize, Serialize};
@@ -57,8 +57,19 @@
 pub struct Holding {
     /// Tokens that the router holds.
     pub held: u64,
-    /// How many of these may be spent or lent before the next declaration; at most `held`.
+    /// How many of these may be spent or lent before the next declaration. Builds that do not know
+    /// `start` rely on it for 3.2 s, and without time limit if no witness has confirmed more.
     pub ceiling: u64,
+    /// How many may be spent or lent at once; `None` in rows of builds whose ceilings do not grow.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub start: Option<u64>,
+    /// Tokens by which the ceiling grows from `start`, per second, up to the age of 3.2 s. The tokens
+    /// spent or lent never exceed `held`, even if the ceiling does.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub per_second: u64,
+    /// Tokens by which it grows per second from then on.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub later_per_second: u64,
 }
 
 /// The holdings row of a router: the tokens that it holds. Only the processes of this router write
@@ -67,9 +78,17 @@
 pub struct HoldingsRow {
     /// The commit that wrote the row.
     pub mark: CommitId,
-    /// Latest store time that the writer knew, in milliseconds; not later than the write. The
-    /// ceilings are in force for `CEILING_VALIDITY` from this time.
+    /// Latest store time that the writer knew, in milliseconds; not later than the write. The age of
+    /// the declaration is counted from this time.
     pub known_store_ms: Option<u64>,
+    /// Age of the declaration, in milliseconds, up to which the writer spends or lends tokens without
+    /// the confirmation of its witnesses. `None` in rows of builds whose ceilings do not grow.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub unwitnessed_ms: Option<u64>,
+    /// Age of the declaration, in milliseconds, up to which the writer keeps to the ceilings even if
+    /// witnesses have confirmed more. `None` in rows of builds whose ceilings do not grow.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cap_ms: Option<u64>,
     /// Era of the store in which the row was written. The row of another era is void: the tokens may have
     /// been spent or returned since.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -78,14 +97,19 @@
     pub witnesses: Vec<RouterProcess>,
     /// Number of witnesses that have to store a declaration before the writer relies on it. Zero in the
     /// rows of builds for which one is enough.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default, skip_serializing_if = "is_zero_u32")]
     pub confirmations: u32,
     /// Holdings by account.
     pub accounts: BTreeMap<Arc<str>, Holding>,
 }
 
 #[allow(clippy::trivially_copy_pass_by_ref, reason = "the signature is that of serde")]
-fn is_zero(number: &u32) -> bool {
+fn is_zero_u32(number: &u32) -> bool {
+    *number == 0
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "the signature is that of serde")]
+fn is_zero(number: &u64) -> bool {
     *number == 0
 }
 
@@ -109,15 +133,21 @@
     }
 
     /// Returns how many witnesses have to make a statement to the next process, so that at least one of
-    /// them has stored each declaration that the writer relied on.
+    /// them has stored each declaration that the writer relied on. More than there are if the writer
+    /// relied on none.
     pub fn statements_needed(&self) -> usize {
-        (self.witnesses.len() + 1).saturating_sub(self.confirmations_needed())
+        (self.witnesses.len() + 1).saturating_sub(self.confirmations_needed()).max(1)
     }
 
-    /// Returns the tokens that may be neither spent nor lent before the next declaration, by
+    /// Returns the tokens that are neither spent nor lent until the declaration has this age, by
     /// account.
+    pub fn kept_until(&self, age: Duration) -> Vec<(Arc<str>, u64)> {
+        self.accounts.iter().map(|(name, it)| (name.clone(), it.kept_until(age))).collect()
+    }
+
+    /// Returns the tokens that the writer may never spend or lend before the next declaration, by
+    /// account, if no witness confirms more.
     pub fn kept(&self) -> Vec<(Arc<str>, u64)> {
-        let kept = self.accounts.iter();
-        kept.map(|(name, it)| (name.clone(), it.held.saturating_sub(it.ceiling))).collect()
+        self.kept_until(self.unwitnessed_time())
     }
 }
--- a/components/relay/src/allowance/witness.rs
+++ b/components/relay/src/allowance/witness.rs
@@ -53,8 +53,20 @@
     /// commit supersedes the declaration.
     pub last_commit: u64,
     /// Tokens that the process will neither spend nor lend before its next declaration, by account;
-    /// zero for an account that is missing.
+    /// zero for an account that is missing. Does not include `returning`.
     pub kept: BTreeMap<Arc<str>, u64>,
+    /// Tokens that the commit `last_commit` returns to the accounts' rows. They are unspent, and still
+    /// the process's own if that commit does not take effect.
+    pub returning: BTreeMap<Arc<str>, u64>,
+}
+
+impl WitnessDeclaration {
+    /// Returns the tokens of an account that are unspent and belong to the process, if the last of its
+    /// commits that took effect has this number.
+    pub fn kept_after(&self, commit: u64, account: &str) -> u64 {
+        let returning = self.returning.get(account).filter(|_| commit < self.last_commit);
+        self.kept.get(account).copied().unwrap_or_default() + returning.copied().unwrap_or_default()
+    }
 }
 
 /// A witness's answer about a process that has ended.
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -107,16 +107,23 @@
     /// Whether the witness may have refused one for lack of room, in answers to queries.
     #[prost(bool, tag = "9")]
     pub is_forgotten: bool,
+    /// Unspent tokens that the commit `last_commit` returns to the accounts' rows, by account. Builds
+    /// that do not know them drop them.
+    #[prost(btree_map = "string, uint64", tag = "10")]
+    pub returning: BTreeMap<String, u64>,
 }
 
 impl DeclarationMessage {
     /// Creates a declaration.
     pub fn new(declarer: &RouterProcess, declaration: &WitnessDeclaration) -> DeclarationMessage {
-        let kept = declaration.kept.iter();
+        let named = |tokens: &BTreeMap<Arc<str>, u64>| {
+            tokens.iter().map(|(name, tokens)| (name.to_string(), *tokens)).collect()
+        };
         DeclarationMessage {
             number: declaration.number,
             last_commit: declaration.last_commit,
-            kept: kept.map(|(name, tokens)| (name.to_string(), *tokens)).collect(),
+            kept: named(&declaration.kept),
+            returning: named(&declaration.returning),
             is_found: true,
             ..DeclarationMessage::query(declarer)
         }
@@ -161,11 +168,14 @@
 
     /// Converts the message to a declaration.
     pub fn to_declaration(&self) -> WitnessDeclaration {
-        let kept = self.kept.iter();
+        let by_account = |tokens: &BTreeMap<String, u64>| {
+            tokens.iter().map(|(name, tokens)| (Arc::from(name.as_str()), *tokens)).collect()
+        };
         WitnessDeclaration {
             number: self.number,
             last_commit: self.last_commit,
-            kept: kept.map(|(name, tokens)| (Arc::from(name.as_str()), *tokens)).collect(),
+            kept: by_account(&self.kept),
+            returning: by_account(&self.returning),
         }
     }
 
--- a/components/relay/src/peers/witnessing.rs
+++ b/components/relay/src/peers/witnessing.rs
@@ -57,7 +57,8 @@
 ) {
     let declarer = message.declarer();
     if cx.lock_witness_records().store(declarer.clone(), message.to_declaration()) {
-        let ack = DeclarationMessage { kept: Default::default(), ..message };
+        let (kept, returning) = Default::default();
+        let ack = DeclarationMessage { kept, returning, ..message };
         let ack = ack.with_witness(&own_process(cx));
         cx.gossip.send(&encode(PeerContent::DeclarationAck(ack)), sender).await;
     } else {
--- a/components/relay/src/rate.rs
+++ b/components/relay/src/rate.rs
@@ -19,12 +19,14 @@
     at: Timestamp,
     /// When the first amount was added.
     first_at: Option<Timestamp>,
+    /// Whether the rate before the first amount was given.
+    is_continued: bool,
 }
 
 impl Rate {
     /// Creates a rate of zero that decays with `time_constant`.
     pub(crate) fn new(time_constant: Duration) -> Rate {
-        Rate { time_constant, value: 0.0, at: Timestamp::ZERO, first_at: None }
+        Rate { time_constant, value: 0.0, at: Timestamp::ZERO, first_at: None, is_continued: false }
     }
 
     /// Adds an amount that arrived at `now`.
@@ -34,9 +36,22 @@
         self.first_at.get_or_insert(now);
     }
 
+    /// Continues a rate that was observed elsewhere up to `now`, unless it is lower than this one.
+    pub(crate) fn continue_at(&mut self, per_second: f64, now: Timestamp) {
+        if per_second > self.get(now) {
+            self.value = per_second;
+            self.at = now;
+            self.first_at.get_or_insert(now);
+            self.is_continued = true;
+        }
+    }
+
     /// Returns the mean amount per second, corrected for the time before the first amount.
     pub(crate) fn get(&self, now: Timestamp) -> f64 {
         let Some(first_at) = self.first_at else { return 0.0 };
+        if self.is_continued {
+            return self.decayed(now);
+        }
         let observed = 1.0 - self.decay(now.since(first_at));
         self.decayed(now) / observed.max(OBSERVED_SHARE_MIN)
     }
--- a/components/relay/tests/allowance_faults/eras.rs
+++ b/components/relay/tests/allowance_faults/eras.rs
@@ -38,9 +38,9 @@
 
     /// Tells the other routers that a process has ended; the message may be lost.
     pub(crate) fn send_final_notice(&mut self, index: usize) {
-        let now = self.now();
         let Some(notice) = self.routers[index].allowances.final_notice() else { return };
         for other in 0..ROUTERS {
+            let now = self.now_of(other);
             if self.routers[other].down_until.is_none() && self.rng.random_bool(0.7) {
                 self.routers[other].allowances.apply_draw_notice(&notice, now);
             }
@@ -49,12 +49,12 @@
 
     /// Tells other routers of draws; the message or its confirmation may be lost.
     pub(crate) fn exchange_draw_notices(&mut self, index: usize) {
-        let now = self.now();
         let others: Vec<usize> = (0..ROUTERS)
             .filter(|&it| it != index && self.routers[it].down_until.is_none())
             .collect();
         if let Some(notice) = self.routers[index].allowances.draw_notice() {
             for &other in &others {
+                let now = self.now_of(other);
                 let is_known = self.rng.random_bool(0.7)
                     && self.routers[other].allowances.apply_draw_notice(&notice, now);
                 if is_known && self.rng.random_bool(0.7) {
--- a/components/relay/tests/allowance_faults/loans.rs
+++ b/components/relay/tests/allowance_faults/loans.rs
@@ -8,8 +8,8 @@
 impl World {
     /// Borrows tokens; the loan may be lost in transit.
     pub(crate) fn request_loan(&mut self, index: usize, tokens: u64) {
-        let now = self.now();
         let lender = self.choose_lender(index);
+        let now = self.now_of(lender);
         if lender == index || self.routers[lender].down_until.is_some() {
             return;
         }
@@ -36,7 +36,7 @@
 
     /// Gives back tokens that a borrower does not need; they may be lost in transit.
     pub(crate) fn return_surplus(&mut self, index: usize) {
-        let now = self.now();
+        let now = self.now_of(index);
         for (_, tokens) in self.routers[index].allowances.take_surplus(now) {
             let lender = self.choose_lender(index);
             self.transfer_tokens(index, lender, tokens);
--- a/components/relay/tests/allowance_faults/main.rs
+++ b/components/relay/tests/allowance_faults/main.rs
@@ -39,18 +39,26 @@
     limit_change: 0.0,
     old_copy: 0.0,
     no_call: 0.5,
+    clock_drift: false,
 };
 
+/// Returns the seeds of a test: `count` of them, or as many as the environment variable `SEEDS` says.
+fn seeds(count: u64) -> std::ops::Range<u64> {
+    let wanted = std::env::var("SEEDS").ok().and_then(|it| it.parse().ok());
+    0..wanted.unwrap_or(count)
+}
+
 #[test]
 fn tokens_are_never_spent_twice_under_faults() {
     let mut taken_over = 0;
-    for seed in 0..60 {
+    for seed in seeds(60) {
         let faults = Faults {
             outages: seed % 2 == 0,
             crash: 0.004,
             lost_answer: 0.2,
             power_loss: 0.002,
             lost_loan: 0.1,
+            clock_drift: seed % 4 < 2,
             differing_holders: if seed % 3 == 0 { 0.0 } else { 0.02 },
             ..NO_FAULTS
         };
@@ -66,8 +74,14 @@
 #[test]
 fn tokens_returned_by_a_late_commit_are_not_taken_over() {
     let mut taken_over = 0;
-    for seed in 0..60 {
-        let faults = Faults { lost_answer: 0.8, shutdown: 0.01, no_call: 0.4, ..NO_FAULTS };
+    for seed in seeds(60) {
+        let faults = Faults {
+            lost_answer: 0.8,
+            shutdown: 0.01,
+            no_call: 0.4,
+            clock_drift: seed % 2 == 0,
+            ..NO_FAULTS
+        };
         let mut world = World::new(seed, faults);
         world.run();
         taken_over += world.store.taken_over;
@@ -79,7 +93,7 @@
 /// in which some draws and ceilings are missing.
 #[test]
 fn tokens_are_not_drawn_twice_after_the_store_returned_to_an_older_copy() {
-    for seed in 0..80 {
+    for seed in seeds(80) {
         let faults = Faults {
             outages: seed % 4 == 0,
             crash: if seed % 2 == 0 { 0.002 } else { 0.0 },
@@ -89,6 +103,7 @@
             shutdown: if seed % 3 == 0 { 0.002 } else { 0.0 },
             old_copy: 0.004,
             no_call: 0.2,
+            clock_drift: seed % 2 == 0,
             ..NO_FAULTS
         };
         World::new(seed, faults).run();
@@ -127,6 +142,34 @@
     }
 }
 
+/// Guards against accounts without tokens after a power loss of all routers: each one lost all that its
+/// ceiling allowed for 2.8 s, and everything that it held if the restart took long.
+#[test]
+fn power_loss_of_all_routers_loses_what_could_be_spent_until_the_restart() {
+    for down in [12, 30, 60] {
+        let (mut lost, mut spent_per_s) = (0, 0);
+        for seed in 0..30 {
+            let mut world = World::new(seed, NO_FAULTS);
+            world.run_until(200);
+            spent_per_s += world.spent / 10;
+            let before = world.lost();
+            (0..ROUTERS).for_each(|index| world.crash_for(index, down));
+            world.run_until(200 + down + 100);
+            lost += world.lost() - before;
+        }
+        let lost = Duration::from_millis(lost * 1_000 / spent_per_s);
+        // A declaration is up to 0.6 s old when a process ends and its successor reads it, and allows at
+        // most 2 s of spending at once, 1.2 s for each second up to 3.2 s and a quarter of 11 s for each
+        // further one, and what running requests reserve.
+        let age = STEP * u32::try_from(down).unwrap() + Duration::from_millis(600);
+        let late = age.saturating_sub(Duration::from_millis(3_200));
+        let growth = (age - late).mul_f64(1.2) + late.mul_f64(2.75);
+        let allowed = Duration::from_millis(2_000 + 400) + growth;
+        println!("down for {down} steps: {lost:?} of spending lost, {allowed:?} allowed");
+        assert!(lost <= allowed, "down for {down} steps: {lost:?} of spending lost");
+    }
+}
+
 #[test]
 fn run_without_faults_spends_nearly_all_tokens() {
     for seed in 0..5 {
--- a/components/relay/tests/allowance_faults/world.rs
+++ b/components/relay/tests/allowance_faults/world.rs
@@ -1,11 +1,12 @@
 //! A simulation of routers that share a store, with faults.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use platform::{CommitOutcome, PlatformError, StoreTime};
 use rand::Rng as _;
 use relay::allowance::{
-    CommitInputs, HOLDINGS_PREFIX, RECOVERY_PREFIX, RouterProcess, Stage, WitnessDeclaration,
+    ACCOUNT_PREFIX, AllowanceRow, CommitInputs, HOLDINGS_PREFIX, RECOVERY_PREFIX, RouterProcess,
+    Stage, WitnessDeclaration,
 };
 use types::Timestamp;
 use utils::{Rng, seeded_rng};
@@ -16,6 +17,14 @@
     store::{SentCommit, Store},
 };
 
+/// Speed of each router's clock compared with that of the store, if they differ.
+const CLOCK_SPEEDS: [f64; ROUTERS] = [1.0, 0.92, 1.08, 1.03];
+
+/// Returns the duration of a number of steps.
+fn elapsed(steps: u64) -> Duration {
+    STEP * u32::try_from(steps).expect("the number of steps is small")
+}
+
 /// Faults of a simulation.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Faults {
@@ -41,6 +50,8 @@
     /// Probability that a router makes no call to the store in a step, so that other commits take
     /// effect between its calls.
     pub(crate) no_call: f64,
+    /// Whether the routers' clocks differ in speed.
+    pub(crate) clock_drift: bool,
 }
 
 /// A simulation: the routers, the store, and the tokens actually spent.
@@ -80,12 +91,27 @@
         }
     }
 
-    pub(crate) fn now(&self) -> Timestamp {
-        Timestamp::ZERO + STEP * u32::try_from(self.step).expect("the number of steps is small")
+    /// Returns the time on the clock of a router.
+    pub(crate) fn now_of(&self, index: usize) -> Timestamp {
+        Timestamp::ZERO + elapsed(self.step).mul_f64(self.clock_speed(index))
+    }
+
+    fn clock_speed(&self, index: usize) -> f64 {
+        if self.faults.clock_drift { CLOCK_SPEEDS[index] } else { 1.0 }
     }
 
     pub(crate) fn store_millis(&self) -> u64 {
-        self.now().as_millis() + 77_000
+        elapsed(self.step).as_millis() as u64 + 77_000
+    }
+
+    /// Returns the tokens that are neither spent nor drawn from the account's row nor held: nobody can
+    /// spend them any more.
+    pub(crate) fn lost(&self) -> u64 {
+        let rows = self.store.rows_of(ACCOUNT_PREFIX);
+        let drawn = rows.first().map_or(0, |it| it.decode::<AllowanceRow>().unwrap().drawn);
+        let held: u64 = self.routers.iter().map(Router::held).sum();
+        let used: u64 = self.routers.iter().flat_map(|it| &it.running).map(|(_, used)| used).sum();
+        drawn - self.spent - (held - used)
     }
 
     pub(crate) fn is_store_unavailable(&self) -> bool {
@@ -198,6 +224,10 @@
 
     pub(crate) fn crash(&mut self, index: usize) {
         let down = self.rng.random_range(5..90);
+        self.crash_for(index, down);
+    }
+
+    pub(crate) fn crash_for(&mut self, index: usize, down: u64) {
         self.routers[index].down_until = Some(self.step + down);
         self.routers[index].running.clear();
     }
@@ -205,7 +235,7 @@
     /// Begins to shut a router down, or ends its process once it has returned its tokens or its time
     /// is over. It starts again soon after.
     fn shut_down_sometimes(&mut self, index: usize) {
-        let (step, now) = (self.step, self.now());
+        let (step, now) = (self.step, self.now_of(index));
         let begins = self.happens(self.faults.shutdown);
         let router = &mut self.routers[index];
         match router.ends_at {
@@ -232,7 +262,7 @@
 
     /// Starts requests, lets running ones use tokens, and ends some.
     pub(crate) fn serve_requests(&mut self, index: usize) {
-        let now = self.now();
+        let now = self.now_of(index);
         let router = &mut self.routers[index];
         let process = router.process;
         if self.rng.random_bool(0.5) {
@@ -263,8 +293,9 @@
         if self.is_store_unavailable() || self.rng.random_bool(self.faults.no_call) {
             return;
         }
-        let (now, millis, step) = (self.now(), self.store_millis(), self.step);
+        let (now, millis, step) = (self.now_of(index), self.store_millis(), self.step);
         let (era, recent) = (self.store_era(), self.recent_processes(index));
+        let speed = self.clock_speed(index);
         let router = &mut self.routers[index];
         router.store_time = Some((millis, step));
         match std::mem::take(&mut router.sync) {
@@ -292,7 +323,7 @@
             stage: router.stage,
             store_time: router
                 .store_time
-                .map(|(millis, at)| StoreTime { millis, age: STEP * (step - at) as u32 }),
+                .map(|(millis, at)| StoreTime { millis, age: elapsed(step - at).mul_f64(speed) }),
             now,
         };
         if router.stage == Stage::Ended {
@@ -337,7 +368,7 @@
     }
 
     pub(crate) fn exchange_with_witnesses(&mut self, index: usize) {
-        let now = self.now();
+        let now = self.now_of(index);
         let live = |it: &Router| it.down_until.is_none();
         let live_peers: Vec<RouterProcess> = (0..ROUTERS)
             .filter(|&other| other != index && live(&self.routers[other]))
--- a/components/relay/tests/earlier_builds.rs
+++ b/components/relay/tests/earlier_builds.rs
@@ -7,7 +7,7 @@
 
 use prost::Message;
 use relay::{
-    allowance::{AllowanceRow, HoldingsRow, RouterProcess, WitnessDeclaration},
+    allowance::{AllowanceRow, Holding, HoldingsRow, RouterProcess, WitnessDeclaration},
     peers::{
         AdmissionEndMessage, AdmissionReplyMessage, AdmissionRequestMessage, BrittleMessage,
         DeclarationMessage, EvidenceMessage, LivenessMessage, LoadMessage, LoanMessage,
@@ -78,7 +78,8 @@
 fn declaration() -> DeclarationMessage {
     let declarer = RouterProcess { router: "r-1".into(), process: 7 };
     let kept = BTreeMap::from([("school".into(), 500)]);
-    let declaration = WitnessDeclaration { number: 2, last_commit: 3, kept };
+    let declaration =
+        WitnessDeclaration { number: 2, last_commit: 3, kept, ..WitnessDeclaration::default() };
     let message = DeclarationMessage::new(&declarer, &declaration);
     let message = message.with_witness(&RouterProcess { router: "r-2".into(), process: 8 });
     DeclarationMessage { is_forgotten: true, ..message }
@@ -181,8 +182,18 @@
 #[test]
 fn earlier_builds_read_the_rows_of_this_one() {
     let witnesses = vec![RouterProcess { router: "r-2".into(), process: 8 }];
-    let row = HoldingsRow { witnesses, ..HoldingsRow::default() };
+    let holding =
+        Holding { held: 50, ceiling: 10, start: Some(4), per_second: 2, later_per_second: 6 };
+    let row = HoldingsRow {
+        witnesses,
+        unwitnessed_ms: Some(3_200),
+        cap_ms: Some(6_000),
+        accounts: [("school".into(), holding)].into_iter().collect(),
+        ..HoldingsRow::default()
+    };
     let text = serde_json::to_string(&row).unwrap();
     let read: EarlierHoldingsRow = serde_json::from_str(&text).unwrap();
     assert_eq!(read.witnesses, row.witnesses);
+    assert_eq!(read.accounts["school"]["ceiling"], 10);
+    insta::assert_snapshot!(text);
 }
