Name versions in the store before streams begin at them

What callers saw: nothing yet; the users reported streams joined from two software versions after the loss of all routers of a system like this one. Cause: the versions of a service were stored only while it had several. If all routers ended and the endpoints were replaced meanwhile, the next ones saw a single version and let streams of the earlier one go on there. Change: a stream that its caller can take up begins only at a version that the row of its service names; the first router in rank writes it.

--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -91,6 +91,10 @@
     pub(crate) origin_answered: Notify,
     /// Whether the stored history of versions has been read.
     pub(crate) has_version_history: AtomicBool,
+    /// Whether the rows that name versions have been read.
+    pub(crate) has_named_versions: AtomicBool,
+    /// Notified when an endpoint may have a version that the store does not name.
+    pub(crate) version_names_wanted: Notify,
     /// Notified when a verdict has to be stored or removed.
     pub(crate) verdicts_changed: Notify,
     /// Whether the router is shutting down.
@@ -156,6 +160,8 @@
             capacity_freed: Notify::new(),
             origin_answered: Notify::new(),
             has_version_history: AtomicBool::new(false),
+            has_named_versions: AtomicBool::new(false),
+            version_names_wanted: Notify::new(),
             verdicts_changed: Notify::new(),
             is_leaving: AtomicBool::new(false),
             running: AtomicUsize::new(0),
--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -1,6 +1,6 @@
 //! Registry of the endpoints that this router knows.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use types::Timestamp;
 use utils::{HashMap, HashSet};
@@ -53,6 +53,8 @@
     pub(super) list_read_at: Option<Timestamp>,
     /// Versions whose endpoints are gone.
     pub(super) gone_versions: GoneVersions,
+    /// Versions that the store names, by service. Streams that callers may take up begin only there.
+    pub(super) named_versions: HashMap<Arc<str>, BTreeSet<Arc<str>>>,
     /// When an endpoint of a service last stated that it is brittle, keyed by service.
     pub(super) brittle_services: HashMap<Arc<str>, Timestamp>,
     /// Routers that share what endpoints state that they accept, sorted.
--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -128,6 +128,13 @@
         if serving.is_empty() {
             return Choice::NoVersion;
         }
+        let can_begin = |it: &&Endpoint| {
+            !request.begins_stream || self.is_named(request.service, &it.entry.version)
+        };
+        let serving: Vec<&Endpoint> = serving.into_iter().filter(can_begin).collect();
+        if serving.is_empty() {
+            return Choice::Unnamed;
+        }
         let ids = ids_for_caching(&serving);
         let long_ids = self
             .splits
--- a/components/relay/src/endpoints/placement.rs
+++ b/components/relay/src/endpoints/placement.rs
@@ -26,6 +26,8 @@
     pub failure_domain: &'a str,
     /// Number of routers in the fleet that are or may be alive, including this one.
     pub routers: usize,
+    /// Whether the request may begin a stream that its caller can take up elsewhere.
+    pub begins_stream: bool,
     /// Version of the endpoints' software at which the request must run, if it goes on with a stream.
     pub version: Option<&'a Arc<str>>,
     /// What the request contains that may crash endpoints; `None` if nothing is known against it.
@@ -105,6 +107,8 @@
     Unreached,
     /// No endpoint of the version that the request needs accepts requests.
     NoVersion,
+    /// The request begins a stream, and the store does not name the versions of the endpoints yet.
+    Unnamed,
 }
 
 /// When a request that was held back by what endpoints state can be placed.
--- a/components/relay/src/endpoints/versions.rs
+++ b/components/relay/src/endpoints/versions.rs
@@ -1,6 +1,10 @@
 //! Versions of the software that a service's endpoints have, or have had recently.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use types::Timestamp;
 use utils::HashMap;
@@ -68,6 +72,35 @@
         versions.filter(|it| it.1.len() > 1).collect()
     }
 
+    /// Returns the versions that endpoints have now, by service.
+    pub fn present_versions(&self) -> Vec<(Arc<str>, Vec<Arc<str>>)> {
+        let mut present: BTreeMap<&Arc<str>, BTreeSet<&Arc<str>>> = BTreeMap::new();
+        for it in self.endpoints.values() {
+            present.entry(&it.entry.service).or_default().insert(&it.entry.version);
+        }
+        let cloned = |it: BTreeSet<&Arc<str>>| it.into_iter().cloned().collect();
+        present.into_iter().map(|(name, it)| (name.clone(), cloned(it))).collect()
+    }
+
+    /// Sets the versions that the store names for a service.
+    pub fn set_named_versions<'a>(
+        &mut self,
+        service: &Arc<str>,
+        versions: impl Iterator<Item = &'a Arc<str>>,
+    ) {
+        self.named_versions.insert(service.clone(), versions.cloned().collect());
+    }
+
+    /// Returns whether the store names a version of a service.
+    pub fn is_named(&self, service: &str, version: &str) -> bool {
+        self.named_versions.get(service).is_some_and(|it| it.contains(version))
+    }
+
+    /// Returns whether an endpoint has a version that the store does not name.
+    pub fn has_unnamed_versions(&self) -> bool {
+        self.endpoints.values().any(|it| !self.is_named(&it.entry.service, &it.entry.version))
+    }
+
     /// Adds versions that a service had `age` ago, from the history that another router stored.
     pub fn add_stored_versions(
         &mut self,
--- a/components/relay/src/origins/mod.rs
+++ b/components/relay/src/origins/mod.rs
@@ -2,11 +2,13 @@
 //! only go on at that version, also if its caller takes it up at another router.
 
 mod decision;
+mod named_versions;
 mod origin_book;
 mod queries;
 
 pub use self::{
     decision::{TakeUp, VersionView, decide_take_up},
+    named_versions::{NamedVersionsRow, REFRESH_INTERVAL},
     origin_book::{Origin, OriginBook, OriginRecord, StreamKey},
     queries::{OriginAnswer, OriginQueries, QueryResult},
 };
--- a/components/relay/src/peers/origins.rs
+++ b/components/relay/src/peers/origins.rs
@@ -111,7 +111,8 @@
 
 /// Returns what this router knows about the versions of a service.
 pub(crate) fn own_view(cx: &RelayContext, service: &str) -> VersionView {
-    let has_history = cx.has_version_history.load(Ordering::Relaxed);
+    let has_history = cx.has_version_history.load(Ordering::Relaxed)
+        && cx.has_named_versions.load(Ordering::Relaxed);
     cx.lock_endpoints().version_view(service, has_history, cx.now())
 }
 
--- a/components/relay/src/serve/continuation.rs
+++ b/components/relay/src/serve/continuation.rs
@@ -75,11 +75,16 @@
     request.origin.as_ref().filter(|_| goes_on).map(|it| &it.version)
 }
 
+/// Returns whether the request may begin a stream that its caller can take up elsewhere.
+pub(super) fn begins_stream(request: &ActiveRequest) -> bool {
+    let is_resumable = request.route.retry_policy == RetryPolicy::ResumableStream;
+    is_resumable && request.events == 0 && request.head.last_event.is_none()
+}
+
 /// Records at which version the stream begins if the next attempt brings its first event. Other
 /// routers know it before the caller gets that event.
 pub(super) async fn record_origin(request: &mut ActiveRequest, placement: &Placement) {
-    let is_resumable = request.route.retry_policy == RetryPolicy::ResumableStream;
-    if !is_resumable || request.events > 0 || request.head.last_event.is_some() {
+    if !begins_stream(request) {
         return;
     }
     let (service, version) = (request.service.clone(), placement.version.clone());
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -8,7 +8,7 @@
 use utils::jitter;
 
 use super::{
-    continuation::{no_version_error, record_origin, required_version},
+    continuation::{begins_stream, no_version_error, record_origin, required_version},
     exchange::{
         self, AttemptFailure, EndpointResponse, FailedAttempt, OutgoingRequest, PlacementGuard,
     },
@@ -72,6 +72,7 @@
     let wait_until = request.cx.now() + request.route.latency_target / PLACEMENT_WAIT_DIVISOR;
     loop {
         let mut wake_at = wait_until;
+        let mut is_unnamed = false;
         match choose_endpoint(request, None) {
             Choice::Placed(placement) => {
                 let guard = PlacementGuard::new(request.cx.clone(), placement);
@@ -94,6 +95,7 @@
             }
             Choice::NoVersion => return Err(no_version_error(request)),
             Choice::Full => {}
+            Choice::Unnamed => is_unnamed = true,
             Choice::Limited(limited) => {
                 let is_in_time = limited.next_at.is_some_and(|it| it <= wait_until);
                 if !is_in_time && !limited.is_any_full {
@@ -105,6 +107,10 @@
         let freed = request.cx.capacity_freed.notified();
         let waited = tokio::time::timeout_at(request.cx.instant(wake_at), freed).await;
         if waited.is_err() && request.cx.now() >= wait_until {
+            if is_unnamed {
+                let message = "the versions of the endpoints are not named in the store yet";
+                return Err(retryable_error(request, ErrorKind::NoEndpoint, message, RETRY_DELAY));
+            }
             let message = "all endpoints of the service are at capacity";
             return Err(retryable_error(request, ErrorKind::Overloaded, message, RETRY_DELAY));
         }
@@ -152,6 +158,7 @@
         failed_endpoints: &failed_endpoints,
         failure_domain: &request.cx.settings.failure_domain,
         routers,
+        begins_stream: begins_stream(request),
         version: required_version(request),
         is_stream: request.route.retry_policy.is_stream(),
         suspect: suspect_of(request),
--- a/components/relay/src/serve/replacement.rs
+++ b/components/relay/src/serve/replacement.rs
@@ -157,7 +157,11 @@
     let placement = match choose_endpoint(request, silent) {
         Choice::Placed(placement) => placement,
         Choice::NoVersion => return Err(Denial::Version),
-        Choice::Full | Choice::Limited(_) | Choice::NoEndpoint | Choice::Unreached => {
+        Choice::Full
+        | Choice::Limited(_)
+        | Choice::NoEndpoint
+        | Choice::Unnamed
+        | Choice::Unreached => {
             return Err(Denial::Capacity);
         }
     };
--- a/components/relay/src/sync/endpoint_watch.rs
+++ b/components/relay/src/sync/endpoint_watch.rs
@@ -26,6 +26,9 @@
         let delay = match result {
             Ok(next) => {
                 cursor = next;
+                if cx.lock_endpoints().has_unnamed_versions() {
+                    cx.version_names_wanted.notify_one();
+                }
                 backoff.record_success();
                 if next.is_some() { READ_INTERVAL } else { Duration::ZERO }
             }
--- a/components/relay/src/sync/mod.rs
+++ b/components/relay/src/sync/mod.rs
@@ -5,6 +5,7 @@
 mod config_watch;
 mod endpoint_watch;
 mod member_rows;
+mod named_versions;
 mod verdict_rows;
 mod version_rows;
 
@@ -13,6 +14,7 @@
     config_watch::watch_config,
     endpoint_watch::watch_endpoints,
     member_rows::{remove_member_row, run_member_rows},
+    named_versions::run_named_versions,
     verdict_rows::run_verdict_rows,
     version_rows::run_version_rows,
 };
--- a/components/relay/tests/brittle_endpoints/router.rs
+++ b/components/relay/tests/brittle_endpoints/router.rs
@@ -87,6 +87,7 @@
             failed_endpoints: &[],
             failure_domain: "zlin",
             routers: self.roster.count(),
+            begins_stream: false,
             version: None,
             is_stream: false,
             suspect: None,
--- a/components/relay/tests/endpoint_beliefs.rs
+++ b/components/relay/tests/endpoint_beliefs.rs
@@ -46,6 +46,7 @@
         failed_endpoints: &[],
         failure_domain: "zlin",
         routers: 1,
+        begins_stream: false,
         version: None,
         is_stream: false,
         suspect: None,
--- a/components/relay/tests/load_patterns.rs
+++ b/components/relay/tests/load_patterns.rs
@@ -98,6 +98,7 @@
             failed_endpoints: &[],
             failure_domain: "zlin",
             routers: 1,
+            begins_stream: false,
             version: None,
             is_stream: false,
             suspect: None,
--- a/components/relay/tests/origins.rs
+++ b/components/relay/tests/origins.rs
@@ -8,8 +8,8 @@
     endpoints::{Choice, EndpointChange, EndpointRegistry, PlacementRequest},
     model::{EndpointEntry, EndpointPhase},
     origins::{
-        Origin, OriginAnswer, OriginBook, OriginQueries, OriginRecord, QueryResult, StreamKey,
-        TakeUp, VersionView, decide_take_up,
+        NamedVersionsRow, Origin, OriginAnswer, OriginBook, OriginQueries, OriginRecord,
+        QueryResult, StreamKey, TakeUp, VersionView, decide_take_up,
     },
     peers::{Member, holders_of},
 };
@@ -166,6 +166,7 @@
             failed_endpoints: &[],
             failure_domain: "zlin",
             routers: 3,
+            begins_stream: false,
             version: version.as_ref(),
             is_stream: true,
             suspect: None,
@@ -199,6 +200,7 @@
             failed_endpoints: &[],
             failure_domain: "zlin",
             routers: 3,
+            begins_stream: false,
             version: Some(&version),
             is_stream: true,
             suspect: None,
@@ -231,3 +233,62 @@
     assert!(queries.is_final(1));
     assert_eq!(queries.close(1).origin, Some(origin("v2")));
 }
+
+/// Guards against streams at versions that routers which start later would not know of.
+#[test]
+fn streams_begin_only_at_versions_that_the_store_names() {
+    let mut endpoints = EndpointRegistry::default();
+    let now = Timestamp::ZERO;
+    for (id, version) in [("i-1", "v1"), ("i-2", "v1"), ("i-3", "v2"), ("i-4", "v2")] {
+        let entry = entry(id, version, 1);
+        endpoints.apply_change(EndpointChange::Written(entry), now);
+    }
+    let place = |endpoints: &mut EndpointRegistry, begins_stream: bool, seed: u64| {
+        let request = PlacementRequest {
+            service: &"svc".into(),
+            spec: None,
+            tokens: None,
+            parts: &[],
+            is_stream: true,
+            failed_endpoints: &[],
+            failure_domain: "zlin",
+            routers: 1,
+            begins_stream,
+            version: None,
+            suspect: None,
+            fill_share: 1.0,
+        };
+        endpoints.place(&request, now, &mut seeded_rng(seed))
+    };
+    assert!(endpoints.has_unnamed_versions());
+    assert_eq!(place(&mut endpoints, true, 0), Choice::Unnamed);
+    assert!(matches!(place(&mut endpoints, false, 0), Choice::Placed(_)));
+    endpoints.set_named_versions(&"svc".into(), [Arc::from("v1")].iter());
+    for seed in 0..20 {
+        let Choice::Placed(placement) = place(&mut endpoints, true, seed) else { panic!() };
+        assert_eq!(*placement.version, *"v1");
+    }
+    assert!(endpoints.has_unnamed_versions());
+    endpoints.set_named_versions(&"svc".into(), [Arc::from("v1"), Arc::from("v2")].iter());
+    assert!(!endpoints.has_unnamed_versions());
+}
+
+/// Guards against a version that is forgotten while callers may still come back with its streams, and
+/// against streams that are refused long after their service has a single version again.
+#[test]
+fn row_names_a_version_for_as_long_as_callers_may_come_back() {
+    let versions = |row: &NamedVersionsRow, now_ms: u64| row.in_memory(now_ms);
+    let (v1, v2): (Arc<str>, Arc<str>) = ("v1".into(), "v2".into());
+    let first = NamedVersionsRow::default().updated(std::slice::from_ref(&v1), 1_000);
+    // A single version is not written again, and may have been in use until now.
+    assert_eq!(versions(&first, 900_000), ["v1".into()]);
+    let both = first.updated(std::slice::from_ref(&v2), 900_000);
+    assert!(both.names(&[v1.clone(), v2.clone()]));
+    assert_eq!(versions(&both, 960_000), [v1.clone(), v2.clone()]);
+    let refreshed = both.updated(std::slice::from_ref(&v2), 960_000);
+    assert_eq!(versions(&refreshed, 965_000), [v1.clone(), v2.clone()]);
+    assert_eq!(versions(&refreshed, 975_000), ["v2".into()]);
+    let alone = refreshed.updated(std::slice::from_ref(&v2), 975_000);
+    assert!(!alone.names(&[v1]));
+    assert_eq!(versions(&alone, 2_000_000), [v2]);
+}
--- a/components/relay/tests/rate_limits/main.rs
+++ b/components/relay/tests/rate_limits/main.rs
@@ -177,6 +177,7 @@
             failed_endpoints: &[],
             failure_domain: "zlin",
             routers: 1,
+            begins_stream: false,
             version: None,
             is_stream: false,
             suspect: None,
--- a/components/relay/tests/rate_limits/router.rs
+++ b/components/relay/tests/rate_limits/router.rs
@@ -75,6 +75,7 @@
         failed_endpoints: &[],
         failure_domain: "zlin",
         routers: 1,
+        begins_stream: false,
         version: None,
         is_stream: false,
         suspect: None,
--- a/components/relay/tests/suspects.rs
+++ b/components/relay/tests/suspects.rs
@@ -44,6 +44,7 @@
         failed_endpoints: &[],
         failure_domain: "zlin",
         routers: 3,
+        begins_stream: false,
         version: None,
         is_stream: false,
         suspect,
