Let routers that are no holders commit in turns

Cause: the store's partition takes 150 commits per second and was offered two to three times as many. Each router replaced its member row before it read those of the others, so that many knew no other router, acted as the only one and drew tokens; each replaced the row of its previous process, of which nothing was left to take over; and each drew tokens for requests that got no loans. Commits wait for up to a second in a full partition, but were given up after 0.9 s and repeated.

--- a/components/relay/src/allowance/book/commits.rs
+++ b/components/relay/src/allowance/book/commits.rs
@@ -4,13 +4,13 @@
 
 use platform::{Commit, CommitOutcome, Key, Precondition, Revision, Row, Write};
 use types::Timestamp;
-use utils::HashMap;
+use utils::{HashMap, stable_hash};
 
-use super::{CommitInputs, RouterAllowances};
+use super::{CommitInputs, RouterAllowances, Stage};
 use crate::allowance::{
     account::{Change, changed_row},
     ceiling::{CAP_TIME, UNWITNESSED_TIME, whole_millis},
-    holders::Role,
+    holders::{HOLDERS_MAX, Role},
     recovery::RecoveryRow,
     rows::{ACCOUNT_PREFIX, AllowanceRow, HoldingsRow},
 };
@@ -24,6 +24,11 @@
 /// are undrawn. Short compared with the time in which an account is used up.
 const ROWS_MAX_AGE: Duration = Duration::from_secs(2);
 
+/// Turns per second that the routers which are no holders have together. With a second commit after a
+/// conflict they make a third of the transactions that one partition of the table takes, so that the
+/// holders' declarations are not delayed.
+const TURNS_PER_S: u64 = 25;
+
 /// Maximum number of accounts in one commit; the store accepts a hundred rows.
 const COMMIT_ACCOUNTS_MAX: usize = 40;
 
@@ -66,6 +71,9 @@
         if !self.is_loaded || self.is_recovering() {
             return None;
         }
+        if !self.has_turn(inputs) {
+            return None;
+        }
         let taken_over = self.tokens_to_take_over(inputs)?;
         // A takeover changes only this router's row, which no other router writes.
         let changes = if taken_over.is_empty() { self.plan(inputs) } else { Vec::new() };
@@ -79,17 +87,33 @@
         Some(commit)
     }
 
+    /// Returns whether this router may make a commit now. In a large fleet those that are no holders
+    /// take turns: after a restart of all, or when no holder lends, all of them want to commit.
+    fn has_turn(&mut self, inputs: &CommitInputs) -> bool {
+        let (interval, now) = (turn_interval(inputs.routers), inputs.now);
+        let first = stable_hash(&[self.router.as_bytes()]) % whole_millis(interval).max(1);
+        let next_turn = *self.next_turn.get_or_insert(now + Duration::from_millis(first));
+        self.role == Role::Holder || inputs.stage != Stage::Serving || now >= next_turn
+    }
+
     /// Returns whether this router's row must be written although no account's row changes.
     fn is_declaration_due(&self, now: Timestamp) -> bool {
         if self.accounts.values().any(|it| it.needs_declaration(now)) {
             return true;
         }
-        if self.role != Role::Holder && self.declares_nothing() {
+        if self.role != Role::Holder && (self.declares_nothing() || self.inherits_nothing()) {
             return false;
         }
         self.declared_at.is_none_or(|at| now.since(at) >= DECLARATION_INTERVAL)
     }
 
+    /// Returns whether this router's row is of the previous process, of which nothing is left to take
+    /// over. It limits nothing then, and need not be replaced.
+    fn inherits_nothing(&self) -> bool {
+        let Some((row, _)) = &self.holdings else { return true };
+        row.mark.process != self.last_commit_id.process && self.takeover.is_settled_empty(row.mark)
+    }
+
     /// Returns whether this router's row does not limit what the router may spend: every ceiling
     /// equals the held tokens, and no witnesses are named.
     fn declares_nothing(&self) -> bool {
@@ -132,6 +156,7 @@
         inputs: &CommitInputs,
     ) -> PendingCommit {
         let now = inputs.now;
+        self.next_turn = Some(now + turn_interval(inputs.routers));
         self.last_commit_id.number += 1;
         let number = self.last_commit_id.number;
         let known_at = inputs.store_time.map(|it| now - it.age);
@@ -204,10 +229,21 @@
     /// `is_resent` means that an earlier copy may have taken effect or may still do so.
     pub fn on_outcome(&mut self, outcome: &CommitOutcome, is_resent: bool, now: Timestamp) {
         match outcome {
-            CommitOutcome::Committed(revision) => self.apply(*revision, now),
+            CommitOutcome::Committed(revision) => {
+                self.is_retry = false;
+                self.apply(*revision, now);
+            }
             CommitOutcome::NotApplied(_) if !is_resent => self.finish(false, now),
             // Reading the rows shows the conflicting commit, which may be a copy of this one.
-            CommitOutcome::Conflict(_) => self.is_loaded = false,
+            CommitOutcome::Conflict(_) => {
+                self.is_loaded = false;
+                if self.is_retry {
+                    self.is_retry = false;
+                } else {
+                    // The rows were outdated; those that are read now will not be.
+                    (self.next_turn, self.is_retry) = (Some(now), true);
+                }
+            }
             CommitOutcome::NotApplied(_) | CommitOutcome::Unknown => {}
         }
     }
@@ -321,6 +357,15 @@
     }
 }
 
+/// Returns the time between two commits of a router that is no holder.
+fn turn_interval(routers: usize) -> Duration {
+    if routers <= HOLDERS_MAX {
+        return Duration::ZERO;
+    }
+    let routers = u32::try_from(routers).unwrap_or(u32::MAX);
+    Duration::from_millis(1_000 / TURNS_PER_S) * routers
+}
+
 pub(super) fn precondition(key: Key, revision: Option<Revision>) -> Precondition {
     match revision {
         Some(revision) => Precondition::Revision(key, revision),
--- a/components/relay/src/allowance/book/inheritance.rs
+++ b/components/relay/src/allowance/book/inheritance.rs
@@ -77,6 +77,11 @@
 }
 
 impl Takeover {
+    /// Returns whether nothing can be taken over by the row that `mark` wrote.
+    pub(super) fn is_settled_empty(&self, mark: CommitId) -> bool {
+        matches!(self, Takeover::Settled { row, kept } if *row == mark && kept.is_empty())
+    }
+
     /// Returns whether this is what is known from the row that `mark` wrote.
     fn is_about(&self, mark: CommitId) -> bool {
         match self {
--- a/components/relay/src/allowance/book/mod.rs
+++ b/components/relay/src/allowance/book/mod.rs
@@ -93,6 +93,10 @@
     is_store_unavailable: bool,
     /// When this router's row was last written.
     declared_at: Option<Timestamp>,
+    /// When this router may make its next commit if it is no holder.
+    next_turn: Option<Timestamp>,
+    /// Whether that commit follows a conflict.
+    is_retry: bool,
     /// The commit in progress, of which there is at most one.
     pending: Option<PendingCommit>,
     /// Routers to which declarations are sent while the store is unavailable.
@@ -125,6 +129,8 @@
             read_at: None,
             is_store_unavailable: false,
             declared_at: None,
+            next_turn: None,
+            is_retry: false,
             pending: None,
             witnesses: Vec::new(),
             witness_number: 0,
--- a/components/relay/src/sync/member_rows.rs
+++ b/components/relay/src/sync/member_rows.rs
@@ -3,7 +3,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use platform::{Commit, CommitOutcome, Era, Key, PlatformError, Write};
+use rand::Rng as _;
 use serde::{Deserialize, Serialize};
+use types::Timestamp;
 
 use super::backoff::Backoff;
 use crate::{
@@ -24,8 +26,12 @@
 /// Number of reads at [`INITIAL_READ_INTERVAL`].
 const INITIAL_READS: u32 = 3;
 
+/// Mean time per router within which the routers of a fleet that restart together replace their rows,
+/// so that they do not delay the commits that callers wait for.
+const REPLACEMENT_TIME: Duration = Duration::from_millis(15);
+
 /// The member row of a router: how callers and other routers reach it.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
 struct MemberRow {
     /// Random number of the process, chosen at its start.
     process: u64,
@@ -48,14 +54,20 @@
     let mut backoff = Backoff::new("router rows");
     // Era of the store in which the own row was written.
     let mut written_in = None;
+    let mut write_at = None;
     let mut reads = 0;
     loop {
-        let result = sync_rows(&cx, &mut written_in).await;
+        let result = sync_rows(&cx, &mut written_in, &mut write_at).await;
         let delay = match result {
             Ok(()) => {
                 backoff.record_success();
                 reads += 1;
-                if reads <= INITIAL_READS { INITIAL_READ_INTERVAL } else { READ_INTERVAL }
+                let until_write = write_at.map_or(READ_INTERVAL, |at| at.since(cx.now()));
+                if reads <= INITIAL_READS {
+                    INITIAL_READ_INTERVAL
+                } else {
+                    until_write.clamp(INITIAL_READ_INTERVAL, READ_INTERVAL)
+                }
             }
             Err(error) => backoff.record_failure(&error, &mut cx.lock_rng()),
         };
@@ -66,19 +78,16 @@
 async fn sync_rows(
     cx: &RelayContext,
     written_in: &mut Option<Option<Era>>,
+    write_at: &mut Option<Timestamp>,
 ) -> Result<(), PlatformError> {
-    if *written_in != Some(cx.table.era()) {
-        write_own_row(cx).await?;
-        *written_in = Some(cx.table.era());
-    }
+    // The rows are read first: a router that knows no other one acts as the only one.
     let rows = cx.table.scan(KEY_PREFIX, None).await?;
     let now = cx.now();
+    let (count, mut stored) = (rows.len(), None);
     for row in rows {
         let name = row.key.as_str().trim_start_matches(KEY_PREFIX).trim_start_matches('/');
-        if *name == *cx.settings.name {
-            continue;
-        }
         match row.decode::<MemberRow>() {
+            Ok(it) if *name == *cx.settings.name => stored = Some(it),
             Ok(it) => {
                 let member = Member {
                     name: Arc::from(name),
@@ -97,19 +106,34 @@
         }
     }
     update_holders(cx);
+    if *written_in == Some(cx.table.era()) {
+        return Ok(());
+    }
+    let own = own_row(cx);
+    // A row that differs in the process only leads other routers here all the same.
+    let is_urgent = stored.is_none_or(|it| MemberRow { process: own.process, ..it } != own);
+    let spread = REPLACEMENT_TIME * u32::try_from(2 * count).unwrap_or(u32::MAX);
+    let at = *write_at.get_or_insert_with(|| now + spread.mul_f64(cx.lock_rng().random()));
+    if is_urgent || now >= at {
+        write_own_row(cx, &own).await?;
+        (*written_in, *write_at) = (Some(cx.table.era()), None);
+    }
     Ok(())
 }
 
-async fn write_own_row(cx: &RelayContext) -> Result<(), PlatformError> {
-    let row = MemberRow {
+fn own_row(cx: &RelayContext) -> MemberRow {
+    MemberRow {
         process: cx.process,
         caller_address: cx.settings.caller_address,
         peer_address: cx.settings.peer_address,
         failure_domain: cx.settings.failure_domain.clone(),
         processor_millis: cx.settings.processor_millis,
-    };
+    }
+}
+
+async fn write_own_row(cx: &RelayContext, row: &MemberRow) -> Result<(), PlatformError> {
     let commit =
-        Commit { preconditions: Vec::new(), writes: vec![Write::put(own_row_key(cx), &row)] };
+        Commit { preconditions: Vec::new(), writes: vec![Write::put(own_row_key(cx), row)] };
     match cx.table.commit(&commit).await {
         CommitOutcome::Committed(_) => Ok(()),
         CommitOutcome::NotApplied(error) => Err(error),
