Store where streams began while their service has several versions

What callers saw: after the loss of all routers in a release, streams that they took up were refused, as nobody knew where they had begun. Cause: origins were kept in the memory of four routers only. An origin counts only from the first event on, so that an attempt that brought none decides nothing.

--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -23,7 +23,7 @@
     endpoints::{Admission, AdmissionBook, EndpointRegistry},
     limits::RetryWindow,
     model::{DesiredState, ServiceSpec},
-    origins::{OriginBook, OriginQueries},
+    origins::{BegunStreams, OriginBook, OriginQueries},
     peers::{GossipSocket, Roster, SelfStatus},
     ports::{ControlSource, Dialect},
     rate::Rate,
@@ -93,6 +93,8 @@
     pub(crate) has_version_history: AtomicBool,
     /// Whether the rows that name versions have been read.
     pub(crate) has_named_versions: AtomicBool,
+    /// Whether the streams have been read that earlier processes stored.
+    pub(crate) has_begun_streams: AtomicBool,
     /// Notified when an endpoint may have a version that the store does not name.
     pub(crate) version_names_wanted: Notify,
     /// Notified when a verdict has to be stored or removed.
@@ -117,6 +119,7 @@
     crash_evidence: Mutex<CrashEvidence>,
     unstored_verdicts: Mutex<HashSet<ContentKey>>,
     origins: Mutex<OriginBook>,
+    begun_streams: Mutex<BegunStreams>,
     origin_queries: Mutex<OriginQueries>,
     witness_records: Mutex<WitnessRecords>,
     rng: Mutex<Rng>,
@@ -161,6 +164,7 @@
             origin_answered: Notify::new(),
             has_version_history: AtomicBool::new(false),
             has_named_versions: AtomicBool::new(false),
+            has_begun_streams: AtomicBool::new(false),
             version_names_wanted: Notify::new(),
             verdicts_changed: Notify::new(),
             is_leaving: AtomicBool::new(false),
@@ -178,6 +182,7 @@
             crash_evidence: Mutex::default(),
             unstored_verdicts: Mutex::default(),
             origins: Mutex::default(),
+            begun_streams: Mutex::default(),
             origin_queries: Mutex::default(),
             witness_records: Mutex::default(),
             rng: Mutex::new(rng),
@@ -320,6 +325,10 @@
     }
 
     /// Locks the records of where streams began.
+    pub(crate) fn lock_begun_streams(&self) -> MutexGuard<'_, BegunStreams> {
+        self.begun_streams.lock().expect("the lock is not poisoned")
+    }
+
     pub(crate) fn lock_origins(&self) -> MutexGuard<'_, OriginBook> {
         self.origins.lock().expect("the lock is not poisoned")
     }
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -271,6 +271,10 @@
                 draws::handle_notice(cx, &it, sender).await;
                 true
             }
+            Some(PeerContent::BegunStream(it)) => {
+                origins::store_begun(cx, &it);
+                true
+            }
             Some(PeerContent::DrawAck(it)) => {
                 draws::handle_ack(cx, &it);
                 true
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -18,7 +18,10 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerMessage {
     /// The message; `None` if its kind is unknown or missing.
-    #[prost(oneof = "PeerContent", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
+    #[prost(
+        oneof = "PeerContent",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+    )]
     pub content: Option<PeerContent>,
 }
 
@@ -74,6 +77,9 @@
     /// The sender keeps what the receiver has told of its draws.
     #[prost(message, tag = "16")]
     DrawAck(DrawAckMessage),
+    /// The sender asks the receiver to store where a stream has begun.
+    #[prost(message, tag = "17")]
+    BegunStream(OriginMessage),
 }
 
 /// A declaration to a witness, a query for one, or the answer to either.
--- a/components/relay/src/peers/mod.rs
+++ b/components/relay/src/peers/mod.rs
@@ -43,7 +43,7 @@
     gossip::{GossipSocket, run_gossip},
     holders::update_holders,
     lending::{ask_lender, serve_deferred_loans},
-    origins::{announce_origin, find_origin, own_view},
+    origins::{announce_begun, announce_origin, find_origin, own_view},
     ranking::{is_first_in_rank, own_rank_key},
     statements::update_rate_shares,
 };
--- a/components/relay/src/peers/origins.rs
+++ b/components/relay/src/peers/origins.rs
@@ -14,8 +14,9 @@
     Member, OriginMessage, OriginQueryMessage, OriginReplyMessage, PeerContent, gossip::encode,
 };
 use crate::{
+    allowance::Role,
     context::RelayContext,
-    origins::{OriginAnswer, OriginRecord, QueryResult, StreamKey, VersionView},
+    origins::{Origin, OriginAnswer, OriginRecord, QueryResult, StreamKey, VersionView},
 };
 
 /// Number of routers that keep the record of a stream, besides the one that began it.
@@ -62,6 +63,35 @@
     }
 }
 
+/// Stores where a stream has begun that its caller can take up, if its service has several versions. In a
+/// large fleet the routers that hold accounts' tokens do it for the others, so that few routers write.
+pub(crate) fn announce_begun(cx: &RelayContext, key: StreamKey, origin: &Origin) {
+    let now = cx.now();
+    if cx.lock_endpoints().versions(&origin.service, now).len() < 2 {
+        return;
+    }
+    if cx.lock_allowances().role() == Role::Holder {
+        cx.lock_begun_streams().add(key, origin.clone(), now);
+        return;
+    }
+    let holders = cx.lock_allowances().lenders("");
+    let address = {
+        let roster = cx.lock_roster();
+        holders.iter().find_map(|it| roster.peer_address(it))
+    };
+    if let Some(address) = address {
+        let record = OriginRecord { key, attempt: u32::MAX, origin: origin.clone() };
+        let message = PeerContent::BegunStream(OriginMessage::from_record(&record));
+        cx.gossip.try_send(&encode(message), address);
+    }
+}
+
+/// Stores where another router's stream has begun.
+pub(super) fn store_begun(cx: &RelayContext, message: &OriginMessage) {
+    let (record, now) = (message.to_record(), cx.now());
+    cx.lock_begun_streams().add(record.key, record.origin, now);
+}
+
 /// Returns what is known about where a stream began. `key` is `None` if the caller does not say which
 /// stream it takes up. Other routers are asked unless this one can answer alone.
 pub(crate) async fn find_origin(
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -17,8 +17,8 @@
     settings::RelaySettings,
     sockets::RelaySockets,
     sync::{
-        remove_member_row, return_allowances, run_allowances, run_member_rows, run_named_versions,
-        run_verdict_rows, run_version_rows, watch_config, watch_endpoints,
+        remove_member_row, return_allowances, run_allowances, run_begun_streams, run_member_rows,
+        run_named_versions, run_verdict_rows, run_version_rows, watch_config, watch_endpoints,
     },
     tunnel::serve_tunnels,
     units::millis,
@@ -76,6 +76,7 @@
         tokio::spawn(run_verdict_rows(cx.clone()));
         tokio::spawn(run_version_rows(cx.clone()));
         tokio::spawn(run_named_versions(cx.clone()));
+        tokio::spawn(run_begun_streams(cx.clone()));
         tokio::spawn(prune_connections(cx.clone()));
         let allowances = tokio::spawn(run_allowances(cx.clone()));
         let callers = tokio::spawn(serve_callers(cx.clone(), callers, stopped));
--- a/components/relay/src/serve/continuation.rs
+++ b/components/relay/src/serve/continuation.rs
@@ -1,7 +1,10 @@
 //! Keeps streams at the software version that began them. This is the only place that decides at
 //! which version a request goes on; whatever moves a run between endpoints asks it.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use errors::{Error, ErrorKind};
 
@@ -10,7 +13,7 @@
     endpoints::Placement,
     model::RetryPolicy,
     origins::{Origin, OriginRecord, StreamKey, TakeUp, decide_take_up},
-    peers::{announce_origin, find_origin, own_view},
+    peers::{announce_begun, announce_origin, find_origin, own_view},
 };
 
 /// Mean retry delay returned to callers if routers that may know where a stream began did not answer.
@@ -60,9 +63,10 @@
             metrics::counter!(telemetry::STREAMS_NOT_TAKEN_UP_TOTAL, "reason" => "unknown")
                 .increment(1);
             let message = "it is not known which version of the endpoints began the stream";
-            // Routers that did not answer now may answer later.
-            let delay =
-                if answers.answered < answers.asked { UNKNOWN_RETRY_DELAY } else { Duration::ZERO };
+            // Routers that did not answer now may answer later, and what was stored may be read.
+            let is_pending =
+                answers.answered < answers.asked || !cx.has_begun_streams.load(Ordering::Relaxed);
+            let delay = if is_pending { UNKNOWN_RETRY_DELAY } else { Duration::ZERO };
             Err(retryable_error(request, ErrorKind::NoEndpoint, message, delay))
         }
     }
@@ -99,6 +103,16 @@
     announce_origin(&request.cx, &record).await;
 }
 
+/// Stores where the stream has begun, now that its first event has come.
+pub(super) fn record_begun(request: &ActiveRequest) {
+    let is_resumable = request.route.retry_policy == RetryPolicy::ResumableStream;
+    // A stream that is taken up is stored under the id of the request that began it.
+    let begins = is_resumable && request.head.last_event.is_none();
+    if let Some(origin) = request.origin.as_ref().filter(|_| begins) {
+        announce_begun(&request.cx, stream_key(request, &request.head.id), origin);
+    }
+}
+
 /// Counts a stream whose version has no endpoint left.
 pub(super) fn record_no_version() {
     metrics::counter!(telemetry::STREAMS_NOT_TAKEN_UP_TOTAL, "reason" => "no_endpoint")
--- a/components/relay/src/serve/stream_run.rs
+++ b/components/relay/src/serve/stream_run.rs
@@ -11,7 +11,7 @@
 
 use super::{
     body::ResponseBody,
-    continuation::record_no_version,
+    continuation::{record_begun, record_no_version},
     exchange::{EndpointResponse, PlacementGuard},
     forwarding::{EndpointStream, forward_bytes},
     framing::response_head_for_caller,
@@ -195,6 +195,7 @@
     fn record_first_event(&mut self) {
         let now = self.request.cx.now();
         self.request.first_event_at = Some(now);
+        record_begun(&self.request);
         let latency = now.since(self.request.received_at);
         metrics::histogram!(telemetry::FIRST_TOKEN_SECONDS).record(latency.as_secs_f64());
         if let Some(source) = &mut self.source {
--- a/components/relay/src/sync/mod.rs
+++ b/components/relay/src/sync/mod.rs
@@ -2,6 +2,7 @@
 
 mod allowance_task;
 mod backoff;
+mod begun_streams;
 mod config_watch;
 mod endpoint_watch;
 mod member_rows;
@@ -11,6 +12,7 @@
 
 pub(crate) use self::{
     allowance_task::{return_allowances, run_allowances},
+    begun_streams::run_begun_streams,
     config_watch::watch_config,
     endpoint_watch::watch_endpoints,
     member_rows::{remove_member_row, run_member_rows},
--- a/components/relay/tests/earlier_builds.rs
+++ b/components/relay/tests/earlier_builds.rs
@@ -112,7 +112,7 @@
         }),
         PeerContent::OriginReply(OriginReplyMessage {
             number: 1,
-            origin: Some(origin),
+            origin: Some(origin.clone()),
             versions: vec!["v1".to_owned()],
             is_complete: true,
         }),
@@ -128,6 +128,7 @@
             endpoint: "i-1".to_owned(),
             is_refused: true,
         }),
+        PeerContent::BegunStream(origin),
     ]
 }
 
