Leave an endpoint that sends only bytes of an unfinished event

What callers saw: a stream that stalled while its endpoint sent a byte now and then stayed there until its deadline, and ended incomplete. Cause: the time of the silence was counted anew with each byte that arrived.

--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -246,7 +246,7 @@
         guard = async {
             // The endpoint is not silent while a connection is being opened.
             sending.notified().await;
-            find_replacement(request, &endpoint, request.attempts + 1).await
+            find_replacement(request, &endpoint, request.attempts + 1, request.cx.now()).await
         } => {
             request.attempts += 1;
             record_silence(request, &endpoint);
--- a/components/relay/src/serve/replacement.rs
+++ b/components/relay/src/serve/replacement.rs
@@ -4,6 +4,7 @@
 use std::{future::pending, sync::Arc, time::Duration};
 
 use rand::Rng as _;
+use types::Timestamp;
 
 use super::{
     exchange::PlacementGuard,
@@ -88,11 +89,12 @@
 /// Silence is no evidence that the endpoint has failed, so the request leaves it only for another
 /// run that has a retry and a place; if none is granted, waits forever. New requests prefer other
 /// endpoints earlier. `attempts` is the number of attempts including the one on the silent
-/// endpoint.
+/// endpoint, `since` the beginning of the silence.
 pub(super) async fn find_replacement(
     request: &ActiveRequest,
     silent: &Arc<str>,
     attempts: u32,
+    since: Timestamp,
 ) -> PlacementGuard {
     let may_move =
         request.route.retry_policy.may_run_again() && attempts < request.route.max_attempts;
@@ -101,12 +103,12 @@
     }
     let limit = silence_limit(request);
     let suspicious = target_silence(request).max(SUSPICIOUS_SILENCE_MIN).min(limit);
-    tokio::time::sleep(suspicious).await;
+    tokio::time::sleep_until(request.cx.instant(since + suspicious)).await;
     request.cx.lock_endpoints().record_outcome(silent, true, request.cx.now());
     // All streams of an endpoint become silent at once. They leave it one after the other, so that
     // few have left if the next endpoint refuses them.
     let spread = GRANT_INTERVAL.mul_f64(request.cx.lock_rng().random());
-    tokio::time::sleep(limit - suspicious + spread).await;
+    tokio::time::sleep_until(request.cx.instant(since + limit + spread)).await;
     let mut is_first = true;
     loop {
         let denial = match try_grant(request, Some(silent)).await {
--- a/components/relay/src/serve/stream_run.rs
+++ b/components/relay/src/serve/stream_run.rs
@@ -129,6 +129,8 @@
 
     async fn next_input(&mut self) -> StreamInput {
         let deadline = self.request.cx.instant(self.request.deadline);
+        // Bytes of an event that does not end are no sign that the endpoint goes on.
+        let since = self.request.cx.now();
         loop {
             match self.take_events() {
                 Ok(Some(bytes)) => return StreamInput::Events(bytes),
@@ -146,7 +148,7 @@
                 biased;
                 frame = source.body.frame() => frame,
                 () = tokio::time::sleep_until(deadline) => return StreamInput::Late,
-                guard = find_replacement(request, endpoint, request.attempts) => {
+                guard = find_replacement(request, endpoint, request.attempts, since) => {
                     return StreamInput::Replaced(Box::new(guard));
                 }
             };
