--- a/components/relay/src/allowance/account/mod.rs
+++ b/components/relay/src/allowance/account/mod.rs
@@ -63,7 +63,7 @@
     /// Maximum number of tokens that a request or a loan needed and did not get since the last
     /// commit.
     unmet_demand: u64,
-    /// When a request or a loan last found enough tokens, but too many of them above the ceiling.
+    /// When the ceiling last prevented a request or a loan although enough tokens were held.
     capped_at: Option<Timestamp>,
     /// Rate at which tokens are reserved or lent to borrowers, in tokens per second.
     rate: Rate,
--- a/components/relay/src/allowance/book/inheritance.rs
+++ b/components/relay/src/allowance/book/inheritance.rs
@@ -126,7 +126,7 @@
             Takeover::Awaiting(_) => return None,
             Takeover::Unknown => {}
         }
-        // The previous process has ended: what it may have spent by now it had not spent later.
+        // The previous process has ended, so the row's present age is at least its age at that end.
         let ages = inputs.store_time.zip(row.known_store_ms);
         let age_ms = ages.map(|(time, known)| time.millis.saturating_sub(known));
         let age = age_ms.map(Duration::from_millis);
--- a/components/relay/src/allowance/ceiling.rs
+++ b/components/relay/src/allowance/ceiling.rs
@@ -10,8 +10,8 @@
 
 use super::rows::{Holding, HoldingsRow};
 
-/// Time, on the store's clock, for which a router may spend under a declaration to the store that no
-/// witness supplements, counted from the declaration's
+/// Time, on the store's clock, for which a router may spend by its declaration to the store alone,
+/// without the confirmation of witnesses. Counted from the declaration's
 /// [`known_store_ms`](super::HoldingsRow::known_store_ms).
 pub const UNWITNESSED_TIME: Duration = Duration::from_millis(3_200);
 
--- a/components/relay/src/allowance/rows.rs
+++ b/components/relay/src/allowance/rows.rs
@@ -133,8 +133,8 @@
     }
 
     /// Returns how many witnesses have to make a statement to the next process, so that at least one of
-    /// them has stored each declaration that the writer relied on. More than there are if the writer
-    /// relied on none.
+    /// them has stored each declaration that the writer relied on. One, which nobody can make, if the row
+    /// names no witnesses.
     pub fn statements_needed(&self) -> usize {
         (self.witnesses.len() + 1).saturating_sub(self.confirmations_needed()).max(1)
     }
--- a/components/relay/src/origins/begun_streams.rs
+++ b/components/relay/src/origins/begun_streams.rs
@@ -59,7 +59,7 @@
     }
 }
 
-/// The row of a router.
+/// Row in which a router stores the streams that have begun at it or, in a large fleet, at others.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BegunStreamsRow {
     /// Keys of streams by service and version.
--- a/components/relay/src/origins/named_versions.rs
+++ b/components/relay/src/origins/named_versions.rs
@@ -14,7 +14,7 @@
 /// back, and than the row may be outdated.
 const GONE_TIME: Duration = Duration::from_secs(70);
 
-/// The row of a service.
+/// Row that names the versions at which streams of a service may begin.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NamedVersionsRow {
     /// Versions, each with the time of the store, in milliseconds, at which a router last knew
--- a/components/relay/src/sync/member_rows.rs
+++ b/components/relay/src/sync/member_rows.rs
@@ -80,7 +80,8 @@
     written_in: &mut Option<Option<Era>>,
     write_at: &mut Option<Timestamp>,
 ) -> Result<(), PlatformError> {
-    // The rows are read first: a router that knows no other one acts as the only one.
+    // A router that knows no other one draws tokens as if it were alone, so the read must not wait for
+    // the write.
     let rows = cx.table.scan(KEY_PREFIX, None).await?;
     let now = cx.now();
     let (count, mut stored) = (rows.len(), None);
--- a/components/relay/tests/allowance_faults/main.rs
+++ b/components/relay/tests/allowance_faults/main.rs
@@ -11,6 +11,7 @@
 mod loans;
 mod router;
 mod store;
+mod witnesses;
 mod world;
 
 use std::time::Duration;
