Read host limits, areas and bounds for cold endpoints from the settings; list what hard load misses

The parts of this milestone (docs/design/hard-load.md) need the link, memory and descriptors of the host, the areas of failure domains, the bounds for cold endpoints, and whether callers and endpoints may read slowly. All are optional fields of the settings file, and nothing uses them yet.

--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -30,7 +30,7 @@
     ports::{AnswerHead, ControlSource, Cursor, Dialect, Feed, Forwarding},
     process::RelayProcess,
     serve::remove_hop_headers,
-    settings::RelaySettings,
+    settings::{Areas, ColdBounds, HostLimits, RelaySettings},
     sockets::{RelayBindError, RelaySockets},
     transfer::TransferProgress,
 };
