Keep sending a large request to an endpoint that reads nothing for seconds

Callers got 502 (outcome unknown) for a request of 1.5 MB whose endpoint read nothing for 2.8 s; 100 kB passed. Cause: TCP_USER_TIMEOUT of 2.5 s also counts the time for which the window of the endpoint is full, although its host answers the probes. A request above 64 KiB, which may not fit into the buffers of its connection, now gets a connection of its own with 15 s; its deadline bounds it as before.

--- a/components/relay/src/serve/connection.rs
+++ b/components/relay/src/serve/connection.rs
@@ -72,6 +72,8 @@
     pub(super) endpoint: Arc<str>,
     /// Router through which it leads; `None` if this router opened it itself.
     pub(super) peer: Option<TunnelPeer>,
+    /// Whether it was opened for a single large request.
+    pub(super) is_for_large_request: bool,
     /// Idle time after which the connection is no longer reused.
     pub(super) idle_limit: Duration,
     /// Task that drives the connection; aborted on drop.
@@ -179,6 +181,7 @@
         is_reused: false,
         endpoint: endpoint.clone(),
         peer,
+        is_for_large_request: false,
         idle_limit: IDLE_TIMEOUT,
         driver: DriverTask(task.abort_handle()),
         _count: opened.count,
--- a/components/relay/src/serve/connections.rs
+++ b/components/relay/src/serve/connections.rs
@@ -19,6 +19,23 @@
     socket_options::set_endpoint_socket_options,
 };
 
+/// Which connection a request needs.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ConnectionNeed {
+    /// Maximum number of connections that this router may open to the endpoint.
+    pub(crate) max: usize,
+    /// Whether the connection is for a single request that may not fit into the buffers of the
+    /// endpoint. It is not kept afterwards, as it takes long to notice that its path is broken.
+    pub(crate) is_for_large_request: bool,
+}
+
+impl ConnectionNeed {
+    /// Returns the need of a request of the usual size.
+    pub(crate) fn usual(max: usize) -> ConnectionNeed {
+        ConnectionNeed { max, is_for_large_request: false }
+    }
+}
+
 /// Maximum number of idle connections kept per endpoint.
 const IDLE_MAX: usize = 32;
 
@@ -46,36 +63,38 @@
 }
 
 impl EndpointConnections {
-    /// Opens a new connection if fewer than `max` are open.
+    /// Opens a new connection if fewer than the maximum are open.
     ///
     /// # Errors
-    /// Returns an error if `max` are open already, or the endpoint did not accept it.
+    /// Returns an error if the maximum is open already, or the endpoint did not accept it.
     pub(super) async fn connect(
         &self,
         endpoint: &Arc<str>,
         address: SocketAddr,
-        max: usize,
+        need: ConnectionNeed,
     ) -> Result<Connection, ConnectError> {
-        let opened = self.open(endpoint, address, max).await?;
-        handshake(endpoint, opened, None).await
+        let opened = self.open(endpoint, address, need).await?;
+        let mut connection = handshake(endpoint, opened, None).await?;
+        connection.is_for_large_request = need.is_for_large_request;
+        Ok(connection)
     }
 
-    /// Opens a TCP connection if fewer than `max` are open.
+    /// Opens a TCP connection if fewer than the maximum are open.
     ///
     /// # Errors
-    /// Returns an error if `max` are open already, or the endpoint did not accept it.
+    /// Returns an error if the maximum is open already, or the endpoint did not accept it.
     pub(crate) async fn open(
         &self,
         endpoint: &Arc<str>,
         address: SocketAddr,
-        max: usize,
+        need: ConnectionNeed,
     ) -> Result<CountedStream, ConnectError> {
-        let count = count_one(&self.open_counts, endpoint, max)?;
+        let count = count_one(&self.open_counts, endpoint, need.max)?;
         let stream = open_stream(address).await;
         let outcome = stream.as_ref().err().map_or("opened", ConnectError::label);
         metrics::counter!(telemetry::ENDPOINT_CONNECTS_TOTAL, "outcome" => outcome).increment(1);
         let stream = stream?;
-        set_endpoint_socket_options(&stream);
+        set_endpoint_socket_options(&stream, need.is_for_large_request);
         Ok(CountedStream { stream, count })
     }
 
@@ -115,7 +134,7 @@
 
     /// Returns a connection to the pool after its answer was read to the end.
     pub(super) fn release(&self, mut connection: Connection) {
-        if connection.is_closed() {
+        if connection.is_closed() || connection.is_for_large_request {
             return;
         }
         connection.is_reused = true;
--- a/components/relay/src/serve/dialing.rs
+++ b/components/relay/src/serve/dialing.rs
@@ -5,7 +5,10 @@
 use futures::future::{Either, select};
 use types::Timestamp;
 
-use super::connection::{ConnectError, Connection};
+use super::{
+    connection::{ConnectError, Connection},
+    connections::ConnectionNeed,
+};
 use crate::{
     context::RelayContext,
     endpoints::Placement,
@@ -40,31 +43,34 @@
 }
 
 /// Returns a connection to the endpoint of `placement`: a kept one if there is one and `may_reuse` is
-/// set, else a new one if fewer than `max` are open.
+/// set, else a new one if fewer than the maximum are open.
 ///
 /// # Errors
 /// Returns an error if none could be opened, neither directly nor through another router.
 pub(super) async fn acquire(
     cx: Arc<RelayContext>,
     placement: Placement,
-    max: usize,
+    need: ConnectionNeed,
     may_reuse: bool,
 ) -> Result<Connection, ConnectError> {
     let (cx, placement) = (&cx, &placement);
     let path = path_to(cx, placement);
     if let Path::ThroughPeer { is_trial_due: true } = path {
-        tokio::spawn(try_direct(cx.clone(), placement.clone(), max));
+        tokio::spawn(try_direct(cx.clone(), placement.clone(), need));
     }
     // A tunnel is not used for longer than needed, nor through a router that is leaving.
     let is_peer_usable =
         |peer: &str| path != Path::Direct && cx.lock_roster().is_ready(peer, cx.now());
-    if may_reuse && let Some(kept) = cx.connections.take_idle(&placement.endpoint, is_peer_usable) {
+    if may_reuse
+        && !need.is_for_large_request
+        && let Some(kept) = cx.connections.take_idle(&placement.endpoint, is_peer_usable)
+    {
         return Ok(kept);
     }
     let opened = async {
         match path {
-            Path::Direct => connect_by_any_path(cx, placement, max).await,
-            Path::ThroughPeer { .. } => connect_through_peers_first(cx, placement, max).await,
+            Path::Direct => connect_by_any_path(cx, placement, need).await,
+            Path::ThroughPeer { .. } => connect_through_peers_first(cx, placement, need).await,
         }
     };
     let opened = tokio::time::timeout(ANY_PATH_TIMEOUT, opened).await;
@@ -77,15 +83,15 @@
 async fn connect_through_peers_first(
     cx: &RelayContext,
     placement: &Placement,
-    max: usize,
+    need: ConnectionNeed,
 ) -> Result<Connection, ConnectError> {
-    match connect_through_peers(cx, placement, max, PEERS_ASKED_MAX).await {
+    match connect_through_peers(cx, placement, need, PEERS_ASKED_MAX).await {
         Ok(connection) => Ok(connection),
         Err(PeerVerdict::Refused) => {
             Err(ConnectError::Failed(io::ErrorKind::ConnectionRefused.into()))
         }
         Err(PeerVerdict::Unreachable) => Err(ConnectError::TimedOut),
-        Err(PeerVerdict::Unknown) => connect_directly(cx, placement, max).await,
+        Err(PeerVerdict::Unknown) => connect_directly(cx, placement, need).await,
     }
 }
 
@@ -122,11 +128,11 @@
 async fn connect_by_any_path(
     cx: &RelayContext,
     placement: &Placement,
-    max: usize,
+    need: ConnectionNeed,
 ) -> Result<Connection, ConnectError> {
-    let mut direct = pin!(connect_directly(cx, placement, max));
+    let mut direct = pin!(connect_directly(cx, placement, need));
     let early = tokio::time::timeout(PEER_FALLBACK_DELAY, &mut direct).await;
-    let through_peers = connect_through_peers(cx, placement, max, PEERS_ASKED_MAX);
+    let through_peers = connect_through_peers(cx, placement, need, PEERS_ASKED_MAX);
     match early {
         Ok(Ok(connection)) => Ok(connection),
         Ok(Err(error @ (ConnectError::TooMany | ConnectError::Unusable(_)))) => Err(error),
@@ -144,9 +150,9 @@
 async fn connect_directly(
     cx: &RelayContext,
     placement: &Placement,
-    max: usize,
+    need: ConnectionNeed,
 ) -> Result<Connection, ConnectError> {
-    let connection = cx.connections.connect(&placement.endpoint, placement.address, max).await?;
+    let connection = cx.connections.connect(&placement.endpoint, placement.address, need).await?;
     let was_cut_off =
         cx.lock_paths().record_direct(&placement.service, &placement.endpoint, cx.now());
     if was_cut_off {
@@ -157,8 +163,8 @@
 }
 
 /// Finds out whether a direct connection to an endpoint can be opened again.
-async fn try_direct(cx: Arc<RelayContext>, placement: Placement, max: usize) {
-    if let Ok(connection) = connect_directly(&cx, &placement, max).await {
+async fn try_direct(cx: Arc<RelayContext>, placement: Placement, need: ConnectionNeed) {
+    if let Ok(connection) = connect_directly(&cx, &placement, need).await {
         cx.connections.release(connection);
     }
 }
@@ -170,7 +176,7 @@
 async fn connect_through_peers(
     cx: &RelayContext,
     placement: &Placement,
-    max: usize,
+    need: ConnectionNeed,
     peers_max: usize,
 ) -> Result<Connection, PeerVerdict> {
     let mut asked: Vec<PeerCandidate> = Vec::new();
@@ -185,7 +191,7 @@
                 record_blocked(cx, placement, &peer.name).await;
                 let connected = cx
                     .connections
-                    .connect_through(&peer.name, &placement.endpoint, stream, max)
+                    .connect_through(&peer.name, &placement.endpoint, stream, need.max)
                     .await;
                 return connected.map_err(|_| PeerVerdict::Unknown);
             }
@@ -256,7 +262,13 @@
 /// Asks other routers whether the process of an endpoint is up, after this router's own connection was
 /// refused or not answered. Returns `None` if it is.
 pub(super) async fn ask_peers(cx: &RelayContext, placement: &Placement) -> Option<PeerVerdict> {
-    let connected = connect_through_peers(cx, placement, usize::MAX, CRASH_CHECK_PEERS_MAX).await;
+    let connected = connect_through_peers(
+        cx,
+        placement,
+        ConnectionNeed::usual(usize::MAX),
+        CRASH_CHECK_PEERS_MAX,
+    )
+    .await;
     match connected {
         Ok(connection) => {
             cx.connections.release(connection);
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -15,6 +15,7 @@
 
 use super::{
     connection::{ConnectError, Connection},
+    connections::ConnectionNeed,
     dialing::{self, PeerVerdict},
 };
 use crate::{
@@ -39,6 +40,18 @@
     pub(super) connections_max: usize,
 }
 
+/// Size in bytes of a body above which a request may not fit into the buffers of its connection.
+const LARGE_BODY_BYTES: usize = 64 * 1_024;
+
+impl OutgoingRequest {
+    fn connection_need(&self) -> ConnectionNeed {
+        ConnectionNeed {
+            max: self.connections_max,
+            is_for_large_request: self.body.len() > LARGE_BODY_BYTES,
+        }
+    }
+}
+
 /// Placement of a request. Subtracts the request's load from the endpoint when dropped.
 pub(super) struct PlacementGuard {
     cx: Arc<RelayContext>,
@@ -166,7 +179,8 @@
     for may_reuse in [true, false] {
         let placement = guard.placement.clone();
         let endpoint = placement.endpoint.clone();
-        let opening = dialing::acquire(cx.clone(), placement, outgoing.connections_max, may_reuse);
+        let opening =
+            dialing::acquire(cx.clone(), placement, outgoing.connection_need(), may_reuse);
         let mut connection = match dialing::wait_until(cx, &endpoint, opening, deadline).await {
             Some(Ok(connection)) => connection,
             None | Some(Err(ConnectError::TooMany)) => {
@@ -287,8 +301,10 @@
 /// router cannot connect, others are asked: the cause may be its own network path.
 pub(super) async fn probe_process(cx: &RelayContext, placement: &Placement) -> ProcessState {
     tokio::time::sleep(CRASH_CHECK_DELAY).await;
-    let connected =
-        cx.connections.connect(&placement.endpoint, placement.address, usize::MAX).await;
+    let connected = cx
+        .connections
+        .connect(&placement.endpoint, placement.address, ConnectionNeed::usual(usize::MAX))
+        .await;
     let is_refused = match connected {
         Ok(connection) => {
             cx.connections.release(connection);
--- a/components/relay/src/serve/mod.rs
+++ b/components/relay/src/serve/mod.rs
@@ -26,7 +26,7 @@
 
 pub(crate) use self::{
     connection::{ConnectError, CountedStream},
-    connections::EndpointConnections,
+    connections::{ConnectionNeed, EndpointConnections},
     server::{accept_stream, bind, serve_auxiliary_api, serve_callers},
     side_calls::AuxiliaryApi,
     socket_options::{set_endpoint_socket_options, set_tunnel_socket_options},
--- a/components/relay/src/serve/socket_options.rs
+++ b/components/relay/src/serve/socket_options.rs
@@ -12,6 +12,11 @@
 /// that one lost probe closes none.
 const ENDPOINT_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// The same for a connection that carries a request which may not fit into the buffers of the endpoint.
+/// While the endpoint is silent its window is full, which counts as unacknowledged although its host
+/// answers, so that nothing but the deadline of the request shows whether the path is broken.
+const LARGE_REQUEST_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Time after which a connection to an endpoint on which nothing arrives is probed, and time between
 /// probes. Linux takes whole seconds.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -24,8 +29,13 @@
 /// counts as broken after [`ENDPOINT_UNACKNOWLEDGED_TIMEOUT`], and one on which nothing arrives after
 /// two unanswered keep-alive probes, so that the request can go elsewhere. An endpoint whose process
 /// is silent still acknowledges both.
-pub(crate) fn set_endpoint_socket_options(stream: &TcpStream) {
-    set_socket_options(stream, ENDPOINT_UNACKNOWLEDGED_TIMEOUT);
+pub(crate) fn set_endpoint_socket_options(stream: &TcpStream, is_for_large_request: bool) {
+    let timeout = if is_for_large_request {
+        LARGE_REQUEST_UNACKNOWLEDGED_TIMEOUT
+    } else {
+        ENDPOINT_UNACKNOWLEDGED_TIMEOUT
+    };
+    set_socket_options(stream, timeout);
     enable_keep_alive(stream);
 }
 
--- a/components/relay/src/tunnel/client.rs
+++ b/components/relay/src/tunnel/client.rs
@@ -47,7 +47,7 @@
 
 async fn exchange(peer: SocketAddr, placement: &Placement) -> Result<TcpStream, TunnelError> {
     let stream = TcpStream::connect(peer).await.map_err(TunnelError::Failed)?;
-    set_endpoint_socket_options(&stream);
+    set_endpoint_socket_options(&stream, false);
     let mut frames = frames(stream);
     let request = TunnelRequest {
         endpoint: placement.endpoint.to_string(),
--- a/components/relay/src/tunnel/server.rs
+++ b/components/relay/src/tunnel/server.rs
@@ -16,7 +16,9 @@
 use super::message::{TunnelOutcome, TunnelReply, TunnelRequest, encode, frames};
 use crate::{
     context::RelayContext,
-    serve::{ConnectError, CountedStream, accept_stream, set_tunnel_socket_options},
+    serve::{
+        ConnectError, ConnectionNeed, CountedStream, accept_stream, set_tunnel_socket_options,
+    },
 };
 
 /// Time within which a router has to send its request after it has connected.
@@ -108,7 +110,11 @@
         return Err(TunnelOutcome::Unreachable);
     }
     let connections_max = cx.connections_max(&target.service);
-    let opened = cx.connections.open(&target.endpoint, target.address, connections_max);
+    let opened = cx.connections.open(
+        &target.endpoint,
+        target.address,
+        ConnectionNeed::usual(connections_max),
+    );
     match tokio::time::timeout(ENDPOINT_CONNECT_TIMEOUT, opened).await {
         Ok(Ok(opened)) => Ok(opened),
         Ok(Err(ConnectError::TooMany)) => Err(TunnelOutcome::Busy),
