Ask routers that reach a service for paths to its endpoints first

Status messages now name the services whose endpoints the sender has reached within 1.2 s, by a connection of its own or an answer on one, and such routers are asked first. New tests: cut_off_router_finds_the_few_that_reach_endpoints, router_says_that_it_reaches_a_service_only_while_it_does. In tests/paths.rs two calls and a literal take the new argument; what they assert is unchanged.

--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -125,6 +125,7 @@
         let reports = cx.lock_endpoints().reports(cx.now());
         let evidence = cx.lock_crash_evidence().reports(cx.now());
         let cut_off = cx.lock_paths().cut_off_services();
+        let reached = cx.lock_paths().reached_services(cx.now());
         let message = StatusMessage {
             name: own.name.to_string(),
             process: own.process,
@@ -142,6 +143,7 @@
             evidence: evidence.iter().map(EvidenceMessage::from_report).collect(),
             cut_off_services: cut_off.iter().map(ToString::to_string).collect(),
             keeps_draws: true,
+            reached_services: reached.iter().map(ToString::to_string).collect(),
         };
         encode(PeerContent::Status(message))
     }
@@ -328,7 +330,8 @@
     cx.lock_admissions().reconcile(&member.name, &shares, now);
     cx.record_peer_version(member.config_version);
     let cut_off = message.cut_off_services.iter().map(|it| it.as_str().into()).collect();
-    cx.lock_paths().record_peer_statement(&member.name, cut_off, now);
+    let reached = message.reached_services.iter().map(|it| it.as_str().into()).collect();
+    cx.lock_paths().record_peer_statement(&member.name, cut_off, reached, now);
     let mut roster = cx.lock_roster();
     let name = member.name.clone();
     roster.record_status(member, now);
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -273,6 +273,9 @@
     /// Whether the sender keeps and confirms notices of draws.
     #[prost(bool, tag = "17")]
     pub keeps_draws: bool,
+    /// Names of the services whose endpoints the sender has reached itself a moment ago.
+    #[prost(string, repeated, tag = "34")]
+    pub reached_services: Vec<String>,
 }
 
 /// Liveness of other routers. The lists have the same length, and each router has the same index
--- a/components/relay/src/reach/path_book.rs
+++ b/components/relay/src/reach/path_book.rs
@@ -19,9 +19,13 @@
 /// Time for which a router that could not help is not asked again about the same service.
 const PEER_AVOIDANCE_TIME: Duration = Duration::from_secs(1);
 
-/// Time for which a router's statement that it is cut off holds: four of its send intervals.
+/// Time for which a router's statement about its own paths holds: four of its send intervals.
 const PEER_STATEMENT_MAX_AGE: Duration = Duration::from_millis(1_200);
 
+/// Time since an endpoint of a service was last reached up to which a router says that it reaches the
+/// service. Requests that are in progress at the other routers take about as long to fail.
+const REACHED_MAX_AGE: Duration = Duration::from_millis(1_200);
+
 /// How a connection to an endpoint is opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Path {
@@ -41,6 +45,9 @@
     blocked: HashMap<Arc<str>, Timestamp>,
     /// When this router last opened a connection itself.
     reached_at: Option<Timestamp>,
+    /// When an answer last arrived on a connection that this router opened itself. Such connections
+    /// may go on working while no new ones can be opened.
+    answered_at: Option<Timestamp>,
     /// Whether the router counts as cut off from the service.
     is_cut_off: bool,
     /// When a direct connection may be tried again.
@@ -52,6 +59,8 @@
 struct PeerPaths {
     /// Services from which it said that it is cut off.
     cut_off: HashSet<Arc<str>>,
+    /// Services that it said it reaches.
+    reached: HashSet<Arc<str>>,
     /// When it said so.
     stated_at: Timestamp,
     /// Services to whose endpoints it could open no connection, and until when it is not asked.
@@ -98,6 +107,11 @@
         std::mem::take(&mut contact.is_cut_off)
     }
 
+    /// Records that an answer arrived on a connection that this router opened itself.
+    pub fn record_answer(&mut self, service: &Arc<str>, now: Timestamp) {
+        self.services.entry(service.clone()).or_default().answered_at = Some(now);
+    }
+
     /// Records that another router reaches an endpoint that this one does not. Returns whether this
     /// router now counts as cut off from the service, and did not before.
     pub fn record_blocked(
@@ -135,21 +149,43 @@
         names
     }
 
-    /// Records from which services another router says that it is cut off.
+    /// Returns the services whose endpoints this router has reached a moment ago.
+    pub fn reached_services(&self, now: Timestamp) -> Vec<Arc<str>> {
+        let is_reached = |it: &ServiceContact| {
+            let at = it.reached_at.max(it.answered_at);
+            !it.is_cut_off && at.is_some_and(|at| now.since(at) <= REACHED_MAX_AGE)
+        };
+        let reached = self.services.iter().filter(|(_, it)| is_reached(it));
+        let mut names: Vec<Arc<str>> = reached.map(|(name, _)| name.clone()).collect();
+        names.sort_unstable();
+        names
+    }
+
+    /// Records from which services another router says that it is cut off, and which it reaches.
     pub fn record_peer_statement(
         &mut self,
         router: &Arc<str>,
         cut_off: HashSet<Arc<str>>,
+        reached: HashSet<Arc<str>>,
         now: Timestamp,
     ) {
-        if cut_off.is_empty() && !self.peers.contains_key(router) {
+        if cut_off.is_empty() && reached.is_empty() && !self.peers.contains_key(router) {
             return;
         }
         let peer = self.peers.entry(router.clone()).or_default();
         peer.cut_off = cut_off;
+        peer.reached = reached;
         peer.stated_at = now;
     }
 
+    /// Reports whether another router has said a moment ago that it reaches a service. Routers of
+    /// earlier builds do not say so.
+    pub fn is_reaching_peer(&self, router: &str, service: &str, now: Timestamp) -> bool {
+        self.peers.get(router).is_some_and(|peer| {
+            now.since(peer.stated_at) <= PEER_STATEMENT_MAX_AGE && peer.reached.contains(service)
+        })
+    }
+
     /// Records that another router could not help to reach a service.
     pub fn avoid_peer(&mut self, router: &Arc<str>, service: &Arc<str>, now: Timestamp) {
         let peer = self.peers.entry(router.clone()).or_default();
--- a/components/relay/src/reach/peer_choice.rs
+++ b/components/relay/src/reach/peer_choice.rs
@@ -16,10 +16,13 @@
     pub failure_domain: Arc<str>,
     /// Number of this router's open tunnels through it.
     pub tunnels: usize,
+    /// Whether it has said a moment ago that it reaches the endpoint's service.
+    pub is_reaching: bool,
 }
 
-/// Chooses one of `candidates`, which are usable and were not asked yet. `asked_domains` are the
-/// failure domains of those that were asked before: a cut often affects a whole domain, so another
+/// Chooses one of `candidates`, which are usable and were not asked yet: one that reaches the service if
+/// there is any, since most of the others may be cut off without knowing it. `asked_domains` are the failure
+/// domains of those that were asked before: a cut often affects a whole domain, so another
 /// one is preferred. Besides that, routers in the endpoint's failure domain are preferred, since traffic
 /// between domains costs more, and among them those with the fewest tunnels.
 pub fn choose_peer<'a>(
@@ -31,6 +34,6 @@
     candidates.iter().min_by_key(|it| {
         let is_asked_domain = asked_domains.contains(&it.failure_domain);
         let is_other_domain = *it.failure_domain != *endpoint_domain;
-        (is_asked_domain, is_other_domain, it.tunnels, rng.random::<u32>())
+        (!it.is_reaching, is_asked_domain, is_other_domain, it.tunnels, rng.random::<u32>())
     })
 }
--- a/components/relay/src/serve/dialing.rs
+++ b/components/relay/src/serve/dialing.rs
@@ -225,13 +225,19 @@
             address: it.peer_address,
             failure_domain: it.failure_domain.clone(),
             tunnels: cx.connections.tunnels_through(&it.name),
+            is_reaching: false,
         })
         .collect()
     };
     let paths = cx.lock_paths();
+    let service = &placement.service;
     let usable = members.into_iter().filter(|it| {
         let is_asked = asked.iter().any(|asked| asked.name == it.name);
-        !is_asked && paths.is_usable_peer(&it.name, &placement.service, now)
+        !is_asked && paths.is_usable_peer(&it.name, service, now)
+    });
+    let usable = usable.map(|it| {
+        let is_reaching = paths.is_reaching_peer(&it.name, service, now);
+        PeerCandidate { is_reaching, ..it }
     });
     let usable: Vec<PeerCandidate> = usable.collect();
     drop(paths);
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -254,6 +254,9 @@
         let message = "the answer through another router has no length";
         return Err(FailedAttempt::new(AttemptFailure::Lost(message.to_owned()), guard));
     }
+    if !connection.is_tunnel() {
+        cx.lock_paths().record_answer(&guard.placement.service, cx.now());
+    }
     if metadata.is_misdirected || metadata.is_not_executed {
         let failure = if metadata.is_misdirected {
             AttemptFailure::Misdirected
--- a/components/relay/tests/paths.rs
+++ b/components/relay/tests/paths.rs
@@ -101,11 +101,12 @@
     let mut world = World::new();
     let (peer, services) = (name("r"), [name("svc")].into_iter().collect());
     assert!(world.paths.is_usable_peer("r", "svc", at(0)));
-    world.paths.record_peer_statement(&peer, services, at(0));
+    world.paths.record_peer_statement(&peer, services, utils::HashSet::default(), at(0));
     assert!(!world.paths.is_usable_peer("r", "svc", at(300)));
     assert!(world.paths.is_usable_peer("r", "other", at(300)));
     assert!(world.paths.is_usable_peer("r", "svc", at(1_300)), "the statement is outdated");
-    world.paths.record_peer_statement(&peer, utils::HashSet::default(), at(1_400));
+    let none = utils::HashSet::default;
+    world.paths.record_peer_statement(&peer, none(), none(), at(1_400));
     assert!(world.paths.is_usable_peer("r", "svc", at(1_400)));
     world.paths.avoid_peer(&peer, &name("svc"), at(1_500));
     assert!(!world.paths.is_usable_peer("r", "svc", at(1_600)));
@@ -118,9 +119,49 @@
         address: ([127, 0, 0, 1], number).into(),
         failure_domain: name(failure_domain),
         tunnels,
+        is_reaching: false,
     }
 }
 
+/// Guards against a fleet of which most routers are cut off: those that do not know it yet are asked
+/// for paths by all others, and nobody finds the few that reach endpoints.
+#[test]
+fn cut_off_router_finds_the_few_that_reach_endpoints() {
+    let mut rng = seeded_rng(5);
+    let mut world = World::new();
+    let services = || [name("svc")].into_iter().collect();
+    let reaching = name("router-17");
+    world.paths.record_peer_statement(&reaching, utils::HashSet::default(), services(), at(0));
+    let peers: Vec<PeerCandidate> = (0..19)
+        .map(|it| {
+            let peer = candidate(it, if it < 10 { "near" } else { "far" }, 0);
+            let is_reaching = world.paths.is_reaching_peer(&peer.name, "svc", at(300));
+            PeerCandidate { is_reaching, ..peer }
+        })
+        .collect();
+    for _ in 0..20 {
+        assert_eq!(choose_peer(&peers, "near", &[], &mut rng).unwrap().name, reaching);
+    }
+    assert!(!world.paths.is_reaching_peer("router-17", "other", at(300)));
+    assert!(!world.paths.is_reaching_peer("router-17", "svc", at(1_300)), "outdated");
+}
+
+/// Guards against statements by routers that no longer reach the endpoints.
+#[test]
+fn router_says_that_it_reaches_a_service_only_while_it_does() {
+    let mut world = World::new();
+    world.paths.record_answer(&name("svc"), at(0));
+    assert_eq!(world.paths.reached_services(at(1_000)), [name("svc")]);
+    assert!(world.paths.reached_services(at(1_300)).is_empty());
+    world.paths.record_direct(&name("svc"), "e-0", at(1_400));
+    assert_eq!(world.paths.reached_services(at(1_500)), [name("svc")]);
+    for endpoint in ["e-1", "e-2"] {
+        let rng = &mut world.rng;
+        world.paths.record_blocked(&name("svc"), &name(endpoint), at(1_600), rng);
+    }
+    assert!(world.paths.reached_services(at(1_700)).is_empty());
+}
+
 /// Guards against all tunnels through one router, and against traffic between failure domains that
 /// is not needed.
 #[test]
