Generalise the fair queue: any level of urgency, late requests yield, returning callers go first

The queue had three fixed bands and ordered an account's requests by arrival only, so that the relayed path could not use it. Bands are now keyed by level, an account's requests by the last moment at which they are on time, and an account is charged when a request is granted, not when it is queued: one that leaves the queue costs its account nothing.

--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -33,6 +33,7 @@
     endpoint_lease::EndpointLease,
     endpoint_need::{EndpointNeed, Target},
     endpoint_state::EndpointState,
+    fair_queue::{FairQueue, QueuedRequest},
     quarantine::{CrashRecord, Quarantine, Verdict},
     retry_budget::RetryBudget,
     scheduler::{Decision, EndpointStatus, ResolvedWaiter, Scheduler, WaiterId},
--- a/components/routing/src/pool.rs
+++ b/components/routing/src/pool.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use types::{ModelName, Priority, ServiceName};
+use types::{AccountName, ModelName, Priority, ServiceName};
 use utils::{HashMap, HashSet};
 
 use crate::{Target, endpoint_id::EndpointId, fair_queue::FairQueue, scheduler::WaiterId};
@@ -35,6 +35,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct PoolId(pub(crate) u32);
 
+/// Returns the level of a priority in the queue.
+pub(crate) fn level_of(priority: Priority) -> u32 {
+    match priority {
+        Priority::Urgent => 0,
+        Priority::Normal => 1,
+        Priority::Bulk => 2,
+    }
+}
+
 /// What a pool serves.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) enum PoolName {
@@ -69,7 +78,7 @@
     /// Mean share of interactive requests.
     interactive_share: f64,
     /// Waiting requests, without the trials.
-    pub(crate) queue: FairQueue,
+    pub(crate) queue: FairQueue<AccountName>,
     /// Requests with suspected content waiting for an endpoint to run alone on, oldest
     /// first.
     pub(crate) trials: VecDeque<WaiterId>,
@@ -104,7 +113,8 @@
     /// endpoints. Must be called at regular intervals.
     pub(crate) fn update_interactive_share(&mut self) {
         // Waiting bulk requests are not counted: they use whatever capacity is left.
-        let waiting = self.queue.band_len(Priority::Normal) + self.queue.band_len(Priority::Urgent);
+        let waiting = self.queue.level_len(level_of(Priority::Normal))
+            + self.queue.level_len(level_of(Priority::Urgent));
         let bulk = f64::from(self.in_progress[Priority::Bulk as usize]);
         let interactive = f64::from(self.in_progress.iter().sum::<u32>()) - bulk + waiting as f64;
         if bulk + interactive == 0.0 {
--- a/components/routing/src/scheduler/admission.rs
+++ b/components/routing/src/scheduler/admission.rs
@@ -9,7 +9,8 @@
 use super::{Decision, ResolvedWaiter, Scheduler, Waiter, WaiterId, placing::Choice};
 use crate::{
     EndpointLease, EndpointNeed, Verdict,
-    pool::{Pool, PoolId, PoolName},
+    fair_queue::QueuedRequest,
+    pool::{Pool, PoolId, PoolName, level_of},
 };
 
 /// Waiters at the head of a priority's queue that are tried, in case no endpoint serves
@@ -37,7 +38,7 @@
             Verdict::Suspect => return self.enqueue_trial(pool, need),
             Verdict::Clear => {}
         }
-        if self.table.pool(pool).queue.has_waiters(need.priority) {
+        if self.table.pool(pool).queue.has_waiters(level_of(need.priority)) {
             return self.enqueue(pool, need, now, rng);
         }
         match self.choose(pool, need, now, rng) {
@@ -101,8 +102,8 @@
         now: Timestamp,
         rng: &mut Rng,
     ) -> Option<ResolvedWaiter> {
-        for priority in self.table.pool(pool).queue.grant_order(now) {
-            for id in self.table.pool(pool).queue.heads(priority, QUEUE_HEADS_TRIED) {
+        for level in self.table.pool(pool).queue.grant_order(now) {
+            for id in self.table.pool(pool).queue.heads(level, QUEUE_HEADS_TRIED) {
                 let need = &self.waiters[&id].need;
                 if self.would_miss_deadline(pool, need, now) {
                     self.cancel(id);
@@ -146,8 +147,8 @@
         rng: &mut Rng,
     ) -> Decision {
         let (queue, settings) = (&self.table.pool(pool).queue, &self.settings);
-        let wait = queue.estimate_wait(need.priority, now);
-        if queue.account_len(&need.account, need.priority) >= settings.account_queue_max {
+        let wait = queue.estimate_wait(level_of(need.priority), now);
+        if queue.account_len(&need.account, level_of(need.priority)) >= settings.account_queue_max {
             let message = "the client account has too many requests waiting";
             return refuse_with_retry_delay(ErrorKind::QueueFull, message, wait, rng);
         }
@@ -186,8 +187,18 @@
     fn push_waiter(&mut self, pool: PoolId, need: &EndpointNeed, now: Timestamp) -> WaiterId {
         let id = WaiterId(self.allocate_id());
         let cost = need.prompt_tokens.saturating_add(need.max_output_tokens);
-        let queue = &mut self.table.pool_mut(pool).queue;
-        queue.push(id, &need.account, need.weight, need.priority, cost, now);
+        let request = QueuedRequest {
+            id,
+            account: need.account.clone(),
+            weight: need.weight,
+            level: level_of(need.priority),
+            cost,
+            start_by: Timestamp(u64::MAX),
+            // Requests of one account are granted in the order of their arrival.
+            deadline: Timestamp(u64::MAX),
+            is_returned: false,
+        };
+        self.table.pool_mut(pool).queue.push(&request, now);
         self.waiters.insert(id, Waiter { need: need.clone(), pool, reserved: None });
         id
     }
