Queue relayed requests that wait for a place; refuse those that cannot be served in time

When all endpoints of a service were full, every waiting request was woken at once, whoever came first got the place, and all were refused after an eighth of the latency target with the same delay. Where requests of a service differ in priority or account, they now wait in one fair queue for each service: one at a time tries to get a place, is refused as soon as its turn is not expected in time, and is told when its turn would be. Requests may wait until they cannot be on time any more. Reports of other routers and changes of the endpoint list wake the queue, too.

--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -28,7 +28,7 @@
     ports::{ControlSource, Dialect},
     rate::Rate,
     reach::PathBook,
-    serve::EndpointConnections,
+    serve::{EndpointConnections, WaitingRequests},
     settings::RelaySettings,
     tunnel::TunnelServer,
 };
@@ -122,6 +122,7 @@
     begun_streams: Mutex<BegunStreams>,
     origin_queries: Mutex<OriginQueries>,
     witness_records: Mutex<WitnessRecords>,
+    waiting: Mutex<WaitingRequests>,
     rng: Mutex<Rng>,
 }
 
@@ -185,6 +186,7 @@
             begun_streams: Mutex::default(),
             origin_queries: Mutex::default(),
             witness_records: Mutex::default(),
+            waiting: Mutex::default(),
             rng: Mutex::new(rng),
             settings,
         }
@@ -343,6 +345,11 @@
         self.witness_records.lock().expect("the lock is not poisoned")
     }
 
+    /// Locks the requests that wait for places. No other lock is taken while it is held.
+    pub(crate) fn lock_waiting(&self) -> MutexGuard<'_, WaitingRequests> {
+        self.waiting.lock().expect("the lock is not poisoned")
+    }
+
     /// Locks the random number generator.
     pub(crate) fn lock_rng(&self) -> MutexGuard<'_, Rng> {
         self.rng.lock().expect("the lock is not poisoned")
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! The crate depends on no wire format other than HTTP: [`Dialect`] and [`ControlSource`] are
 //! implemented elsewhere. The modules that make decisions ([`allowance`], [`endpoints`],
-//! [`limits`], [`origins`], [`reach`], [`stream`]) contain no network code; the time and random numbers are passed in.
+//! [`limits`], [`origins`], [`reach`], [`stream`], [`waiting`]) contain no network code; the time and random numbers are passed in.
 
 pub mod allowance;
 mod context;
@@ -24,6 +24,7 @@
 mod transfer;
 mod tunnel;
 mod units;
+pub mod waiting;
 
 pub use self::{
     context::RelayDependencies,
--- a/components/relay/src/model/desired_state.rs
+++ b/components/relay/src/model/desired_state.rs
@@ -71,6 +71,19 @@
         self.routes.get(host)?.iter().find(|it| path.starts_with(&*it.path_prefix))
     }
 
+    /// Reports whether requests of a service differ in priority or account, so that the order in which
+    /// waiting ones are served matters.
+    pub fn has_competing_requests(&self, service: &str) -> bool {
+        if self.accounts.as_ref().is_some_and(|it| it.len() > 1) {
+            return true;
+        }
+        let routes = self.routes.values().flatten();
+        let of_service =
+            routes.filter(|it| it.targets.iter().any(|target| *target.service == *service));
+        let mut priorities = of_service.map(|it| it.priority);
+        priorities.next().is_some_and(|first| priorities.any(|it| it != first))
+    }
+
     /// Returns the accounts keyed by name, so that one with several keys appears once.
     pub fn distinct_accounts(&self) -> HashMap<Arc<str>, Arc<Account>> {
         let accounts = self.accounts.iter().flat_map(|it| it.values());
--- a/components/relay/src/peers/admissions.rs
+++ b/components/relay/src/peers/admissions.rs
@@ -199,6 +199,7 @@
     }
     drop(book);
     cx.capacity_freed.notify_one();
+    cx.wake_all_waiting();
 }
 
 /// Corrects the admitted requests of this router and drops those of routers that are gone.
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -326,6 +326,7 @@
     let shares: Vec<_> = message.loads.iter().map(LoadMessage::to_share).collect();
     cx.lock_endpoints().apply_peer_loads(&member.name, &shares, now);
     cx.lock_admissions().reconcile(&member.name, &shares, now);
+    cx.wake_all_waiting();
     cx.record_peer_version(member.config_version);
     let cut_off = message.cut_off_services.iter().map(|it| it.as_str().into()).collect();
     cx.lock_paths().record_peer_statement(&member.name, cut_off, now);
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -70,6 +70,7 @@
     fn drop(&mut self) {
         self.cx.lock_endpoints().remove_request_load(&self.placement.endpoint, self.load);
         self.cx.capacity_freed.notify_one();
+        self.cx.wake_waiting(&self.placement.service);
     }
 }
 
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -196,6 +196,7 @@
         origin_records: 0,
         is_trial: false,
         fingerprint: OnceLock::new(),
+        sent_at: None,
         first_event_at: None,
         is_complete: false,
         has_uncounted_output: false,
--- a/components/relay/src/serve/mod.rs
+++ b/components/relay/src/serve/mod.rs
@@ -21,6 +21,7 @@
 mod stream_run;
 mod suspicion;
 mod tokens;
+mod waiting;
 
 pub use self::framing::remove_hop_headers;
 
@@ -30,4 +31,5 @@
     server::{accept_stream, bind, serve_auxiliary_api, serve_callers},
     side_calls::AuxiliaryApi,
     socket_options::{set_endpoint_socket_options, set_tunnel_socket_options},
+    waiting::WaitingRequests,
 };
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -5,6 +5,7 @@
 use errors::{Error, ErrorKind};
 use rand::Rng as _;
 use tokio::sync::Notify;
+use types::Timestamp;
 use utils::jitter;
 
 use super::{
@@ -15,10 +16,11 @@
     replacement::{find_replacement, record_silence},
     run::ActiveRequest,
     suspicion::{check_before_sending, check_for_crash, suspect_of},
+    waiting::{has_to_wait, is_ordered, record_direct_place, wait_for_turn},
 };
 use crate::{
     context::RelayContext,
-    endpoints::{Choice, LimitedWait, PlacementRequest},
+    endpoints::{Choice, LimitedWait, Placement, PlacementRequest},
     peers::ask_for_admission,
     ports::Forwarding,
     units::millis,
@@ -62,6 +64,19 @@
     if request.may_have_run { error.after_earlier_attempt() } else { error }
 }
 
+/// Result of trying to place a request once.
+pub(super) enum PlacementTry {
+    /// The request was placed.
+    Placed(Box<Placement>),
+    /// All endpoints that may get it are at capacity.
+    Full,
+    /// It may be placed later: from the moment at which the endpoints' statements allow it, if one is
+    /// known, or once the list of endpoints has been read.
+    Later(Option<Timestamp>),
+    /// The store does not name the versions of the endpoints yet.
+    Unnamed,
+}
+
 /// Places the request on an endpoint; waits for a limited time if all endpoints are full, or if
 /// the rate limits or pauses that they state allow no request.
 ///
@@ -69,40 +84,30 @@
 /// Returns an error if no endpoint is available, if all stay full, or as soon as it is known that
 /// none of them can take the request in time.
 pub(super) async fn find_placement(request: &ActiveRequest) -> Result<PlacementGuard, Error> {
+    if has_to_wait(request) {
+        return wait_for_turn(request).await;
+    }
     let wait_until = request.cx.now() + request.route.latency_target / PLACEMENT_WAIT_DIVISOR;
     loop {
         let mut wake_at = wait_until;
         let mut is_unnamed = false;
-        match choose_endpoint(request, None) {
-            Choice::Placed(placement) => {
-                let guard = PlacementGuard::new(request.cx.clone(), placement);
+        match try_place(request, wait_until)? {
+            PlacementTry::Placed(placement) => {
+                let guard = PlacementGuard::new(request.cx.clone(), *placement);
                 if let Some(guard) = admit(request, guard).await {
+                    record_direct_place(request);
                     return Ok(guard);
                 }
                 if request.cx.now() < wait_until {
                     continue;
                 }
             }
-            // The list of endpoints has not been read since the process started; wait for it.
-            Choice::NoEndpoint if !request.cx.lock_endpoints().has_list() => {}
-            Choice::NoEndpoint => {
-                let message = "no endpoint of the service is available";
-                return Err(retryable_error(request, ErrorKind::NoEndpoint, message, RETRY_DELAY));
-            }
-            Choice::Unreached => {
-                let message = "no endpoint of the service can be reached";
-                return Err(retryable_error(request, ErrorKind::NoEndpoint, message, RETRY_DELAY));
-            }
-            Choice::NoVersion => return Err(no_version_error(request)),
-            Choice::Full => {}
-            Choice::Unnamed => is_unnamed = true,
-            Choice::Limited(limited) => {
-                let is_in_time = limited.next_at.is_some_and(|it| it <= wait_until);
-                if !is_in_time && !limited.is_any_full {
-                    return Err(limit_error(request, limited));
-                }
-                wake_at = limited.next_at.map_or(wait_until, |it| it.min(wait_until));
+            PlacementTry::Full if is_ordered(request) => return wait_for_turn(request).await,
+            PlacementTry::Full => {}
+            PlacementTry::Later(next_at) => {
+                wake_at = next_at.map_or(wait_until, |it| it.min(wait_until));
             }
+            PlacementTry::Unnamed => is_unnamed = true,
         }
         let freed = request.cx.capacity_freed.notified();
         let waited = tokio::time::timeout_at(request.cx.instant(wake_at), freed).await;
@@ -117,6 +122,42 @@
     }
 }
 
+/// Tries to place the request on an endpoint. `wait_until` is when it stops waiting.
+///
+/// # Errors
+/// Returns an error if no endpoint is available, or as soon as it is known that none of them can
+/// take the request in time.
+pub(super) fn try_place(
+    request: &ActiveRequest,
+    wait_until: Timestamp,
+) -> Result<PlacementTry, Error> {
+    match choose_endpoint(request, None) {
+        Choice::Placed(placement) => Ok(PlacementTry::Placed(Box::new(placement))),
+        // The list of endpoints has not been read since the process started; wait for it.
+        Choice::NoEndpoint if !request.cx.lock_endpoints().has_list() => {
+            Ok(PlacementTry::Later(None))
+        }
+        Choice::NoEndpoint => {
+            let message = "no endpoint of the service is available";
+            Err(retryable_error(request, ErrorKind::NoEndpoint, message, RETRY_DELAY))
+        }
+        Choice::Unreached => {
+            let message = "no endpoint of the service can be reached";
+            Err(retryable_error(request, ErrorKind::NoEndpoint, message, RETRY_DELAY))
+        }
+        Choice::NoVersion => Err(no_version_error(request)),
+        Choice::Full => Ok(PlacementTry::Full),
+        Choice::Unnamed => Ok(PlacementTry::Unnamed),
+        Choice::Limited(limited) => {
+            let is_in_time = limited.next_at.is_some_and(|it| it <= wait_until);
+            if !is_in_time && !limited.is_any_full {
+                return Err(limit_error(request, limited));
+            }
+            Ok(PlacementTry::Later(limited.next_at))
+        }
+    }
+}
+
 /// Asks the owner of a brittle endpoint to admit the request there. Returns `None` if it does not.
 pub(super) async fn admit(
     request: &ActiveRequest,
@@ -237,6 +278,7 @@
     request.attempt_events = 0;
     let outgoing: &OutgoingRequest = &request.outgoing;
     let began_at = cx.now();
+    request.sent_at = Some(began_at);
     let (id, deadline) = (&request.head.id, request.deadline);
     let sending = Notify::new();
     let sent = tokio::select! {
--- a/components/relay/src/serve/run.rs
+++ b/components/relay/src/serve/run.rs
@@ -8,7 +8,10 @@
 use types::Timestamp;
 use utils::Digest;
 
-use super::exchange::OutgoingRequest;
+use super::{
+    exchange::OutgoingRequest,
+    waiting::{is_ordered, record_start_time},
+};
 use crate::{
     allowance::Reservation,
     context::{InForce, RelayContext},
@@ -85,6 +88,8 @@
     pub(super) is_trial: bool,
     /// Digest of the content, once computed.
     pub(super) fingerprint: OnceLock<Digest>,
+    /// When it was last sent to an endpoint.
+    pub(super) sent_at: Option<Timestamp>,
     /// When the first event arrived.
     pub(super) first_event_at: Option<Timestamp>,
     /// Whether the whole answer was read.
@@ -138,6 +143,15 @@
         self.outcome == CALLER_LEFT && self.route.retry_policy.is_stream() && self.events == 0
     }
 
+    /// Returns the time from sending the request to its answer or its first event, if it was sent
+    /// once.
+    fn start_time(&self, now: Timestamp) -> Option<Duration> {
+        let sent_at = self.sent_at.filter(|_| self.attempts == 1)?;
+        let is_answered = self.outcome == "answered";
+        let started_at = self.first_event_at.or(is_answered.then_some(now))?;
+        Some(started_at.since(sent_at))
+    }
+
     /// Returns the number of tokens that count as spent: with the maximum output if the output cannot
     /// be counted. If the answer is incomplete, events in flight are counted too.
     fn spent_tokens(&self) -> u64 {
@@ -167,6 +181,9 @@
             self.cx.lock_allowances().settle(reservation, spent);
         }
         self.cx.running.fetch_sub(1, Ordering::Relaxed);
+        if let Some(time) = self.start_time(now).filter(|_| is_ordered(self)) {
+            record_start_time(self, time);
+        }
         let total = now.since(self.received_at);
         metrics::histogram!(telemetry::REQUEST_SECONDS).record(total.as_secs_f64());
         let first_ms = self.first_event_at.map(|it| millis(it.since(self.received_at)));
--- a/components/relay/src/sync/endpoint_watch.rs
+++ b/components/relay/src/sync/endpoint_watch.rs
@@ -53,7 +53,9 @@
         }
         *era = cursor.era;
         endpoints.apply_list(entries, now);
+        drop(endpoints);
         cx.capacity_freed.notify_waiters();
+        cx.wake_all_waiting();
         return Ok(Some(cursor));
     };
     match cx.source.endpoints_after(cursor).await? {
@@ -64,6 +66,8 @@
             for change in changes {
                 endpoints.apply_change(change, now);
             }
+            drop(endpoints);
+            cx.wake_all_waiting();
             Ok(Some(cursor))
         }
         Feed::HistoryLost => {
--- a/components/relay/src/sync/named_versions.rs
+++ b/components/relay/src/sync/named_versions.rs
@@ -176,6 +176,7 @@
     endpoints.set_named_versions(service, row.versions.keys());
     drop(endpoints);
     cx.capacity_freed.notify_waiters();
+    cx.wake_all_waiting();
 }
 
 /// Returns the time of the store, in milliseconds, or a time before it.
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -88,6 +88,15 @@
 /// Counter of retries denied by the retry budget, by `reason`.
 pub const RETRIES_DENIED_TOTAL: &str = "auburncrank_retries_denied_total";
 
+/// Gauge of relayed requests that wait for a place at an endpoint, by `service`.
+pub const WAITING_REQUESTS: &str = "auburncrank_waiting_requests";
+
+/// Counter of relayed requests that began to wait for a place, by `level` of urgency.
+pub const WAITED_TOTAL: &str = "auburncrank_waited_total";
+
+/// Counter of relayed requests that were refused while they waited for a place, by `level`.
+pub const WAITING_REFUSALS_TOTAL: &str = "auburncrank_waiting_refusals_total";
+
 /// Counter of finished attempts on endpoints, by `outcome`.
 pub const ATTEMPTS_TOTAL: &str = "auburncrank_attempts_total";
 
