--- a/components/relay/src/waiting/queue.rs
+++ b/components/relay/src/waiting/queue.rs
@@ -1,6 +1,6 @@
 //! Queue of the requests that wait for a place at the endpoints of one service.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use routing::{FairQueue, QueuedRequest, WaiterId};
 use types::Timestamp;
@@ -18,7 +18,7 @@
 
 /// Requests of each level that try to get a place in one round, in case the endpoints with room
 /// do not suit the first ones.
-const HEADS_TRIED: usize = 2;
+const HEADS_TRIED: usize = 4;
 
 /// Maximum number of waiting requests of one service.
 const QUEUE_MAX: usize = 256;
@@ -37,7 +37,9 @@
 /// A waiting request.
 #[derive(Debug)]
 struct Waiting {
+    /// What decides its order.
     class: WaitingClass,
+    /// When it joined the queue.
     joined_at: Timestamp,
     /// Last moment at which a start still meets the latency target.
     start_by: Timestamp,
@@ -64,15 +66,18 @@
 #[derive(Debug)]
 pub struct ServiceQueue {
     /// Waiting requests in the order in which they are placed.
-    queue: FairQueue<std::sync::Arc<str>>,
+    queue: FairQueue<Arc<str>>,
+    /// The same requests by identifier.
     waiting: HashMap<WaiterId, Waiting>,
-    /// Refusals of requests that have not left the queue's caller yet.
+    /// Refusals that have not been passed on to the requests.
     refused: HashMap<WaiterId, Refusal>,
+    /// Attempts to get places that may have become free.
     round: Round,
     /// Rate at which this router gets places, in places per second.
     places: Rate,
     /// When it last got a place, or when the queue last became non-empty.
     placed_at: Timestamp,
+    /// Callers that were told when to return.
     returns: Returns,
     /// Time before which no further caller is told to return.
     next_return: Timestamp,
