Send nothing new to endpoints in failure domains that operators empty

Missing: rows `evacuate/DOMAIN` of the operators' table were not read, so requests went on to endpoints of an emptied domain.

The whole read and the feed of the operators' table now give the emptied domains with the desired state. A view with its era and revision is kept in memory, reported in status messages (tag 18, only where a domain was emptied), and replaced by a newer one, so that routers without the store learn of an emptying and of its end. A router has no desired state before it has the view, so it sends nothing before. Choosing an endpoint, tunnels and idle connections leave emptied domains out; if no other endpoint is left, requests are refused at once, to return after about 2 s.

--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -14,6 +14,7 @@
     versions::GoneVersions,
 };
 use crate::{
+    domains::EmptiedDomains,
     model::{EndpointEntry, EndpointPhase},
     units::millis,
 };
@@ -63,6 +64,8 @@
     pub(super) sharers_changed_at: Timestamp,
     /// Processes that were leaving or whose entry was removed, by the endpoint's id, with the time.
     departed: HashMap<Arc<str>, (u64, Timestamp)>,
+    /// Failure domains whose endpoints get nothing new.
+    pub(super) emptied: EmptiedDomains,
     /// Until when entries may be older than what this router has read before.
     may_read_old_until: Timestamp,
     /// Whether an answer has had a malformed statement; only the first one is logged.
@@ -208,15 +211,30 @@
         }
     }
 
-    /// Reports whether the endpoint is known and accepts new requests.
+    /// Returns the failure domains that are emptied.
+    pub fn emptied_domains(&self) -> &EmptiedDomains {
+        &self.emptied
+    }
+
+    /// Returns the failure domains that are emptied, to apply changes.
+    pub fn emptied_domains_mut(&mut self) -> &mut EmptiedDomains {
+        &mut self.emptied
+    }
+
+    /// Reports whether new requests may be sent to the endpoint.
+    pub(super) fn is_open(&self, endpoint: &Endpoint) -> bool {
+        endpoint.is_in_service() && !self.emptied.is_emptied(&endpoint.entry.failure_domain)
+    }
+
+    /// Reports whether the endpoint is known and new requests may be sent to it.
     pub fn is_in_service(&self, id: &str) -> bool {
-        self.endpoints.get(id).is_some_and(Endpoint::is_in_service)
+        self.endpoints.get(id).is_some_and(|it| self.is_open(it))
     }
 
     /// Returns where a process of an endpoint accepts connections; `None` if it is not known or
     /// accepts no new requests.
     pub fn connect_target(&self, id: &str, started_at_ms: u64) -> Option<ConnectTarget> {
-        let endpoint = self.endpoints.get(id).filter(|it| it.is_in_service())?;
+        let endpoint = self.endpoints.get(id).filter(|it| self.is_open(it))?;
         let entry = &endpoint.entry;
         (entry.started_at_ms == started_at_ms).then(|| ConnectTarget {
             endpoint: entry.id.clone(),
--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -84,7 +84,9 @@
         if let Some(tokens) = request.tokens {
             let split = self.splits.entry(request.service.clone()).or_default();
             split.record(unshared_tokens(request, tokens), now);
-            let serving = self.endpoints.values().filter(|it| it.entry.service == *request.service);
+            let of_service = |it: &&Endpoint| it.entry.service == *request.service;
+            let is_emptied = |it: &Endpoint| self.emptied.is_emptied(&it.entry.failure_domain);
+            let serving = self.endpoints.values().filter(of_service).filter(|it| !is_emptied(it));
             split.update_share(serving.count(), request.routers, now);
         }
         let choice = self.choose_endpoint(request, now, rng);
@@ -104,11 +106,15 @@
     ) -> Choice {
         let of_service = |it: &&Endpoint| it.entry.service == *request.service;
         let in_service = |it: &&Endpoint| it.is_in_service();
-        let serving: Vec<&Endpoint> =
+        let accepting: Vec<&Endpoint> =
             self.endpoints.values().filter(of_service).filter(in_service).collect();
-        if serving.is_empty() {
+        if accepting.is_empty() {
             return Choice::NoEndpoint;
         }
+        let serving: Vec<&Endpoint> = accepting.into_iter().filter(|it| self.is_open(it)).collect();
+        if serving.is_empty() {
+            return Choice::Emptied;
+        }
         if are_unreached(&serving, now) {
             return Choice::Unreached;
         }
--- a/components/relay/src/endpoints/placement.rs
+++ b/components/relay/src/endpoints/placement.rs
@@ -103,6 +103,8 @@
     Limited(LimitedWait),
     /// No endpoint of the service accepts requests.
     NoEndpoint,
+    /// All endpoints of the service that accept requests are in emptied failure domains.
+    Emptied,
     /// Neither this router nor others could connect to any endpoint of the service a moment ago.
     Unreached,
     /// No endpoint of the version that the request needs accepts requests.
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -2,11 +2,12 @@
 //! endpoint selection, retries and graceful shutdown.
 //!
 //! The crate depends on no wire format other than HTTP: [`Dialect`] and [`ControlSource`] are
-//! implemented elsewhere. The modules that make decisions ([`allowance`], [`endpoints`],
-//! [`limits`], [`origins`], [`reach`], [`stream`]) contain no network code; the time and random numbers are passed in.
+//! implemented elsewhere. The modules that make decisions ([`allowance`], [`domains`],
+//! [`endpoints`], [`limits`], [`origins`], [`reach`], [`stream`]) contain no network code; the time and random numbers are passed in.
 
 pub mod allowance;
 mod context;
+pub mod domains;
 pub mod endpoints;
 pub mod limits;
 pub mod model;
@@ -27,7 +28,9 @@
 
 pub use self::{
     context::RelayDependencies,
-    ports::{AnswerHead, ControlSource, Cursor, Dialect, Feed, Forwarding},
+    ports::{
+        AnswerHead, ControlSource, Cursor, Dialect, Feed, Forwarding, OperatorChange, OperatorState,
+    },
     process::RelayProcess,
     serve::remove_hop_headers,
     settings::{Areas, ColdBounds, HostLimits, RelaySettings},
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -12,8 +12,8 @@
 use tokio::net::UdpSocket;
 
 use super::{
-    EvidenceMessage, LivenessMessage, LoadMessage, Member, PeerContent, PeerMessage, PendingLoans,
-    RouterLoad, StatementMessage, StatusMessage,
+    DomainsMessage, EvidenceMessage, LivenessMessage, LoadMessage, Member, PeerContent,
+    PeerMessage, PendingLoans, RouterLoad, StatementMessage, StatusMessage,
     admissions::{
         handle_admission_end, handle_admission_reply, handle_admission_request, update_admissions,
     },
@@ -125,6 +125,9 @@
         let reports = cx.lock_endpoints().reports(cx.now());
         let evidence = cx.lock_crash_evidence().reports(cx.now());
         let cut_off = cx.lock_paths().cut_off_services();
+        let now = cx.now();
+        let emptied_domains =
+            cx.lock_endpoints().emptied_domains().report(now).map(DomainsMessage::from_view);
         let message = StatusMessage {
             name: own.name.to_string(),
             process: own.process,
@@ -142,6 +145,7 @@
             evidence: evidence.iter().map(EvidenceMessage::from_report).collect(),
             cut_off_services: cut_off.iter().map(ToString::to_string).collect(),
             keeps_draws: true,
+            emptied_domains,
         };
         encode(PeerContent::Status(message))
     }
@@ -327,6 +331,9 @@
     cx.lock_endpoints().apply_peer_loads(&member.name, &shares, now);
     cx.lock_admissions().reconcile(&member.name, &shares, now);
     cx.record_peer_version(member.config_version);
+    if let Some(view) = message.emptied_domains.as_ref().and_then(DomainsMessage::to_view) {
+        cx.lock_endpoints().emptied_domains_mut().apply_report(view, now);
+    }
     let cut_off = message.cut_off_services.iter().map(|it| it.as_str().into()).collect();
     cx.lock_paths().record_peer_statement(&member.name, cut_off, now);
     let mut roster = cx.lock_roster();
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -5,9 +5,9 @@
 use prost::{Message, Oneof};
 
 use super::{
-    AdmissionEndMessage, AdmissionReplyMessage, AdmissionRequestMessage, DrawAckMessage,
-    DrawNoticeMessage, EvidenceMessage, LivenessReport, OriginMessage, OriginQueryMessage,
-    OriginReplyMessage, StatementMessage,
+    AdmissionEndMessage, AdmissionReplyMessage, AdmissionRequestMessage, DomainsMessage,
+    DrawAckMessage, DrawNoticeMessage, EvidenceMessage, LivenessReport, OriginMessage,
+    OriginQueryMessage, OriginReplyMessage, StatementMessage,
 };
 use crate::{
     allowance::{RouterProcess, WitnessDeclaration, WitnessStatement},
@@ -273,6 +273,9 @@
     /// Whether the sender keeps and confirms notices of draws.
     #[prost(bool, tag = "17")]
     pub keeps_draws: bool,
+    /// Failure domains that are emptied; missing if none was since the sender started.
+    #[prost(message, optional, tag = "18")]
+    pub emptied_domains: Option<DomainsMessage>,
 }
 
 /// Liveness of other routers. The lists have the same length, and each router has the same index
--- a/components/relay/src/peers/mod.rs
+++ b/components/relay/src/peers/mod.rs
@@ -4,6 +4,7 @@
 mod admission_message;
 mod admissions;
 mod crowding;
+mod domains_message;
 mod draw_message;
 mod draws;
 mod evidence;
@@ -25,6 +26,7 @@
 pub use self::{
     admission_message::{AdmissionEndMessage, AdmissionReplyMessage, AdmissionRequestMessage},
     crowding::RouterLoad,
+    domains_message::DomainsMessage,
     draw_message::{DrawAckMessage, DrawNoticeMessage, TotalsMessage},
     evidence_message::EvidenceMessage,
     message::{
--- a/components/relay/src/ports.rs
+++ b/components/relay/src/ports.rs
@@ -9,6 +9,7 @@
 use platform::{Era, PlatformError};
 
 use crate::{
+    domains::EmptiedDomain,
     endpoints::{EndpointChange, Statements},
     model::{DesiredState, EndpointEntry, RequestHead},
     transfer::TransferProgress,
@@ -90,30 +91,48 @@
     HistoryLost,
 }
 
-/// Source of the desired state and the list of endpoints.
+/// What operators have written.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OperatorState {
+    /// The desired state; `None` if there is none yet.
+    pub desired_state: Option<DesiredState>,
+    /// Failure domains that are emptied.
+    pub emptied_domains: Vec<EmptiedDomain>,
+}
+
+/// A change of what operators have written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OperatorChange {
+    /// There is a new desired state.
+    DesiredState(DesiredState),
+    /// A failure domain is emptied.
+    Emptied(EmptiedDomain),
+    /// An emptying is taken back; the revision is that of the change.
+    TakenBack(EmptiedDomain),
+}
+
+/// Source of what operators have written and of the list of endpoints.
 #[async_trait]
 pub trait ControlSource: Send + Sync {
-    /// Reads the desired state; `None` if there is none yet. The bytes that arrive are counted in
-    /// `progress`.
+    /// Reads all that operators have written. The bytes that arrive are counted in `progress`.
     ///
     /// # Errors
     /// Returns an error if the source cannot be reached or refuses the call.
-    async fn desired_state(
+    async fn operator_state(
         &self,
         progress: &TransferProgress,
-    ) -> Result<(Option<DesiredState>, Cursor), PlatformError>;
+    ) -> Result<(OperatorState, Cursor), PlatformError>;
 
-    /// Waits up to `wait` for desired states that are newer than `cursor`. The bytes that arrive
-    /// are counted in `progress`.
+    /// Waits up to `wait` for changes after `cursor`. The bytes that arrive are counted in `progress`.
     ///
     /// # Errors
     /// Returns an error if the source cannot be reached or refuses the call.
-    async fn desired_state_after(
+    async fn operator_changes_after(
         &self,
         cursor: Cursor,
         wait: Duration,
         progress: &TransferProgress,
-    ) -> Result<Feed<DesiredState>, PlatformError>;
+    ) -> Result<Feed<OperatorChange>, PlatformError>;
 
     /// Reads the whole list of endpoints.
     ///
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -37,6 +37,10 @@
 /// which running requests end and free capacity.
 const RETRY_DELAY: Duration = Duration::from_millis(700);
 
+/// Mean retry delay if all endpoints of the service are in emptied failure domains, where operators leave
+/// them for seconds at least.
+const EMPTIED_RETRY_DELAY: Duration = Duration::from_secs(2);
+
 /// Minimum time left before the deadline for a request to be sent.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(5);
 
@@ -89,6 +93,11 @@
                 let message = "no endpoint of the service is available";
                 return Err(retryable_error(request, ErrorKind::NoEndpoint, message, RETRY_DELAY));
             }
+            Choice::Emptied => {
+                let message = "all endpoints of the service are in emptied failure domains";
+                let kind = ErrorKind::NoEndpoint;
+                return Err(retryable_error(request, kind, message, EMPTIED_RETRY_DELAY));
+            }
             Choice::Unreached => {
                 let message = "no endpoint of the service can be reached";
                 return Err(retryable_error(request, ErrorKind::NoEndpoint, message, RETRY_DELAY));
--- a/components/relay/src/serve/replacement.rs
+++ b/components/relay/src/serve/replacement.rs
@@ -162,6 +162,7 @@
         Choice::Full
         | Choice::Limited(_)
         | Choice::NoEndpoint
+        | Choice::Emptied
         | Choice::Unnamed
         | Choice::Unreached => {
             return Err(Denial::Capacity);
--- a/components/relay/src/sync/config_watch.rs
+++ b/components/relay/src/sync/config_watch.rs
@@ -1,4 +1,4 @@
-//! Background task that follows the desired state in the store.
+//! Background task that follows what operators write in the store.
 
 use std::{pin::pin, sync::Arc, time::Duration};
 
@@ -7,8 +7,9 @@
 use super::backoff::Backoff;
 use crate::{
     context::{InForce, RelayContext},
+    domains::EmptiedDomain,
     model::DesiredState,
-    ports::{Cursor, Feed},
+    ports::{Cursor, Feed, OperatorChange},
     transfer::TransferProgress,
     units::millis,
 };
@@ -17,7 +18,7 @@
 /// that a change takes effect within two seconds.
 const FEED_WAIT: Duration = Duration::from_millis(1_000);
 
-/// Applies changes of the desired state until the process ends.
+/// Applies changes of the desired state and of the emptied failure domains until the process ends.
 pub(crate) async fn watch_config(cx: Arc<RelayContext>) {
     let mut backoff = Backoff::new("desired state");
     let mut cursor: Option<Cursor> = None;
@@ -25,7 +26,8 @@
         let progress = TransferProgress::default();
         match read_changes(&cx, cursor, &progress).await {
             Ok(next) => {
-                cursor = next;
+                let needs_read = cx.lock_endpoints().emptied_domains().needs_read(cx.now());
+                cursor = next.filter(|_| !needs_read);
                 backoff.record_success();
             }
             Err(error) => {
@@ -52,11 +54,14 @@
     progress: &TransferProgress,
 ) -> Result<Option<Cursor>, PlatformError> {
     let Some(cursor) = cursor else {
-        let (state, cursor) = cx.source.desired_state(progress).await?;
-        activate_newest(cx, state, progress);
+        let (state, cursor) = cx.source.operator_state(progress).await?;
+        // Before the desired state: a router that has none sends nothing.
+        let now = cx.now();
+        cx.lock_endpoints().emptied_domains_mut().apply_read(state.emptied_domains, cursor, now);
+        activate_newest(cx, state.desired_state, progress);
         return Ok(Some(cursor));
     };
-    let mut feed = pin!(cx.source.desired_state_after(cursor, FEED_WAIT, progress));
+    let mut feed = pin!(cx.source.operator_changes_after(cursor, FEED_WAIT, progress));
     let mut is_hinted = false;
     let feed = loop {
         tokio::select! {
@@ -72,7 +77,10 @@
         }
     };
     match feed {
-        Feed::Changes(states, cursor) => {
+        Feed::Changes(changes, cursor) => {
+            let (states, domains) = split_changes(changes);
+            let now = cx.now();
+            cx.lock_endpoints().emptied_domains_mut().apply_changes(domains, cursor, now);
             activate_newest(cx, states, progress);
             Ok(Some(cursor).filter(|_| !is_hinted || !cx.is_behind_peers()))
         }
@@ -85,6 +93,19 @@
     }
 }
 
+/// Returns the desired states among `changes`, and the failure domains with whether each is emptied.
+fn split_changes(changes: Vec<OperatorChange>) -> (Vec<DesiredState>, Vec<(EmptiedDomain, bool)>) {
+    let (mut states, mut domains) = (Vec::new(), Vec::new());
+    for change in changes {
+        match change {
+            OperatorChange::DesiredState(state) => states.push(state),
+            OperatorChange::Emptied(domain) => domains.push((domain, true)),
+            OperatorChange::TakenBack(domain) => domains.push((domain, false)),
+        }
+    }
+    (states, domains)
+}
+
 /// Puts those of `states` in force that are newer than the one in force.
 fn activate_newest(
     cx: &RelayContext,
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -175,6 +175,9 @@
 /// `full`, `closed` after a refusal, or `unanswered`.
 pub const ADMISSIONS_TOTAL: &str = "auburncrank_admissions_total";
 
+/// Gauge of failure domains that are emptied: their endpoints get nothing new.
+pub const EMPTIED_DOMAINS: &str = "auburncrank_emptied_domains";
+
 /// Counter of changes of the store's era: the store came back from an older copy.
 pub const STORE_ERA_CHANGES_TOTAL: &str = "auburncrank_store_era_changes_total";
 
