Send cold endpoints no more than they survive, over all routers

Missing: an endpoint that has just started takes a few requests a second from all routers together (`cold_per_s`) and crashes well above; nothing limited what routers send there.

An entry's `cold_remaining_ms`, a new process seen during traffic without it, and a process that was seen to end make an endpoint cold. One router owns it, by rendezvous hashing among the live ready routers that say that they pace cold endpoints (tag 19), and sends at a rate at which two owners stay under `cold_per_s` x `cold_overage` + `cold_allowance`; a new owner waits a second. Others send nothing until it is warm, and begin one after the other within a second. It answers NextRequest::At, so waiting and refusing stay where they are. Warm endpoints are preferred while they cost less. The share of a rate is now RateShare, used by stated limits too. Takes effect only with cold bounds in the settings and a rate in the desired state.

--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -6,6 +6,7 @@
 use utils::{HashMap, HashSet};
 
 use super::{
+    cold::ColdLimit,
     endpoint::Endpoint,
     load::{Load, LoadShare},
     placement::{ConnectTarget, ProcessId},
@@ -47,7 +48,7 @@
     /// Rates of long and short prompts, keyed by service name.
     pub(super) splits: HashMap<Arc<str>, PromptSplit>,
     /// Whether the whole list has been read since the process started.
-    has_list: bool,
+    pub(super) has_list: bool,
     /// Connectivity to the store that holds the list.
     contact: StoreContact,
     /// When the list, or its changes, were last read.
@@ -62,6 +63,12 @@
     pub(super) sharers: Vec<Arc<str>>,
     /// When `sharers` last changed.
     pub(super) sharers_changed_at: Timestamp,
+    /// What endpoints take while they are cold, keyed by service; empty if none needs warming up.
+    pub(super) cold_limits: HashMap<Arc<str>, ColdLimit>,
+    /// Routers among which cold endpoints are dealt out, sorted.
+    pub(super) cold_owners: Vec<Arc<str>>,
+    /// When `cold_owners` last changed.
+    pub(super) cold_owners_changed_at: Timestamp,
     /// Processes that were leaving or whose entry was removed, by the endpoint's id, with the time.
     departed: HashMap<Arc<str>, (u64, Timestamp)>,
     /// Failure domains whose endpoints get nothing new.
@@ -91,7 +98,6 @@
 
     /// Replaces the known list; endpoints that are not in `entries` are treated as removed.
     pub fn apply_list(&mut self, entries: Vec<EndpointEntry>, now: Timestamp) {
-        self.has_list = true;
         let listed: HashSet<Arc<str>> = entries.iter().map(|it| it.id.clone()).collect();
         let missing: Vec<Arc<str>> =
             self.endpoints.keys().filter(|id| !listed.contains(*id)).cloned().collect();
@@ -101,12 +107,21 @@
         for id in missing {
             self.apply_change(EndpointChange::Removed(id), now);
         }
+        self.has_list = true;
     }
 
     /// Applies one change of the list.
     pub fn apply_change(&mut self, change: EndpointChange, now: Timestamp) {
         match change {
-            EndpointChange::Written(entry) => self.write(entry, now),
+            EndpointChange::Written(entry) => {
+                let (id, process) = (entry.id.clone(), entry.started_at_ms);
+                let former = self.endpoints.get(&id).map(|it| it.entry.started_at_ms);
+                self.write(entry, now);
+                let known = self.endpoints.get(&id).map(|it| it.entry.started_at_ms);
+                if known == Some(process) {
+                    self.record_warmth(&id, former != known, now);
+                }
+            }
             EndpointChange::Removed(id) => self.remove(&id, now),
         }
     }
@@ -177,6 +192,7 @@
         {
             endpoint.ended += 1;
             endpoint.ended_at = now;
+            self.record_cold_end(id, now);
         }
     }
 
--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -9,6 +9,7 @@
 use super::{
     book::EndpointRegistry,
     brittleness::is_brittle,
+    cold::COLD_COST_MS,
     endpoint::Endpoint,
     load::Load,
     placement::{Choice, LimitedWait, Placement, PlacementRequest, ProcessId},
@@ -67,6 +68,8 @@
     next_request: NextRequest,
     /// Whether the endpoint is brittle.
     is_brittle: bool,
+    /// Whether it is cold.
+    is_cold: bool,
     /// Whether it failed recently, or failed the request.
     is_last_resort: bool,
     /// Whether the answer is needed to learn if a rate limit still holds.
@@ -94,6 +97,7 @@
             self.add_request_load(&placement.endpoint, placement.load);
             self.record_retry(&placement.endpoint, now);
             self.record_sent(&placement.endpoint, now);
+            self.record_cold_request(&placement.endpoint, now);
         }
         choice
     }
@@ -160,12 +164,18 @@
             }
         };
         let brittle_since = self.service_stated_at(request.service, now);
+        let needs_warmth = self.cold_limits.contains_key(request.service);
         let with_capacity: Vec<Candidate<'_>> = serving
             .iter()
             .filter_map(|it| {
                 let is_brittle = is_brittle(it, brittle_since);
                 let mut candidate = evaluate(it, request, &cache_owners, is_brittle, now)?;
                 candidate.cost_ms += mixing_cost_ms(it) + replaced_cost_ms(it);
+                if needs_warmth && let Some(next) = it.warmth.next_request(now) {
+                    candidate.cost_ms += COLD_COST_MS;
+                    candidate.next_request = candidate.next_request.max(next);
+                    candidate.is_cold = true;
+                }
                 Some(candidate)
             })
             .collect();
@@ -177,6 +187,9 @@
                 NextRequest::At(at) => Some(at),
                 NextRequest::Now | NextRequest::Never => None,
             });
+            if limited.iter().any(|it| it.is_cold) {
+                metrics::counter!(telemetry::COLD_WAITS_TOTAL).increment(1);
+            }
             return Choice::Limited(LimitedWait { next_at: times.min(), is_any_full });
         }
         if candidates.iter().any(|it| it.confirms_limit) {
@@ -314,6 +327,7 @@
         cost_ms,
         next_request: endpoint.next_request(is_brittle, now),
         is_brittle,
+        is_cold: false,
         is_last_resort,
         confirms_limit: !is_last_resort
             && endpoint.rate.is_some_and(|it| it.needs_confirmation(now)),
--- a/components/relay/src/endpoints/endpoint.rs
+++ b/components/relay/src/endpoints/endpoint.rs
@@ -7,6 +7,7 @@
 
 use super::{
     brittleness::Brittleness,
+    cold::Warmth,
     health::Health,
     load::Load,
     pause::Pause,
@@ -38,6 +39,8 @@
     pub(super) unreached: Option<Unreached>,
     /// Rate limit that it states or has stated until recently; `None` if it states none.
     pub(super) rate: Option<StatedRate>,
+    /// Whether it is cold, and what this router may send it then.
+    pub(super) warmth: Warmth,
     /// Whether it states that it is shutting down.
     pub(super) is_leaving: bool,
     /// Pause that it has asked this router for. Unlike after a failure (see `health`), nothing is sent
@@ -68,6 +71,7 @@
             health: Health::default(),
             unreached: None,
             rate: None,
+            warmth: Warmth::new(),
             is_leaving: false,
             pause: None,
             brittleness: None,
--- a/components/relay/src/endpoints/mod.rs
+++ b/components/relay/src/endpoints/mod.rs
@@ -5,6 +5,7 @@
 mod book;
 mod brittleness;
 mod choice;
+mod cold;
 mod endpoint;
 mod health;
 mod load;
@@ -12,6 +13,7 @@
 mod placement;
 mod prompt_split;
 mod rate_limit;
+mod rate_share;
 mod statements;
 mod store_contact;
 mod unreached;
@@ -21,6 +23,7 @@
     admissions::{Admission, AdmissionBook, AdmissionRequest, OwnerView},
     book::{EndpointChange, EndpointRegistry},
     brittleness::BrittleStatement,
+    cold::ColdLimit,
     load::{Load, LoadShare},
     placement::{
         Choice, ConnectTarget, LimitedWait, Placement, PlacementRequest, ProcessId, Suspect,
--- a/components/relay/src/model/desired_state.rs
+++ b/components/relay/src/model/desired_state.rs
@@ -17,8 +17,17 @@
     pub idle_timeout: Duration,
 }
 
+/// What an endpoint takes shortly after its start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// Time from its start until it is warm.
+    pub time: Duration,
+    /// Requests per second that it takes until then, from all routers together.
+    pub per_s: f64,
+}
+
 /// Specification of one service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ServiceSpec {
     /// Maximum number of connections that one endpoint accepts from all routers together.
     pub max_connections: u32,
@@ -30,6 +39,8 @@
     /// Maximum number of tokens in one event of a stream; `None` if events are not counted as
     /// tokens.
     pub tokens_per_event: Option<u64>,
+    /// What its endpoints take shortly after their start; `None` if they need no warming up.
+    pub cold_start: Option<ColdStart>,
 }
 
 impl ServiceSpec {
@@ -51,7 +62,7 @@
 }
 
 /// One version of the desired state.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct DesiredState {
     /// Version number; a higher one is newer.
     pub version: u64,
--- a/components/relay/src/model/endpoint_entry.rs
+++ b/components/relay/src/model/endpoint_entry.rs
@@ -1,6 +1,6 @@
 //! Entries in the platform's list of endpoints.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 /// Lifecycle phase of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,4 +31,7 @@
     pub capacity: u32,
     /// Whether the endpoint accepts new requests.
     pub phase: EndpointPhase,
+    /// Time for which the endpoint takes few requests because it has just started; `None` if its entry does
+    /// not say it.
+    pub cold_remaining: Option<Duration>,
 }
--- a/components/relay/src/model/mod.rs
+++ b/components/relay/src/model/mod.rs
@@ -6,7 +6,7 @@
 mod route;
 
 pub use self::{
-    desired_state::{Account, CallerLimits, DesiredState, ServiceSpec},
+    desired_state::{Account, CallerLimits, ColdStart, DesiredState, ServiceSpec},
     endpoint_entry::{EndpointEntry, EndpointPhase},
     request_head::{PromptPart, RequestHead, TokenDemand},
     route::{RetryPolicy, Route, RouteTarget},
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -146,6 +146,7 @@
             cut_off_services: cut_off.iter().map(ToString::to_string).collect(),
             keeps_draws: true,
             emptied_domains,
+            paces_cold_endpoints: true,
         };
         encode(PeerContent::Status(message))
     }
@@ -340,6 +341,7 @@
     let name = member.name.clone();
     roster.record_status(member, now);
     roster.record_keeps_draws(&name, message.keeps_draws);
+    roster.record_paces_cold_endpoints(&name, message.paces_cold_endpoints);
     for report in message.liveness.iter().flat_map(LivenessMessage::reports) {
         roster.record_report(&report, now);
     }
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -276,6 +276,9 @@
     /// Failure domains that are emptied; missing if none was since the sender started.
     #[prost(message, optional, tag = "18")]
     pub emptied_domains: Option<DomainsMessage>,
+    /// Whether the sender limits what it sends to cold endpoints.
+    #[prost(bool, tag = "19")]
+    pub paces_cold_endpoints: bool,
 }
 
 /// Liveness of other routers. The lists have the same length, and each router has the same index
--- a/components/relay/src/peers/roster.rs
+++ b/components/relay/src/peers/roster.rs
@@ -86,6 +86,8 @@
     is_unreachable: bool,
     /// Whether it keeps and confirms notices of draws.
     keeps_draws: bool,
+    /// Whether it limits what it sends to cold endpoints, as builds since this one do.
+    paces_cold_endpoints: bool,
 }
 
 /// Other routers that confirm notices of draws.
@@ -131,6 +133,7 @@
                 listed_at: now,
                 is_unreachable: false,
                 keeps_draws: false,
+                paces_cold_endpoints: true,
             }
         });
         if entry.member.process != member.process {
@@ -143,13 +146,14 @@
             log::info!(router:% = member.name, ready = member.is_ready; "router changed its readiness");
         }
         self.names_by_key.insert(process_key(&member), member.name.clone());
-        let keeps_draws = entry.keeps_draws;
+        let (keeps_draws, paces_cold_endpoints) = (entry.keeps_draws, entry.paces_cold_endpoints);
         *entry = Entry {
             member,
             last_seen: Some(now),
             listed_at: now,
             is_unreachable: false,
             keeps_draws,
+            paces_cold_endpoints,
         };
     }
 
@@ -202,6 +206,7 @@
                 listed_at: now,
                 is_unreachable: false,
                 keeps_draws: false,
+                paces_cold_endpoints: true,
             };
             let former = self.entries.insert(entry.member.name.clone(), entry);
             self.replaced.extend(former.map(|it| it.process_and_time()));
@@ -230,6 +235,21 @@
         }
     }
 
+    /// Records whether a router limits what it sends to cold endpoints.
+    pub fn record_paces_cold_endpoints(&mut self, router: &str, paces: bool) {
+        if let Some(entry) = self.entries.get_mut(router) {
+            entry.paces_cold_endpoints = paces;
+        }
+    }
+
+    /// Returns the other routers among which cold endpoints are dealt out: those of
+    /// [`limit_sharers`](Self::limit_sharers) that do not belong to an earlier build.
+    pub fn cold_owners(&self, now: Timestamp) -> Vec<Arc<str>> {
+        let mut owners = self.limit_sharers(now);
+        owners.retain(|it| self.entries.get(it).is_some_and(|it| it.paces_cold_endpoints));
+        owners
+    }
+
     /// Returns the other routers that confirm notices of draws.
     pub fn draw_witnesses(&self, now: Timestamp) -> DrawWitnesses {
         let keeping = self.entries.values().filter(|it| it.keeps_draws);
--- a/components/relay/src/peers/statements.rs
+++ b/components/relay/src/peers/statements.rs
@@ -3,7 +3,7 @@
 use super::StatementMessage;
 use crate::context::RelayContext;
 
-/// Recomputes this router's shares of all stated limits, and the owners of brittle endpoints.
+/// Recomputes this router's shares of all stated limits, and the owners of brittle and cold endpoints.
 pub(crate) fn update_rate_shares(cx: &RelayContext) {
     let now = cx.now();
     let own = &cx.settings.name;
@@ -11,7 +11,13 @@
     if cx.is_ready() {
         routers.push(own.clone());
     }
-    cx.lock_endpoints().update_rate_shares(own, &routers, now);
+    let mut owners = cx.lock_roster().cold_owners(now);
+    if cx.is_ready() {
+        owners.push(own.clone());
+    }
+    let mut endpoints = cx.lock_endpoints();
+    endpoints.update_rate_shares(own, &routers, now);
+    endpoints.update_cold_owners(own, &owners, now);
 }
 
 /// Applies what another router reports about endpoints.
--- a/components/relay/src/ports.rs
+++ b/components/relay/src/ports.rs
@@ -92,7 +92,7 @@
 }
 
 /// What operators have written.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct OperatorState {
     /// The desired state; `None` if there is none yet.
     pub desired_state: Option<DesiredState>,
@@ -101,7 +101,7 @@
 }
 
 /// A change of what operators have written.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum OperatorChange {
     /// There is a new desired state.
     DesiredState(DesiredState),
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -161,6 +161,9 @@
     metrics::gauge!(telemetry::BRITTLE_ENDPOINTS).set(brittle as f64);
     let emptied = cx.lock_endpoints().emptied_domains().count();
     metrics::gauge!(telemetry::EMPTIED_DOMAINS).set(emptied as f64);
+    let (cold, admitted_per_s) = cx.lock_endpoints().cold_counts(cx.now());
+    metrics::gauge!(telemetry::COLD_ENDPOINTS).set(cold as f64);
+    metrics::gauge!(telemetry::COLD_ADMITTED_PER_SECOND).set(admitted_per_s);
     let (records, condemned) = cx.lock_crash_evidence().counts();
     metrics::gauge!(telemetry::SUSPECT_CONTENTS, "state" => "suspect")
         .set((records - condemned) as f64);
--- a/components/relay/src/sync/config_watch.rs
+++ b/components/relay/src/sync/config_watch.rs
@@ -8,6 +8,7 @@
 use crate::{
     context::{InForce, RelayContext},
     domains::EmptiedDomain,
+    endpoints::ColdLimit,
     model::DesiredState,
     ports::{Cursor, Feed, OperatorChange},
     transfer::TransferProgress,
@@ -129,11 +130,21 @@
     let routes = state.routes.values().map(Vec::len).sum::<usize>();
     log::info!(version, routes, services = state.services.len(), bytes = progress.bytes(), transfer_ms = millis(progress.duration()), decode_ms = millis(progress.idle()); "desired state in force");
     metrics::gauge!(telemetry::CONFIG_VERSION).set(version as f64);
+    set_cold_limits(cx, &state);
     cx.in_force.store(Some(Arc::new(InForce { state, since: now })));
     cx.desired_state_changed.notify_waiters();
     cx.allowance_wanted.notify_one();
 }
 
+/// Tells the registry what the services' endpoints take while they are cold.
+fn set_cold_limits(cx: &RelayContext, state: &DesiredState) {
+    let Some(bounds) = cx.settings.cold_bounds else { return };
+    let limits = state.services.iter();
+    let limits =
+        limits.filter_map(|(name, spec)| Some((name.clone(), ColdLimit::new(spec, bounds)?)));
+    cx.lock_endpoints().set_cold_limits(limits.collect());
+}
+
 /// Counts a read that received data.
 fn count_read(progress: &TransferProgress, result: &'static str) {
     if progress.bytes() > 0 {
--- a/components/relay/tests/brittle_endpoints/endpoint.rs
+++ b/components/relay/tests/brittle_endpoints/endpoint.rs
@@ -66,6 +66,7 @@
             failure_domain: "zlin".into(),
             capacity: self.capacity,
             phase: EndpointPhase::Ready,
+            cold_remaining: None,
         }
     }
 
--- a/components/relay/tests/brittle_endpoints/fleet.rs
+++ b/components/relay/tests/brittle_endpoints/fleet.rs
@@ -197,7 +197,11 @@
             }
             Choice::Limited(limited) => limited.next_at.filter(|it| *it <= wait_until),
             Choice::Full => Some(wait_until),
-            Choice::NoEndpoint | Choice::Unreached | Choice::NoVersion | Choice::Unnamed => None,
+            Choice::NoEndpoint
+            | Choice::Emptied
+            | Choice::Unreached
+            | Choice::NoVersion
+            | Choice::Unnamed => None,
         };
         match next_at.filter(|_| now < wait_until) {
             Some(at) => {
--- a/components/relay/tests/emptied_domains.rs
+++ b/components/relay/tests/emptied_domains.rs
@@ -39,6 +39,7 @@
             failure_domain: domain.into(),
             capacity: 4,
             phase: EndpointPhase::Ready,
+            cold_remaining: None,
         };
         registry.apply_change(EndpointChange::Written(entry), Timestamp::ZERO);
     }
--- a/components/relay/tests/endpoint_beliefs.rs
+++ b/components/relay/tests/endpoint_beliefs.rs
@@ -25,6 +25,7 @@
         failure_domain: "zlin".into(),
         capacity: 6,
         phase,
+        cold_remaining: None,
     }
 }
 
--- a/components/relay/tests/load_patterns.rs
+++ b/components/relay/tests/load_patterns.rs
@@ -61,6 +61,7 @@
                 failure_domain: ["zlin", "vsetin", "brod"][number % 3].into(),
                 capacity: 96,
                 phase: EndpointPhase::Ready,
+                cold_remaining: None,
             };
             registry.apply_change(EndpointChange::Written(entry), Timestamp::ZERO);
             engines.insert(id, Engine::default());
@@ -70,6 +71,7 @@
             capacity: Some(96),
             memory_tokens: Some(250_000),
             tokens_per_event: Some(3),
+            cold_start: None,
         };
         Simulation {
             registry,
--- a/components/relay/tests/origins.rs
+++ b/components/relay/tests/origins.rs
@@ -120,6 +120,7 @@
         failure_domain: "zlin".into(),
         capacity: 100,
         phase: EndpointPhase::Ready,
+        cold_remaining: None,
     }
 }
 
--- a/components/relay/tests/rate_limits/router.rs
+++ b/components/relay/tests/rate_limits/router.rs
@@ -112,5 +112,6 @@
         failure_domain: "zlin".into(),
         capacity: 10_000,
         phase: EndpointPhase::Ready,
+        cold_remaining: None,
     }
 }
--- a/components/relay/tests/suspects.rs
+++ b/components/relay/tests/suspects.rs
@@ -25,6 +25,7 @@
             failure_domain: "zlin".into(),
             capacity: 100,
             phase: EndpointPhase::Ready,
+            cold_remaining: None,
         };
         endpoints.apply_change(EndpointChange::Written(entry), Timestamp::ZERO);
     }
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -178,6 +178,18 @@
 /// Gauge of failure domains that are emptied: their endpoints get nothing new.
 pub const EMPTIED_DOMAINS: &str = "auburncrank_emptied_domains";
 
+/// Gauge of endpoints that are cold: they have just started and take few requests a second.
+pub const COLD_ENDPOINTS: &str = "auburncrank_cold_endpoints";
+
+/// Gauge of the rate that this router may send to the cold endpoints that it owns, in requests per second.
+pub const COLD_ADMITTED_PER_SECOND: &str = "auburncrank_cold_admitted_per_second";
+
+/// Counter of requests that this router sent to cold endpoints.
+pub const COLD_REQUESTS_TOTAL: &str = "auburncrank_cold_requests_total";
+
+/// Counter of attempts to place a request that found no endpoint because cold ones take no more yet.
+pub const COLD_WAITS_TOTAL: &str = "auburncrank_cold_waits_total";
+
 /// Counter of changes of the store's era: the store came back from an older copy.
 pub const STORE_ERA_CHANGES_TOTAL: &str = "auburncrank_store_era_changes_total";
 
