--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -126,8 +126,11 @@
         let evidence = cx.lock_crash_evidence().reports(cx.now());
         let cut_off = cx.lock_paths().cut_off_services();
         let now = cx.now();
-        let emptied_domains =
-            cx.lock_endpoints().emptied_domains().report(now).map(DomainsMessage::from_view);
+        let emptied_domains = cx
+            .lock_endpoints()
+            .emptied_domains()
+            .report(now)
+            .map(|it| Box::new(DomainsMessage::from_view(it)));
         let message = StatusMessage {
             name: own.name.to_string(),
             process: own.process,
@@ -332,7 +335,7 @@
     cx.lock_endpoints().apply_peer_loads(&member.name, &shares, now);
     cx.lock_admissions().reconcile(&member.name, &shares, now);
     cx.record_peer_version(member.config_version);
-    if let Some(view) = message.emptied_domains.as_ref().and_then(DomainsMessage::to_view) {
+    if let Some(view) = message.emptied_domains.as_ref().and_then(|it| it.to_view()) {
         cx.lock_endpoints().emptied_domains_mut().apply_report(view, now);
     }
     let cut_off = message.cut_off_services.iter().map(|it| it.as_str().into()).collect();
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -274,8 +274,8 @@
     #[prost(bool, tag = "17")]
     pub keeps_draws: bool,
     /// Failure domains that are emptied; missing if none was since the sender started.
-    #[prost(message, optional, tag = "18")]
-    pub emptied_domains: Option<DomainsMessage>,
+    #[prost(message, optional, boxed, tag = "18")]
+    pub emptied_domains: Option<Box<DomainsMessage>>,
     /// Whether the sender limits what it sends to cold endpoints.
     #[prost(bool, tag = "19")]
     pub paces_cold_endpoints: bool,
--- a/components/relay/src/peers/roster.rs
+++ b/components/relay/src/peers/roster.rs
@@ -15,6 +15,10 @@
 /// Time since a router was last known to be alive after which it is removed from the roster.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time since a router was last known to be alive after which callers are not sent to it even if no router
+/// is alive. Lists must not name a router that ended more than about six seconds ago.
+const LAST_RESORT_TIMEOUT: Duration = Duration::from_millis(5_500);
+
 /// State of another router.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Member {
@@ -342,11 +346,14 @@
     }
 
     /// Returns the routers that accept new callers. If none is alive, this router may itself be
-    /// cut off from the network, and readiness alone decides for all known ones.
+    /// cut off from the network, and readiness alone decides for those that were alive or listed a short
+    /// while ago.
     pub fn ready_members(&self, now: Timestamp) -> Vec<&Member> {
         let is_any_live = self.entries.values().any(|it| it.is_live(now));
         let entries = self.entries.values();
-        let usable = entries.filter(|it| it.is_live(now) || !is_any_live);
+        let is_last_resort =
+            |it: &Entry| now.since(it.last_seen.unwrap_or(it.listed_at)) <= LAST_RESORT_TIMEOUT;
+        let usable = entries.filter(|it| it.is_live(now) || !is_any_live && is_last_resort(it));
         usable.map(|it| &it.member).filter(|it| it.is_ready).collect()
     }
 
--- a/components/relay/tests/emptied_domains.rs
+++ b/components/relay/tests/emptied_domains.rs
@@ -193,8 +193,10 @@
     let view = domains.report(at_ms(0)).unwrap();
     let message = DomainsMessage::from_view(view);
     assert_eq!(message.to_view().as_ref(), Some(view));
-    let status =
-        StatusMessage { emptied_domains: Some(message.clone()), ..StatusMessage::default() };
+    let status = StatusMessage {
+        emptied_domains: Some(Box::new(message.clone())),
+        ..StatusMessage::default()
+    };
     let bytes = prost::Message::encode_to_vec(&status);
     insta::assert_snapshot!(bytes.iter().map(|it| format!("{it:02x}")).collect::<String>(), @"92010c100c1a05736f757468220109");
     let message = DomainsMessage { revisions: Vec::new(), ..message };
--- a/components/relay/tests/roster.rs
+++ b/components/relay/tests/roster.rs
@@ -54,6 +54,17 @@
     assert!(ready(&roster, 25_000).is_empty());
 }
 
+/// All other routers were killed: the one that is left names them for a few seconds only.
+#[test]
+fn routers_that_ended_are_not_returned_after_seconds() {
+    let mut roster = Roster::default();
+    for number in 1..=3 {
+        roster.record_status(member(number, true), Timestamp::ZERO);
+    }
+    assert_eq!(ready(&roster, 5_400).len(), 3);
+    assert!(ready(&roster, 5_600).is_empty());
+}
+
 #[test]
 fn member_row_does_not_override_a_status_message() {
     let mut roster = Roster::default();
