--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -6,6 +6,7 @@
 use utils::{HashMap, HashSet};
 
 use super::{
+    cold::ColdLimit,
     endpoint::Endpoint,
     load::{Load, LoadShare},
     placement::{ConnectTarget, ProcessId},
@@ -14,6 +15,7 @@
     versions::GoneVersions,
 };
 use crate::{
+    domains::EmptiedDomains,
     model::{EndpointEntry, EndpointPhase},
     units::millis,
 };
@@ -46,7 +48,7 @@
     /// Rates of long and short prompts, keyed by service name.
     pub(super) splits: HashMap<Arc<str>, PromptSplit>,
     /// Whether the whole list has been read since the process started.
-    has_list: bool,
+    pub(super) has_list: bool,
     /// Connectivity to the store that holds the list.
     contact: StoreContact,
     /// When the list, or its changes, were last read.
@@ -61,8 +63,16 @@
     pub(super) sharers: Vec<Arc<str>>,
     /// When `sharers` last changed.
     pub(super) sharers_changed_at: Timestamp,
+    /// What endpoints take while they are cold, keyed by service; empty if none needs warming up.
+    pub(super) cold_limits: HashMap<Arc<str>, ColdLimit>,
+    /// Routers among which cold endpoints are dealt out, sorted.
+    pub(super) cold_owners: Vec<Arc<str>>,
+    /// When `cold_owners` last changed.
+    pub(super) cold_owners_changed_at: Timestamp,
     /// Processes that were leaving or whose entry was removed, by the endpoint's id, with the time.
     departed: HashMap<Arc<str>, (u64, Timestamp)>,
+    /// Failure domains whose endpoints get nothing new.
+    pub(super) emptied: EmptiedDomains,
     /// Until when entries may be older than what this router has read before.
     may_read_old_until: Timestamp,
     /// Whether an answer has had a malformed statement; only the first one is logged.
@@ -88,7 +98,6 @@
 
     /// Replaces the known list; endpoints that are not in `entries` are treated as removed.
     pub fn apply_list(&mut self, entries: Vec<EndpointEntry>, now: Timestamp) {
-        self.has_list = true;
         let listed: HashSet<Arc<str>> = entries.iter().map(|it| it.id.clone()).collect();
         let missing: Vec<Arc<str>> =
             self.endpoints.keys().filter(|id| !listed.contains(*id)).cloned().collect();
@@ -98,12 +107,21 @@
         for id in missing {
             self.apply_change(EndpointChange::Removed(id), now);
         }
+        self.has_list = true;
     }
 
     /// Applies one change of the list.
     pub fn apply_change(&mut self, change: EndpointChange, now: Timestamp) {
         match change {
-            EndpointChange::Written(entry) => self.write(entry, now),
+            EndpointChange::Written(entry) => {
+                let (id, process) = (entry.id.clone(), entry.started_at_ms);
+                let former = self.endpoints.get(&id).map(|it| it.entry.started_at_ms);
+                self.write(entry, now);
+                let known = self.endpoints.get(&id).map(|it| it.entry.started_at_ms);
+                if known == Some(process) {
+                    self.record_warmth(&id, former != known, now);
+                }
+            }
             EndpointChange::Removed(id) => self.remove(&id, now),
         }
     }
@@ -174,6 +192,7 @@
         {
             endpoint.ended += 1;
             endpoint.ended_at = now;
+            self.record_cold_end(id, now);
         }
     }
 
@@ -208,15 +227,30 @@
         }
     }
 
-    /// Reports whether the endpoint is known and accepts new requests.
+    /// Returns the failure domains that are emptied.
+    pub fn emptied_domains(&self) -> &EmptiedDomains {
+        &self.emptied
+    }
+
+    /// Returns the failure domains that are emptied, to apply changes.
+    pub fn emptied_domains_mut(&mut self) -> &mut EmptiedDomains {
+        &mut self.emptied
+    }
+
+    /// Reports whether new requests may be sent to the endpoint.
+    pub(super) fn is_open(&self, endpoint: &Endpoint) -> bool {
+        endpoint.is_in_service() && !self.emptied.is_emptied(&endpoint.entry.failure_domain)
+    }
+
+    /// Reports whether the endpoint is known and new requests may be sent to it.
     pub fn is_in_service(&self, id: &str) -> bool {
-        self.endpoints.get(id).is_some_and(Endpoint::is_in_service)
+        self.endpoints.get(id).is_some_and(|it| self.is_open(it))
     }
 
     /// Returns where a process of an endpoint accepts connections; `None` if it is not known or
     /// accepts no new requests.
     pub fn connect_target(&self, id: &str, started_at_ms: u64) -> Option<ConnectTarget> {
-        let endpoint = self.endpoints.get(id).filter(|it| it.is_in_service())?;
+        let endpoint = self.endpoints.get(id).filter(|it| self.is_open(it))?;
         let entry = &endpoint.entry;
         (entry.started_at_ms == started_at_ms).then(|| ConnectTarget {
             endpoint: entry.id.clone(),
--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -9,6 +9,7 @@
 use super::{
     book::EndpointRegistry,
     brittleness::is_brittle,
+    cold::COLD_COST_MS,
     endpoint::Endpoint,
     load::Load,
     placement::{Choice, LimitedWait, Placement, PlacementRequest, ProcessId},
@@ -67,6 +68,8 @@
     next_request: NextRequest,
     /// Whether the endpoint is brittle.
     is_brittle: bool,
+    /// Whether it is cold.
+    is_cold: bool,
     /// Whether it failed recently, or failed the request.
     is_last_resort: bool,
     /// Whether the answer is needed to learn if a rate limit still holds.
@@ -84,7 +87,9 @@
         if let Some(tokens) = request.tokens {
             let split = self.splits.entry(request.service.clone()).or_default();
             split.record(unshared_tokens(request, tokens), now);
-            let serving = self.endpoints.values().filter(|it| it.entry.service == *request.service);
+            let of_service = |it: &&Endpoint| it.entry.service == *request.service;
+            let is_emptied = |it: &Endpoint| self.emptied.is_emptied(&it.entry.failure_domain);
+            let serving = self.endpoints.values().filter(of_service).filter(|it| !is_emptied(it));
             split.update_share(serving.count(), request.routers, now);
         }
         let choice = self.choose_endpoint(request, now, rng);
@@ -92,6 +97,7 @@
             self.add_request_load(&placement.endpoint, placement.load);
             self.record_retry(&placement.endpoint, now);
             self.record_sent(&placement.endpoint, now);
+            self.record_cold_request(&placement.endpoint, now);
         }
         choice
     }
@@ -104,11 +110,15 @@
     ) -> Choice {
         let of_service = |it: &&Endpoint| it.entry.service == *request.service;
         let in_service = |it: &&Endpoint| it.is_in_service();
-        let serving: Vec<&Endpoint> =
+        let accepting: Vec<&Endpoint> =
             self.endpoints.values().filter(of_service).filter(in_service).collect();
-        if serving.is_empty() {
+        if accepting.is_empty() {
             return Choice::NoEndpoint;
         }
+        let serving: Vec<&Endpoint> = accepting.into_iter().filter(|it| self.is_open(it)).collect();
+        if serving.is_empty() {
+            return Choice::Emptied;
+        }
         if are_unreached(&serving, now) {
             return Choice::Unreached;
         }
@@ -154,12 +164,18 @@
             }
         };
         let brittle_since = self.service_stated_at(request.service, now);
+        let needs_warmth = self.cold_limits.contains_key(request.service);
         let with_capacity: Vec<Candidate<'_>> = serving
             .iter()
             .filter_map(|it| {
                 let is_brittle = is_brittle(it, brittle_since);
                 let mut candidate = evaluate(it, request, &cache_owners, is_brittle, now)?;
                 candidate.cost_ms += mixing_cost_ms(it) + replaced_cost_ms(it);
+                if needs_warmth && let Some(next) = it.warmth.next_request(now) {
+                    candidate.cost_ms += COLD_COST_MS;
+                    candidate.next_request = candidate.next_request.max(next);
+                    candidate.is_cold = true;
+                }
                 Some(candidate)
             })
             .collect();
@@ -171,6 +187,9 @@
                 NextRequest::At(at) => Some(at),
                 NextRequest::Now | NextRequest::Never => None,
             });
+            if limited.iter().any(|it| it.is_cold) {
+                metrics::counter!(telemetry::COLD_WAITS_TOTAL).increment(1);
+            }
             return Choice::Limited(LimitedWait { next_at: times.min(), is_any_full });
         }
         if candidates.iter().any(|it| it.confirms_limit) {
@@ -308,6 +327,7 @@
         cost_ms,
         next_request: endpoint.next_request(is_brittle, now),
         is_brittle,
+        is_cold: false,
         is_last_resort,
         confirms_limit: !is_last_resort
             && endpoint.rate.is_some_and(|it| it.needs_confirmation(now)),
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -2,11 +2,13 @@
 //! endpoint selection, retries and graceful shutdown.
 //!
 //! The crate depends on no wire format other than HTTP: [`Dialect`] and [`ControlSource`] are
-//! implemented elsewhere. The modules that make decisions ([`allowance`], [`endpoints`],
-//! [`limits`], [`origins`], [`reach`], [`stream`], [`waiting`]) contain no network code; the time and random numbers are passed in.
+//! implemented elsewhere. The modules that make decisions ([`allowance`], [`domains`], [`endpoints`],
+//! [`limits`], [`origins`], [`reach`], [`stream`], [`waiting`]) contain no network code; the time and random
+//! numbers are passed in.
 
 pub mod allowance;
 mod context;
+pub mod domains;
 pub mod endpoints;
 pub mod limits;
 pub mod model;
@@ -28,7 +30,9 @@
 
 pub use self::{
     context::RelayDependencies,
-    ports::{AnswerHead, ControlSource, Cursor, Dialect, Feed, Forwarding},
+    ports::{
+        AnswerHead, ControlSource, Cursor, Dialect, Feed, Forwarding, OperatorChange, OperatorState,
+    },
     process::RelayProcess,
     serve::remove_hop_headers,
     settings::{Areas, ColdBounds, HostLimits, RelaySettings},
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -12,8 +12,8 @@
 use tokio::net::UdpSocket;
 
 use super::{
-    EvidenceMessage, LivenessMessage, LoadMessage, Member, PeerContent, PeerMessage, PendingLoans,
-    RouterLoad, StatementMessage, StatusMessage,
+    DomainsMessage, EvidenceMessage, LivenessMessage, LoadMessage, Member, PeerContent,
+    PeerMessage, PendingLoans, RouterLoad, StatementMessage, StatusMessage,
     admissions::{
         handle_admission_end, handle_admission_reply, handle_admission_request, update_admissions,
     },
@@ -126,6 +126,12 @@
         let evidence = cx.lock_crash_evidence().reports(cx.now());
         let cut_off = cx.lock_paths().cut_off_services();
         let reached = cx.lock_paths().reached_services(cx.now());
+        let now = cx.now();
+        let emptied_domains = cx
+            .lock_endpoints()
+            .emptied_domains()
+            .report(now)
+            .map(|it| Box::new(DomainsMessage::from_view(it)));
         let message = StatusMessage {
             name: own.name.to_string(),
             process: own.process,
@@ -144,6 +150,8 @@
             cut_off_services: cut_off.iter().map(ToString::to_string).collect(),
             keeps_draws: true,
             reached_services: reached.iter().map(ToString::to_string).collect(),
+            emptied_domains,
+            paces_cold_endpoints: true,
         };
         encode(PeerContent::Status(message))
     }
@@ -330,6 +338,9 @@
     cx.lock_admissions().reconcile(&member.name, &shares, now);
     cx.wake_all_waiting();
     cx.record_peer_version(member.config_version);
+    if let Some(view) = message.emptied_domains.as_ref().and_then(|it| it.to_view()) {
+        cx.lock_endpoints().emptied_domains_mut().apply_report(view, now);
+    }
     let cut_off = message.cut_off_services.iter().map(|it| it.as_str().into()).collect();
     let reached = message.reached_services.iter().map(|it| it.as_str().into()).collect();
     cx.lock_paths().record_peer_statement(&member.name, cut_off, reached, now);
@@ -337,6 +348,7 @@
     let name = member.name.clone();
     roster.record_status(member, now);
     roster.record_keeps_draws(&name, message.keeps_draws);
+    roster.record_paces_cold_endpoints(&name, message.paces_cold_endpoints);
     for report in message.liveness.iter().flat_map(LivenessMessage::reports) {
         roster.record_report(&report, now);
     }
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -5,9 +5,9 @@
 use prost::{Message, Oneof};
 
 use super::{
-    AdmissionEndMessage, AdmissionReplyMessage, AdmissionRequestMessage, DrawAckMessage,
-    DrawNoticeMessage, EvidenceMessage, LivenessReport, OriginMessage, OriginQueryMessage,
-    OriginReplyMessage, StatementMessage,
+    AdmissionEndMessage, AdmissionReplyMessage, AdmissionRequestMessage, DomainsMessage,
+    DrawAckMessage, DrawNoticeMessage, EvidenceMessage, LivenessReport, OriginMessage,
+    OriginQueryMessage, OriginReplyMessage, StatementMessage,
 };
 use crate::{
     allowance::{RouterProcess, WitnessDeclaration, WitnessStatement},
@@ -276,6 +276,12 @@
     /// Names of the services whose endpoints the sender has reached itself a moment ago.
     #[prost(string, repeated, tag = "34")]
     pub reached_services: Vec<String>,
+    /// Failure domains that are emptied; missing if none was since the sender started.
+    #[prost(message, optional, boxed, tag = "18")]
+    pub emptied_domains: Option<Box<DomainsMessage>>,
+    /// Whether the sender limits what it sends to cold endpoints.
+    #[prost(bool, tag = "19")]
+    pub paces_cold_endpoints: bool,
 }
 
 /// Liveness of other routers. The lists have the same length, and each router has the same index
--- a/components/relay/src/peers/roster.rs
+++ b/components/relay/src/peers/roster.rs
@@ -15,6 +15,10 @@
 /// Time since a router was last known to be alive after which it is removed from the roster.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time since a router was last known to be alive after which callers are not sent to it even if no router
+/// is alive. Lists must not name a router that ended more than about six seconds ago.
+const LAST_RESORT_TIMEOUT: Duration = Duration::from_millis(5_500);
+
 /// State of another router.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Member {
@@ -86,6 +90,8 @@
     is_unreachable: bool,
     /// Whether it keeps and confirms notices of draws.
     keeps_draws: bool,
+    /// Whether it limits what it sends to cold endpoints, as builds since this one do.
+    paces_cold_endpoints: bool,
 }
 
 /// Other routers that confirm notices of draws.
@@ -131,6 +137,7 @@
                 listed_at: now,
                 is_unreachable: false,
                 keeps_draws: false,
+                paces_cold_endpoints: true,
             }
         });
         if entry.member.process != member.process {
@@ -143,13 +150,14 @@
             log::info!(router:% = member.name, ready = member.is_ready; "router changed its readiness");
         }
         self.names_by_key.insert(process_key(&member), member.name.clone());
-        let keeps_draws = entry.keeps_draws;
+        let (keeps_draws, paces_cold_endpoints) = (entry.keeps_draws, entry.paces_cold_endpoints);
         *entry = Entry {
             member,
             last_seen: Some(now),
             listed_at: now,
             is_unreachable: false,
             keeps_draws,
+            paces_cold_endpoints,
         };
     }
 
@@ -202,6 +210,7 @@
                 listed_at: now,
                 is_unreachable: false,
                 keeps_draws: false,
+                paces_cold_endpoints: true,
             };
             let former = self.entries.insert(entry.member.name.clone(), entry);
             self.replaced.extend(former.map(|it| it.process_and_time()));
@@ -230,6 +239,21 @@
         }
     }
 
+    /// Records whether a router limits what it sends to cold endpoints.
+    pub fn record_paces_cold_endpoints(&mut self, router: &str, paces: bool) {
+        if let Some(entry) = self.entries.get_mut(router) {
+            entry.paces_cold_endpoints = paces;
+        }
+    }
+
+    /// Returns the other routers among which cold endpoints are dealt out: those of
+    /// [`limit_sharers`](Self::limit_sharers) that do not belong to an earlier build.
+    pub fn cold_owners(&self, now: Timestamp) -> Vec<Arc<str>> {
+        let mut owners = self.limit_sharers(now);
+        owners.retain(|it| self.entries.get(it).is_some_and(|it| it.paces_cold_endpoints));
+        owners
+    }
+
     /// Returns the other routers that confirm notices of draws.
     pub fn draw_witnesses(&self, now: Timestamp) -> DrawWitnesses {
         let keeping = self.entries.values().filter(|it| it.keeps_draws);
@@ -322,11 +346,14 @@
     }
 
     /// Returns the routers that accept new callers. If none is alive, this router may itself be
-    /// cut off from the network, and readiness alone decides for all known ones.
+    /// cut off from the network, and readiness alone decides for those that were alive or listed a short
+    /// while ago.
     pub fn ready_members(&self, now: Timestamp) -> Vec<&Member> {
         let is_any_live = self.entries.values().any(|it| it.is_live(now));
         let entries = self.entries.values();
-        let usable = entries.filter(|it| it.is_live(now) || !is_any_live);
+        let is_last_resort =
+            |it: &Entry| now.since(it.last_seen.unwrap_or(it.listed_at)) <= LAST_RESORT_TIMEOUT;
+        let usable = entries.filter(|it| it.is_live(now) || !is_any_live && is_last_resort(it));
         usable.map(|it| &it.member).filter(|it| it.is_ready).collect()
     }
 
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -39,6 +39,10 @@
 /// which running requests end and free capacity.
 const RETRY_DELAY: Duration = Duration::from_millis(700);
 
+/// Mean retry delay if all endpoints of the service are in emptied failure domains, where operators leave
+/// them for seconds at least.
+const EMPTIED_RETRY_DELAY: Duration = Duration::from_secs(2);
+
 /// Minimum time left before the deadline for a request to be sent.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(5);
 
@@ -141,6 +145,10 @@
             let message = "no endpoint of the service is available";
             Err(retryable_error(request, ErrorKind::NoEndpoint, message, RETRY_DELAY))
         }
+        Choice::Emptied => {
+            let message = "all endpoints of the service are in emptied failure domains";
+            Err(retryable_error(request, ErrorKind::NoEndpoint, message, EMPTIED_RETRY_DELAY))
+        }
         Choice::Unreached => {
             let message = "no endpoint of the service can be reached";
             Err(retryable_error(request, ErrorKind::NoEndpoint, message, RETRY_DELAY))
