Refuse with 402 once no router has had a request's tokens for two seconds

A lender now states in its answer all that it has of the account (LoanMessage tag 7, absent from earlier builds and while it may have more). A router adds up what it and all holders have; once a request's tokens were missing from every sum for two seconds, it is refused for good, until the prepaid tokens change. A borrower of an account with few undrawn tokens gives back a part that is too small for its refused request, so that parts do not lie on many borrowers.

--- a/components/relay/src/allowance/account/loans.rs
+++ b/components/relay/src/allowance/account/loans.rs
@@ -1,10 +1,13 @@
 //! Tokens of an account that are lent, borrowed and given back.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use types::Timestamp;
 
-use super::{AccountAllowance, BORROWER_SPARE_REQUESTS, MIN_CHANGE_DIVISOR, OWN_DEMAND_WINDOW};
+use super::{
+    AccountAllowance, BORROWER_SPARE_REQUESTS, HolderStatement, MIN_CHANGE_DIVISOR,
+    OWN_DEMAND_WINDOW,
+};
 use crate::allowance::rows::AllowanceRow;
 
 /// Time without a request for an account after which a borrower gives its tokens back. In a fleet of
@@ -14,6 +17,10 @@
 /// Idle timeout when few tokens are undrawn: other routers wait for them.
 const IDLE_TIMEOUT_LOW: Duration = Duration::from_millis(200);
 
+/// Time after a refusal for which a borrower keeps no tokens that are too few for such a request.
+/// Longer than the interval at which borrowers give tokens back.
+const SHORTAGE_TIME: Duration = Duration::from_millis(500);
+
 /// Maximum number of tokens given back in one message, as a multiple of the smallest change
 /// worth a commit.
 const MESSAGE_RETURN_MAX_CHANGES: u64 = 4;
@@ -93,7 +100,12 @@
             (IDLE_TIMEOUT, BORROWER_SPARE_REQUESTS)
         };
         let is_idle = now.since(self.last_request_at) >= idle_time;
-        let kept = if is_idle { 0 } else { spare * self.largest_request };
+        // Parts of a request's tokens that several borrowers keep serve nobody.
+        let is_too_few = self.is_low
+            && self
+                .last_shortage
+                .is_some_and(|(tokens, at)| available < tokens && now.since(at) < SHORTAGE_TIME);
+        let kept = if is_idle || is_too_few { 0 } else { spare * self.largest_request };
         let surplus = available.saturating_sub(kept);
         // A message may be lost, so larger amounts go back in several.
         let surplus = surplus.min(self.limit / MIN_CHANGE_DIVISOR * MESSAGE_RETURN_MAX_CHANGES);
@@ -103,6 +115,11 @@
         surplus
     }
 
+    /// Records that a request for this many tokens was refused because they are out of reach.
+    pub(in crate::allowance) fn record_shortage(&mut self, tokens: u64, now: Timestamp) {
+        self.last_shortage = Some((tokens, now));
+    }
+
     /// Takes the spent tokens that are not reported yet, to report them through a holder.
     pub(in crate::allowance) fn take_unreported(&mut self) -> u64 {
         std::mem::take(&mut self.unreported)
@@ -124,4 +141,33 @@
         self.ceilings.add(tokens);
         self.ledger.borrowed += tokens;
     }
+
+    /// Returns what this router has of the account.
+    pub(in crate::allowance) fn own_statement(&self, row: &AllowanceRow) -> HolderStatement {
+        // Tokens that a commit in progress returns may still be undrawn or come back.
+        let held = self.held.saturating_add(self.returning);
+        HolderStatement { held, undrawn: self.undrawn(row) }
+    }
+
+    /// Records what a holder states about the account.
+    pub(in crate::allowance) fn record_statement(
+        &mut self,
+        holder: Arc<str>,
+        statement: HolderStatement,
+        now: Timestamp,
+    ) {
+        self.obtainable.record(holder, statement, now);
+    }
+
+    /// Returns whether this many tokens can be obtained from nowhere, after adding up what this
+    /// router and all `holders` have.
+    pub(in crate::allowance) fn is_unobtainable(
+        &mut self,
+        tokens: u64,
+        (own, holders): (HolderStatement, &[Arc<str>]),
+        now: Timestamp,
+    ) -> bool {
+        self.obtainable.observe(own, holders, now);
+        self.is_limit_confirmed && self.obtainable.is_short_of(tokens, now)
+    }
 }
--- a/components/relay/src/allowance/account/mod.rs
+++ b/components/relay/src/allowance/account/mod.rs
@@ -2,14 +2,16 @@
 
 mod ledger;
 mod loans;
+mod obtainable;
 mod planning;
 
 use std::time::Duration;
 
 use types::Timestamp;
 
-pub use self::ledger::TokenLedger;
+use self::obtainable::ObtainableTokens;
 pub(super) use self::planning::{Change, changed_row};
+pub use self::{ledger::TokenLedger, obtainable::HolderStatement};
 use super::{
     ceiling::{Ceilings, Growth},
     rows::AllowanceRow,
@@ -84,6 +86,10 @@
     /// Tokens of the last request refused because neither the store nor another router had enough,
     /// and until when requests that are no smaller are refused at once.
     recent_refusal: Option<(u64, Timestamp)>,
+    /// Tokens of the last request refused because they were out of reach, and when.
+    last_shortage: Option<(u64, Timestamp)>,
+    /// Tokens that could be obtained from anywhere.
+    obtainable: ObtainableTokens,
 }
 
 impl Default for AccountAllowance {
@@ -108,6 +114,8 @@
             rate: Rate::new(RATE_WINDOW),
             is_limit_confirmed: false,
             recent_refusal: None,
+            last_shortage: None,
+            obtainable: ObtainableTokens::default(),
         }
     }
 }
@@ -118,6 +126,9 @@
         if limit < self.limit {
             self.is_limit_confirmed = false;
         }
+        if limit != self.limit {
+            self.obtainable.clear();
+        }
         self.limit = limit;
         self.limit_version = version;
     }
--- a/components/relay/src/allowance/book/inheritance.rs
+++ b/components/relay/src/allowance/book/inheritance.rs
@@ -94,6 +94,12 @@
 }
 
 impl RouterAllowances {
+    /// Returns whether nothing of the previous process is left to take over.
+    pub(super) fn has_taken_over(&self) -> bool {
+        let Some((row, _)) = &self.holdings else { return self.is_loaded };
+        row.mark.process == self.last_commit_id.process || self.takeover.is_settled_empty(row.mark)
+    }
+
     /// Returns the tokens that the previous process has certainly not spent; `None` while the
     /// answers of its witnesses are awaited.
     pub(super) fn tokens_to_take_over(
--- a/components/relay/src/allowance/book/requests.rs
+++ b/components/relay/src/allowance/book/requests.rs
@@ -5,12 +5,16 @@
 use types::Timestamp;
 
 use super::{Reservation, RouterAllowances, Shortage};
-use crate::allowance::holders::Role;
+use crate::allowance::{account::HolderStatement, holders::Role};
 
 /// After a request was refused because no router had enough tokens, requests that are no smaller
 /// are refused at once for this time.
 const RECENT_REFUSAL_TIME: Duration = Duration::from_millis(250);
 
+/// Age of the accounts' rows up to which a holder states by them what it has; longer than the time
+/// between two reads.
+const STATED_ROWS_MAX_AGE: Duration = Duration::from_millis(3_000);
+
 /// What a lender does first when another router asks for a loan.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LoanStep {
@@ -49,6 +53,7 @@
     /// tokens. Returns whether tokens may become available soon.
     pub fn record_refusal(&mut self, account: &str, tokens: u64, now: Timestamp) -> bool {
         let Some(allowance) = self.accounts.get_mut(account) else { return false };
+        allowance.record_shortage(tokens, now);
         let row = self.rows.get(account).map(|(row, _)| row);
         // A router that has just started does not know yet which routers could lend tokens.
         let may_become_available =
@@ -59,6 +64,51 @@
         may_become_available
     }
 
+    /// Returns whether a request can be refused for good: its tokens are neither undrawn nor held
+    /// by any router that could lend them, and have not been for some time.
+    pub fn is_unobtainable(&mut self, account: &str, tokens: u64, now: Timestamp) -> bool {
+        let Some(own) = self.own_statement(account, now) else { return false };
+        let holders = self.lenders(account);
+        let allowance = self.accounts.get_mut(account);
+        allowance.is_some_and(|it| it.is_unobtainable(tokens, (own, &holders), now))
+    }
+
+    /// Returns what this router has of an account; `None` if it may have more: the store is away,
+    /// its rows were not read lately, drawn tokens are not usable yet, or tokens of the previous
+    /// process may still be taken over.
+    pub fn own_statement(&self, account: &str, now: Timestamp) -> Option<HolderStatement> {
+        let is_drawing = self.eras.draws.holds_back(account);
+        if self.role == Role::Undecided || self.is_recovering() || is_drawing {
+            return None;
+        }
+        if !self.has_taken_over() {
+            return None;
+        }
+        let is_read = self.read_at.is_some_and(|at| now.since(at) < STATED_ROWS_MAX_AGE);
+        if self.role == Role::Holder && (self.is_store_unavailable || !is_read) {
+            return None;
+        }
+        let mut statement = self.accounts.get(account)?.own_statement(&self.row(account));
+        if self.role != Role::Holder {
+            // Only holders read the accounts' rows regularly.
+            statement.undrawn = 0;
+        }
+        Some(statement)
+    }
+
+    /// Records what a holder states about an account.
+    pub fn record_statement(
+        &mut self,
+        account: &str,
+        holder: Arc<str>,
+        statement: HolderStatement,
+        now: Timestamp,
+    ) {
+        if let Some(allowance) = self.accounts.get_mut(account) {
+            allowance.record_statement(holder, statement, now);
+        }
+    }
+
     /// Ends a reservation of which `used` tokens were spent.
     pub fn settle(&mut self, reservation: Reservation, used: u64) {
         if let Some(allowance) = self.accounts.get_mut(&reservation.account) {
--- a/components/relay/src/allowance/mod.rs
+++ b/components/relay/src/allowance/mod.rs
@@ -23,7 +23,7 @@
 mod witness;
 
 pub use self::{
-    account::{AccountAllowance, TokenLedger},
+    account::{AccountAllowance, HolderStatement, TokenLedger},
     book::{CommitInputs, DrawNotice, LoanStep, Reservation, RouterAllowances, Shortage, Stage},
     ceiling::{CAP_TIME, UNWITNESSED_TIME},
     holders::{HOLDERS_MAX, HolderCandidate, Role, choose_holders, sole_holder},
--- a/components/relay/src/peers/lending.rs
+++ b/components/relay/src/peers/lending.rs
@@ -4,7 +4,7 @@
 
 use super::{LoanMessage, PeerContent, gossip::encode, witnessing};
 use crate::{
-    allowance::{LoanStep, Role},
+    allowance::{HolderStatement, LoanStep, Role},
     context::RelayContext,
 };
 
@@ -27,7 +27,8 @@
         (allowances.role_for(account) == Role::Borrower, allowances.take_unreported(account))
     };
     let account = account.to_owned();
-    let message = LoanMessage { number, account, tokens, for_borrower, spent, undrawn: 0 };
+    let message =
+        LoanMessage { number, account, tokens, for_borrower, spent, ..LoanMessage::default() };
     cx.gossip.send(&encode(PeerContent::LoanRequest(message)), lender).await;
     Some(number)
 }
@@ -71,15 +72,17 @@
 
 /// Lends the available tokens. They are deducted before the answer is sent.
 async fn send_loan(cx: &RelayContext, request: LoanMessage, borrower: SocketAddr) {
-    let (tokens, spent, undrawn) = {
+    let loan = {
         let mut allowances = cx.lock_allowances();
-        let account = &request.account;
-        let tokens = allowances.lend(account, request.tokens, request.for_borrower, cx.now());
-        (tokens, allowances.known_spent(account), allowances.known_undrawn(account))
+        let (account, now) = (&request.account, cx.now());
+        let tokens = allowances.lend(account, request.tokens, request.for_borrower, now);
+        let held = allowances.own_statement(account, now).map(|it| it.held);
+        let (spent, undrawn) = (allowances.known_spent(account), allowances.known_undrawn(account));
+        LoanMessage { tokens, spent, undrawn, held, ..request.clone() }
     };
+    let tokens = loan.tokens;
     log::info!(account = request.account.as_str(), number = request.number, tokens, wanted = request.tokens, borrower:% = borrower; "tokens lent");
     metrics::counter!(telemetry::LOANED_TOKENS_TOTAL, "direction" => "lent").increment(tokens);
-    let loan = LoanMessage { tokens, spent, undrawn, ..request };
     cx.gossip.send(&encode(PeerContent::Loan(loan)), borrower).await;
 }
 
@@ -91,12 +94,27 @@
     }
     log::info!(account = loan.account.as_str(), number = loan.number, tokens = loan.tokens, lender:% = lender; "tokens borrowed");
     credit_loan(cx, loan);
+    record_statement(cx, loan, lender);
     if loan.for_borrower {
         cx.lock_allowances().apply_holder_totals(&loan.account, loan.spent, loan.undrawn);
     }
     cx.allowance_changed.notify_waiters();
 }
 
+/// Records what the lender still has of the account.
+fn record_statement(cx: &RelayContext, loan: &LoanMessage, lender: SocketAddr) {
+    let Some(held) = loan.held else { return };
+    let lenders = cx.lock_allowances().lenders(&loan.account);
+    let holder = {
+        let roster = cx.lock_roster();
+        lenders.into_iter().find(|it| roster.peer_address(it) == Some(lender))
+    };
+    if let Some(holder) = holder {
+        let statement = HolderStatement { held, undrawn: loan.undrawn };
+        cx.lock_allowances().record_statement(&loan.account, holder, statement, cx.now());
+    }
+}
+
 /// Gives borrowed tokens that this router does not need back to the first lender.
 pub(super) async fn return_surplus(cx: &RelayContext) {
     let now = cx.now();
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -219,6 +219,10 @@
     /// lender knows.
     #[prost(uint64, tag = "6")]
     pub undrawn: u64,
+    /// In loans, all tokens of the account that the lender still has, including those that it may
+    /// not lend yet; absent if it does not know all of them.
+    #[prost(uint64, optional, tag = "7")]
+    pub held: Option<u64>,
 }
 
 /// State of a router.
--- a/components/relay/src/serve/tokens.rs
+++ b/components/relay/src/serve/tokens.rs
@@ -73,6 +73,9 @@
             Ok(reservation) => return Ok(Some(reservation)),
             Err(Shortage::Exhausted) => return Err(exhausted_error()),
             Err(Shortage::RecentlyRefused) => {
+                if cx.lock_allowances().is_unobtainable(name, needed, cx.now()) {
+                    return Err(unobtainable_error());
+                }
                 return Err(out_of_reach_error(request, EXHAUSTED_RETRY_DELAY));
             }
             Err(Shortage::OutOfReach) => {}
@@ -83,6 +86,9 @@
         ask_next_lender(cx, name, needed, &mut search).await;
         let wait_until = search.ask_next_at.unwrap_or(until).min(until);
         if tokio::time::timeout_at(wait_until, changed).await.is_err() && Instant::now() >= until {
+            if cx.lock_allowances().is_unobtainable(name, needed, cx.now()) {
+                return Err(unobtainable_error());
+            }
             let may_become_available = cx.lock_allowances().record_refusal(name, needed, cx.now());
             let delay =
                 if may_become_available { SHORTAGE_RETRY_DELAY } else { EXHAUSTED_RETRY_DELAY };
@@ -127,6 +133,13 @@
     Error::new(ErrorKind::BudgetExhausted, "the account's prepaid tokens are used up")
 }
 
+/// Returns the error for a request whose tokens no router has. They count as spent although some may
+/// have been lost with a router.
+fn unobtainable_error() -> Error {
+    metrics::counter!(telemetry::BUDGET_REFUSALS_TOTAL, "reason" => "unobtainable").increment(1);
+    Error::new(ErrorKind::BudgetExhausted, "no router holds enough of the account's prepaid tokens")
+}
+
 fn out_of_reach_error(request: &ActiveRequest, mean_delay: Duration) -> Error {
     metrics::counter!(telemetry::BUDGET_REFUSALS_TOTAL, "reason" => "out_of_reach").increment(1);
     let delay = jitter(mean_delay, &mut request.cx.lock_rng());
--- a/components/relay/tests/earlier_builds.rs
+++ b/components/relay/tests/earlier_builds.rs
@@ -72,6 +72,7 @@
         for_borrower: true,
         spent: 3,
         undrawn: 4,
+        held: None,
     }
 }
 
