Send nothing after a request's deadline or to an endpoint that has left

The deadline and the list of endpoints were checked when the endpoint was chosen. Opening a connection may take half a second more, and a kept connection was used without looking at the time again. A request that was given up left its bytes in the socket's buffer, and the kernel went on sending them after the close.

The deadline and the endpoint's entry are now read again just before the request is handed to the connection (failure 'left', which says nothing about the endpoint's health and counts as not arrived), and connections to endpoints are closed with SO_LINGER of zero, which discards what was not sent.

--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -108,6 +108,8 @@
     /// This router has reached its limit of connections to the endpoint, or the deadline passed while
     /// one was being opened; nothing was sent.
     NoConnection,
+    /// The endpoint stopped accepting requests while a connection was being opened; nothing was sent.
+    Left,
     /// The endpoint refused the request and did not run it.
     Refused,
     /// The address now belongs to another endpoint, which did not run the request.
@@ -126,7 +128,8 @@
 
     /// Reports whether the request arrived at an endpoint.
     pub(super) fn request_arrived(&self) -> bool {
-        !matches!(self, AttemptFailure::NotSent(_) | AttemptFailure::NoConnection)
+        use AttemptFailure::{Left, NoConnection, NotSent};
+        !matches!(self, NotSent(_) | NoConnection | Left)
     }
 
     /// Returns the label for metrics and logs.
@@ -134,6 +137,7 @@
         match self {
             AttemptFailure::NotSent(_) => "not_sent",
             AttemptFailure::NoConnection => "no_connection",
+            AttemptFailure::Left => "left",
             AttemptFailure::Refused => "refused",
             AttemptFailure::Misdirected => "misdirected",
             AttemptFailure::Lost(_) => "lost",
@@ -164,7 +168,8 @@
 }
 
 /// Sends a request to the endpoint of `guard` and waits for the head of the answer until
-/// `deadline`. Notifies `sending` once a connection is open.
+/// `deadline`. Notifies `sending` once a connection is open. Nothing is sent after `deadline` or once
+/// the endpoint is known to have left, however long the connection took.
 pub(super) async fn send(
     cx: &Arc<RelayContext>,
     guard: PlacementGuard,
@@ -190,8 +195,12 @@
                 return Err(FailedAttempt::new(AttemptFailure::NotSent(error.to_string()), guard));
             }
         };
-        sending.notify_one();
         let sent_at = cx.now();
+        if let Some(failure) = reason_not_to_send(cx, &guard.placement, deadline, sent_at) {
+            cx.connections.release(connection);
+            return Err(FailedAttempt::new(failure, guard));
+        }
+        sending.notify_one();
         let used = connection.label();
         let sent = connection.sender.try_send_request(build_request(outgoing, headers.clone()));
         match tokio::time::timeout_at(cx.instant(deadline), sent).await {
@@ -215,6 +224,22 @@
     ))
 }
 
+/// Returns why a request must not be sent on an open connection, if anything has changed since the
+/// endpoint was chosen.
+fn reason_not_to_send(
+    cx: &RelayContext,
+    placement: &Placement,
+    deadline: Timestamp,
+    now: Timestamp,
+) -> Option<AttemptFailure> {
+    if now >= deadline {
+        return Some(AttemptFailure::NoConnection);
+    }
+    let target =
+        cx.lock_endpoints().connect_target(&placement.endpoint, placement.process.started_at_ms);
+    target.is_none().then_some(AttemptFailure::Left)
+}
+
 fn build_request(outgoing: &OutgoingRequest, headers: HeaderMap) -> Request<Full<Bytes>> {
     let mut req = Request::new(Full::new(outgoing.body.clone()));
     *req.method_mut() = outgoing.method.clone();
@@ -325,3 +350,7 @@
         Some(_) => ProcessState::Unreachable,
     }
 }
+
+#[cfg(test)]
+#[path = "exchange_tests.rs"]
+mod tests;
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -289,7 +289,7 @@
         AttemptFailure::NotSent(_) => cx.lock_endpoints().record_unreached(&endpoint, now),
         AttemptFailure::Refused => cx.lock_endpoints().record_unreachable(&endpoint, now),
         // Says nothing about the endpoint's health.
-        AttemptFailure::NoConnection => {}
+        AttemptFailure::NoConnection | AttemptFailure::Left => {}
         AttemptFailure::Misdirected => cx.lock_endpoints().remove_replaced(&endpoint, now),
         AttemptFailure::TimedOut => {
             request.attempts += 1;
--- a/components/relay/src/serve/socket_options.rs
+++ b/components/relay/src/serve/socket_options.rs
@@ -37,6 +37,7 @@
     };
     set_socket_options(stream, timeout);
     enable_keep_alive(stream);
+    discard_unsent_bytes_on_close(stream);
 }
 
 /// Sets the options of a connection on which another router opens a tunnel through this one. That
@@ -47,6 +48,16 @@
     enable_keep_alive(stream);
 }
 
+/// Makes a close reset the connection (`SO_LINGER` of zero). Otherwise the kernel goes on sending what
+/// is still in the socket's buffer, so that a request that was given up reaches its endpoint after its
+/// deadline once a full or broken link is usable again. A connection is closed only when idle, or when
+/// the request on it is given up.
+fn discard_unsent_bytes_on_close(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!("failed to set the linger time: {error}");
+    }
+}
+
 fn enable_keep_alive(stream: &TcpStream) {
     let keep_alive =
         TcpKeepalive::new().with_time(KEEP_ALIVE_INTERVAL).with_interval(KEEP_ALIVE_INTERVAL);
