Lead callers by the room of routers whose hosts differ; refuse what a full router cannot carry

The request that reached an endpoint 3.0 s after it had left waited 2.2 s on the way to the router (its deadline of 4 s was 1.3 s old by the router's clock when its caller had given up), and the router's list of endpoints was as late.

Routers measure bytes, processor time, lateness of the gossip timer and the delay of other routers' datagrams above the smallest seen (as LEDBAT), and report them in field 22 of status messages. Where hosts differ: lists of addresses are short weighted samples; crowding goes by the share of the scarcest resource; a router that is busy and at which requests wait 250 ms (500 ms for priority 0) refuses new ones with 503 and closes the connection; the wait is subtracted from the time that is left until a request's deadline. Fleets of equal hosts are served as before.

--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -28,6 +28,7 @@
     ports::{ControlSource, Dialect},
     rate::Rate,
     reach::PathBook,
+    room::{RoomBook, RouterRoom},
     serve::EndpointConnections,
     settings::RelaySettings,
     tunnel::TunnelServer,
@@ -122,6 +123,7 @@
     begun_streams: Mutex<BegunStreams>,
     origin_queries: Mutex<OriginQueries>,
     witness_records: Mutex<WitnessRecords>,
+    room: Mutex<RoomBook>,
     rng: Mutex<Rng>,
 }
 
@@ -185,6 +187,11 @@
             begun_streams: Mutex::default(),
             origin_queries: Mutex::default(),
             witness_records: Mutex::default(),
+            room: Mutex::new(RoomBook::new(RouterRoom {
+                link_bytes_per_s: settings.host_limits.link_bytes_per_s,
+                processor_millis: f64::from(settings.processor_millis),
+                ..RouterRoom::default()
+            })),
             rng: Mutex::new(rng),
             settings,
         }
@@ -233,6 +240,7 @@
             config_version: self.config_version(),
             processor_millis: self.settings.processor_millis,
             arrivals_per_s: self.arrivals_per_s(),
+            room: self.lock_room().room(),
         }
     }
 
@@ -343,6 +351,11 @@
         self.witness_records.lock().expect("the lock is not poisoned")
     }
 
+    /// Locks what is known of the room of this router.
+    pub(crate) fn lock_room(&self) -> MutexGuard<'_, RoomBook> {
+        self.room.lock().expect("the lock is not poisoned")
+    }
+
     /// Locks the random number generator.
     pub(crate) fn lock_rng(&self) -> MutexGuard<'_, Rng> {
         self.rng.lock().expect("the lock is not poisoned")
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! The crate depends on no wire format other than HTTP: [`Dialect`] and [`ControlSource`] are
 //! implemented elsewhere. The modules that make decisions ([`allowance`], [`endpoints`],
-//! [`limits`], [`origins`], [`reach`], [`stream`]) contain no network code; the time and random numbers are passed in.
+//! [`limits`], [`origins`], [`reach`], [`room`], [`stream`]) contain no network code; the time and random numbers are passed in.
 
 pub mod allowance;
 mod context;
@@ -16,6 +16,7 @@
 mod process;
 mod rate;
 pub mod reach;
+pub mod room;
 mod serve;
 mod settings;
 mod sockets;
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -7,13 +7,15 @@
     time::Duration,
 };
 
+use cpu_time::ProcessTime;
 use prost::Message;
 use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
+use types::Timestamp;
 
 use super::{
     EvidenceMessage, LivenessMessage, LoadMessage, Member, PeerContent, PeerMessage, PendingLoans,
-    RouterLoad, StatementMessage, StatusMessage,
+    RoomMessage, RouterLoad, StatementMessage, StatusMessage,
     admissions::{
         handle_admission_end, handle_admission_reply, handle_admission_request, update_admissions,
     },
@@ -24,7 +26,11 @@
     statements::{apply_reports, update_rate_shares},
     witnessing,
 };
-use crate::context::RelayContext;
+use crate::{
+    context::RelayContext,
+    room::{RoomSample, is_crowded, is_drawn_by_room},
+    units::millis,
+};
 
 /// Time between two rounds of status messages.
 const SEND_INTERVAL: Duration = Duration::from_millis(300);
@@ -144,19 +150,47 @@
             cut_off_services: cut_off.iter().map(ToString::to_string).collect(),
             keeps_draws: true,
             reached_services: reached.iter().map(ToString::to_string).collect(),
+            room: Some(Box::new(RoomMessage::from_room(&own.room, cx.now()))),
         };
         encode(PeerContent::Status(message))
     }
 }
 
+/// Measures the room of this router. The timer of this round was due at `due`.
+fn update_room(cx: &RelayContext, due: Timestamp) {
+    let now = cx.now();
+    let (received_bytes, sent_bytes) = cx.connections.bytes.totals();
+    let processor_time = ProcessTime::try_now().map_or(Duration::ZERO, |it| it.as_duration());
+    let sample = RoomSample {
+        received_bytes,
+        sent_bytes,
+        processor_time,
+        timer_late: now.since(due),
+        arrival_delay: Duration::ZERO,
+    };
+    cx.lock_room().update(sample, now);
+}
+
 /// Updates whether this router receives far more than its share of the requests.
 fn update_crowding(cx: &RelayContext) {
     let own = cx.self_status().load();
     let mut fleet = cx.lock_roster().loads(cx.now());
     fleet.push(own);
-    let is_crowded = own.is_crowded(RouterLoad::mean(&fleet));
+    let mut rooms = cx.lock_roster().rooms(cx.now());
+    let (room, counts_room) = {
+        let mut book = cx.lock_room();
+        rooms.push(book.room());
+        book.is_in_use = is_drawn_by_room(&rooms);
+        (book.room(), book.is_in_use)
+    };
+    let is_crowded = if counts_room {
+        is_crowded(&room, &rooms)
+    } else {
+        own.is_crowded(RouterLoad::mean(&fleet))
+    };
     if cx.is_crowded.swap(is_crowded, Ordering::Relaxed) != is_crowded {
-        log::info!(crowded = is_crowded, arrivals_per_s = own.arrivals_per_s, routers = fleet.len(); "router share of the requests changed");
+        let (used, bound) = room.used_share();
+        log::info!(crowded = is_crowded, used:% = format!("{used:.2}"), bound = bound.label(), delay_ms = millis(room.delay), arrivals_per_s = own.arrivals_per_s, routers = fleet.len(); "router share of the requests changed");
     }
 }
 
@@ -182,7 +216,9 @@
 async fn send_periodically(cx: &RelayContext) {
     cx.gossip.send_status(cx, true).await;
     loop {
+        let due = cx.now() + SEND_INTERVAL;
         tokio::time::sleep(SEND_INTERVAL).await;
+        update_room(cx, due);
         cx.gossip.send_status(cx, false).await;
         update_holders(cx);
         update_rate_shares(cx);
@@ -320,6 +356,7 @@
         config_version: message.config_version,
         processor_millis: message.processor_millis,
         arrivals_per_s: message.arrivals_per_s,
+        room: message.room.clone().unwrap_or_default().to_room(message.processor_millis),
     })
 }
 
@@ -332,6 +369,9 @@
     let cut_off = message.cut_off_services.iter().map(|it| it.as_str().into()).collect();
     let reached = message.reached_services.iter().map(|it| it.as_str().into()).collect();
     cx.lock_paths().record_peer_statement(&member.name, cut_off, reached, now);
+    if let Some(room) = &message.room {
+        cx.lock_room().delay.record(&member.name, member.process, room.sent_ms, now);
+    }
     let mut roster = cx.lock_roster();
     let name = member.name.clone();
     roster.record_status(member, now);
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use prost::{Message, Oneof};
+use types::Timestamp;
 
 use super::{
     AdmissionEndMessage, AdmissionReplyMessage, AdmissionRequestMessage, DrawAckMessage,
@@ -12,6 +13,7 @@
 use crate::{
     allowance::{RouterProcess, WitnessDeclaration, WitnessStatement},
     endpoints::{Load, LoadShare},
+    room::RouterRoom,
 };
 
 /// Content of a datagram.
@@ -276,6 +278,59 @@
     /// Names of the services whose endpoints the sender has reached itself a moment ago.
     #[prost(string, repeated, tag = "34")]
     pub reached_services: Vec<String>,
+    /// Room of the sender.
+    #[prost(message, optional, boxed, tag = "22")]
+    pub room: Option<Box<RoomMessage>>,
+}
+
+/// Limits of a router's host and what the router uses of them.
+#[derive(Clone, PartialEq, Message)]
+pub struct RoomMessage {
+    /// Bandwidth of the link, in bytes per second; missing if it is not stated.
+    #[prost(uint64, optional, tag = "1")]
+    pub link_bytes_per_s: Option<u64>,
+    /// Bytes per second over the link, in both directions together.
+    #[prost(uint64, tag = "2")]
+    pub used_bytes_per_s: u64,
+    /// Processor time in use, in thousandths of a core.
+    #[prost(uint32, tag = "3")]
+    pub used_processor_millis: u32,
+    /// Time for which what arrives waits, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub delay_ms: u32,
+    /// When the message was sent, by the clock of the sender's process, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub sent_ms: u64,
+}
+
+impl RoomMessage {
+    /// Creates a message that is sent at `now` from a router's room.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "rates are not negative and far below the limit"
+    )]
+    pub fn from_room(room: &RouterRoom, now: Timestamp) -> RoomMessage {
+        RoomMessage {
+            link_bytes_per_s: room.link_bytes_per_s.map(|it| it as u64),
+            used_bytes_per_s: room.used_bytes_per_s as u64,
+            used_processor_millis: room.used_processor_millis as u32,
+            delay_ms: u32::try_from(room.delay.as_millis()).unwrap_or(u32::MAX),
+            sent_ms: now.0 / 1_000,
+        }
+    }
+
+    /// Converts the message to the room of a router with this processor capacity, in thousandths of a
+    /// core.
+    pub fn to_room(&self, processor_millis: u32) -> RouterRoom {
+        RouterRoom {
+            link_bytes_per_s: self.link_bytes_per_s.map(|it| it as f64),
+            used_bytes_per_s: self.used_bytes_per_s as f64,
+            processor_millis: f64::from(processor_millis),
+            used_processor_millis: f64::from(self.used_processor_millis),
+            delay: Duration::from_millis(self.delay_ms.into()),
+        }
+    }
 }
 
 /// Liveness of other routers. The lists have the same length, and each router has the same index
--- a/components/relay/src/peers/mod.rs
+++ b/components/relay/src/peers/mod.rs
@@ -29,7 +29,7 @@
     evidence_message::EvidenceMessage,
     message::{
         DeclarationMessage, LivenessMessage, LoadMessage, LoanMessage, PeerContent, PeerMessage,
-        StatusMessage,
+        RoomMessage, StatusMessage,
     },
     origin_message::{OriginMessage, OriginQueryMessage, OriginReplyMessage},
     origins::holders_of,
--- a/components/relay/src/peers/roster.rs
+++ b/components/relay/src/peers/roster.rs
@@ -6,7 +6,10 @@
 use utils::{HashMap, HashSet, stable_hash};
 
 use super::RouterLoad;
-use crate::allowance::{HolderCandidate, RouterProcess};
+use crate::{
+    allowance::{HolderCandidate, RouterProcess},
+    room::RouterRoom,
+};
 
 /// Time since a router was last known to be alive after which new callers are no longer sent to
 /// it: four send intervals.
@@ -16,7 +19,7 @@
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// State of another router.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Member {
     /// Name, kept across restarts.
     pub name: Arc<str>,
@@ -36,6 +39,8 @@
     pub processor_millis: u32,
     /// Rate of callers' requests, in requests per second.
     pub arrivals_per_s: u32,
+    /// Limits of its host, and what it uses of them.
+    pub room: RouterRoom,
 }
 
 impl Member {
@@ -301,6 +306,12 @@
         ready.map(|it| it.member.load()).collect()
     }
 
+    /// Returns the rooms of the routers that are alive and accept new callers.
+    pub fn rooms(&self, now: Timestamp) -> Vec<RouterRoom> {
+        let ready = self.entries.values().filter(|it| it.is_live(now) && it.member.is_ready);
+        ready.map(|it| it.member.room).collect()
+    }
+
     /// Returns whether a router is alive and accepts new callers.
     pub fn is_ready(&self, router: &str, now: Timestamp) -> bool {
         self.entries.get(router).is_some_and(|it| it.is_live(now) && it.member.is_ready)
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -170,6 +170,9 @@
     metrics::gauge!(telemetry::MEMBERS, "state" => "ready").set(ready_routers as f64);
     let is_recovering = cx.lock_allowances().is_recovering();
     metrics::gauge!(telemetry::ALLOWANCES_RECOVERING).set(f64::from(u8::from(is_recovering)));
+    let room = cx.lock_room().room();
+    metrics::gauge!(telemetry::ROOM_USED_SHARE).set(room.used_share().0);
+    metrics::gauge!(telemetry::ARRIVAL_DELAY_SECONDS).set(room.delay.as_secs_f64());
     report_tokens(cx);
 }
 
--- /dev/null
+++ b/components/relay/src/room/mod.rs
@@ -0,0 +1,23 @@
+//! Room of routers: how much more each one takes, and what follows from it for lists of addresses and
+//! for what a router refuses.
+//!
+//! Hosts may differ in link and processor by a factor of twenty. The load that this answers: one account
+//! that sends a fifth of all requests, with long prompts, over a few connections that lead to a small host.
+
+mod arrival_delay;
+mod byte_counts;
+mod listing;
+mod meter;
+mod room_book;
+mod router_room;
+
+pub use self::{
+    arrival_delay::ArrivalDelay,
+    listing::{ListedRouter, draw_list, is_crowded, is_drawn_by_room},
+    meter::{RoomMeter, RoomSample},
+    router_room::{Bound, RouterRoom},
+};
+pub(crate) use self::{
+    byte_counts::{ByteCounts, CountedIo},
+    room_book::RoomBook,
+};
--- /dev/null
+++ b/components/relay/src/room/room_book.rs
@@ -0,0 +1,73 @@
+//! What a router knows of its own room, and what it refuses.
+
+use std::time::Duration;
+
+use types::Timestamp;
+
+use super::{ArrivalDelay, Bound, RoomMeter, RoomSample, RouterRoom};
+
+/// Delay above which requests of lower priority are refused. A caller is served sooner by another router.
+const REFUSE_LOW_PRIORITY_DELAY: Duration = Duration::from_millis(250);
+
+/// Delay above which all new requests are refused: what is carried already takes all there is.
+const REFUSE_ALL_DELAY: Duration = Duration::from_millis(500);
+
+/// Share of the link or the processor in use below which a delay has another cause, such as the clocks of
+/// other routers, and nothing is refused.
+const BUSY_SHARE: f64 = 0.5;
+
+/// The room of this router.
+#[derive(Debug)]
+pub(crate) struct RoomBook {
+    room: RouterRoom,
+    meter: RoomMeter,
+    /// Delay of what arrives.
+    pub(crate) delay: ArrivalDelay,
+    /// Whether the hosts of the fleet differ, so that room counts.
+    pub(crate) is_in_use: bool,
+}
+
+impl RoomBook {
+    /// Creates the book of a process on a host with the limits in `room`.
+    pub(crate) fn new(room: RouterRoom) -> RoomBook {
+        RoomBook {
+            room,
+            meter: RoomMeter::default(),
+            delay: ArrivalDelay::default(),
+            is_in_use: false,
+        }
+    }
+
+    /// Returns the current room.
+    pub(crate) fn room(&self) -> RouterRoom {
+        self.room
+    }
+
+    /// Adds readings of the counters.
+    pub(crate) fn update(&mut self, sample: RoomSample, now: Timestamp) {
+        let arrival_delay = self.delay.get(now);
+        self.delay.expire(now);
+        self.meter.update(RoomSample { arrival_delay, ..sample }, now, &mut self.room);
+    }
+
+    /// Returns how long a request that has been read now has waited on the way; zero unless the host is
+    /// busy.
+    pub(crate) fn arrival_wait(&self) -> Duration {
+        if self.is_busy() { self.room.delay } else { Duration::ZERO }
+    }
+
+    /// Returns what bounds this router if it refuses a new request of this priority, of which 0 is the
+    /// most urgent; `None` if it accepts the request.
+    pub(crate) fn refuses(&self, priority: u32) -> Option<Bound> {
+        let limit = if priority == 0 { REFUSE_ALL_DELAY } else { REFUSE_LOW_PRIORITY_DELAY };
+        (self.is_busy() && self.room.delay >= limit).then(|| {
+            let without_delay = RouterRoom { delay: Duration::ZERO, ..self.room };
+            without_delay.used_share().1
+        })
+    }
+
+    fn is_busy(&self) -> bool {
+        let without_delay = RouterRoom { delay: Duration::ZERO, ..self.room };
+        self.is_in_use && without_delay.used_share().0 >= BUSY_SHARE
+    }
+}
--- a/components/relay/src/serve/connection.rs
+++ b/components/relay/src/serve/connection.rs
@@ -17,6 +17,8 @@
 use thiserror::Error;
 use tokio::{net::TcpStream, task::AbortHandle};
 
+use crate::room::{ByteCounts, CountedIo};
+
 /// Timeout for opening a connection; usually this takes a millisecond or two.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -158,7 +160,8 @@
     }
 }
 
-/// Starts HTTP on an open connection, which leads through `peer` if that is set.
+/// Starts HTTP on an open connection, which leads through `peer` if that is set. Its bytes are counted in
+/// `bytes`.
 ///
 /// # Errors
 /// Returns an error if the handshake fails.
@@ -166,9 +169,10 @@
     endpoint: &Arc<str>,
     opened: CountedStream,
     peer: Option<TunnelPeer>,
+    bytes: Arc<ByteCounts>,
 ) -> Result<Connection, ConnectError> {
     let (sender, connection) = http1::Builder::new()
-        .handshake(TokioIo::new(opened.stream))
+        .handshake(TokioIo::new(CountedIo::new(opened.stream, bytes)))
         .await
         .map_err(ConnectError::Unusable)?;
     let task = tokio::spawn(async move {
--- a/components/relay/src/serve/connections.rs
+++ b/components/relay/src/serve/connections.rs
@@ -18,6 +18,7 @@
     },
     socket_options::set_endpoint_socket_options,
 };
+use crate::room::ByteCounts;
 
 /// Which connection a request needs.
 #[derive(Debug, Clone, Copy)]
@@ -60,6 +61,8 @@
     open_counts: OpenCounts,
     /// Number of those that lead through another router, per router.
     tunnel_counts: OpenCounts,
+    /// Bytes over the connections of callers and to endpoints.
+    pub(crate) bytes: Arc<ByteCounts>,
 }
 
 impl EndpointConnections {
@@ -74,7 +77,7 @@
         need: ConnectionNeed,
     ) -> Result<Connection, ConnectError> {
         let opened = self.open(endpoint, address, need).await?;
-        let mut connection = handshake(endpoint, opened, None).await?;
+        let mut connection = handshake(endpoint, opened, None, self.bytes.clone()).await?;
         connection.is_for_large_request = need.is_for_large_request;
         Ok(connection)
     }
@@ -113,7 +116,7 @@
         let count = count_one(&self.open_counts, endpoint, max)?;
         let tunnel_count = count_one(&self.tunnel_counts, peer, usize::MAX)?;
         let peer = TunnelPeer { name: peer.clone(), _count: tunnel_count };
-        handshake(endpoint, CountedStream { stream, count }, Some(peer)).await
+        handshake(endpoint, CountedStream { stream, count }, Some(peer), self.bytes.clone()).await
     }
 
     /// Returns the number of open tunnels through another router.
--- a/components/relay/src/serve/exchange_tests.rs
+++ b/components/relay/src/serve/exchange_tests.rs
@@ -6,7 +6,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use errors::Error;
+use errors::{Error, ErrorKind};
 use http::{HeaderMap, Method, Response, Uri, request, response};
 use platform::{Commit, CommitOutcome, Key, PlatformError, Row, Table};
 use tokio::{
@@ -35,7 +35,7 @@
 
 impl Dialect for Nothing {
     fn read_request(&self, _: &request::Parts) -> Result<RequestHead, Error> {
-        unimplemented!("no caller connects")
+        Err(Error::new(ErrorKind::BadRequest, "no caller connects"))
     }
 
     fn forward_headers(&self, headers: &HeaderMap, _: &Forwarding<'_>) -> HeaderMap {
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -39,6 +39,9 @@
 /// Mean retry delay returned to callers while the router has no desired state.
 const STARTUP_RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Mean retry delay returned to callers that another router can serve at once.
+const FULL_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// Handles one request. Errors are turned into answers here.
 pub(super) async fn handle(
     cx: Arc<RelayContext>,
@@ -57,7 +60,8 @@
         let res = cx.dialect.write_error(&error, id.as_deref());
         res.map(|bytes| ResponseBody::Whole(Some(bytes)))
     });
-    if cx.is_leaving.load(Ordering::Relaxed) || cx.is_crowded.load(Ordering::Relaxed) {
+    let is_closing = cx.is_leaving.load(Ordering::Relaxed) || cx.is_crowded.load(Ordering::Relaxed);
+    if is_closing || cx.lock_room().refuses(u32::MAX).is_some() {
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(res)
@@ -87,6 +91,7 @@
     // The desired state may have changed while the body arrived.
     let in_force = cx.in_force.load_full().unwrap_or(in_force);
     let admission = authorize(in_force, &request_head, head.uri.path())?;
+    refuse_if_full(cx, &admission)?;
     let mut request = start_request(cx, admission, request_head, received_at, (head, body))?;
     if let Err(error) = admit_content(&mut request) {
         return Err(finish_with_error(error, request));
@@ -148,6 +153,21 @@
     Ok(Admission { in_force, route, account })
 }
 
+/// Refuses a request at once if this router carries as much as its host takes, so that the caller goes to
+/// another one and what is carried already ends in time.
+///
+/// # Errors
+/// Returns an error if the router is full for requests of this priority.
+fn refuse_if_full(cx: &RelayContext, admission: &Admission) -> Result<(), Error> {
+    let account = admission.account.as_ref();
+    let priority = account.and_then(|it| it.priority).unwrap_or(admission.route.priority);
+    let Some(bound) = cx.lock_room().refuses(priority) else { return Ok(()) };
+    metrics::counter!(telemetry::SHED_REQUESTS_TOTAL, "bound" => bound.label()).increment(1);
+    let delay = jitter(FULL_RETRY_DELAY, &mut cx.lock_rng());
+    let message = "the router is full; others have room";
+    Err(Error::new(ErrorKind::Overloaded, message).with_retry_delay(delay))
+}
+
 /// Creates the state of an authorized request and picks its service.
 fn start_request(
     cx: &Arc<RelayContext>,
@@ -168,6 +188,8 @@
         return Err(Error::new(ErrorKind::BadRequest, "the request does not declare its tokens"));
     }
     let connections_max = cx.connections_share(spec);
+    // The caller counts from the time at which it sent the request.
+    let timeout = caller_timeout.saturating_sub(cx.lock_room().arrival_wait());
     cx.running.fetch_add(1, Ordering::Relaxed);
     Ok(ActiveRequest {
         cx: cx.clone(),
@@ -184,7 +206,7 @@
             connections_max,
         },
         received_at,
-        deadline: received_at + caller_timeout,
+        deadline: received_at + timeout,
         reservation: None,
         attempts: 0,
         delivered_attempts: 0,
--- a/components/relay/src/serve/server.rs
+++ b/components/relay/src/serve/server.rs
@@ -19,7 +19,7 @@
     side_calls::AuxiliaryApi,
     socket_options::set_caller_socket_options,
 };
-use crate::context::RelayContext;
+use crate::{context::RelayContext, room::CountedIo};
 
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: i32 = 1_024;
@@ -81,7 +81,10 @@
             .timer(IdleTimer::new(cx.clone()))
             .header_read_timeout(IDLE_TIMEOUT)
             .max_buf_size(HEAD_BUFFER_BYTES)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(
+                TokioIo::new(CountedIo::new(stream, cx.connections.bytes.clone())),
+                service,
+            );
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             if let Err(error) = connection.await {
--- a/components/relay/src/serve/side_calls.rs
+++ b/components/relay/src/serve/side_calls.rs
@@ -1,14 +1,19 @@
 //! Auxiliary API: readiness, router addresses and metrics.
 
-use std::{convert::Infallible, sync::Arc};
+use std::{convert::Infallible, net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header::CONTENT_TYPE};
 use hyper::body::Incoming;
 use telemetry::MetricsHandle;
+use utils::Rng;
 
 use super::body::ResponseBody;
-use crate::{context::RelayContext, peers::RouterLoad};
+use crate::{
+    context::RelayContext,
+    peers::{Member, RouterLoad},
+    room::{ListedRouter, RouterRoom, draw_list, is_drawn_by_room},
+};
 
 /// Maximum number of addresses in an answer.
 const ADDRESSES_MAX: usize = 64;
@@ -56,6 +61,12 @@
         if own.is_ready {
             members.push(&own);
         }
+        let rooms: Vec<RouterRoom> = members.iter().map(|it| it.room).collect();
+        if is_drawn_by_room(&rooms) {
+            let addresses = draw_addresses(&members, failure_domain, &mut cx.lock_rng());
+            let body = cx.dialect.write_addresses(&addresses, cx.settings.addresses_max_age);
+            return answer(StatusCode::OK, "application/json", body);
+        }
         let loads: Vec<RouterLoad> = members.iter().map(|it| it.load()).collect();
         let mean = RouterLoad::mean(&loads);
         // Crowded routers come last: they are listed only if there are few others.
@@ -74,6 +85,20 @@
     }
 }
 
+/// Draws the addresses for a caller in `failure_domain` by the routers' room.
+fn draw_addresses(
+    members: &[&Member],
+    failure_domain: Option<&str>,
+    rng: &mut Rng,
+) -> Vec<SocketAddr> {
+    let listed: Vec<ListedRouter> = members
+        .iter()
+        .map(|it| ListedRouter { failure_domain: it.failure_domain.clone(), room: it.room })
+        .collect();
+    let drawn = draw_list(&listed, failure_domain, rng);
+    drawn.into_iter().map(|index| members[index].caller_address).collect()
+}
+
 fn answer(status: StatusCode, content_type: &'static str, body: Bytes) -> Response<ResponseBody> {
     let mut res = Response::new(ResponseBody::Whole(Some(body)));
     *res.status_mut() = status;
--- a/components/relay/src/sync/member_rows.rs
+++ b/components/relay/src/sync/member_rows.rs
@@ -11,6 +11,7 @@
 use crate::{
     context::RelayContext,
     peers::{Member, update_holders},
+    room::RouterRoom,
 };
 
 /// Prefix of the keys of member rows.
@@ -100,6 +101,10 @@
                     config_version: 0,
                     processor_millis: it.processor_millis,
                     arrivals_per_s: 0,
+                    room: RouterRoom {
+                        processor_millis: f64::from(it.processor_millis),
+                        ..RouterRoom::default()
+                    },
                 };
                 cx.lock_roster().add_listed(member, now);
             }
--- a/components/relay/tests/brittle_endpoints/router.rs
+++ b/components/relay/tests/brittle_endpoints/router.rs
@@ -5,6 +5,7 @@
 use relay::{
     endpoints::{AdmissionBook, Choice, EndpointRegistry, PlacementRequest},
     peers::{Member, Roster, process_key},
+    room::RouterRoom,
 };
 use types::Timestamp;
 use utils::{HashSet, Rng};
@@ -59,6 +60,7 @@
             config_version: 1,
             processor_millis: 250,
             arrivals_per_s: 25,
+            room: RouterRoom::default(),
         }
     }
 
--- a/components/relay/tests/origins.rs
+++ b/components/relay/tests/origins.rs
@@ -12,6 +12,7 @@
         QueryResult, StreamKey, TakeUp, VersionView, decide_take_up,
     },
     peers::{Member, holders_of},
+    room::RouterRoom,
 };
 use types::Timestamp;
 use utils::seeded_rng;
@@ -36,6 +37,7 @@
         config_version: 1,
         processor_millis: 250,
         arrivals_per_s: 0,
+        room: RouterRoom::default(),
     }
 }
 
--- a/components/relay/tests/rate_limits/router.rs
+++ b/components/relay/tests/rate_limits/router.rs
@@ -9,6 +9,7 @@
     },
     model::{EndpointEntry, EndpointPhase},
     peers::{Member, Roster},
+    room::RouterRoom,
 };
 use types::Timestamp;
 use utils::Rng;
@@ -54,6 +55,7 @@
             config_version: 1,
             processor_millis: 250,
             arrivals_per_s: 25,
+            room: RouterRoom::default(),
         }
     }
 
--- a/components/relay/tests/roster.rs
+++ b/components/relay/tests/roster.rs
@@ -9,7 +9,10 @@
 use std::{sync::Arc, time::Duration};
 
 use prost::Message as _;
-use relay::peers::{LivenessMessage, LivenessReport, Member, Roster, process_key};
+use relay::{
+    peers::{LivenessMessage, LivenessReport, Member, Roster, process_key},
+    room::RouterRoom,
+};
 use types::Timestamp;
 
 fn member(number: u8, is_ready: bool) -> Member {
@@ -23,6 +26,7 @@
         config_version: 3,
         processor_millis: 250,
         arrivals_per_s: 10,
+        room: RouterRoom::default(),
     }
 }
 
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -128,6 +128,15 @@
 /// Counter of requests for router addresses that were answered.
 pub const ADDRESS_ANSWERS_TOTAL: &str = "auburncrank_address_answers_total";
 
+/// Counter of requests refused because this router was full, by `bound`: `link` or `processor`.
+pub const SHED_REQUESTS_TOTAL: &str = "auburncrank_shed_requests_total";
+
+/// Gauge of the share of the host's scarcest resource that is in use.
+pub const ROOM_USED_SHARE: &str = "auburncrank_room_used_share";
+
+/// Gauge of the time for which what arrives waits before it is handled, in seconds.
+pub const ARRIVAL_DELAY_SECONDS: &str = "auburncrank_arrival_delay_seconds";
+
 /// Gauge that is 1 if another process with a higher incarnation uses this router's name.
 pub const ROUTER_SUPERSEDED: &str = "auburncrank_router_superseded";
 
