--- a/components/relay/src/room/mod.rs
+++ b/components/relay/src/room/mod.rs
@@ -11,13 +11,11 @@
 mod room_book;
 mod router_room;
 
+pub(crate) use self::byte_counts::{ByteCounts, CountedIo};
 pub use self::{
     arrival_delay::ArrivalDelay,
     listing::{ListedRouter, draw_list, is_crowded, is_drawn_by_room},
     meter::{RoomMeter, RoomSample},
-    router_room::{Bound, RouterRoom},
-};
-pub(crate) use self::{
-    byte_counts::{ByteCounts, CountedIo},
     room_book::RoomBook,
+    router_room::{Bound, RouterRoom},
 };
--- a/components/relay/tests/room.rs
+++ b/components/relay/tests/room.rs
@@ -12,8 +12,8 @@
 
 use rand::Rng as _;
 use relay::room::{
-    ArrivalDelay, Bound, ListedRouter, RoomMeter, RoomSample, RouterRoom, draw_list, is_crowded,
-    is_drawn_by_room,
+    ArrivalDelay, Bound, ListedRouter, RoomBook, RoomMeter, RoomSample, RouterRoom, draw_list,
+    is_crowded, is_drawn_by_room,
 };
 use types::Timestamp;
 use utils::{Rng, seeded_rng};
@@ -225,3 +225,35 @@
     assert_eq!(delay.get(at(5_001)), Duration::ZERO);
     assert_eq!(delay.get(at(9_000)), Duration::ZERO);
 }
+
+/// A small router over whose link `link_share` of its bandwidth passes for six seconds, and whose timer was
+/// late by `late_ms` at the end.
+fn book(link_share: f64, late_ms: u64, hosts_differ: bool) -> RoomBook {
+    let mut book = RoomBook::new(fleet()[20].room);
+    book.is_in_use = hosts_differ;
+    for round in 0..=20 {
+        let sample = RoomSample {
+            received_bytes: (SMALL_LINK * link_share * 0.3) as u64 * round,
+            timer_late: Duration::from_millis(if round == 20 { late_ms } else { 0 }),
+            ..RoomSample::default()
+        };
+        book.update(sample, Timestamp::from_millis(300 * round));
+    }
+    book
+}
+
+#[test]
+fn burst_of_long_prompts_on_a_full_link_is_refused_least_urgent_first() {
+    assert_eq!(book(1.0, 100, true).refuses(2), None);
+    assert_eq!(book(1.0, 300, true).refuses(2), Some(Bound::Link));
+    assert_eq!(book(1.0, 300, true).refuses(0), None);
+    assert_eq!(book(1.0, 600, true).refuses(0), Some(Bound::Link));
+    assert_eq!(book(1.0, 600, true).arrival_wait(), Duration::from_millis(600));
+}
+
+#[test]
+fn nothing_is_refused_where_nothing_is_scarce_or_all_hosts_are_equal() {
+    assert_eq!(book(0.2, 3_000, true).refuses(2), None);
+    assert_eq!(book(0.2, 3_000, true).arrival_wait(), Duration::ZERO);
+    assert_eq!(book(1.0, 3_000, false).refuses(2), None);
+}
