--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -3,8 +3,8 @@
 //!
 //! The crate depends on no wire format other than HTTP: [`Dialect`] and [`ControlSource`] are
 //! implemented elsewhere. The modules that make decisions ([`allowance`], [`domains`], [`endpoints`],
-//! [`limits`], [`origins`], [`reach`], [`stream`], [`waiting`]) contain no network code; the time and random
-//! numbers are passed in.
+//! [`limits`], [`origins`], [`reach`], [`room`], [`stream`], [`waiting`]) contain no network code; the time and
+//! random numbers are passed in.
 
 pub mod allowance;
 mod context;
@@ -18,6 +18,7 @@
 mod process;
 mod rate;
 pub mod reach;
+pub mod room;
 mod serve;
 mod settings;
 mod sockets;
