Learn the speed of endpoints from their answers and place requests by it

Each router measures the time to the first event and the median pause of a few events, tells other routers about the last second in its status messages (tag 30), and fits one model of time against load for each service. An endpoint has a slowness relative to it.

--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -2,11 +2,12 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
+use routing::{RecentObservations, ServiceSpeed};
 use types::Timestamp;
 use utils::{HashMap, HashSet};
 
 use super::{
-    endpoint::Endpoint,
+    endpoint::{Endpoint, speed_key_of},
     load::{Load, LoadShare},
     placement::{ConnectTarget, ProcessId},
     prompt_split::PromptSplit,
@@ -45,6 +46,12 @@
     pub(super) endpoints: HashMap<Arc<str>, Endpoint>,
     /// Rates of long and short prompts, keyed by service name.
     pub(super) splits: HashMap<Arc<str>, PromptSplit>,
+    /// How long the answers of each service take, keyed by service name.
+    pub(super) speeds: HashMap<Arc<str>, ServiceSpeed>,
+    /// Ids of endpoints by the keys that reports on speed use; some may be gone.
+    pub(super) speed_keys: HashMap<u32, Arc<str>>,
+    /// Answers that this router observed in the last second.
+    pub(super) recent_speeds: RecentObservations,
     /// Whether the whole list has been read since the process started.
     has_list: bool,
     /// Connectivity to the store that holds the list.
@@ -121,6 +128,8 @@
             }
             is_kept
         });
+        let endpoints = &self.endpoints;
+        self.speed_keys.retain(|_, id| endpoints.contains_key(id));
         self.departed.retain(|_, (_, at)| now.since(*at) < DEPARTURE_MEMORY);
         self.forget_ended_rates(now);
         self.forget_brittle_services(now);
@@ -267,6 +276,7 @@
         }
         let Some(known) = self.endpoints.get_mut(&entry.id) else {
             log::info!(endpoint:% = entry.id, service:% = entry.service, address:% = entry.address, version:% = entry.version; "endpoint added");
+            self.speed_keys.insert(speed_key_of(&entry.id), entry.id.clone());
             self.endpoints.insert(entry.id.clone(), Endpoint::new(entry));
             return;
         };
--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use rand::Rng as _;
+use routing::PlacementCosts;
 use types::Timestamp;
 use utils::{HashSet, Rng, stable_hash};
 
@@ -12,15 +13,12 @@
     endpoint::Endpoint,
     load::Load,
     placement::{Choice, LimitedWait, Placement, PlacementRequest, ProcessId},
-    prompt_split::{PROMPT_TOKENS_PER_MS, is_long},
+    prompt_split::is_long,
     rate_limit::NextRequest,
     unreached::are_unreached,
 };
 use crate::model::{PromptPart, TokenDemand};
 
-/// Estimated delay that each running request adds to a new one, in milliseconds.
-const DELAY_PER_REQUEST_MS: f64 = 1.5;
-
 /// Cost of an endpoint in another failure domain, in milliseconds of delay; represents the price
 /// of traffic between failure domains.
 const OTHER_DOMAIN_COST_MS: f64 = 12.0;
@@ -37,10 +35,10 @@
 /// delay: every request that runs there pauses once.
 const LONG_ON_SHORT_COST_MS: f64 = 450.0;
 
-/// Cost of each token of a shared prompt part that the endpoint has to process again, in
-/// milliseconds of delay on top of the processing time: the work delays all other requests
-/// there, and the part evicts another one from the cache.
-const SHARED_TOKEN_COST_MS: f64 = 0.15;
+/// Cost of a shared prompt part that the endpoint has to process again, on top of the processing
+/// time and as a multiple of it: the work delays all other requests there, and the part evicts
+/// another one from the cache.
+const SHARED_TOKEN_COST_FACTOR: f64 = 4.5;
 
 /// Cost of an endpoint of a version that is being replaced for a new stream, in milliseconds of
 /// delay: streams that began at that version can go on only there.
@@ -59,6 +57,8 @@
     endpoint: &'a Endpoint,
     /// Load that the request adds there.
     load: Load,
+    /// Load of all other requests there.
+    total: Load,
     /// Estimated wait, in milliseconds.
     wait_ms: f64,
     /// Cost that candidates are compared by, in milliseconds.
@@ -69,6 +69,8 @@
     is_brittle: bool,
     /// Whether it failed recently, or failed the request.
     is_last_resort: bool,
+    /// Whether it runs as many requests as it has proved to take without slowing down.
+    is_slowed_down: bool,
     /// Whether the answer is needed to learn if a rate limit still holds.
     confirms_limit: bool,
 }
@@ -82,10 +84,13 @@
         rng: &mut Rng,
     ) -> Choice {
         if let Some(tokens) = request.tokens {
-            let split = self.splits.entry(request.service.clone()).or_default();
-            split.record(unshared_tokens(request, tokens), now);
             let serving = self.endpoints.values().filter(|it| it.entry.service == *request.service);
-            split.update_share(serving.count(), request.routers, now);
+            let serving: Vec<&Endpoint> = serving.collect();
+            let costs = self.placement_costs(request.service, &serving);
+            let endpoints = serving.len();
+            let split = self.splits.entry(request.service.clone()).or_default();
+            split.record(unshared_tokens(request, tokens), costs.ms_per_token, now);
+            split.update_share(endpoints, request.routers, costs.ms_per_token, now);
         }
         let choice = self.choose_endpoint(request, now, rng);
         if let Choice::Placed(placement) = &choice {
@@ -135,7 +140,8 @@
         if serving.is_empty() {
             return Choice::Unnamed;
         }
-        let ids = ids_for_caching(&serving);
+        let costs = self.placement_costs(request.service, &serving);
+        let ids = endpoints_for_caching(&serving);
         let long_ids = self
             .splits
             .get(request.service)
@@ -143,9 +149,12 @@
             .unwrap_or_default();
         let cache_owners =
             cache_owners_of(request.parts, if long_ids.is_empty() { &ids } else { &long_ids });
-        let is_long = request.tokens.is_some_and(|it| is_long(unshared_tokens(request, it)));
+        let is_long = request
+            .tokens
+            .is_some_and(|it| is_long(unshared_tokens(request, it), costs.ms_per_token));
         let mixing_cost_ms = |it: &Endpoint| {
-            if long_ids.is_empty() || long_ids.contains(&&it.entry.id) == is_long {
+            let is_for_long = long_ids.iter().any(|long| *long.id == it.entry.id);
+            if long_ids.is_empty() || is_for_long == is_long {
                 0.0
             } else if is_long {
                 LONG_ON_SHORT_COST_MS
@@ -158,7 +167,7 @@
             .iter()
             .filter_map(|it| {
                 let is_brittle = is_brittle(it, brittle_since);
-                let mut candidate = evaluate(it, request, &cache_owners, is_brittle, now)?;
+                let mut candidate = evaluate(it, request, &cache_owners, &costs, is_brittle, now)?;
                 candidate.cost_ms += mixing_cost_ms(it) + replaced_cost_ms(it);
                 Some(candidate)
             })
@@ -186,6 +195,9 @@
             };
             return candidates.iter().max_by_key(|it| rank(it)).map_or(Choice::Full, place_on);
         }
+        if candidates.iter().any(|it| !it.is_slowed_down && !it.is_last_resort) {
+            candidates.retain(|it| !it.is_slowed_down);
+        }
         let Some(lowest) = candidates.iter().map(|it| it.cost_ms).min_by(f64::total_cmp) else {
             return Choice::Full;
         };
@@ -216,6 +228,8 @@
         version: entry.version.clone(),
         is_brittle: chosen.is_brittle,
         load: chosen.load,
+        running: chosen.total.requests,
+        tokens_ahead: chosen.total.prompt_tokens + chosen.load.prompt_tokens,
         wait_ms: chosen.wait_ms,
     })
 }
@@ -228,12 +242,36 @@
     (count * 2 > serving.len() && count < serving.len()).then_some(newest)
 }
 
-/// Returns the ids of the endpoints among which prompts are distributed by their parts and lengths:
-/// those that state no rate limit, or all if each states one.
-fn ids_for_caching<'a>(serving: &[&'a Endpoint]) -> Vec<&'a Arc<str>> {
+/// An endpoint among which prompts are distributed by rendezvous hashing.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct HashedEndpoint<'a> {
+    /// Its id.
+    pub(super) id: &'a Arc<str>,
+    /// Its weight, above zero: the share of the prompts that it gets is proportional to it.
+    pub(super) weight: f64,
+}
+
+impl HashedEndpoint<'_> {
+    /// Returns its rank for a key; the highest one is preferred. A changed weight moves only prompts
+    /// from or to this endpoint.
+    pub(super) fn rank(&self, key: u64) -> f64 {
+        // 53 bits are what the mantissa holds.
+        let uniform = ((rendezvous_hash(key, self.id) >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+        -self.weight / uniform.ln()
+    }
+}
+
+/// Returns the endpoints among which prompts are distributed by their parts and lengths: those that
+/// state no rate limit, or all if each states one. A prompt takes a slow endpoint more time and
+/// delays the answers there for longer, so that the weight falls with the square of its slowness.
+fn endpoints_for_caching<'a>(serving: &[&'a Endpoint]) -> Vec<HashedEndpoint<'a>> {
+    let hashed = |it: &&'a Endpoint| HashedEndpoint {
+        id: &it.entry.id,
+        weight: it.speed.usual_slowness().powi(-2),
+    };
     let unlimited = serving.iter().filter(|it| it.limit_per_s().is_none());
-    let ids: Vec<&Arc<str>> = unlimited.map(|it| &it.entry.id).collect();
-    if ids.is_empty() { serving.iter().map(|it| &it.entry.id).collect() } else { ids }
+    let endpoints: Vec<HashedEndpoint<'_>> = unlimited.map(hashed).collect();
+    if endpoints.is_empty() { serving.iter().map(hashed).collect() } else { endpoints }
 }
 
 /// Returns the part that decides which endpoints cache a prompt: the last one that other
@@ -245,11 +283,11 @@
 /// Returns the ids of the endpoints that cache the shared part of a prompt: the preferred one,
 /// then the one used when the first is busy. They are chosen by rendezvous hashing of part and
 /// endpoint, so that all routers agree without exchanging messages.
-fn cache_owners_of(parts: &[PromptPart], ids: &[&Arc<str>]) -> Vec<Arc<str>> {
+fn cache_owners_of(parts: &[PromptPart], endpoints: &[HashedEndpoint<'_>]) -> Vec<Arc<str>> {
     let Some(part) = shared_part(parts) else { return Vec::new() };
-    let mut ranked: Vec<(u64, &Arc<str>)> =
-        ids.iter().map(|id| (rendezvous_hash(part.id, id), *id)).collect();
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    let mut ranked: Vec<(f64, &Arc<str>)> =
+        endpoints.iter().map(|it| (it.rank(part.id), it.id)).collect();
+    ranked.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then_with(|| b.1.cmp(a.1)));
     ranked.into_iter().take(2).map(|(_, id)| id.clone()).collect()
 }
 
@@ -268,6 +306,7 @@
     endpoint: &'a Endpoint,
     request: &PlacementRequest<'_>,
     cache_owners: &[Arc<str>],
+    costs: &PlacementCosts,
     is_brittle: bool,
     now: Timestamp,
 ) -> Option<Candidate<'a>> {
@@ -287,11 +326,15 @@
     {
         return None;
     }
-    let backlog_ms = (total.prompt_tokens + load.prompt_tokens) as f64 / PROMPT_TOKENS_PER_MS;
-    let wait_ms = backlog_ms + f64::from(total.requests) * DELAY_PER_REQUEST_MS;
+    let slowness = endpoint.speed.slowness(now);
+    let ms_per_token = costs.ms_per_token * slowness;
+    let backlog_ms = (total.prompt_tokens + load.prompt_tokens) as f64 * ms_per_token;
+    let wait_ms = backlog_ms + f64::from(total.requests) * costs.ms_per_request * slowness;
     let uncached_shared_tokens =
         load.prompt_tokens - request.tokens.map_or(0, |it| unshared_tokens(request, it));
-    let mut cost_ms = wait_ms + uncached_shared_tokens as f64 * SHARED_TOKEN_COST_MS;
+    let shared_ms = uncached_shared_tokens as f64 * ms_per_token;
+    let mut cost_ms = wait_ms + shared_ms * SHARED_TOKEN_COST_FACTOR;
+    cost_ms += (slowness - 1.0) * costs.base_ms;
     cost_ms += endpoint.health.failure_share(now) * FAILURE_COST_MS;
     if *entry.failure_domain != *request.failure_domain {
         cost_ms += OTHER_DOMAIN_COST_MS;
@@ -304,11 +347,13 @@
     Some(Candidate {
         endpoint,
         load,
+        total,
         wait_ms,
         cost_ms,
         next_request: endpoint.next_request(is_brittle, now),
         is_brittle,
         is_last_resort,
+        is_slowed_down: total.requests >= endpoint.speed.capacity(capacity, now),
         confirms_limit: !is_last_resort
             && endpoint.rate.is_some_and(|it| it.needs_confirmation(now)),
     })
--- a/components/relay/src/endpoints/endpoint.rs
+++ b/components/relay/src/endpoints/endpoint.rs
@@ -2,8 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
+use routing::EndpointSpeed;
 use types::Timestamp;
-use utils::HashMap;
+use utils::{HashMap, stable_hash};
 
 use super::{
     brittleness::Brittleness,
@@ -51,6 +52,10 @@
     pub(super) denied_until: Timestamp,
     /// Router that admits requests to it while it is brittle; `None` if it has to be computed.
     pub(super) owner: Option<Arc<str>>,
+    /// Identifies it in reports on speed.
+    pub(super) speed_key: u32,
+    /// What is known of its speed.
+    pub(super) speed: EndpointSpeed,
     /// When the endpoint is removed unless its entry comes back; set if the entry went missing
     /// shortly after an outage of the store.
     pub(super) expires_at: Option<Timestamp>,
@@ -60,6 +65,8 @@
     /// Creates the state of an endpoint without load or failures.
     pub(super) fn new(entry: EndpointEntry) -> Endpoint {
         Endpoint {
+            speed_key: speed_key_of(&entry.id),
+            speed: EndpointSpeed::default(),
             entry,
             own_load: Load::default(),
             peer_loads: HashMap::default(),
@@ -115,3 +122,10 @@
         fresh.map(|(router, load, _)| (router, load))
     }
 }
+
+/// Returns the key of an endpoint in reports on speed; the same on every router.
+pub(super) fn speed_key_of(id: &str) -> u32 {
+    #[allow(clippy::cast_possible_truncation, reason = "part of a hash")]
+    let key = stable_hash(&[id.as_bytes()]) as u32;
+    key
+}
--- a/components/relay/src/endpoints/mod.rs
+++ b/components/relay/src/endpoints/mod.rs
@@ -12,6 +12,7 @@
 mod placement;
 mod prompt_split;
 mod rate_limit;
+mod speeds;
 mod statements;
 mod store_contact;
 mod unreached;
@@ -26,5 +27,6 @@
         Choice, ConnectTarget, LimitedWait, Placement, PlacementRequest, ProcessId, Suspect,
     },
     rate_limit::{RateReport, RateStatement},
+    speeds::SpeedReport,
     statements::{BrittleReport, StatementReport, Statements},
 };
--- a/components/relay/src/endpoints/placement.rs
+++ b/components/relay/src/endpoints/placement.rs
@@ -65,6 +65,10 @@
     pub is_brittle: bool,
     /// Load of the request, to be subtracted when it ends.
     pub load: Load,
+    /// Number of requests that ran on the endpoint when this one was placed.
+    pub running: u32,
+    /// Prompt tokens that the endpoint has to process before the first event of the answer.
+    pub tokens_ahead: u64,
     /// Estimated wait for the requests and prompts ahead of this one, including the time for its
     /// own prompt, in milliseconds.
     pub wait_ms: f64,
--- a/components/relay/src/endpoints/prompt_split.rs
+++ b/components/relay/src/endpoints/prompt_split.rs
@@ -4,19 +4,15 @@
 //! long prompt makes all of them pause. Some endpoints of a service take the long prompts; the
 //! others serve short ones without pauses.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use types::Timestamp;
 
-use super::choice::rendezvous_hash;
+use super::choice::HashedEndpoint;
 use crate::rate::Rate;
 
-/// Number of prompt tokens that an engine processes per millisecond; used only for estimates.
-pub(super) const PROMPT_TOKENS_PER_MS: f64 = 30.0;
-
-/// Length from which a prompt counts as long, in tokens: processing it takes an engine about as
-/// long as ten decoding steps.
-const LONG_PROMPT_TOKENS: u64 = 1_400;
+/// Processing time from which a prompt counts as long, in milliseconds: about ten decoding steps.
+const LONG_PROMPT_MS: f64 = 46.0;
 
 /// Target share of their time, from 0 to 1, that endpoints for long prompts spend on processing
 /// prompts. Above it, prompts wait for each other.
@@ -43,8 +39,8 @@
 const LONG_PROMPTS_SALT: u64 = 0x6c6f_6e67;
 
 /// Reports whether a prompt of this many tokens counts as long.
-pub(super) fn is_long(tokens: u64) -> bool {
-    tokens >= LONG_PROMPT_TOKENS
+pub(super) fn is_long(tokens: u64, ms_per_token: f64) -> bool {
+    tokens as f64 * ms_per_token >= LONG_PROMPT_MS
 }
 
 /// Rates of the long and short prompts that this router receives for one service.
@@ -69,8 +65,8 @@
 
 impl PromptSplit {
     /// Records a prompt; `tokens` is the number of its tokens that are in no cache.
-    pub(super) fn record(&mut self, tokens: u64, now: Timestamp) {
-        if is_long(tokens) {
+    pub(super) fn record(&mut self, tokens: u64, ms_per_token: f64, now: Timestamp) {
+        if is_long(tokens, ms_per_token) {
             self.long.add(1.0, now);
             self.long_tokens.add(tokens as f64, now);
         } else {
@@ -81,9 +77,15 @@
     /// Updates the share of endpoints for long prompts from the current rates. `endpoints` is the
     /// number of endpoints. `routers` is the number of routers; each is assumed to receive prompts
     /// at the same rates as this one.
-    pub(super) fn update_share(&mut self, endpoints: usize, routers: usize, now: Timestamp) {
+    pub(super) fn update_share(
+        &mut self,
+        endpoints: usize,
+        routers: usize,
+        ms_per_token: f64,
+        now: Timestamp,
+    ) {
         let tokens_per_ms = self.long_tokens.get(now) * routers.max(1) as f64 / 1_000.0;
-        let busy_endpoints = tokens_per_ms / PROMPT_TOKENS_PER_MS;
+        let busy_endpoints = tokens_per_ms * ms_per_token;
         let required_share = busy_endpoints / PROMPT_TIME_SHARE / endpoints.max(1) as f64;
         if required_share < SMALL_SHARE_BELOW {
             self.share = SMALL_SHARE_THIRDS;
@@ -92,23 +94,22 @@
         }
     }
 
-    /// Returns the endpoints among `ids` that take the long prompts; empty if all endpoints take
-    /// both kinds.
+    /// Returns the endpoints that take the long prompts; empty if all endpoints take both kinds.
     pub(super) fn long_endpoints<'a>(
         &self,
-        ids: &[&'a Arc<str>],
+        endpoints: &[HashedEndpoint<'a>],
         now: Timestamp,
-    ) -> Vec<&'a Arc<str>> {
-        if ids.len() < 2
+    ) -> Vec<HashedEndpoint<'a>> {
+        if endpoints.len() < 2
             || self.long.get(now) < REQUESTS_PER_S_MIN
             || self.short.get(now) < REQUESTS_PER_S_MIN
         {
             return Vec::new();
         }
-        let count = (ids.len() * self.share).div_ceil(3);
-        let mut ranked: Vec<(u64, &Arc<str>)> =
-            ids.iter().map(|id| (rendezvous_hash(LONG_PROMPTS_SALT, id), *id)).collect();
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
-        ranked.into_iter().take(count).map(|(_, id)| id).collect()
+        let count = (endpoints.len() * self.share).div_ceil(3);
+        let mut ranked: Vec<(f64, HashedEndpoint<'_>)> =
+            endpoints.iter().map(|it| (it.rank(LONG_PROMPTS_SALT), *it)).collect();
+        ranked.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then_with(|| b.1.id.cmp(a.1.id)));
+        ranked.into_iter().take(count).map(|(_, it)| it).collect()
     }
 }
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -13,7 +13,7 @@
 
 use super::{
     EvidenceMessage, LivenessMessage, LoadMessage, Member, PeerContent, PeerMessage, PendingLoans,
-    RouterLoad, StatementMessage, StatusMessage,
+    RouterLoad, SpeedMessage, StatementMessage, StatusMessage,
     admissions::{
         handle_admission_end, handle_admission_reply, handle_admission_request, update_admissions,
     },
@@ -123,6 +123,7 @@
         let own = cx.self_status();
         let loads = cx.lock_endpoints().own_loads();
         let reports = cx.lock_endpoints().reports(cx.now());
+        let speeds = cx.lock_endpoints().speed_reports(cx.now());
         let evidence = cx.lock_crash_evidence().reports(cx.now());
         let cut_off = cx.lock_paths().cut_off_services();
         let message = StatusMessage {
@@ -142,6 +143,7 @@
             evidence: evidence.iter().map(EvidenceMessage::from_report).collect(),
             cut_off_services: cut_off.iter().map(ToString::to_string).collect(),
             keeps_draws: true,
+            speeds: SpeedMessage::from_reports(&speeds),
         };
         encode(PeerContent::Status(message))
     }
@@ -193,6 +195,7 @@
         cx.gossip.lock_loans().expire(now);
         cx.lock_roster().expire(now);
         cx.lock_endpoints().expire(now);
+        cx.lock_endpoints().learn_own_speeds(now);
         cx.lock_origins().expire(now);
         expire_evidence(cx);
     }
@@ -325,6 +328,9 @@
     let now = cx.now();
     let shares: Vec<_> = message.loads.iter().map(LoadMessage::to_share).collect();
     cx.lock_endpoints().apply_peer_loads(&member.name, &shares, now);
+    if let Some(speeds) = &message.speeds {
+        cx.lock_endpoints().apply_peer_speeds(speeds.to_reports(), now);
+    }
     cx.lock_admissions().reconcile(&member.name, &shares, now);
     cx.record_peer_version(member.config_version);
     let cut_off = message.cut_off_services.iter().map(|it| it.as_str().into()).collect();
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -7,7 +7,7 @@
 use super::{
     AdmissionEndMessage, AdmissionReplyMessage, AdmissionRequestMessage, DrawAckMessage,
     DrawNoticeMessage, EvidenceMessage, LivenessReport, OriginMessage, OriginQueryMessage,
-    OriginReplyMessage, StatementMessage,
+    OriginReplyMessage, SpeedMessage, StatementMessage,
 };
 use crate::{
     allowance::{RouterProcess, WitnessDeclaration, WitnessStatement},
@@ -273,6 +273,9 @@
     /// Whether the sender keeps and confirms notices of draws.
     #[prost(bool, tag = "17")]
     pub keeps_draws: bool,
+    /// How long endpoints took for the answers of the last second.
+    #[prost(message, optional, tag = "30")]
+    pub speeds: Option<SpeedMessage>,
 }
 
 /// Liveness of other routers. The lists have the same length, and each router has the same index
--- a/components/relay/src/peers/mod.rs
+++ b/components/relay/src/peers/mod.rs
@@ -17,6 +17,7 @@
 mod origins;
 mod ranking;
 mod roster;
+mod speed_message;
 mod statement_message;
 mod statements;
 mod witnessing;
@@ -34,6 +35,7 @@
     origin_message::{OriginMessage, OriginQueryMessage, OriginReplyMessage},
     origins::holders_of,
     roster::{LivenessReport, Member, Roster, SelfStatus, process_key},
+    speed_message::SpeedMessage,
     statement_message::{BrittleMessage, RateMessage, StatementMessage},
 };
 pub(crate) use self::{
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -46,6 +46,8 @@
     pub(super) placement: Placement,
     /// Load that is still to be subtracted.
     load: Load,
+    /// When the request was placed.
+    placed_at: Timestamp,
     /// Permission of the endpoint's owner, if the endpoint is brittle.
     pub(super) ticket: Option<AdmissionTicket>,
 }
@@ -53,8 +55,15 @@
 impl PlacementGuard {
     /// Creates the guard of a placement whose load was added to the endpoint.
     pub(super) fn new(cx: Arc<RelayContext>, placement: Placement) -> PlacementGuard {
-        let load = placement.load;
-        PlacementGuard { cx, placement, load, ticket: None }
+        let (load, placed_at) = (placement.load, cx.now());
+        PlacementGuard { cx, placement, load, placed_at, ticket: None }
+    }
+
+    /// Records that the first event has arrived, or the whole of an answer without events.
+    pub(super) fn record_first_event_time(&self) {
+        let now = self.cx.now();
+        let millis = now.since(self.placed_at).as_secs_f64() * 1_000.0;
+        self.cx.lock_endpoints().record_first_event_time(&self.placement, millis, now);
     }
 
     /// Subtracts the prompt tokens from the endpoint's load once it has processed the prompt.
--- a/components/relay/src/serve/plain.rs
+++ b/components/relay/src/serve/plain.rs
@@ -147,6 +147,9 @@
         }
     }
     request.cx.connections.release(connection);
+    if request.head.tokens.is_none() && head.status.is_success() {
+        guard.record_first_event_time();
+    }
     drop(guard);
     record_survival(request);
     Ok(ReadAnswer::Whole(head, first.unwrap_or_else(|| held.freeze())))
--- a/components/relay/src/serve/stream_run.rs
+++ b/components/relay/src/serve/stream_run.rs
@@ -20,7 +20,10 @@
     run::{ActiveRequest, CALLER_LEFT, CutReason},
     suspicion::{check_for_crash, record_survival},
 };
-use crate::{model::RetryPolicy, stream::EventSplitter};
+use crate::{
+    model::RetryPolicy,
+    stream::{EventSplitter, PauseMeter},
+};
 
 /// Minimum time left before the deadline for a stream to be resumed.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(5);
@@ -36,6 +39,8 @@
     source: Option<EndpointStream>,
     /// Splits the bytes of the stream into events.
     splitter: EventSplitter,
+    /// Measures the pauses between events.
+    pauses: PauseMeter,
 }
 
 /// Result of waiting for an endpoint's stream.
@@ -86,7 +91,8 @@
     }
     request.outcome = CALLER_LEFT;
     let splitter = EventSplitter::after(last_event);
-    let state = StreamRelay { request, source: Some(source), splitter };
+    let state =
+        StreamRelay { request, source: Some(source), splitter, pauses: PauseMeter::default() };
     let chunks = stream::unfold(state, |mut state| async move {
         let chunk = state.next_chunk().await?;
         Some((chunk, state))
@@ -156,6 +162,7 @@
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.splitter.push(&data);
+                        self.pauses.record_arrival(self.request.cx.now());
                     }
                 }
                 Some(Err(error)) => return StreamInput::Broken(error.to_string()),
@@ -170,6 +177,7 @@
     /// Returns all complete events that have arrived, joined into one buffer.
     fn take_events(&mut self) -> Result<Option<Bytes>, String> {
         let is_first_of_attempt = self.request.attempt_events == 0;
+        let events_before = self.request.events;
         let mut first: Option<Bytes> = None;
         let mut joined = BytesMut::new();
         while let Some(event) = self.splitter.next_event().map_err(|it| it.to_string())? {
@@ -191,6 +199,7 @@
         if first.is_some() && self.request.first_event_at.is_none() {
             self.record_first_event();
         }
+        self.record_pauses(self.request.events - events_before);
         Ok(if joined.is_empty() { first } else { Some(joined.freeze()) })
     }
 
@@ -201,10 +210,19 @@
         let latency = now.since(self.request.received_at);
         metrics::histogram!(telemetry::FIRST_TOKEN_SECONDS).record(latency.as_secs_f64());
         if let Some(source) = &mut self.source {
+            source.guard.record_first_event_time();
             source.guard.finish_prompt();
         }
     }
 
+    fn record_pauses(&mut self, events: u64) {
+        let Some(millis) = self.pauses.record_events(events) else { return };
+        let Some(source) = &self.source else { return };
+        let now = self.request.cx.now();
+        let endpoint = &source.guard.placement.endpoint;
+        self.request.cx.lock_endpoints().record_event_pause(endpoint, millis, now);
+    }
+
     fn finish_stream(&mut self) {
         self.request.is_complete = true;
         self.request.outcome = "answered";
@@ -310,6 +328,7 @@
         let last_event = self.splitter.last_id();
         log::info!(request:% = self.request.head.id, endpoint:% = answer.guard.placement.endpoint, version:% = answer.guard.placement.version, after = last_event.unwrap_or_default(); "stream resumed");
         self.splitter = EventSplitter::after(last_event);
+        self.pauses = PauseMeter::default();
         let EndpointResponse { body, connection, guard, .. } = answer;
         self.source = Some(EndpointStream { body, connection, guard });
         self.request.outcome = CALLER_LEFT;
--- a/components/relay/src/stream/mod.rs
+++ b/components/relay/src/stream/mod.rs
@@ -1,5 +1,9 @@
-//! Parsing of server-sent event streams.
+//! Parsing and timing of server-sent event streams.
 
 mod event_splitter;
+mod pause_meter;
 
-pub use self::event_splitter::{Event, EventSplitter, StreamError};
+pub use self::{
+    event_splitter::{Event, EventSplitter, StreamError},
+    pause_meter::PauseMeter,
+};
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -23,6 +23,7 @@
 mod retry_budget;
 mod scheduler;
 mod settings;
+mod speed;
 
 pub use self::{
     attempt_outcome::AttemptOutcome,
@@ -37,4 +38,8 @@
     retry_budget::RetryBudget,
     scheduler::{Decision, EndpointStatus, ResolvedWaiter, Scheduler, WaiterId},
     settings::SchedulerSettings,
+    speed::{
+        AnswerTime, EndpointSpeed, PlacementCosts, RecentObservations, ServiceSpeed,
+        SpeedObservation,
+    },
 };
