--- a/components/relay/src/endpoints/speeds.rs
+++ b/components/relay/src/endpoints/speeds.rs
@@ -37,11 +37,11 @@
         self.recent_speeds.record(endpoint.speed_key, observation, now);
     }
 
-    /// Records the usual pause between two events of a stream.
-    pub fn record_event_pause(&mut self, id: &str, millis: f64, now: Timestamp) {
+    /// Records the usual gap between two events of a stream.
+    pub fn record_event_gap(&mut self, id: &str, millis: f64, now: Timestamp) {
         let Some(endpoint) = self.endpoints.get(id) else { return };
         let observation = SpeedObservation {
-            time: AnswerTime::Pause(millis),
+            time: AnswerTime::Gap(millis),
             running: f64::from(endpoint.total_load(now).requests),
             tokens: 0.0,
             count: 1,
@@ -108,21 +108,35 @@
             .iter()
             .map(|id| self.endpoints.get_mut(*id).map(take).unwrap_or_default())
             .collect();
+        let before: Vec<f64> = speeds.iter().map(|it| it.0.usual_slowness()).collect();
         self.speeds.entry(service).or_default().record(&mut speeds, &report, now);
-        for (id, (speed, _)) in ids.into_iter().zip(speeds) {
+        for ((id, (speed, _)), before) in ids.into_iter().zip(speeds).zip(before) {
+            let slowness = speed.usual_slowness();
+            if (slowness - before).abs() > f64::EPSILON {
+                log::info!(endpoint:% = id, slowness:% = format!("{slowness:.2}"); "usual speed of an endpoint changed");
+            }
             if let Some(endpoint) = self.endpoints.get_mut(id) {
                 endpoint.speed = speed;
             }
         }
     }
 
+    /// Returns the number of endpoints whose usual speed differs from the mean of their service.
+    pub fn count_uneven(&self) -> usize {
+        self.endpoints.values().filter(|it| is_uneven(it)).count()
+    }
+
     /// Returns the coefficients of the costs of endpoints: the learned ones if the endpoints of the
     /// service differ, or else those that apply before any answer.
     pub(super) fn placement_costs(&self, service: &str, serving: &[&Endpoint]) -> PlacementCosts {
-        #[allow(clippy::float_cmp, reason = "level zero is exactly 1")]
-        let uneven = serving.iter().filter(|it| it.speed.usual_slowness() != 1.0).count();
+        let uneven = serving.iter().filter(|it| is_uneven(it)).count();
         let is_uneven = uneven > 0 && uneven * ENDPOINTS_PER_UNEVEN_ONE >= serving.len();
         let speed = self.speeds.get(service).filter(|_| is_uneven);
         speed.map(routing::ServiceSpeed::costs).unwrap_or_default()
     }
 }
+
+/// Reports whether the usual speed of an endpoint differs from the mean of its service.
+fn is_uneven(endpoint: &Endpoint) -> bool {
+    (endpoint.speed.usual_slowness() - 1.0).abs() > f64::EPSILON
+}
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -143,7 +143,7 @@
             evidence: evidence.iter().map(EvidenceMessage::from_report).collect(),
             cut_off_services: cut_off.iter().map(ToString::to_string).collect(),
             keeps_draws: true,
-            speeds: SpeedMessage::from_reports(&speeds),
+            speeds: SpeedMessage::from_reports(&speeds).map(Box::new),
         };
         encode(PeerContent::Status(message))
     }
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -274,8 +274,8 @@
     #[prost(bool, tag = "17")]
     pub keeps_draws: bool,
     /// How long endpoints took for the answers of the last second.
-    #[prost(message, optional, tag = "30")]
-    pub speeds: Option<SpeedMessage>,
+    #[prost(message, optional, boxed, tag = "30")]
+    pub speeds: Option<Box<SpeedMessage>>,
 }
 
 /// Liveness of other routers. The lists have the same length, and each router has the same index
--- a/components/relay/src/peers/speed_message.rs
+++ b/components/relay/src/peers/speed_message.rs
@@ -18,9 +18,9 @@
     /// Mean times, in tenths of a millisecond.
     #[prost(uint32, repeated, tag = "2")]
     pub tenths: Vec<u32>,
-    /// Whether the times are pauses between events, not times to the first one.
+    /// Whether the times are gaps between events, not times to the first one.
     #[prost(bool, repeated, tag = "3")]
-    pub are_pauses: Vec<bool>,
+    pub are_gaps: Vec<bool>,
     /// Mean numbers of requests that ran on the endpoints.
     #[prost(uint32, repeated, tag = "4")]
     pub running: Vec<u32>,
@@ -42,7 +42,7 @@
         for SpeedReport { key, observation } in reports {
             message.keys.push(*key);
             message.tenths.push(round(observation.time.millis() * UNITS_PER_MS));
-            message.are_pauses.push(matches!(observation.time, AnswerTime::Pause(_)));
+            message.are_gaps.push(matches!(observation.time, AnswerTime::Gap(_)));
             message.running.push(round(observation.running));
             message.tokens.push(round(observation.tokens));
             message.counts.push(observation.count);
@@ -52,15 +52,15 @@
 
     /// Returns the reports; none if the lists differ in length.
     pub fn to_reports(&self) -> Vec<SpeedReport> {
-        let lens = [self.tenths.len(), self.are_pauses.len(), self.running.len()];
+        let lens = [self.tenths.len(), self.are_gaps.len(), self.running.len()];
         let more_lens = [self.tokens.len(), self.counts.len()];
         if lens.iter().chain(&more_lens).any(|it| *it != self.keys.len()) {
             return Vec::new();
         }
         let reports = (0..self.keys.len()).map(|index| {
             let millis = f64::from(self.tenths[index]) / UNITS_PER_MS;
-            let time = match self.are_pauses[index] {
-                true => AnswerTime::Pause(millis),
+            let time = match self.are_gaps[index] {
+                true => AnswerTime::Gap(millis),
                 false => AnswerTime::First(millis),
             };
             let observation = SpeedObservation {
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -159,6 +159,7 @@
     metrics::gauge!(telemetry::RATE_LIMITED_ENDPOINTS).set(limited as f64);
     let brittle = cx.lock_endpoints().brittle_count();
     metrics::gauge!(telemetry::BRITTLE_ENDPOINTS).set(brittle as f64);
+    metrics::gauge!(telemetry::UNEVEN_ENDPOINTS).set(cx.lock_endpoints().count_uneven() as f64);
     let (records, condemned) = cx.lock_crash_evidence().counts();
     metrics::gauge!(telemetry::SUSPECT_CONTENTS, "state" => "suspect")
         .set((records - condemned) as f64);
--- a/components/relay/src/serve/stream_run.rs
+++ b/components/relay/src/serve/stream_run.rs
@@ -22,7 +22,7 @@
 };
 use crate::{
     model::RetryPolicy,
-    stream::{EventSplitter, PauseMeter},
+    stream::{EventSplitter, GapMeter},
 };
 
 /// Minimum time left before the deadline for a stream to be resumed.
@@ -39,8 +39,8 @@
     source: Option<EndpointStream>,
     /// Splits the bytes of the stream into events.
     splitter: EventSplitter,
-    /// Measures the pauses between events.
-    pauses: PauseMeter,
+    /// Measures the gaps between events.
+    gaps: GapMeter,
 }
 
 /// Result of waiting for an endpoint's stream.
@@ -91,8 +91,7 @@
     }
     request.outcome = CALLER_LEFT;
     let splitter = EventSplitter::after(last_event);
-    let state =
-        StreamRelay { request, source: Some(source), splitter, pauses: PauseMeter::default() };
+    let state = StreamRelay { request, source: Some(source), splitter, gaps: GapMeter::default() };
     let chunks = stream::unfold(state, |mut state| async move {
         let chunk = state.next_chunk().await?;
         Some((chunk, state))
@@ -162,7 +161,7 @@
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.splitter.push(&data);
-                        self.pauses.record_arrival(self.request.cx.now());
+                        self.gaps.record_arrival(self.request.cx.now());
                     }
                 }
                 Some(Err(error)) => return StreamInput::Broken(error.to_string()),
@@ -199,7 +198,7 @@
         if first.is_some() && self.request.first_event_at.is_none() {
             self.record_first_event();
         }
-        self.record_pauses(self.request.events - events_before);
+        self.record_gaps(self.request.events - events_before);
         Ok(if joined.is_empty() { first } else { Some(joined.freeze()) })
     }
 
@@ -215,12 +214,12 @@
         }
     }
 
-    fn record_pauses(&mut self, events: u64) {
-        let Some(millis) = self.pauses.record_events(events) else { return };
+    fn record_gaps(&mut self, events: u64) {
+        let Some(millis) = self.gaps.record_events(events) else { return };
         let Some(source) = &self.source else { return };
         let now = self.request.cx.now();
         let endpoint = &source.guard.placement.endpoint;
-        self.request.cx.lock_endpoints().record_event_pause(endpoint, millis, now);
+        self.request.cx.lock_endpoints().record_event_gap(endpoint, millis, now);
     }
 
     fn finish_stream(&mut self) {
@@ -328,7 +327,7 @@
         let last_event = self.splitter.last_id();
         log::info!(request:% = self.request.head.id, endpoint:% = answer.guard.placement.endpoint, version:% = answer.guard.placement.version, after = last_event.unwrap_or_default(); "stream resumed");
         self.splitter = EventSplitter::after(last_event);
-        self.pauses = PauseMeter::default();
+        self.gaps = GapMeter::default();
         let EndpointResponse { body, connection, guard, .. } = answer;
         self.source = Some(EndpointStream { body, connection, guard });
         self.request.outcome = CALLER_LEFT;
--- a/components/relay/src/stream/mod.rs
+++ b/components/relay/src/stream/mod.rs
@@ -1,9 +1,9 @@
 //! Parsing and timing of server-sent event streams.
 
 mod event_splitter;
-mod pause_meter;
+mod gap_meter;
 
 pub use self::{
     event_splitter::{Event, EventSplitter, StreamError},
-    pause_meter::PauseMeter,
+    gap_meter::GapMeter,
 };
--- a/components/routing/src/speed/capacity_tests.rs
+++ b/components/routing/src/speed/capacity_tests.rs
@@ -37,7 +37,8 @@
 /// Slow phases of 0.6 s that fall on any load cost an engine at most a third of its places.
 #[test]
 fn slow_phases_cost_few_places() {
-    let limits = limits_of(60, |_, step| if step * 50 / 600 % 7 == 0 { 2.5 } else { 1.0 });
+    let limits =
+        limits_of(60, |_, step| if (step * 50 / 600).is_multiple_of(7) { 2.5 } else { 1.0 });
     assert!(limits.iter().all(|it| *it >= 11), "{limits:?}");
 }
 
--- a/components/routing/src/speed/mod.rs
+++ b/components/routing/src/speed/mod.rs
@@ -1,4 +1,4 @@
-//! What endpoints take well, learned from their answers: the time for a prompt token, the pause
+//! What endpoints take well, learned from their answers: the time for a prompt token, the gap
 //! between events, and the number of requests up to which both stay low.
 //!
 //! A service has one model of time against load. An endpoint has a slowness, the factor by which its
--- a/components/routing/src/speed/observation.rs
+++ b/components/routing/src/speed/observation.rs
@@ -6,14 +6,14 @@
     /// From sending to the first event, or to the end of an answer without events.
     First(f64),
     /// Between two events of a stream.
-    Pause(f64),
+    Gap(f64),
 }
 
 impl AnswerTime {
     /// Returns the time, in milliseconds.
     pub fn millis(self) -> f64 {
         match self {
-            AnswerTime::First(it) | AnswerTime::Pause(it) => it,
+            AnswerTime::First(it) | AnswerTime::Gap(it) => it,
         }
     }
 }
@@ -26,14 +26,14 @@
     /// Mean number of requests that ran on the endpoint at the same time.
     pub running: f64,
     /// Mean number of prompt tokens that the endpoint had to process before the first event; zero
-    /// for a pause.
+    /// for a gap.
     pub tokens: f64,
     /// Number of answers.
     pub count: u32,
 }
 
 impl SpeedObservation {
-    /// Reports whether both are times to the first event, or both pauses.
+    /// Reports whether both are times to the first event, or both gaps.
     pub fn is_same_kind(&self, other: &SpeedObservation) -> bool {
         matches!(self.time, AnswerTime::First(_)) == matches!(other.time, AnswerTime::First(_))
     }
@@ -46,7 +46,7 @@
         let millis = mean(self.time.millis(), other.time.millis());
         self.time = match self.time {
             AnswerTime::First(_) => AnswerTime::First(millis),
-            AnswerTime::Pause(_) => AnswerTime::Pause(millis),
+            AnswerTime::Gap(_) => AnswerTime::Gap(millis),
         };
         self.running = mean(self.running, other.running);
         self.tokens = mean(self.tokens, other.tokens);
--- a/components/routing/src/speed/service.rs
+++ b/components/routing/src/speed/service.rs
@@ -10,11 +10,11 @@
 /// Delay by each running request before the first answer, in milliseconds.
 const PRIOR_MS_PER_REQUEST: f64 = 1.5;
 
-/// Time to the first event of an empty prompt, and pause between two events, before the first
+/// Time to the first event of an empty prompt, and gap between two events, before the first
 /// answer, in milliseconds.
 const PRIOR_BASE_MS: f64 = 30.0;
 
-/// Weight of a time to the first event relative to a pause, as it includes the wait in connections
+/// Weight of a time to the first event relative to a gap, as it includes the wait in connections
 /// and depends on what the endpoint has cached.
 const FIRST_WEIGHT: f64 = 0.4;
 
@@ -56,8 +56,8 @@
 pub struct ServiceSpeed {
     /// Time to the first event.
     first: LoadFit,
-    /// Pause between two events.
-    pause: LoadFit,
+    /// Gap between two events.
+    gap: LoadFit,
 }
 
 impl Default for ServiceSpeed {
@@ -65,7 +65,7 @@
         let prior = [PRIOR_BASE_MS, PRIOR_MS_PER_THOUSAND_TOKENS, PRIOR_MS_PER_REQUEST];
         ServiceSpeed {
             first: LoadFit::new(prior),
-            pause: LoadFit::new([PRIOR_BASE_MS, 0.0, PRIOR_MS_PER_REQUEST]),
+            gap: LoadFit::new([PRIOR_BASE_MS, 0.0, PRIOR_MS_PER_REQUEST]),
         }
     }
 }
@@ -93,21 +93,21 @@
         let report: Vec<(usize, SpeedObservation, f64)> =
             report.map(|(index, it)| (*index, *it, self.factor_of(it))).collect();
         let common = CommonDeviation::new(report.iter().map(|(index, it, factor)| {
-            (matches!(it.time, AnswerTime::Pause(_)), endpoints[*index].0.deviation(*factor))
+            (matches!(it.time, AnswerTime::Gap(_)), endpoints[*index].0.deviation(*factor))
         }));
         self.first.decay(now);
-        self.pause.decay(now);
+        self.gap.decay(now);
         for (index, observation, factor) in report {
             let (speed, stated) = &mut endpoints[index];
             let weight = f64::from(observation.count).min(OBSERVATION_WEIGHT_MAX);
             let kind_weight = match observation.time {
                 AnswerTime::First(_) if observation.tokens > 0.0 => FIRST_WEIGHT,
-                AnswerTime::First(_) | AnswerTime::Pause(_) => 1.0,
+                AnswerTime::First(_) | AnswerTime::Gap(_) => 1.0,
             };
             let usual = speed.usual_factor();
             let fit = match observation.time {
                 AnswerTime::First(_) => &mut self.first,
-                AnswerTime::Pause(_) => &mut self.pause,
+                AnswerTime::Gap(_) => &mut self.gap,
             };
             if fit.answers() >= MODEL_ANSWERS_MIN {
                 let own_factor = factor / common.of(observation.time).exp();
@@ -119,14 +119,14 @@
             fit.add(observation.tokens, observation.running, millis, weight);
         }
         self.first.solve();
-        self.pause.solve();
+        self.gap.solve();
     }
 
     /// Returns the time of an answer relative to the model.
     fn factor_of(&self, observation: &SpeedObservation) -> f64 {
         let fit = match observation.time {
             AnswerTime::First(_) => &self.first,
-            AnswerTime::Pause(_) => &self.pause,
+            AnswerTime::Gap(_) => &self.gap,
         };
         observation.time.millis() / fit.predict(observation.tokens, observation.running)
     }
@@ -135,26 +135,26 @@
 /// Median deviations of the answers in a report, as logarithms.
 struct CommonDeviation {
     first: f64,
-    pause: f64,
+    gap: f64,
 }
 
 impl CommonDeviation {
-    /// Computes the medians of deviations, each with whether it is that of a pause. If those of one
+    /// Computes the medians of deviations, each with whether it is that of a gap. If those of one
     /// kind are few, the median of all is taken.
     fn new(deviations: impl Iterator<Item = (bool, f64)>) -> CommonDeviation {
-        let (pauses, firsts): (Vec<_>, Vec<_>) = deviations.partition(|it| it.0);
+        let (gaps, firsts): (Vec<_>, Vec<_>) = deviations.partition(|it| it.0);
         let values = |it: &[(bool, f64)]| it.iter().map(|it| it.1).collect::<Vec<f64>>();
-        let all = median([values(&pauses), values(&firsts)].concat()).unwrap_or_default();
+        let all = median([values(&gaps), values(&firsts)].concat()).unwrap_or_default();
         CommonDeviation {
             first: median(values(&firsts)).unwrap_or(all),
-            pause: median(values(&pauses)).unwrap_or(all),
+            gap: median(values(&gaps)).unwrap_or(all),
         }
     }
 
     fn of(&self, time: AnswerTime) -> f64 {
         match time {
             AnswerTime::First(_) => self.first,
-            AnswerTime::Pause(_) => self.pause,
+            AnswerTime::Gap(_) => self.gap,
         }
     }
 }
--- a/components/routing/src/speed/service_tests.rs
+++ b/components/routing/src/speed/service_tests.rs
@@ -37,9 +37,9 @@
             let time = if self.rng.random_bool(0.5) {
                 AnswerTime::First((25.0 + tokens / 90.0 + running) * noise)
             } else {
-                AnswerTime::Pause((20.0 + running) * noise)
+                AnswerTime::Gap((20.0 + running) * noise)
             };
-            let tokens = if matches!(time, AnswerTime::Pause(_)) { 0.0 } else { tokens };
+            let tokens = if matches!(time, AnswerTime::Gap(_)) { 0.0 } else { tokens };
             report.push((index, SpeedObservation { time, running, tokens, count: 1 }));
         }
         self.service.record(&mut self.speeds, &report, Timestamp::from_millis(millis));
@@ -91,7 +91,7 @@
     let mut before: Vec<f64> = vec![1.0; 42];
     for step in 0..800_u64 {
         let phase = step * 25 / 600;
-        let is_slow = |index: usize| (index as u64 * 31 + phase * 17) % 7 == 0;
+        let is_slow = |index: usize| (index as u64 * 31 + phase * 17).is_multiple_of(7);
         fleet.report(step * 25, 10, 1.0, &|it| if is_slow(it) { 2.5 } else { 1.0 });
         let weights: Vec<f64> = fleet.speeds.iter().map(|it| it.0.usual_slowness()).collect();
         changes += weights.iter().zip(&before).filter(|(a, b)| a != b).count();
@@ -157,7 +157,7 @@
     for step in 0..400 {
         fleet.report(step * 25, 10, 1.0, &|_| 1.0);
         if step % 13 == 0 {
-            let time = AnswerTime::Pause(2_500.0);
+            let time = AnswerTime::Gap(2_500.0);
             let wrong = SpeedObservation { time, running: 1.0, tokens: 0.0, count: 1_000 };
             fleet.service.record(
                 &mut fleet.speeds,
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -168,6 +168,9 @@
 /// Gauge of the endpoints that state that they are brittle.
 pub const BRITTLE_ENDPOINTS: &str = "auburncrank_brittle_endpoints";
 
+/// Gauge of the endpoints whose usual speed differs from the mean of their service.
+pub const UNEVEN_ENDPOINTS: &str = "auburncrank_uneven_endpoints";
+
 /// Counter of requests that brittle endpoints refused.
 pub const BRITTLE_REFUSALS_TOTAL: &str = "auburncrank_brittle_refusals_total";
 
