Use only the slowness of endpoints in costs; change weights less often

Cause, from the code: the cost of a shared part, the border between long and short prompts and the weights of owners changed with what each router had learned. The first two are constants again, as is the cost of waiting tokens at mean speed; weights change in steps of 1.6 instead of 1.4; an endpoint at its learned capacity costs more instead of being excluded.

--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -35,10 +35,14 @@
 /// delay: every request that runs there pauses once.
 const LONG_ON_SHORT_COST_MS: f64 = 450.0;
 
-/// Cost of a shared prompt part that the endpoint has to process again, on top of the processing
-/// time and as a multiple of it: the work delays all other requests there, and the part evicts
-/// another one from the cache.
-const SHARED_TOKEN_COST_FACTOR: f64 = 4.5;
+/// Cost of each token of a shared prompt part that the endpoint has to process again, in
+/// milliseconds of delay on top of the processing time: the work delays all other requests
+/// there, and the part evicts another one from the cache.
+const SHARED_TOKEN_COST_MS: f64 = 0.15;
+
+/// Cost of an endpoint that runs as many requests as it has proved to take, in milliseconds of delay:
+/// one more slows down all of them.
+const SLOWED_DOWN_COST_MS: f64 = 450.0;
 
 /// Cost of an endpoint of a version that is being replaced for a new stream, in milliseconds of
 /// delay: streams that began at that version can go on only there.
@@ -69,8 +73,6 @@
     is_brittle: bool,
     /// Whether it failed recently, or failed the request.
     is_last_resort: bool,
-    /// Whether it runs as many requests as it has proved to take without slowing down.
-    is_slowed_down: bool,
     /// Whether the answer is needed to learn if a rate limit still holds.
     confirms_limit: bool,
 }
@@ -85,11 +87,9 @@
     ) -> Choice {
         if let Some(tokens) = request.tokens {
             let serving = self.endpoints.values().filter(|it| it.entry.service == *request.service);
-            let serving: Vec<&Endpoint> = serving.collect();
-            let costs = self.placement_costs(request.service, &serving);
-            let endpoints = serving.len();
+            let (endpoints, costs) = (serving.count(), PlacementCosts::default());
             let split = self.splits.entry(request.service.clone()).or_default();
-            split.record(unshared_tokens(request, tokens), costs.ms_per_token, now);
+            split.record(unshared_tokens(request, tokens), now);
             split.update_share(endpoints, request.routers, costs.ms_per_token, now);
         }
         let choice = self.choose_endpoint(request, now, rng);
@@ -140,7 +140,7 @@
         if serving.is_empty() {
             return Choice::Unnamed;
         }
-        let costs = self.placement_costs(request.service, &serving);
+        let costs = PlacementCosts::default();
         let ids = endpoints_for_caching(&serving);
         let long_ids = self
             .splits
@@ -149,9 +149,7 @@
             .unwrap_or_default();
         let cache_owners =
             cache_owners_of(request.parts, if long_ids.is_empty() { &ids } else { &long_ids });
-        let is_long = request
-            .tokens
-            .is_some_and(|it| is_long(unshared_tokens(request, it), costs.ms_per_token));
+        let is_long = request.tokens.is_some_and(|it| is_long(unshared_tokens(request, it)));
         let mixing_cost_ms = |it: &Endpoint| {
             let is_for_long = long_ids.iter().any(|long| *long.id == it.entry.id);
             if long_ids.is_empty() || is_for_long == is_long {
@@ -195,9 +193,6 @@
             };
             return candidates.iter().max_by_key(|it| rank(it)).map_or(Choice::Full, place_on);
         }
-        if candidates.iter().any(|it| !it.is_slowed_down && !it.is_last_resort) {
-            candidates.retain(|it| !it.is_slowed_down);
-        }
         let Some(lowest) = candidates.iter().map(|it| it.cost_ms).min_by(f64::total_cmp) else {
             return Choice::Full;
         };
@@ -332,13 +327,15 @@
     let wait_ms = backlog_ms + f64::from(total.requests) * costs.ms_per_request * slowness;
     let uncached_shared_tokens =
         load.prompt_tokens - request.tokens.map_or(0, |it| unshared_tokens(request, it));
-    let shared_ms = uncached_shared_tokens as f64 * ms_per_token;
-    let mut cost_ms = wait_ms + shared_ms * SHARED_TOKEN_COST_FACTOR;
+    let mut cost_ms = wait_ms + uncached_shared_tokens as f64 * SHARED_TOKEN_COST_MS;
     cost_ms += (slowness - 1.0) * costs.base_ms;
     cost_ms += endpoint.health.failure_share(now) * FAILURE_COST_MS;
     if *entry.failure_domain != *request.failure_domain {
         cost_ms += OTHER_DOMAIN_COST_MS;
     }
+    if total.requests >= endpoint.speed.capacity(capacity, now) {
+        cost_ms += SLOWED_DOWN_COST_MS;
+    }
     let is_last_resort =
         endpoint.health.is_paused(now) || request.failed_endpoints.contains(&entry.id);
     if is_last_resort {
@@ -353,7 +350,6 @@
         next_request: endpoint.next_request(is_brittle, now),
         is_brittle,
         is_last_resort,
-        is_slowed_down: total.requests >= endpoint.speed.capacity(capacity, now),
         confirms_limit: !is_last_resort
             && endpoint.rate.is_some_and(|it| it.needs_confirmation(now)),
     })
--- a/components/relay/src/endpoints/prompt_split.rs
+++ b/components/relay/src/endpoints/prompt_split.rs
@@ -11,8 +11,9 @@
 use super::choice::HashedEndpoint;
 use crate::rate::Rate;
 
-/// Processing time from which a prompt counts as long, in milliseconds: about ten decoding steps.
-const LONG_PROMPT_MS: f64 = 46.0;
+/// Length from which a prompt counts as long, in tokens. All routers use the same one, so that a part
+/// does not move between endpoints because routers have learned different speeds.
+const LONG_PROMPT_TOKENS: u64 = 1_400;
 
 /// Target share of their time, from 0 to 1, that endpoints for long prompts spend on processing
 /// prompts. Above it, prompts wait for each other.
@@ -39,8 +40,8 @@
 const LONG_PROMPTS_SALT: u64 = 0x6c6f_6e67;
 
 /// Reports whether a prompt of this many tokens counts as long.
-pub(super) fn is_long(tokens: u64, ms_per_token: f64) -> bool {
-    tokens as f64 * ms_per_token >= LONG_PROMPT_MS
+pub(super) fn is_long(tokens: u64) -> bool {
+    tokens >= LONG_PROMPT_TOKENS
 }
 
 /// Rates of the long and short prompts that this router receives for one service.
@@ -65,8 +66,8 @@
 
 impl PromptSplit {
     /// Records a prompt; `tokens` is the number of its tokens that are in no cache.
-    pub(super) fn record(&mut self, tokens: u64, ms_per_token: f64, now: Timestamp) {
-        if is_long(tokens, ms_per_token) {
+    pub(super) fn record(&mut self, tokens: u64, now: Timestamp) {
+        if is_long(tokens) {
             self.long.add(1.0, now);
             self.long_tokens.add(tokens as f64, now);
         } else {
--- a/components/relay/src/endpoints/speeds.rs
+++ b/components/relay/src/endpoints/speeds.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use routing::{AnswerTime, EndpointSpeed, PlacementCosts, SpeedObservation};
+use routing::{AnswerTime, EndpointSpeed, SpeedObservation};
 use types::Timestamp;
 use utils::HashMap;
 
@@ -11,9 +11,6 @@
 /// Largest number of observations that are read from one report of another router.
 const PEER_REPORT_LEN_MAX: usize = 64;
 
-/// A service is uneven if one in this many of its endpoints differs from its mean speed.
-const ENDPOINTS_PER_UNEVEN_ONE: usize = 10;
-
 /// Observation of an endpoint, as routers report it to each other.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SpeedReport {
@@ -125,15 +122,6 @@
     pub fn count_uneven(&self) -> usize {
         self.endpoints.values().filter(|it| is_uneven(it)).count()
     }
-
-    /// Returns the coefficients of the costs of endpoints: the learned ones if the endpoints of the
-    /// service differ, or else those that apply before any answer.
-    pub(super) fn placement_costs(&self, service: &str, serving: &[&Endpoint]) -> PlacementCosts {
-        let uneven = serving.iter().filter(|it| is_uneven(it)).count();
-        let is_uneven = uneven > 0 && uneven * ENDPOINTS_PER_UNEVEN_ONE >= serving.len();
-        let speed = self.speeds.get(service).filter(|_| is_uneven);
-        speed.map(routing::ServiceSpeed::costs).unwrap_or_default()
-    }
 }
 
 /// Reports whether the usual speed of an endpoint differs from the mean of its service.
--- a/components/routing/src/speed/endpoint.rs
+++ b/components/routing/src/speed/endpoint.rs
@@ -29,14 +29,14 @@
 const EQUAL_FACTOR: f64 = 1.3;
 
 /// Factor between two levels of slowness, on which the distribution of prompt parts is based.
-const LEVEL_FACTOR: f64 = 1.4;
+const LEVEL_FACTOR: f64 = 1.6;
 
 /// Part of a level by which the usual slowness has to exceed the border between two levels before
 /// the level changes.
-const LEVEL_HYSTERESIS: f64 = 0.25;
+const LEVEL_HYSTERESIS: f64 = 0.3;
 
 /// Answers that are needed before the level leaves zero.
-const LEVEL_ANSWERS_MIN: f64 = 4.0;
+const LEVEL_ANSWERS_MIN: f64 = 8.0;
 
 /// Highest level, and the opposite of the lowest one.
 const LEVEL_MAX: i32 = 6;
--- a/components/routing/src/speed/fit.rs
+++ b/components/routing/src/speed/fit.rs
@@ -46,16 +46,6 @@
         inputs.iter().zip(&self.coefficients).map(|(a, b)| a * b).sum::<f64>().max(0.1)
     }
 
-    /// Returns the time for one prompt token, in milliseconds.
-    pub(super) fn ms_per_token(&self) -> f64 {
-        self.coefficients[1] / 1_000.0
-    }
-
-    /// Returns the time that does not depend on the load, in milliseconds.
-    pub(super) fn base_ms(&self) -> f64 {
-        self.coefficients[0]
-    }
-
     /// Returns the weighted number of answers.
     pub(super) fn answers(&self) -> f64 {
         self.products[0][0]
--- a/components/routing/src/speed/service.rs
+++ b/components/routing/src/speed/service.rs
@@ -71,15 +71,6 @@
 }
 
 impl ServiceSpeed {
-    /// Returns the learned coefficients.
-    pub fn costs(&self) -> PlacementCosts {
-        PlacementCosts {
-            ms_per_token: self.first.ms_per_token(),
-            ms_per_request: PRIOR_MS_PER_REQUEST,
-            base_ms: self.first.base_ms(),
-        }
-    }
-
     /// Records what one router observed of endpoints of this service. `endpoints` holds each one's
     /// speed and stated capacity, and `report` refers to it by index. If all differ from what is known
     /// by the same factor, that is attributed to the router.
