--- a/components/relay/src/model/desired_state.rs
+++ b/components/relay/src/model/desired_state.rs
@@ -17,8 +17,17 @@
     pub idle_timeout: Duration,
 }
 
+/// What an endpoint takes shortly after its start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// Time from its start until it is warm.
+    pub time: Duration,
+    /// Requests per second that it takes until then, from all routers together.
+    pub per_s: f64,
+}
+
 /// Specification of one service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ServiceSpec {
     /// Maximum number of connections that one endpoint accepts from all routers together.
     pub max_connections: u32,
@@ -30,6 +39,8 @@
     /// Maximum number of tokens in one event of a stream; `None` if events are not counted as
     /// tokens.
     pub tokens_per_event: Option<u64>,
+    /// What its endpoints take shortly after their start; `None` if they need no warming up.
+    pub cold_start: Option<ColdStart>,
 }
 
 impl ServiceSpec {
@@ -51,7 +62,7 @@
 }
 
 /// One version of the desired state.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct DesiredState {
     /// Version number; a higher one is newer.
     pub version: u64,
@@ -71,6 +82,19 @@
         self.routes.get(host)?.iter().find(|it| path.starts_with(&*it.path_prefix))
     }
 
+    /// Reports whether requests of a service differ in priority or account, so that the order in which
+    /// waiting ones are served matters.
+    pub fn has_competing_requests(&self, service: &str) -> bool {
+        if self.accounts.as_ref().is_some_and(|it| it.len() > 1) {
+            return true;
+        }
+        let routes = self.routes.values().flatten();
+        let of_service =
+            routes.filter(|it| it.targets.iter().any(|target| *target.service == *service));
+        let mut priorities = of_service.map(|it| it.priority);
+        priorities.next().is_some_and(|first| priorities.any(|it| it != first))
+    }
+
     /// Returns the accounts keyed by name, so that one with several keys appears once.
     pub fn distinct_accounts(&self) -> HashMap<Arc<str>, Arc<Account>> {
         let accounts = self.accounts.iter().flat_map(|it| it.values());
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -159,6 +159,11 @@
     metrics::gauge!(telemetry::RATE_LIMITED_ENDPOINTS).set(limited as f64);
     let brittle = cx.lock_endpoints().brittle_count();
     metrics::gauge!(telemetry::BRITTLE_ENDPOINTS).set(brittle as f64);
+    let emptied = cx.lock_endpoints().emptied_domains().count();
+    metrics::gauge!(telemetry::EMPTIED_DOMAINS).set(emptied as f64);
+    let (cold, admitted_per_s) = cx.lock_endpoints().cold_counts(cx.now());
+    metrics::gauge!(telemetry::COLD_ENDPOINTS).set(cold as f64);
+    metrics::gauge!(telemetry::COLD_ADMITTED_PER_SECOND).set(admitted_per_s);
     metrics::gauge!(telemetry::UNEVEN_ENDPOINTS).set(cx.lock_endpoints().count_uneven() as f64);
     let (records, condemned) = cx.lock_crash_evidence().counts();
     metrics::gauge!(telemetry::SUSPECT_CONTENTS, "state" => "suspect")
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -15,6 +15,7 @@
 
 use super::{
     connection::{ConnectError, Connection},
+    connections::ConnectionNeed,
     dialing::{self, PeerVerdict},
 };
 use crate::{
@@ -39,6 +40,18 @@
     pub(super) connections_max: usize,
 }
 
+/// Size in bytes of a body above which a request may not fit into the buffers of its connection.
+const LARGE_BODY_BYTES: usize = 64 * 1_024;
+
+impl OutgoingRequest {
+    fn connection_need(&self) -> ConnectionNeed {
+        ConnectionNeed {
+            max: self.connections_max,
+            is_for_large_request: self.body.len() > LARGE_BODY_BYTES,
+        }
+    }
+}
+
 /// Placement of a request. Subtracts the request's load from the endpoint when dropped.
 pub(super) struct PlacementGuard {
     cx: Arc<RelayContext>,
@@ -79,6 +92,7 @@
     fn drop(&mut self) {
         self.cx.lock_endpoints().remove_request_load(&self.placement.endpoint, self.load);
         self.cx.capacity_freed.notify_one();
+        self.cx.wake_waiting(&self.placement.service);
     }
 }
 
@@ -175,7 +189,8 @@
     for may_reuse in [true, false] {
         let placement = guard.placement.clone();
         let endpoint = placement.endpoint.clone();
-        let opening = dialing::acquire(cx.clone(), placement, outgoing.connections_max, may_reuse);
+        let opening =
+            dialing::acquire(cx.clone(), placement, outgoing.connection_need(), may_reuse);
         let mut connection = match dialing::wait_until(cx, &endpoint, opening, deadline).await {
             Some(Ok(connection)) => connection,
             None | Some(Err(ConnectError::TooMany)) => {
@@ -249,6 +264,9 @@
         let message = "the answer through another router has no length";
         return Err(FailedAttempt::new(AttemptFailure::Lost(message.to_owned()), guard));
     }
+    if !connection.is_tunnel() {
+        cx.lock_paths().record_answer(&guard.placement.service, cx.now());
+    }
     if metadata.is_misdirected || metadata.is_not_executed {
         let failure = if metadata.is_misdirected {
             AttemptFailure::Misdirected
@@ -296,8 +314,10 @@
 /// router cannot connect, others are asked: the cause may be its own network path.
 pub(super) async fn probe_process(cx: &RelayContext, placement: &Placement) -> ProcessState {
     tokio::time::sleep(CRASH_CHECK_DELAY).await;
-    let connected =
-        cx.connections.connect(&placement.endpoint, placement.address, usize::MAX).await;
+    let connected = cx
+        .connections
+        .connect(&placement.endpoint, placement.address, ConnectionNeed::usual(usize::MAX))
+        .await;
     let is_refused = match connected {
         Ok(connection) => {
             cx.connections.release(connection);
--- a/components/relay/src/serve/mod.rs
+++ b/components/relay/src/serve/mod.rs
@@ -21,13 +21,15 @@
 mod stream_run;
 mod suspicion;
 mod tokens;
+mod waiting;
 
 pub use self::framing::remove_hop_headers;
 
 pub(crate) use self::{
     connection::{ConnectError, CountedStream},
-    connections::EndpointConnections,
+    connections::{ConnectionNeed, EndpointConnections},
     server::{accept_stream, bind, serve_auxiliary_api, serve_callers},
     side_calls::AuxiliaryApi,
     socket_options::{set_endpoint_socket_options, set_tunnel_socket_options},
+    waiting::WaitingRequests,
 };
--- a/components/relay/tests/uneven_endpoints.rs
+++ b/components/relay/tests/uneven_endpoints.rs
@@ -60,6 +60,7 @@
                 failure_domain: "nadi".into(),
                 capacity: 64,
                 phase: EndpointPhase::Ready,
+                cold_remaining: None,
             };
             registry.apply_change(EndpointChange::Written(entry), Timestamp::ZERO);
             engines.insert(id, (*slowness, 0.0));
