--- a/components/relay/src/endpoints/mod.rs
+++ b/components/relay/src/endpoints/mod.rs
@@ -14,6 +14,7 @@
 mod prompt_split;
 mod rate_limit;
 mod rate_share;
+mod speeds;
 mod statements;
 mod store_contact;
 mod unreached;
@@ -29,5 +30,6 @@
         Choice, ConnectTarget, LimitedWait, Placement, PlacementRequest, ProcessId, Suspect,
     },
     rate_limit::{RateReport, RateStatement},
+    speeds::SpeedReport,
     statements::{BrittleReport, StatementReport, Statements},
 };
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -15,7 +15,8 @@
 
 use super::{
     DomainsMessage, EvidenceMessage, LivenessMessage, LoadMessage, Member, PeerContent,
-    PeerMessage, PendingLoans, RoomMessage, RouterLoad, StatementMessage, StatusMessage,
+    PeerMessage, PendingLoans, RoomMessage, RouterLoad, SpeedMessage, StatementMessage,
+    StatusMessage,
     admissions::{
         handle_admission_end, handle_admission_reply, handle_admission_request, update_admissions,
     },
@@ -129,6 +130,7 @@
         let own = cx.self_status();
         let loads = cx.lock_endpoints().own_loads();
         let reports = cx.lock_endpoints().reports(cx.now());
+        let speeds = cx.lock_endpoints().speed_reports(cx.now());
         let evidence = cx.lock_crash_evidence().reports(cx.now());
         let cut_off = cx.lock_paths().cut_off_services();
         let reached = cx.lock_paths().reached_services(cx.now());
@@ -159,6 +161,7 @@
             emptied_domains,
             paces_cold_endpoints: true,
             room: Some(Box::new(RoomMessage::from_room(&own.room, cx.now()))),
+            speeds: SpeedMessage::from_reports(&speeds).map(Box::new),
         };
         encode(PeerContent::Status(message))
     }
@@ -239,6 +242,7 @@
         cx.gossip.lock_loans().expire(now);
         cx.lock_roster().expire(now);
         cx.lock_endpoints().expire(now);
+        cx.lock_endpoints().learn_own_speeds(now);
         cx.lock_origins().expire(now);
         expire_evidence(cx);
     }
@@ -372,6 +376,9 @@
     let now = cx.now();
     let shares: Vec<_> = message.loads.iter().map(LoadMessage::to_share).collect();
     cx.lock_endpoints().apply_peer_loads(&member.name, &shares, now);
+    if let Some(speeds) = &message.speeds {
+        cx.lock_endpoints().apply_peer_speeds(speeds.to_reports(), now);
+    }
     cx.lock_admissions().reconcile(&member.name, &shares, now);
     cx.wake_all_waiting();
     cx.record_peer_version(member.config_version);
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -8,7 +8,7 @@
 use super::{
     AdmissionEndMessage, AdmissionReplyMessage, AdmissionRequestMessage, DomainsMessage,
     DrawAckMessage, DrawNoticeMessage, EvidenceMessage, LivenessReport, OriginMessage,
-    OriginQueryMessage, OriginReplyMessage, StatementMessage,
+    OriginQueryMessage, OriginReplyMessage, SpeedMessage, StatementMessage,
 };
 use crate::{
     allowance::{RouterProcess, WitnessDeclaration, WitnessStatement},
@@ -284,6 +284,9 @@
     /// Whether the sender limits what it sends to cold endpoints.
     #[prost(bool, tag = "19")]
     pub paces_cold_endpoints: bool,
+    /// How long endpoints took for the answers of the last second.
+    #[prost(message, optional, boxed, tag = "30")]
+    pub speeds: Option<Box<SpeedMessage>>,
     /// Room of the sender.
     #[prost(message, optional, boxed, tag = "22")]
     pub room: Option<Box<RoomMessage>>,
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -164,6 +164,7 @@
     let (cold, admitted_per_s) = cx.lock_endpoints().cold_counts(cx.now());
     metrics::gauge!(telemetry::COLD_ENDPOINTS).set(cold as f64);
     metrics::gauge!(telemetry::COLD_ADMITTED_PER_SECOND).set(admitted_per_s);
+    metrics::gauge!(telemetry::UNEVEN_ENDPOINTS).set(cx.lock_endpoints().count_uneven() as f64);
     let (records, condemned) = cx.lock_crash_evidence().counts();
     metrics::gauge!(telemetry::SUSPECT_CONTENTS, "state" => "suspect")
         .set((records - condemned) as f64);
--- a/components/relay/src/serve/exchange_tests.rs
+++ b/components/relay/src/serve/exchange_tests.rs
@@ -23,9 +23,11 @@
         BrittleStatement, EndpointChange, Load, Placement, ProcessId, RateStatement, Statements,
     },
     limits::RetryLimits,
-    model::{DesiredState, EndpointEntry, EndpointPhase, RequestHead},
+    model::{EndpointEntry, EndpointPhase, RequestHead},
     peers::GossipSocket,
-    ports::{AnswerHead, ControlSource, Cursor, Dialect, Feed, Forwarding},
+    ports::{
+        AnswerHead, ControlSource, Cursor, Dialect, Feed, Forwarding, OperatorChange, OperatorState,
+    },
     settings::{Areas, HostLimits, RelaySettings},
     transfer::TransferProgress,
 };
@@ -78,19 +80,19 @@
 
 #[async_trait]
 impl ControlSource for Nothing {
-    async fn desired_state(
+    async fn operator_state(
         &self,
         _: &TransferProgress,
-    ) -> Result<(Option<DesiredState>, Cursor), PlatformError> {
+    ) -> Result<(OperatorState, Cursor), PlatformError> {
         Err(PlatformError::Unavailable)
     }
 
-    async fn desired_state_after(
+    async fn operator_changes_after(
         &self,
         _: Cursor,
         _: Duration,
         _: &TransferProgress,
-    ) -> Result<Feed<DesiredState>, PlatformError> {
+    ) -> Result<Feed<OperatorChange>, PlatformError> {
         Err(PlatformError::Unavailable)
     }
 
@@ -155,6 +157,7 @@
         failure_domain: "zlin".into(),
         capacity: 4,
         phase,
+        cold_remaining: None,
     }
 }
 
@@ -170,6 +173,8 @@
         version: "v1".into(),
         is_brittle: false,
         load,
+        running: 0,
+        tokens_ahead: 0,
         wait_ms: 0.0,
     };
     PlacementGuard::new(cx.clone(), placement)
--- a/components/relay/tests/cold_endpoints.rs
+++ b/components/relay/tests/cold_endpoints.rs
@@ -180,6 +180,7 @@
         config_version: 1,
         processor_millis: 250,
         arrivals_per_s: 10,
+        room: relay::room::RouterRoom::default(),
     }
 }
 
