Tell a full link by the bodies of requests; leave processor time out of the room of a router

Processor time measured by the process read as one whole core on every host (used=8.33 of 0.12 cores, 3.30 in the first second), so that all small hosts counted as crowded; it is no longer used.

--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -7,7 +7,6 @@
     time::Duration,
 };
 
-use cpu_time::ProcessTime;
 use prost::Message;
 use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
@@ -171,11 +170,9 @@
 fn update_room(cx: &RelayContext, due: Timestamp) {
     let now = cx.now();
     let (received_bytes, sent_bytes) = cx.connections.bytes.totals();
-    let processor_time = ProcessTime::try_now().map_or(Duration::ZERO, |it| it.as_duration());
     let sample = RoomSample {
         received_bytes,
         sent_bytes,
-        processor_time,
         timer_late: now.since(due),
         arrival_delay: Duration::ZERO,
     };
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -301,9 +301,6 @@
     /// Bytes per second over the link, in both directions together.
     #[prost(uint64, tag = "2")]
     pub used_bytes_per_s: u64,
-    /// Processor time in use, in thousandths of a core.
-    #[prost(uint32, tag = "3")]
-    pub used_processor_millis: u32,
     /// Time for which what arrives waits, in milliseconds.
     #[prost(uint32, tag = "4")]
     pub delay_ms: u32,
@@ -323,7 +320,6 @@
         RoomMessage {
             link_bytes_per_s: room.link_bytes_per_s.map(|it| it as u64),
             used_bytes_per_s: room.used_bytes_per_s as u64,
-            used_processor_millis: room.used_processor_millis as u32,
             delay_ms: u32::try_from(room.delay.as_millis()).unwrap_or(u32::MAX),
             sent_ms: now.0 / 1_000,
         }
@@ -336,7 +332,6 @@
             link_bytes_per_s: self.link_bytes_per_s.map(|it| it as f64),
             used_bytes_per_s: self.used_bytes_per_s as f64,
             processor_millis: f64::from(processor_millis),
-            used_processor_millis: f64::from(self.used_processor_millis),
             delay: Duration::from_millis(self.delay_ms.into()),
         }
     }
--- a/components/relay/src/room/meter.rs
+++ b/components/relay/src/room/meter.rs
@@ -16,8 +16,6 @@
     pub received_bytes: u64,
     /// Bytes sent since the start.
     pub sent_bytes: u64,
-    /// Processor time used since the start.
-    pub processor_time: Duration,
     /// Time by which a timer was late.
     pub timer_late: Duration,
     /// Delay of what arrives; see [`ArrivalDelay`](super::ArrivalDelay).
@@ -30,7 +28,6 @@
     /// The last readings, and when they were taken.
     last: Option<(RoomSample, Timestamp)>,
     bytes_per_s: f64,
-    processor_millis: f64,
 }
 
 impl RoomMeter {
@@ -39,18 +36,12 @@
         if let Some((last, at)) = self.last {
             let seconds = now.since(at).as_secs_f64().max(0.001);
             let weight = 1.0 - (-seconds / AVERAGING_TIME.as_secs_f64()).exp();
-            let mean = |value: &mut f64, amount: f64| {
-                *value += (amount / seconds - *value) * weight;
-            };
             let received = sample.received_bytes.saturating_sub(last.received_bytes);
             let sent = sample.sent_bytes.saturating_sub(last.sent_bytes);
-            let processor = sample.processor_time.saturating_sub(last.processor_time);
-            mean(&mut self.bytes_per_s, (received + sent) as f64);
-            mean(&mut self.processor_millis, processor.as_secs_f64() * 1_000.0);
+            self.bytes_per_s += ((received + sent) as f64 / seconds - self.bytes_per_s) * weight;
         }
         self.last = Some((sample, now));
         room.used_bytes_per_s = self.bytes_per_s;
-        room.used_processor_millis = self.processor_millis;
         room.delay = sample.arrival_delay.max(sample.timer_late);
     }
 }
--- a/components/relay/src/room/mod.rs
+++ b/components/relay/src/room/mod.rs
@@ -5,6 +5,7 @@
 //! that sends a fifth of all requests, with long prompts, over a few connections that lead to a small host.
 
 mod arrival_delay;
+mod body_times;
 mod byte_counts;
 mod listing;
 mod meter;
@@ -14,6 +15,7 @@
 pub(crate) use self::byte_counts::{ByteCounts, CountedIo};
 pub use self::{
     arrival_delay::ArrivalDelay,
+    body_times::BodyTimes,
     listing::{ListedRouter, draw_list, is_crowded, is_drawn_by_room},
     meter::{RoomMeter, RoomSample},
     room_book::RoomBook,
--- a/components/relay/src/room/room_book.rs
+++ b/components/relay/src/room/room_book.rs
@@ -4,7 +4,7 @@
 
 use types::Timestamp;
 
-use super::{ArrivalDelay, Bound, RoomMeter, RoomSample, RouterRoom};
+use super::{ArrivalDelay, BodyTimes, Bound, RoomMeter, RoomSample, RouterRoom};
 use crate::units::millis;
 
 /// Delay above which requests of lower priority are refused. A caller is served sooner by another router.
@@ -13,7 +13,7 @@
 /// Delay above which all new requests are refused: what is carried already takes all there is.
 const REFUSE_ALL_DELAY: Duration = Duration::from_millis(500);
 
-/// Share of the link or the processor in use below which a delay has another cause, such as the clocks of
+/// Share of the link in use below which a delay has another cause, such as the clocks of
 /// other routers, and nothing is refused.
 const BUSY_SHARE: f64 = 0.5;
 
@@ -24,6 +24,8 @@
     meter: RoomMeter,
     /// Delay of what arrives.
     pub delay: ArrivalDelay,
+    /// Times that bodies of requests took to arrive.
+    pub bodies: BodyTimes,
     /// Whether the hosts of the fleet differ, so that room counts.
     pub is_in_use: bool,
     /// Whether the last readings led to refusals.
@@ -37,6 +39,7 @@
             room,
             meter: RoomMeter::default(),
             delay: ArrivalDelay::default(),
+            bodies: BodyTimes::default(),
             is_in_use: false,
             is_refusing: false,
         }
@@ -49,7 +52,7 @@
 
     /// Adds readings of the counters.
     pub fn update(&mut self, sample: RoomSample, now: Timestamp) {
-        let arrival_delay = self.delay.get(now);
+        let arrival_delay = self.delay.get(now).max(self.bodies.take());
         self.delay.expire(now);
         self.meter.update(RoomSample { arrival_delay, ..sample }, now, &mut self.room);
         let refused = self.refuses(u32::MAX);
@@ -73,7 +76,7 @@
         (self.is_busy() && self.room.delay >= limit).then(|| self.used_resource().1)
     }
 
-    /// Returns the share in use of the link or the processor, whichever is higher.
+    /// Returns the share of the link in use, leaving the delay out.
     fn used_resource(&self) -> (f64, Bound) {
         RouterRoom { delay: Duration::ZERO, ..self.room }.used_share()
     }
--- a/components/relay/src/room/router_room.rs
+++ b/components/relay/src/room/router_room.rs
@@ -18,8 +18,6 @@
 pub enum Bound {
     /// Bytes over the link of its host.
     Link,
-    /// Processor time.
-    Processor,
     /// Time for which datagrams and events wait before they are handled.
     Delay,
 }
@@ -29,7 +27,6 @@
     pub fn label(self) -> &'static str {
         match self {
             Bound::Link => "link",
-            Bound::Processor => "processor",
             Bound::Delay => "delay",
         }
     }
@@ -44,8 +41,6 @@
     pub used_bytes_per_s: f64,
     /// Processor capacity, in thousandths of a core.
     pub processor_millis: f64,
-    /// Processor time that the process uses, in thousandths of a core.
-    pub used_processor_millis: f64,
     /// Time for which what arrives waits before the router handles it.
     pub delay: Duration,
 }
@@ -55,9 +50,8 @@
     /// if the queues are long.
     pub fn used_share(&self) -> (f64, Bound) {
         let link = self.link_bytes_per_s.map_or(0.0, |it| self.used_bytes_per_s / it.max(1.0));
-        let processor = self.used_processor_millis / self.processor_millis.max(1.0);
         let delay = self.delay.as_secs_f64() / FULL_DELAY.as_secs_f64() * FULL_SHARE;
-        let shares = [(link, Bound::Link), (processor, Bound::Processor), (delay, Bound::Delay)];
+        let shares = [(link, Bound::Link), (delay, Bound::Delay)];
         shares.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or((0.0, Bound::Link))
     }
 
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -88,6 +88,9 @@
     }
     // The body is read even if the request is refused below, so that the connection stays usable.
     let body = read_body(body, limits.body_max_bytes).await?;
+    if !body.is_empty() {
+        cx.lock_room().bodies.record(cx.now().since(received_at));
+    }
     // The desired state may have changed while the body arrived.
     let in_force = cx.in_force.load_full().unwrap_or(in_force);
     let admission = authorize(in_force, &request_head, head.uri.path())?;
