--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -162,7 +162,7 @@
             room: Some(Box::new(RoomMessage::from_room(&own.room, cx.now()))),
             speeds: SpeedMessage::from_reports(&speeds).map(Box::new),
         };
-        encode(PeerContent::Status(message))
+        encode(PeerContent::Status(Box::new(message)))
     }
 }
 
--- a/components/relay/src/peers/message.rs
+++ b/components/relay/src/peers/message.rs
@@ -32,7 +32,7 @@
 pub enum PeerContent {
     /// State of the sender.
     #[prost(message, tag = "1")]
-    Status(StatusMessage),
+    Status(Box<StatusMessage>),
     /// The sender requests a loan of tokens.
     #[prost(message, tag = "2")]
     LoanRequest(LoanMessage),
--- a/components/relay/tests/earlier_builds.rs
+++ b/components/relay/tests/earlier_builds.rs
@@ -96,7 +96,7 @@
         fill_share: 0.5,
     };
     vec![
-        PeerContent::Status(status()),
+        PeerContent::Status(Box::new(status())),
         PeerContent::LoanRequest(loan()),
         PeerContent::Loan(loan()),
         PeerContent::Declaration(declaration()),
