--- a/components/relay/src/endpoints/prompt_split.rs
+++ b/components/relay/src/endpoints/prompt_split.rs
@@ -4,18 +4,15 @@
 //! long prompt makes all of them pause. Some endpoints of a service take the long prompts; the
 //! others serve short ones without pauses.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use types::Timestamp;
 
-use super::choice::rendezvous_hash;
+use super::choice::HashedEndpoint;
 use crate::rate::Rate;
 
-/// Number of prompt tokens that an engine processes per millisecond; used only for estimates.
-pub(super) const PROMPT_TOKENS_PER_MS: f64 = 30.0;
-
-/// Length from which a prompt counts as long, in tokens: processing it takes an engine about as
-/// long as ten decoding steps.
+/// Length from which a prompt counts as long, in tokens. All routers use the same one, so that a part
+/// does not move between endpoints because routers have learned different speeds.
 const LONG_PROMPT_TOKENS: u64 = 1_400;
 
 /// Target share of their time, from 0 to 1, that endpoints for long prompts spend on processing
@@ -81,9 +78,15 @@
     /// Updates the share of endpoints for long prompts from the current rates. `endpoints` is the
     /// number of endpoints. `routers` is the number of routers; each is assumed to receive prompts
     /// at the same rates as this one.
-    pub(super) fn update_share(&mut self, endpoints: usize, routers: usize, now: Timestamp) {
+    pub(super) fn update_share(
+        &mut self,
+        endpoints: usize,
+        routers: usize,
+        ms_per_token: f64,
+        now: Timestamp,
+    ) {
         let tokens_per_ms = self.long_tokens.get(now) * routers.max(1) as f64 / 1_000.0;
-        let busy_endpoints = tokens_per_ms / PROMPT_TOKENS_PER_MS;
+        let busy_endpoints = tokens_per_ms * ms_per_token;
         let required_share = busy_endpoints / PROMPT_TIME_SHARE / endpoints.max(1) as f64;
         if required_share < SMALL_SHARE_BELOW {
             self.share = SMALL_SHARE_THIRDS;
@@ -92,23 +95,22 @@
         }
     }
 
-    /// Returns the endpoints among `ids` that take the long prompts; empty if all endpoints take
-    /// both kinds.
+    /// Returns the endpoints that take the long prompts; empty if all endpoints take both kinds.
     pub(super) fn long_endpoints<'a>(
         &self,
-        ids: &[&'a Arc<str>],
+        endpoints: &[HashedEndpoint<'a>],
         now: Timestamp,
-    ) -> Vec<&'a Arc<str>> {
-        if ids.len() < 2
+    ) -> Vec<HashedEndpoint<'a>> {
+        if endpoints.len() < 2
             || self.long.get(now) < REQUESTS_PER_S_MIN
             || self.short.get(now) < REQUESTS_PER_S_MIN
         {
             return Vec::new();
         }
-        let count = (ids.len() * self.share).div_ceil(3);
-        let mut ranked: Vec<(u64, &Arc<str>)> =
-            ids.iter().map(|id| (rendezvous_hash(LONG_PROMPTS_SALT, id), *id)).collect();
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
-        ranked.into_iter().take(count).map(|(_, id)| id).collect()
+        let count = (endpoints.len() * self.share).div_ceil(3);
+        let mut ranked: Vec<(f64, HashedEndpoint<'_>)> =
+            endpoints.iter().map(|it| (it.rank(LONG_PROMPTS_SALT), *it)).collect();
+        ranked.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then_with(|| b.1.id.cmp(a.1.id)));
+        ranked.into_iter().take(count).map(|(_, it)| it).collect()
     }
 }
