--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use rand::Rng as _;
+use routing::PlacementCosts;
 use types::Timestamp;
 use utils::{HashSet, Rng, stable_hash};
 
@@ -13,15 +14,12 @@
     endpoint::Endpoint,
     load::Load,
     placement::{Choice, LimitedWait, Placement, PlacementRequest, ProcessId},
-    prompt_split::{PROMPT_TOKENS_PER_MS, is_long},
+    prompt_split::is_long,
     rate_limit::NextRequest,
     unreached::are_unreached,
 };
 use crate::model::{PromptPart, TokenDemand};
 
-/// Estimated delay that each running request adds to a new one, in milliseconds.
-const DELAY_PER_REQUEST_MS: f64 = 1.5;
-
 /// Cost of an endpoint in another failure domain, in milliseconds of delay; represents the price
 /// of traffic between failure domains.
 const OTHER_DOMAIN_COST_MS: f64 = 12.0;
@@ -43,6 +41,10 @@
 /// there, and the part evicts another one from the cache.
 const SHARED_TOKEN_COST_MS: f64 = 0.15;
 
+/// Cost of an endpoint that runs as many requests as it has proved to take, in milliseconds of delay:
+/// one more slows down all of them.
+const SLOWED_DOWN_COST_MS: f64 = 450.0;
+
 /// Cost of an endpoint of a version that is being replaced for a new stream, in milliseconds of
 /// delay: streams that began at that version can go on only there.
 const REPLACED_VERSION_COST_MS: f64 = 60.0;
@@ -60,6 +62,8 @@
     endpoint: &'a Endpoint,
     /// Load that the request adds there.
     load: Load,
+    /// Load of all other requests there.
+    total: Load,
     /// Estimated wait, in milliseconds.
     wait_ms: f64,
     /// Cost that candidates are compared by, in milliseconds.
@@ -85,12 +89,13 @@
         rng: &mut Rng,
     ) -> Choice {
         if let Some(tokens) = request.tokens {
+            let costs = PlacementCosts::default();
             let split = self.splits.entry(request.service.clone()).or_default();
             split.record(unshared_tokens(request, tokens), now);
             let of_service = |it: &&Endpoint| it.entry.service == *request.service;
             let is_emptied = |it: &Endpoint| self.emptied.is_emptied(&it.entry.failure_domain);
             let serving = self.endpoints.values().filter(of_service).filter(|it| !is_emptied(it));
-            split.update_share(serving.count(), request.routers, now);
+            split.update_share(serving.count(), request.routers, costs.ms_per_token, now);
         }
         let choice = self.choose_endpoint(request, now, rng);
         if let Choice::Placed(placement) = &choice {
@@ -145,7 +150,8 @@
         if serving.is_empty() {
             return Choice::Unnamed;
         }
-        let ids = ids_for_caching(&serving);
+        let costs = PlacementCosts::default();
+        let ids = endpoints_for_caching(&serving);
         let long_ids = self
             .splits
             .get(request.service)
@@ -155,7 +161,8 @@
             cache_owners_of(request.parts, if long_ids.is_empty() { &ids } else { &long_ids });
         let is_long = request.tokens.is_some_and(|it| is_long(unshared_tokens(request, it)));
         let mixing_cost_ms = |it: &Endpoint| {
-            if long_ids.is_empty() || long_ids.contains(&&it.entry.id) == is_long {
+            let is_for_long = long_ids.iter().any(|long| *long.id == it.entry.id);
+            if long_ids.is_empty() || is_for_long == is_long {
                 0.0
             } else if is_long {
                 LONG_ON_SHORT_COST_MS
@@ -169,7 +176,7 @@
             .iter()
             .filter_map(|it| {
                 let is_brittle = is_brittle(it, brittle_since);
-                let mut candidate = evaluate(it, request, &cache_owners, is_brittle, now)?;
+                let mut candidate = evaluate(it, request, &cache_owners, &costs, is_brittle, now)?;
                 candidate.cost_ms += mixing_cost_ms(it) + replaced_cost_ms(it);
                 if needs_warmth && let Some(next) = it.warmth.next_request(now) {
                     candidate.cost_ms += COLD_COST_MS;
@@ -235,6 +242,8 @@
         version: entry.version.clone(),
         is_brittle: chosen.is_brittle,
         load: chosen.load,
+        running: chosen.total.requests,
+        tokens_ahead: chosen.total.prompt_tokens + chosen.load.prompt_tokens,
         wait_ms: chosen.wait_ms,
     })
 }
@@ -247,12 +256,36 @@
     (count * 2 > serving.len() && count < serving.len()).then_some(newest)
 }
 
-/// Returns the ids of the endpoints among which prompts are distributed by their parts and lengths:
-/// those that state no rate limit, or all if each states one.
-fn ids_for_caching<'a>(serving: &[&'a Endpoint]) -> Vec<&'a Arc<str>> {
+/// An endpoint among which prompts are distributed by rendezvous hashing.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct HashedEndpoint<'a> {
+    /// Its id.
+    pub(super) id: &'a Arc<str>,
+    /// Its weight, above zero: the share of the prompts that it gets is proportional to it.
+    pub(super) weight: f64,
+}
+
+impl HashedEndpoint<'_> {
+    /// Returns its rank for a key; the highest one is preferred. A changed weight moves only prompts
+    /// from or to this endpoint.
+    pub(super) fn rank(&self, key: u64) -> f64 {
+        // 53 bits are what the mantissa holds.
+        let uniform = ((rendezvous_hash(key, self.id) >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+        -self.weight / uniform.ln()
+    }
+}
+
+/// Returns the endpoints among which prompts are distributed by their parts and lengths: those that
+/// state no rate limit, or all if each states one. A prompt takes a slow endpoint more time and
+/// delays the answers there for longer, so that the weight falls with the square of its slowness.
+fn endpoints_for_caching<'a>(serving: &[&'a Endpoint]) -> Vec<HashedEndpoint<'a>> {
+    let hashed = |it: &&'a Endpoint| HashedEndpoint {
+        id: &it.entry.id,
+        weight: it.speed.usual_slowness().powi(-2),
+    };
     let unlimited = serving.iter().filter(|it| it.limit_per_s().is_none());
-    let ids: Vec<&Arc<str>> = unlimited.map(|it| &it.entry.id).collect();
-    if ids.is_empty() { serving.iter().map(|it| &it.entry.id).collect() } else { ids }
+    let endpoints: Vec<HashedEndpoint<'_>> = unlimited.map(hashed).collect();
+    if endpoints.is_empty() { serving.iter().map(hashed).collect() } else { endpoints }
 }
 
 /// Returns the part that decides which endpoints cache a prompt: the last one that other
@@ -264,11 +297,11 @@
 /// Returns the ids of the endpoints that cache the shared part of a prompt: the preferred one,
 /// then the one used when the first is busy. They are chosen by rendezvous hashing of part and
 /// endpoint, so that all routers agree without exchanging messages.
-fn cache_owners_of(parts: &[PromptPart], ids: &[&Arc<str>]) -> Vec<Arc<str>> {
+fn cache_owners_of(parts: &[PromptPart], endpoints: &[HashedEndpoint<'_>]) -> Vec<Arc<str>> {
     let Some(part) = shared_part(parts) else { return Vec::new() };
-    let mut ranked: Vec<(u64, &Arc<str>)> =
-        ids.iter().map(|id| (rendezvous_hash(part.id, id), *id)).collect();
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    let mut ranked: Vec<(f64, &Arc<str>)> =
+        endpoints.iter().map(|it| (it.rank(part.id), it.id)).collect();
+    ranked.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then_with(|| b.1.cmp(a.1)));
     ranked.into_iter().take(2).map(|(_, id)| id.clone()).collect()
 }
 
@@ -287,6 +320,7 @@
     endpoint: &'a Endpoint,
     request: &PlacementRequest<'_>,
     cache_owners: &[Arc<str>],
+    costs: &PlacementCosts,
     is_brittle: bool,
     now: Timestamp,
 ) -> Option<Candidate<'a>> {
@@ -306,15 +340,21 @@
     {
         return None;
     }
-    let backlog_ms = (total.prompt_tokens + load.prompt_tokens) as f64 / PROMPT_TOKENS_PER_MS;
-    let wait_ms = backlog_ms + f64::from(total.requests) * DELAY_PER_REQUEST_MS;
+    let slowness = endpoint.speed.slowness(now);
+    let ms_per_token = costs.ms_per_token * slowness;
+    let backlog_ms = (total.prompt_tokens + load.prompt_tokens) as f64 * ms_per_token;
+    let wait_ms = backlog_ms + f64::from(total.requests) * costs.ms_per_request * slowness;
     let uncached_shared_tokens =
         load.prompt_tokens - request.tokens.map_or(0, |it| unshared_tokens(request, it));
     let mut cost_ms = wait_ms + uncached_shared_tokens as f64 * SHARED_TOKEN_COST_MS;
+    cost_ms += (slowness - 1.0) * costs.base_ms;
     cost_ms += endpoint.health.failure_share(now) * FAILURE_COST_MS;
     if *entry.failure_domain != *request.failure_domain {
         cost_ms += OTHER_DOMAIN_COST_MS;
     }
+    if total.requests >= endpoint.speed.capacity(capacity, now) {
+        cost_ms += SLOWED_DOWN_COST_MS;
+    }
     let is_last_resort =
         endpoint.health.is_paused(now) || request.failed_endpoints.contains(&entry.id);
     if is_last_resort {
@@ -323,6 +363,7 @@
     Some(Candidate {
         endpoint,
         load,
+        total,
         wait_ms,
         cost_ms,
         next_request: endpoint.next_request(is_brittle, now),
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -164,6 +164,7 @@
     let (cold, admitted_per_s) = cx.lock_endpoints().cold_counts(cx.now());
     metrics::gauge!(telemetry::COLD_ENDPOINTS).set(cold as f64);
     metrics::gauge!(telemetry::COLD_ADMITTED_PER_SECOND).set(admitted_per_s);
+    metrics::gauge!(telemetry::UNEVEN_ENDPOINTS).set(cx.lock_endpoints().count_uneven() as f64);
     let (records, condemned) = cx.lock_crash_evidence().counts();
     metrics::gauge!(telemetry::SUSPECT_CONTENTS, "state" => "suspect")
         .set((records - condemned) as f64);
@@ -175,6 +176,9 @@
     metrics::gauge!(telemetry::MEMBERS, "state" => "ready").set(ready_routers as f64);
     let is_recovering = cx.lock_allowances().is_recovering();
     metrics::gauge!(telemetry::ALLOWANCES_RECOVERING).set(f64::from(u8::from(is_recovering)));
+    let room = cx.lock_room().room();
+    metrics::gauge!(telemetry::ROOM_USED_SHARE).set(room.used_share().0);
+    metrics::gauge!(telemetry::ARRIVAL_DELAY_SECONDS).set(room.delay.as_secs_f64());
     report_tokens(cx);
 }
 
--- a/components/relay/tests/earlier_builds.rs
+++ b/components/relay/tests/earlier_builds.rs
@@ -72,6 +72,7 @@
         for_borrower: true,
         spent: 3,
         undrawn: 4,
+        held: None,
     }
 }
 
@@ -96,7 +97,7 @@
         fill_share: 0.5,
     };
     vec![
-        PeerContent::Status(status()),
+        PeerContent::Status(Box::new(status())),
         PeerContent::LoanRequest(loan()),
         PeerContent::Loan(loan()),
         PeerContent::Declaration(declaration()),
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -137,6 +137,15 @@
 /// Counter of requests for router addresses that were answered.
 pub const ADDRESS_ANSWERS_TOTAL: &str = "auburncrank_address_answers_total";
 
+/// Counter of requests refused because this router was full, by `bound`: `link` or `processor`.
+pub const SHED_REQUESTS_TOTAL: &str = "auburncrank_shed_requests_total";
+
+/// Gauge of the share of the host's scarcest resource that is in use.
+pub const ROOM_USED_SHARE: &str = "auburncrank_room_used_share";
+
+/// Gauge of the time for which what arrives waits before it is handled, in seconds.
+pub const ARRIVAL_DELAY_SECONDS: &str = "auburncrank_arrival_delay_seconds";
+
 /// Gauge that is 1 if another process with a higher incarnation uses this router's name.
 pub const ROUTER_SUPERSEDED: &str = "auburncrank_router_superseded";
 
@@ -177,6 +186,9 @@
 /// Gauge of the endpoints that state that they are brittle.
 pub const BRITTLE_ENDPOINTS: &str = "auburncrank_brittle_endpoints";
 
+/// Gauge of the endpoints whose usual speed differs from the mean of their service.
+pub const UNEVEN_ENDPOINTS: &str = "auburncrank_uneven_endpoints";
+
 /// Counter of requests that brittle endpoints refused.
 pub const BRITTLE_REFUSALS_TOTAL: &str = "auburncrank_brittle_refusals_total";
 
