--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -52,6 +52,8 @@
     pub(super) speeds: HashMap<Arc<str>, ServiceSpeed>,
     /// Ids of endpoints by the keys that reports on speed use; some may be gone.
     pub(super) speed_keys: HashMap<u32, Arc<str>>,
+    /// Whether nothing is learned of the endpoints' speed.
+    pub(super) ignores_speeds: bool,
     /// Answers that this router observed in the last second.
     pub(super) recent_speeds: RecentObservations,
     /// Whether the whole list has been read since the process started.
--- a/components/relay/src/endpoints/speeds.rs
+++ b/components/relay/src/endpoints/speeds.rs
@@ -71,7 +71,15 @@
         self.endpoints.get(id).map(|it| it.speed.slowness(now))
     }
 
+    /// Sets whether nothing is learned of the endpoints' speed, so that all count as equally fast.
+    pub fn set_ignores_speeds(&mut self, ignores_speeds: bool) {
+        self.ignores_speeds = ignores_speeds;
+    }
+
     fn learn(&mut self, reports: Vec<SpeedReport>, now: Timestamp) {
+        if self.ignores_speeds {
+            return;
+        }
         let mut by_service: HashMap<Arc<str>, Vec<(Arc<str>, SpeedObservation)>> =
             HashMap::default();
         for report in reports {
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -191,6 +191,9 @@
         book.is_in_use = is_drawn_by_room(&rooms);
         (book.room(), book.is_in_use)
     };
+    // In fleets of equal hosts endpoints are usually equal, too, and what is left of their load in the
+    // estimates would move cached parts without need.
+    cx.lock_endpoints().set_ignores_speeds(!counts_room);
     let is_crowded = if counts_room {
         is_crowded(&room, &rooms)
     } else {
