--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -137,7 +137,7 @@
 /// Counter of requests for router addresses that were answered.
 pub const ADDRESS_ANSWERS_TOTAL: &str = "auburncrank_address_answers_total";
 
-/// Counter of requests refused because this router was full, by `bound`: `link` or `processor`.
+/// Counter of requests refused because this router was full, by `bound`, which is always `link` so far.
 pub const SHED_REQUESTS_TOTAL: &str = "auburncrank_shed_requests_total";
 
 /// Gauge of the share of the host's scarcest resource that is in use.
