--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -157,7 +157,7 @@
                 TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok()
             })
         };
-        let mut base = 20_000 + (std::process::id() % 8_000) as u16;
+        let mut base = 20_000 + (std::process::id() * 16 % 11_200) as u16;
         while !(base..base + 16).all(is_free) {
             base += 16;
         }
--- a/review/standins/scenes.rs
+++ b/review/standins/scenes.rs
@@ -4,6 +4,8 @@
 
 mod world;
 mod frozen_router;
+mod killed_routers;
+mod older_copy;
 
 use world::World;
 
@@ -11,6 +13,8 @@
 pub fn play(name: &str, is_troubled: bool, folder: &PathBuf, record: &Record) -> Result<Vec<String>, String> {
     match name {
         "frozen-router" => frozen_router::play(is_troubled, folder, record),
+        "killed-routers" => killed_routers::play(is_troubled, folder, record),
+        "older-copy" => older_copy::play(is_troubled, folder, record),
         _ => Err(format!("no scene {name}")),
     }
 }
--- a/review/standins/scenes/world.rs
+++ b/review/standins/scenes/world.rs
@@ -17,8 +17,33 @@
 const ZONES: [&str; 3] = ["zlin", "kromeriz", "vsetin"];
 
 impl World {
+    /// Starts a deployment whose store states an era.
+    pub fn start_with_era(
+        folder: &PathBuf,
+        record: &Record,
+        counts: (u8, usize, usize),
+        pace: Pace,
+        prepaid: u64,
+    ) -> Result<World, String> {
+        let store = Store::start();
+        store.state_era();
+        World::start_at(store, folder, record, counts, pace, prepaid, &Bounds::default())
+    }
+
     /// Starts everything and waits until all routers are ready and know each other.
     pub fn start(
+        folder: &PathBuf,
+        record: &Record,
+        counts: (u8, usize, usize),
+        pace: Pace,
+        prepaid: u64,
+        bounds: &Bounds,
+    ) -> Result<World, String> {
+        World::start_at(Store::start(), folder, record, counts, pace, prepaid, bounds)
+    }
+
+    fn start_at(
+        store: Store,
         folder: &PathBuf,
         record: &Record,
         (routers, engines, portals): (u8, usize, usize),
@@ -26,7 +51,6 @@
         prepaid: u64,
         bounds: &Bounds,
     ) -> Result<World, String> {
-        let store = Store::start();
         store.write("op", "config", &desired_state(1, prepaid, 15_000));
         let born = unix_ms();
         let start = |prefix: &str, count: usize, is_stream: bool, pace: Pace| -> Vec<Runner> {
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -4,13 +4,16 @@
 
 type Key = (String, String);
 
-#[derive(Default)]
+#[derive(Default, Clone)]
 struct Rows {
     rows: BTreeMap<Key, (String, u64)>,
     removed: Vec<(Key, u64)>,
     revision: u64,
 }
 
+/// Copies of the rows from which the store may come back, each with its time.
+type Copies = Vec<(Instant, Rows)>;
+
 /// What the store does with calls.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Mode {
@@ -25,6 +28,9 @@
 pub struct Store {
     rows: Arc<Mutex<Rows>>,
     mode: Arc<Mutex<Mode>>,
+    copies: Arc<Mutex<Copies>>,
+    /// Stated in all answers as `Store-Era`; zero if the store states none.
+    era: Arc<AtomicU64>,
     start: Instant,
     pub address: SocketAddr,
 }
@@ -35,6 +41,8 @@
         let store = Store {
             rows: Arc::default(),
             mode: Arc::new(Mutex::new(Mode::Up)),
+            copies: Arc::default(),
+            era: Arc::default(),
             start: Instant::now(),
             address: listener.local_addr().unwrap(),
         };
@@ -52,6 +60,36 @@
         *self.mode.lock().unwrap() = mode;
     }
 
+    /// States an era in all answers from now on, and makes copies of the rows.
+    pub fn state_era(&self) {
+        self.era.store(1, Ordering::Relaxed);
+        let store = self.clone();
+        thread::spawn(move || {
+            loop {
+                let rows = store.rows.lock().unwrap().clone();
+                store.copies.lock().unwrap().push((Instant::now(), rows));
+                sleep_ms(100);
+            }
+        });
+    }
+
+    /// Comes back from the newest copy that is at least as old as `age`; the era rises by one. What the
+    /// operator and the runners wrote since is written again.
+    pub fn return_to_copy(&self, age: Duration) {
+        let mut rows = self.rows.lock().unwrap();
+        let copies = self.copies.lock().unwrap();
+        let copy = copies.iter().rev().find(|it| it.0.elapsed() >= age).expect("there is a copy").1.clone();
+        let written = rows.rows.iter().filter(|it| ["op", "servers"].contains(&it.0.0.as_str()));
+        let written: Vec<_> = written.map(|(id, (data, _))| (id.clone(), data.clone())).collect();
+        *rows = copy;
+        for (id, data) in written {
+            rows.revision += 1;
+            let revision = rows.revision;
+            rows.rows.insert(id, (data, revision));
+        }
+        self.era.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Writes a row as the operator or a runner does. Returns its revision.
     pub fn write(&self, table: &str, key: &str, value: &str) -> u64 {
         let mut rows = self.rows.lock().unwrap();
@@ -96,8 +134,12 @@
                 sleep_ms(5_000);
                 return;
             }
+            let era = match self.era.load(Ordering::Relaxed) {
+                0 => String::new(),
+                era => format!("Store-Era: {era}\r\n"),
+            };
             let head = format!(
-                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n{era}Content-Length: {}\r\n\r\n",
                 body.len()
             );
             if stream.write_all((head + &body).as_bytes()).is_err() {
@@ -130,6 +172,9 @@
                 let until = Instant::now() + Duration::from_millis(wait);
                 loop {
                     let rows = self.rows.lock().unwrap();
+                    if since > rows.revision {
+                        return (410, "{}".to_owned());
+                    }
                     let written = rows.rows.iter().filter(|it| it.0.0 == table && it.1.1 > since);
                     let mut found: Vec<String> = written.map(|(id, row)| row_text(id, row)).collect();
                     let removed = rows.removed.iter().filter(|it| {
