--- a/review/standins/clients.rs
+++ b/review/standins/clients.rs
@@ -32,6 +32,7 @@
     pub method: &'static str,
     pub path: String,
     pub id: String,
+    pub key: &'static str,
     pub deadline_ms: u64,
     /// Prompt tokens and output tokens at most.
     pub tokens: Option<(u64, u64)>,
@@ -51,8 +52,8 @@
         });
         let body = if self.method == "GET" { "" } else { "the body" };
         format!(
-            "{} {} HTTP/1.1\r\nHost: {HOST}\r\nX-Auburncrank-Attempt-Id: {}\r\n{tokens}X-Auburncrank-Deadline-Ms: {}\r\nAuthorization: Bearer {KEY}\r\n{}Content-Length: {}\r\n\r\n{body}",
-            self.method, self.path, self.id, self.deadline_ms, self.more_headers, body.len()
+            "{} {} HTTP/1.1\r\nHost: {HOST}\r\nX-Auburncrank-Attempt-Id: {}\r\n{tokens}X-Auburncrank-Deadline-Ms: {}\r\nAuthorization: Bearer {}\r\n{}Content-Length: {}\r\n\r\n{body}",
+            self.method, self.path, self.id, self.deadline_ms, self.key, self.more_headers, body.len()
         )
     }
 
--- a/review/standins/scenes.rs
+++ b/review/standins/scenes.rs
@@ -5,6 +5,7 @@
 mod world;
 mod frozen_router;
 mod killed_routers;
+mod named_tenant;
 mod older_copy;
 
 use world::World;
@@ -15,6 +16,7 @@
         "frozen-router" => frozen_router::play(is_troubled, folder, record),
         "killed-routers" => killed_routers::play(is_troubled, folder, record),
         "older-copy" => older_copy::play(is_troubled, folder, record),
+        "named-tenant" => named_tenant::play(is_troubled, folder, record),
         _ => Err(format!("no scene {name}")),
     }
 }
--- a/review/standins/scenes/world.rs
+++ b/review/standins/scenes/world.rs
@@ -98,6 +98,18 @@
 
 /// Returns a desired state with a stream route, a stream route that may be resumed, and two plain ones.
 pub fn desired_state(version: u64, prepaid: u64, idle_ms: u64) -> String {
+    desired_state_for(version, &[(TENANT, KEY, prepaid)], idle_ms)
+}
+
+/// The same for these tenants, each with its name, its key and its prepaid tokens.
+pub fn desired_state_for(version: u64, tenants: &[(&str, &str, u64)], idle_ms: u64) -> String {
+    let tenants: Vec<String> = tenants
+        .iter()
+        .map(|(name, key, prepaid)| {
+            format!(r#"{{"name":"{name}","api_keys":["{key}"],"priority":1,"prepaid":{prepaid}}}"#)
+        })
+        .collect();
+    let tenants = tenants.join(",");
     let route = |name: &str, kind: &str, service: &str, timeout: u64, target: u64, attempts: u32, more: &str| {
         format!(
             r#"{{"name":"r-{name}","hostname":"{HOST}","path_prefix":"/{name}/","route_type":"{kind}","timeout_ms":{timeout},"target_latency_ms":{target},"priority":1,"service":"{service}","max_attempts":{attempts},"anonymous":false{more}}}"#
@@ -110,7 +122,7 @@
         route("stav", "idempotent", PORTAL, 1_200, 150, 2, ""),
     ];
     format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"{ENGINES}","health_path":"/healthz","max_connections":500,"protocol":"h1","tls_enabled":false,"runtime":{{"capacity":96,"kv_capacity":253891,"kv_token_bytes":131072,"link_mbps":130000.0,"interval":3,"model_list":[{{"name":"m"}}]}}}},{{"name":"{PORTAL}","health_path":"/healthz","max_connections":110,"protocol":"h1","tls_enabled":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":{idle_ms}}},"tenants":[{{"name":"{TENANT}","api_keys":["{KEY}"],"priority":1,"prepaid":{prepaid}}}]}}"#,
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"{ENGINES}","health_path":"/healthz","max_connections":500,"protocol":"h1","tls_enabled":false,"runtime":{{"capacity":96,"kv_capacity":253891,"kv_token_bytes":131072,"link_mbps":130000.0,"interval":3,"model_list":[{{"name":"m"}}]}}}},{{"name":"{PORTAL}","health_path":"/healthz","max_connections":110,"protocol":"h1","tls_enabled":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":{idle_ms}}},"tenants":[{tenants}]}}"#,
         routes.join(",")
     )
 }
@@ -124,9 +136,24 @@
         method: "POST",
         path: "/dotaz/2f".to_owned(),
         id: id.to_owned(),
+        key: KEY,
         deadline_ms: 15_000,
         tokens: Some((prompt, events * TOKENS_PER_EVENT)),
         gap_ms: DOTAZ_GAP_MS,
         more_headers: String::new(),
     }
 }
+
+/// Returns a request for the status of an order, which needs no tokens.
+pub fn status_request(id: &str) -> Call {
+    Call {
+        method: "GET",
+        path: "/stav/2f".to_owned(),
+        id: id.to_owned(),
+        key: KEY,
+        deadline_ms: 2_500,
+        tokens: None,
+        gap_ms: 2_500,
+        more_headers: String::new(),
+    }
+}
