--- a/review/standins/runners.rs
+++ b/review/standins/runners.rs
@@ -37,6 +37,11 @@
     pub runs: Arc<Mutex<Vec<Run>>>,
     /// Whether it takes requests; if not, it refuses them as full.
     pub is_open: Arc<AtomicBool>,
+    /// Version of its software, which each event names.
+    pub version: Arc<Mutex<String>>,
+    /// Whether its process runs.
+    is_up: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
     is_stream: bool,
     record: Record,
 }
@@ -50,24 +55,55 @@
             pace: Arc::new(Mutex::new(pace)),
             runs: Arc::default(),
             is_open: Arc::new(AtomicBool::new(true)),
+            version: Arc::new(Mutex::new("v1".to_owned())),
+            is_up: Arc::new(AtomicBool::new(true)),
+            connections: Arc::default(),
             is_stream,
             record: record.clone(),
         };
-        let server = runner.clone();
+        runner.accept_on(listener);
+        runner
+    }
+
+    fn accept_on(&self, listener: TcpListener) {
+        let server = self.clone();
+        listener.set_nonblocking(true).unwrap();
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            while server.is_up.load(Ordering::Relaxed) {
+                let Ok((stream, _)) = listener.accept() else {
+                    sleep_ms(1);
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                server.connections.lock().unwrap().push(stream.try_clone().unwrap());
                 let server = server.clone();
                 thread::spawn(move || server.serve(stream));
             }
         });
-        runner
+    }
+
+    /// Ends the process: its connections break and its address refuses new ones.
+    pub fn crash(&self) {
+        self.is_up.store(false, Ordering::Relaxed);
+        for it in self.connections.lock().unwrap().drain(..) {
+            let _ = it.shutdown(std::net::Shutdown::Both);
+        }
+        sleep_ms(10);
+    }
+
+    /// Starts the process again at its address, with software of this version.
+    pub fn restart(&self, version: &str) {
+        *self.version.lock().unwrap() = version.to_owned();
+        self.is_up.store(true, Ordering::Relaxed);
+        self.accept_on(TcpListener::bind(self.address).unwrap());
     }
 
     /// Returns the entry with which the runner registers itself.
     pub fn entry(&self, service: &str, zone: &str, phase: &str, born: u64) -> String {
         format!(
-            r#"{{"service":"{service}","address":"{}","zone":"{zone}","version":"v1","capacity":96,"phase":"{phase}","cold_remaining_ms":0,"sequence":1,"born":{born}}}"#,
-            self.address
+            r#"{{"service":"{service}","address":"{}","zone":"{zone}","version":"{}","capacity":96,"phase":"{phase}","cold_remaining_ms":0,"sequence":1,"born":{born}}}"#,
+            self.address,
+            self.version.lock().unwrap()
         )
     }
 
@@ -126,12 +162,13 @@
             request.header("x-auburncrank-deadline-ms").and_then(|it| it.parse().ok()).unwrap_or(60_000);
         let until = Instant::now() + Duration::from_millis(deadline_ms);
         let pace = *self.pace.lock().unwrap();
+        let version = self.version.lock().unwrap().clone();
         if !self.work(stream, pace.first_ms, until) {
             self.record.add(&format!("{} drops {id} before it runs", self.name));
             return false;
         }
         self.runs.lock().unwrap()[number].began = Some(Instant::now());
-        self.record.add(&format!("{} runs {id}", self.name));
+        self.record.add(&format!("{} ({version}) runs {id} after event {last_event}", self.name));
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Auburncrank-Attempt-Id: {id}\r\nX-Auburncrank-Response-Signature: sig-{id}\r\nX-Auburncrank-Weight-Versions: 1\r\n"
         );
@@ -146,7 +183,7 @@
             return false;
         }
         for event in last_event + 1..=pace.events {
-            let text = format!("id: {event}\ndata: piece {event} of {id}\n\n");
+            let text = format!("id: {event}\ndata: piece {event} from {version}\n\n");
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             if stream.write_all(chunk.as_bytes()).is_err() {
                 return false;
--- /dev/null
+++ b/review/standins/scenes/renewed_runner.rs
@@ -0,0 +1,116 @@
+//! Two software versions serve side by side. A runner of the older version ends and starts again under its id
+//! with the newer version. Streams begin there; then it ends once more.
+
+use super::{world::*, *};
+
+const PREPAID: u64 = 2_000_000;
+const PROMPT: u64 = 800;
+const EVENTS: u64 = 60;
+const STREAMS: usize = 120;
+/// Time between the beginnings of two streams.
+const PAUSE_MS: u64 = 20;
+/// Time for which the store is away if OUTAGE=1, and for which the runner is down.
+const AWAY_MS: u64 = 4_500;
+const DOWN_MS: u64 = 1_500;
+/// Time for which the runner serves with the newer version until it ends again.
+const SERVING_MS: u64 = 2_600;
+/// Time until the runner ends.
+const BEFORE_MS: u64 = 200;
+/// Times that a client takes a stream up, as in the users' day `rejoined`.
+const RETRIES: u32 = 3;
+
+pub fn play(is_troubled: bool, folder: &PathBuf, record: &Record) -> Result<Vec<String>, String> {
+    let has_outage = std::env::var("OUTAGE").is_ok_and(|it| it == "1");
+    let pace = Pace { first_ms: 100, gap_ms: 100, events: EVENTS };
+    let world = World::start(folder, record, (3, 3, 0), pace, PREPAID, &Bounds::default())?;
+    let (old, new) = (&world.engines[0], &world.engines[1]);
+    // The second runner has been serving with the newer version for some seconds.
+    *new.version.lock().unwrap() = "v2".to_owned();
+    world.store.write("servers", &new.name, &new.entry(ENGINES, "kromeriz", "ready", unix_ms()));
+    sleep_ms(5_000);
+    let addresses: Vec<SocketAddr> = world.routers.iter().map(|it| it.caller).collect();
+    if is_troubled {
+        if has_outage {
+            record.add("the store is away");
+            world.store.set_mode(Mode::Busy);
+        }
+        sleep_ms(BEFORE_MS);
+        record.add(&format!("{} ends", old.name));
+        old.crash();
+        sleep_ms(DOWN_MS);
+        old.restart("v2");
+        record.add(&format!("{} starts again with v2", old.name));
+        let entry = old.entry(ENGINES, "zlin", "ready", unix_ms());
+        if has_outage {
+            // The store accepts the entry only once it is back.
+            let (store, name, record) = (world.store.clone(), old.name.clone(), record.clone());
+            thread::spawn(move || {
+                sleep_ms(AWAY_MS - BEFORE_MS - DOWN_MS);
+                store.set_mode(Mode::Up);
+                record.add("the store is back");
+                store.write("servers", &name, &entry);
+            });
+        } else {
+            world.store.write("servers", &old.name, &entry);
+        }
+    }
+    let started_at = Instant::now();
+    let clients: Vec<_> = (0..STREAMS)
+        .map(|number| {
+            let (addresses, record) = (addresses.clone(), record.clone());
+            sleep_ms(PAUSE_MS);
+            thread::spawn(move || read_stream(number, &addresses, &record))
+        })
+        .collect();
+    if is_troubled {
+        thread::sleep(Duration::from_millis(SERVING_MS).saturating_sub(started_at.elapsed()));
+        record.add(&format!("{} ends again", old.name));
+        old.crash();
+        sleep_ms(DOWN_MS);
+        old.restart("v2");
+        record.add(&format!("{} starts again with v2", old.name));
+        sleep_ms(500);
+        world.store.write("servers", &old.name, &old.entry(ENGINES, "zlin", "ready", unix_ms()));
+    }
+    let streams: Vec<String> = clients.into_iter().map(|it| it.join().unwrap()).collect();
+    let is_joined = |it: &&String| it.contains("from v1") && it.contains("from v2");
+    let joined = streams.iter().filter(is_joined).count();
+    let text = format!("{joined} of {STREAMS} streams hold events from runners of two versions");
+    record.add(&text);
+    Ok(if joined > 2 { vec![format!("ORDER: {text}")] } else { Vec::new() })
+}
+
+/// Reads a stream as a client does and takes it up if it breaks. Returns all of its text.
+fn read_stream(number: usize, addresses: &[SocketAddr], record: &Record) -> String {
+    let mut text = String::new();
+    let (mut last, mut began_at): (u64, Option<String>) = (0, None);
+    let until = Instant::now() + Duration::from_secs(15);
+    for attempt in 0..=RETRIES {
+        let id = format!("s{number}-{attempt}");
+        let mut call = question(&id, PROMPT, EVENTS);
+        call.deadline_ms = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+        if let Some(first) = &began_at {
+            call.more_headers = format!("Last-Event-Id: {last}\r\nResumes: {first}\r\n");
+        }
+        let address = addresses[(number + attempt as usize) % addresses.len()];
+        let reply = call.send(address);
+        record.add(&format!(
+            "{id} at {address} after event {last}: status {}, events {:?} to {:?}, complete {}",
+            reply.status, reply.events.first(), reply.events.last(), reply.is_complete
+        ));
+        if reply.status == 200 && !reply.events.is_empty() {
+            began_at.get_or_insert(id);
+            last = *reply.events.last().unwrap();
+            text += &reply.body;
+        }
+        if reply.status == 200 && reply.is_complete {
+            break;
+        }
+        let named = reply.headers.iter().find(|it| it.0.eq_ignore_ascii_case("retry-after"));
+        let named = named.and_then(|it| it.1.parse::<f64>().ok());
+        let left = until.saturating_duration_since(Instant::now());
+        let pause = named.map_or(Duration::from_millis(100), Duration::from_secs_f64).min(left / 3);
+        thread::sleep(pause);
+    }
+    text
+}
