--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
     fs,
     io::{self, Read, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket},
+    os::unix::process::CommandExt as _,
     path::PathBuf,
     process::{Child, Command, Stdio, exit},
     sync::{
@@ -27,8 +28,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64, unused: u64, unused_too: u64, also_unused: u64) -> i32;
 }
 
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
@@ -256,6 +261,12 @@
         let mut command = Command::new("target/release/auburncrank-relay");
         command.env_clear().env("AUBURNCRANK_BOOT", &self.settings);
         command.stdin(Stdio::null()).stdout(log.try_clone().unwrap()).stderr(log);
+        // Ends with this process, however that ends.
+        let die_with_parent = || {
+            unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as u64, 0, 0, 0) };
+            Ok(())
+        };
+        unsafe { command.pre_exec(die_with_parent) };
         self.child = Some(command.spawn().expect("the build of the deploy file must have run"));
     }
 
--- a/review/standins/scenes.rs
+++ b/review/standins/scenes.rs
@@ -8,7 +8,6 @@
 mod older_copy;
 mod renewed_runner;
 
-use world::World;
 
 /// Plays a scene. Returns how the rule was broken, or why the scene could not run.
 pub fn play(name: &str, is_troubled: bool, folder: &PathBuf, record: &Record) -> Result<Vec<String>, String> {
