--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -A dead_code -o target/review/scene review/standins/main.rs
+rustc --edition 2024 -O -A dead_code -o target/review/scene review/standins.rs
--- a/review/standins/scenes.rs
+++ b/review/scenes.rs
@@ -2,10 +2,15 @@
 
 use super::{clients::Call, runners::*, store::*, *};
 
+#[path = "scene_world.rs"]
 mod world;
+#[path = "scene_frozen_router.rs"]
 mod frozen_router;
+#[path = "scene_named_tenant.rs"]
 mod named_tenant;
+#[path = "scene_older_copy.rs"]
 mod older_copy;
+#[path = "scene_renewed_runner.rs"]
 mod renewed_runner;
 
 
--- a/review/standins/main.rs
+++ b/review/standins.rs
@@ -18,10 +18,15 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+#[path = "standin_clients.rs"]
 mod clients;
+#[path = "standin_json.rs"]
 mod json;
+#[path = "standin_runners.rs"]
 mod runners;
+#[path = "scenes.rs"]
 mod scenes;
+#[path = "standin_store.rs"]
 mod store;
 
 use json::Json;
