Believe a refusal only if it names the request, and retry on a new connection

Callers saw: an endpoint that wrote the refusal of an earlier request once more on a kept connection made the router tell a caller 'not run' for a request that ran, or send it to a second endpoint.

Cause: the id in an answer was compared only if there was one, and the attempts of one request have the same id, so a refusal of the first attempt that is repeated on a kept connection passed for that of the second.

Change: a refusal without an id is an answer that was lost; an endpoint that failed the request gets it again on a new connection only.

--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -40,6 +40,21 @@
     pub(super) connections_max: usize,
 }
 
+/// How a single attempt is sent.
+pub(super) struct AttemptOptions<'a> {
+    /// Id of the caller's request, which the endpoint's answer repeats.
+    pub(super) request_id: &'a str,
+    /// Headers for the endpoint.
+    pub(super) headers: HeaderMap,
+    /// Time after which nothing is sent, and no answer is waited for.
+    pub(super) deadline: Timestamp,
+    /// Whether an earlier attempt of the request may have reached the endpoint. A faulty endpoint may
+    /// write its answer to that once more on a kept connection, where the id cannot tell them apart.
+    pub(super) needs_new_connection: bool,
+    /// Notified once a connection is open.
+    pub(super) sending: &'a Notify,
+}
+
 /// Size in bytes of a body above which a request may not fit into the buffers of its connection.
 const LARGE_BODY_BYTES: usize = 64 * 1_024;
 
@@ -177,21 +192,19 @@
     }
 }
 
-/// Sends a request to the endpoint of `guard` and waits for the head of the answer until
-/// `deadline`. Notifies `sending` once a connection is open. Nothing is sent after `deadline` or once
-/// the endpoint is known to have left, however long the connection took.
+/// Sends a request to the endpoint of `guard` and waits for the head of the answer until the
+/// deadline. Nothing is sent after the deadline or once the endpoint is known to have left, however
+/// long the connection took.
 pub(super) async fn send(
     cx: &Arc<RelayContext>,
     guard: PlacementGuard,
-    request_id: &str,
     outgoing: &OutgoingRequest,
-    headers: HeaderMap,
-    deadline: Timestamp,
-    sending: &Notify,
+    options: AttemptOptions<'_>,
 ) -> Result<EndpointResponse, Box<FailedAttempt>> {
+    let AttemptOptions { request_id, headers, deadline, needs_new_connection, sending } = options;
     // The endpoint may close an idle connection just as it is reused, so a request that was not
     // sent is tried once more on a new one.
-    for may_reuse in [true, false] {
+    for may_reuse in [!needs_new_connection, false] {
         let placement = guard.placement.clone();
         let endpoint = placement.endpoint.clone();
         let opening =
@@ -268,8 +281,13 @@
 ) -> Result<EndpointResponse, Box<FailedAttempt>> {
     let (head, body) = res.into_parts();
     let metadata = cx.dialect.read_answer(&head);
-    if metadata.request_id.as_deref().is_some_and(|id| id != request_id) {
-        // The answer belongs to an earlier request on this connection.
+    let is_refusal = metadata.is_misdirected || metadata.is_not_executed;
+    let belongs_to_request = match metadata.request_id.as_deref() {
+        Some(id) => id == request_id,
+        // Without an id, a refusal of this request cannot be told from that of an earlier one.
+        None => !is_refusal,
+    };
+    if !belongs_to_request {
         return Err(FailedAttempt::new(
             AttemptFailure::Lost("the answer belongs to another request".to_owned()),
             guard,
@@ -292,7 +310,7 @@
     if !connection.is_tunnel() {
         cx.lock_paths().record_answer(&guard.placement.service, cx.now());
     }
-    if metadata.is_misdirected || metadata.is_not_executed {
+    if is_refusal {
         let failure = if metadata.is_misdirected {
             AttemptFailure::Misdirected
         } else {
--- a/components/relay/src/serve/exchange_tests.rs
+++ b/components/relay/src/serve/exchange_tests.rs
@@ -16,7 +16,7 @@
 };
 use types::Timestamp;
 
-use super::{AttemptFailure, OutgoingRequest, PlacementGuard, send};
+use super::{AttemptFailure, AttemptOptions, OutgoingRequest, PlacementGuard, send};
 use crate::{
     context::{RelayContext, RelayDependencies},
     endpoints::{
@@ -190,6 +190,11 @@
     }
 }
 
+fn options(deadline: Timestamp, sending: &Notify) -> AttemptOptions<'_> {
+    let (request_id, headers) = ("a-1", HeaderMap::new());
+    AttemptOptions { request_id, headers, deadline, needs_new_connection: false, sending }
+}
+
 /// Answers each request of a connection, which are without a body, and reports each.
 async fn answer_requests(mut stream: TcpStream, requests: mpsc::UnboundedSender<()>) {
     let mut buf = vec![0; 4_096];
@@ -225,8 +230,7 @@
     deadline: Timestamp,
 ) -> Option<AttemptFailure> {
     let (guard, outgoing) = (guard(cx, address), outgoing(Bytes::new()));
-    let sent = send(cx, guard, "a-1", &outgoing, HeaderMap::new(), deadline, &Notify::new()).await;
-    match sent {
+    match send(cx, guard, &outgoing, options(deadline, &Notify::new())).await {
         Ok(answer) => {
             while !answer.connection.sender.is_ready() {
                 tokio::task::yield_now().await;
@@ -285,7 +289,7 @@
     let deadline = cx.now() + Duration::from_millis(100);
     let sent = {
         let guard = guard(&cx, address);
-        send(&cx, guard, "a-1", &outgoing, HeaderMap::new(), deadline, &Notify::new()).await
+        send(&cx, guard, &outgoing, options(deadline, &Notify::new())).await
     };
     assert_eq!(sent.err().map(|it| it.failure), Some(AttemptFailure::TimedOut));
     let (mut stream, _) = listener.accept().await.unwrap();
--- a/components/relay/src/serve/placing.rs
+++ b/components/relay/src/serve/placing.rs
@@ -11,7 +11,8 @@
 use super::{
     continuation::{begins_stream, no_version_error, record_origin, required_version},
     exchange::{
-        self, AttemptFailure, EndpointResponse, FailedAttempt, OutgoingRequest, PlacementGuard,
+        self, AttemptFailure, AttemptOptions, EndpointResponse, FailedAttempt, OutgoingRequest,
+        PlacementGuard,
     },
     replacement::{find_replacement, record_silence},
     run::ActiveRequest,
@@ -287,11 +288,17 @@
     let outgoing: &OutgoingRequest = &request.outgoing;
     let began_at = cx.now();
     request.sent_at = Some(began_at);
-    let (id, deadline) = (&request.head.id, request.deadline);
     let sending = Notify::new();
+    let options = AttemptOptions {
+        request_id: &request.head.id,
+        headers,
+        deadline: request.deadline,
+        needs_new_connection: request.failed_endpoints.contains(&endpoint),
+        sending: &sending,
+    };
     let sent = tokio::select! {
         biased;
-        sent = exchange::send(&cx, guard, id, outgoing, headers, deadline, &sending) => sent,
+        sent = exchange::send(&cx, guard, outgoing, options) => sent,
         // Dropping the other future closes the connection and so ends the run there.
         guard = async {
             // The endpoint is not silent while a connection is being opened.
