--- a/components/relay/src/model/desired_state.rs
+++ b/components/relay/src/model/desired_state.rs
@@ -82,6 +82,12 @@
         self.routes.get(host)?.iter().find(|it| path.starts_with(&*it.path_prefix))
     }
 
+    /// Reports whether the state specifies a service, or has a route that leads to it.
+    pub fn has_service(&self, service: &str) -> bool {
+        let is_target = |it: &Arc<Route>| it.targets.iter().any(|it| *it.service == *service);
+        self.services.contains_key(service) || self.routes.values().flatten().any(is_target)
+    }
+
     /// Reports whether requests of a service differ in priority or account, so that the order in which
     /// waiting ones are served matters.
     pub fn has_competing_requests(&self, service: &str) -> bool {
--- a/components/relay/src/sync/named_versions.rs
+++ b/components/relay/src/sync/named_versions.rs
@@ -75,7 +75,7 @@
     if !known.is_read || known.era != cx.table.era() {
         read_rows(cx, known).await?;
     }
-    let services = cx.lock_endpoints().present_versions();
+    let services = services_in_force(cx);
     let is_named = |service: &Arc<str>, versions: &[Arc<str>]| {
         known.rows.get(service).is_some_and(|(row, _)| row.names(versions))
     };
@@ -86,15 +86,26 @@
         return Ok(CHECK_INTERVAL);
     }
     let knows_others = !cx.lock_roster().is_empty();
+    let mut result = Ok(());
     for (service, versions) in unnamed {
         let is_first = knows_others && is_first_in_rank(cx, own_rank_key(service));
         if is_first || known.turns >= TURNS_MAX {
-            write_row(cx, known, service, versions).await?;
+            // A row that the store does not accept must not keep the other services' versions unnamed.
+            result = write_row(cx, known, service, versions).await.and(result);
         }
     }
     known.turns += 1;
     known.is_read = false;
-    Ok(jitter(TURN_TIME, &mut cx.lock_rng()))
+    result.map(|()| jitter(TURN_TIME, &mut cx.lock_rng()))
+}
+
+/// Returns the versions that endpoints have now, of the services that the desired state names. Entries of
+/// other services may come from other writers.
+fn services_in_force(cx: &RelayContext) -> Vec<(Arc<str>, Vec<Arc<str>>)> {
+    let Some(in_force) = cx.in_force.load_full() else { return Vec::new() };
+    let mut services = cx.lock_endpoints().present_versions();
+    services.retain(|(name, _)| in_force.state.has_service(name));
+    services
 }
 
 async fn read_rows(cx: &RelayContext, known: &mut KnownRows) -> Result<(), PlatformError> {
