--- a/components/relay/src/model/route.rs
+++ b/components/relay/src/model/route.rs
@@ -73,14 +73,14 @@
         if let [only] = self.targets.as_slice() {
             return Some(&only.service);
         }
-        let total: u32 = self.targets.iter().map(|it| it.weight).sum();
+        let total: u64 = self.targets.iter().map(|it| u64::from(it.weight)).sum();
         if total == 0 {
             return self.targets.first().map(|it| &it.service);
         }
         let mut drawn = rng.random_range(0..total);
         let target = self.targets.iter().find(|it| {
-            let is_drawn = drawn < it.weight;
-            drawn = drawn.saturating_sub(it.weight);
+            let is_drawn = drawn < u64::from(it.weight);
+            drawn = drawn.saturating_sub(u64::from(it.weight));
             is_drawn
         });
         target.map(|it| &it.service)
