Do not go on with a stream by a list of versions from before it broke

Cause: a stream without a known origin goes on if its service has a single version, and a router believed that by its own list of up to two seconds ago, or by that of one other router, even if the routers that could know better had not answered. The age of the list was counted from the end of a read, by a clock that stands still while the host is suspended, and a feed whose history was lost counted as a read. Versions that came and went while a router did not reach the store were not looked for afterwards.

Change: without a record, the own list counts only if its read began after the caller came back, or if all routers that were asked have answered; callers wait up to 0.6 s for such a read. A version that joins others is used 2.5 s after it was named, longer than any list is trusted, unless no other one is left. Ages count from the beginning of a read by CLOCK_BOOTTIME. After a gap the named versions are read again.

--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -11,6 +11,7 @@
 use arc_swap::ArcSwapOption;
 use platform::Table;
 use routing::{ContentKey, CrashEvidence};
+use rustix::time::{ClockId, Timespec, clock_gettime};
 use tokio::{
     sync::{Notify, oneshot},
     time::Instant,
@@ -92,10 +93,12 @@
     pub(crate) origin_answered: Notify,
     /// Whether the stored history of versions has been read.
     pub(crate) has_version_history: AtomicBool,
-    /// Whether the rows that name versions have been read.
-    pub(crate) has_named_versions: AtomicBool,
     /// Whether the streams have been read that earlier processes stored.
     pub(crate) has_begun_streams: AtomicBool,
+    /// Notified when a caller waits for a read of the list of endpoints.
+    pub(crate) list_wanted: Notify,
+    /// Notified when the list of endpoints or the named versions have been read.
+    pub(crate) versions_read: Notify,
     /// Notified when an endpoint may have a version that the store does not name.
     pub(crate) version_names_wanted: Notify,
     /// Notified when a verdict has to be stored or removed.
@@ -110,6 +113,8 @@
     /// Rate of callers' requests, in requests per second.
     arrivals: Mutex<Rate>,
     start: Instant,
+    /// Time for which the host was suspended before the start.
+    suspended_before: Duration,
     endpoints: Mutex<EndpointRegistry>,
     paths: Mutex<PathBook>,
     admissions: Mutex<AdmissionBook>,
@@ -166,8 +171,9 @@
             capacity_freed: Notify::new(),
             origin_answered: Notify::new(),
             has_version_history: AtomicBool::new(false),
-            has_named_versions: AtomicBool::new(false),
             has_begun_streams: AtomicBool::new(false),
+            list_wanted: Notify::new(),
+            versions_read: Notify::new(),
             version_names_wanted: Notify::new(),
             verdicts_changed: Notify::new(),
             is_leaving: AtomicBool::new(false),
@@ -175,6 +181,7 @@
             is_crowded: AtomicBool::new(false),
             arrivals: Mutex::new(Rate::new(ARRIVAL_RATE_WINDOW)),
             start: Instant::now(),
+            suspended_before: time_suspended(),
             endpoints: Mutex::default(),
             paths: Mutex::default(),
             admissions: Mutex::default(),
@@ -204,6 +211,12 @@
         Timestamp::ZERO + self.start.elapsed()
     }
 
+    /// Returns the time since the start of the process, with the time for which the host was suspended.
+    /// Must not be compared with [`now`](Self::now).
+    pub(crate) fn boot_now(&self) -> Timestamp {
+        self.now() + time_suspended().saturating_sub(self.suspended_before)
+    }
+
     /// Converts a timestamp to an instant of the tokio clock.
     pub(crate) fn instant(&self, at: Timestamp) -> Instant {
         self.start + Duration::from_micros(at.0)
@@ -368,3 +381,12 @@
         self.rng.lock().expect("the lock is not poisoned")
     }
 }
+
+/// Returns the time for which the host has been suspended since it booted.
+fn time_suspended() -> Duration {
+    let steady = clock_gettime(ClockId::Monotonic);
+    let with_suspension = clock_gettime(ClockId::Boottime);
+    let micros = |it: Timespec| it.tv_sec * 1_000_000 + it.tv_nsec / 1_000;
+    let difference = micros(with_suspension) - micros(steady);
+    Duration::from_micros(u64::try_from(difference).unwrap_or(0))
+}
--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -1,6 +1,6 @@
 //! Registry of the endpoints that this router knows.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use routing::{RecentObservations, ServiceSpeed};
 use types::Timestamp;
@@ -13,7 +13,7 @@
     placement::{ConnectTarget, ProcessId},
     prompt_split::PromptSplit,
     store_contact::StoreContact,
-    versions::GoneVersions,
+    versions::{GoneVersions, VersionReads},
 };
 use crate::{
     domains::EmptiedDomains,
@@ -60,12 +60,13 @@
     pub(super) has_list: bool,
     /// Connectivity to the store that holds the list.
     contact: StoreContact,
-    /// When the list, or its changes, were last read.
-    pub(super) list_read_at: Option<Timestamp>,
+    /// Reads from which the versions of services are known.
+    pub(super) version_reads: VersionReads,
     /// Versions whose endpoints are gone.
     pub(super) gone_versions: GoneVersions,
-    /// Versions that the store names, by service. Streams that callers may take up begin only there.
-    pub(super) named_versions: HashMap<Arc<str>, BTreeSet<Arc<str>>>,
+    /// Versions that the store names, by service, each with the time from which streams that callers may
+    /// take up may begin there.
+    pub(super) named_versions: HashMap<Arc<str>, BTreeMap<Arc<str>, Timestamp>>,
     /// When an endpoint of a service last stated that it is brittle, keyed by service.
     pub(super) brittle_services: HashMap<Arc<str>, Timestamp>,
     /// Routers that share what endpoints state that they accept, sorted.
@@ -92,9 +93,6 @@
     /// Records whether the store answered a read of the list.
     pub fn record_store_contact(&mut self, is_answered: bool, now: Timestamp) {
         self.contact.record(is_answered, now);
-        if is_answered {
-            self.list_read_at = Some(now);
-        }
     }
 
     /// Records that the list comes from an older copy of the store: entries that are missing may come
@@ -292,7 +290,12 @@
     fn is_outdated(&self, entry: &EndpointEntry, now: Timestamp) -> bool {
         let departed = self.departed.get(&entry.id);
         let is_departed = departed.is_some_and(|(process, _)| entry.started_at_ms <= *process);
-        now < self.may_read_old_until && entry.phase == EndpointPhase::Ready && is_departed
+        self.may_read_old(now) && entry.phase == EndpointPhase::Ready && is_departed
+    }
+
+    /// Returns whether the list may be older than what this router, or another one, has read before.
+    pub(super) fn may_read_old(&self, now: Timestamp) -> bool {
+        now < self.may_read_old_until
     }
 
     fn record_departure(&mut self, id: &Arc<str>, started_at_ms: u64, now: Timestamp) {
--- a/components/relay/src/endpoints/choice.rs
+++ b/components/relay/src/endpoints/choice.rs
@@ -143,10 +143,11 @@
         if serving.is_empty() {
             return Choice::NoVersion;
         }
-        let can_begin = |it: &&Endpoint| {
-            !request.begins_stream || self.is_named(request.service, &it.entry.version)
+        let serving = if request.begins_stream {
+            self.where_streams_may_begin(request.service, serving, now)
+        } else {
+            serving
         };
-        let serving: Vec<&Endpoint> = serving.into_iter().filter(can_begin).collect();
         if serving.is_empty() {
             return Choice::Unnamed;
         }
--- a/components/relay/src/endpoints/versions.rs
+++ b/components/relay/src/endpoints/versions.rs
@@ -10,7 +10,7 @@
 use utils::HashMap;
 
 use super::{book::EndpointRegistry, endpoint::Endpoint};
-use crate::origins::VersionView;
+use crate::{origins::VersionView, units::millis};
 
 /// Time for which a version is remembered after its last endpoint: a caller may come back with a
 /// stream that it began.
@@ -19,6 +19,40 @@
 /// Age of the last complete read of the list above which changes may be missing.
 const LIST_MAX_AGE: Duration = Duration::from_secs(2);
 
+/// Reads from which this router knows the versions of services. Times are by a clock that counts the time
+/// for which the host was suspended, and are those at which reads began: what an answer lacks may have
+/// been written while it was under way.
+#[derive(Debug, Default)]
+pub(super) struct VersionReads {
+    /// When the last read of the list of endpoints, or of its changes, began.
+    list_at: Option<Timestamp>,
+    /// When the first read of the list after a gap began, or after the start. Versions may have come
+    /// and gone in the gap.
+    gap_ended_at: Timestamp,
+    /// When the last read of the versions that the store names began.
+    names_at: Option<Timestamp>,
+}
+
+impl VersionReads {
+    fn record_list(&mut self, began_at: Timestamp) {
+        if !self.has_recent_list(began_at) {
+            self.gap_ended_at = began_at;
+            if let Some(before) = self.list_at {
+                log::info!(gap_ms = millis(began_at.since(before)); "list of endpoints read after a gap; the named versions are read again");
+            }
+        }
+        self.list_at = Some(began_at);
+    }
+
+    fn has_recent_list(&self, now: Timestamp) -> bool {
+        self.list_at.is_some_and(|at| now.since(at) <= LIST_MAX_AGE)
+    }
+
+    fn has_names(&self) -> bool {
+        self.names_at.is_some_and(|at| at >= self.gap_ended_at)
+    }
+}
+
 /// Versions that no endpoint of their service has any more.
 #[derive(Debug, Default)]
 pub(super) struct GoneVersions {
@@ -55,11 +89,46 @@
         versions
     }
 
+    /// Records that the list of endpoints, or all of its changes, have been read. `began_at` is the time
+    /// at which the read began, by a clock that counts suspension.
+    pub fn record_list_read(&mut self, began_at: Timestamp) {
+        self.version_reads.record_list(began_at);
+    }
+
+    /// Records that the versions that the store names have been read. `began_at` is the time at which the
+    /// read began, by a clock that counts suspension.
+    pub fn record_names_read(&mut self, began_at: Timestamp) {
+        self.version_reads.names_at = Some(began_at);
+    }
+
+    /// Reports whether the versions that the store names have to be read, since the list of endpoints may
+    /// not have shown all of them.
+    pub fn needs_names(&self) -> bool {
+        !self.version_reads.has_names()
+    }
+
+    /// Reports whether the list of endpoints was read, and the versions that the store names if needed,
+    /// by a read that began at `since` or later, by a clock that counts suspension.
+    pub fn has_versions_since(&self, since: Timestamp) -> bool {
+        !self.needs_names() && self.version_reads.list_at.is_some_and(|at| at >= since)
+    }
+
     /// Returns what this router knows about the versions of a service. `has_history` tells whether
-    /// it has read the history that earlier routers stored.
-    pub fn version_view(&self, service: &str, has_history: bool, now: Timestamp) -> VersionView {
-        let is_recent = self.list_read_at.is_some_and(|at| now.since(at) <= LIST_MAX_AGE);
-        VersionView { versions: self.versions(service, now), is_complete: has_history && is_recent }
+    /// it has read the history that earlier routers stored, `boot_now` is the time by a clock that counts
+    /// suspension.
+    pub fn version_view(
+        &self,
+        service: &str,
+        has_history: bool,
+        now: Timestamp,
+        boot_now: Timestamp,
+    ) -> VersionView {
+        let reads = &self.version_reads;
+        let is_complete = has_history
+            && reads.has_names()
+            && reads.has_recent_list(boot_now)
+            && !self.may_read_old(now);
+        VersionView { versions: self.versions(service, now), is_complete }
     }
 
     /// Returns the services that have or have had several versions, with these.
@@ -82,18 +151,47 @@
         present.into_iter().map(|(name, it)| (name.clone(), cloned(it))).collect()
     }
 
-    /// Sets the versions that the store names for a service.
-    pub fn set_named_versions<'a>(
+    /// Sets the versions that the store names for a service, each with the time from which streams may
+    /// begin there.
+    pub fn set_named_versions(
         &mut self,
         service: &Arc<str>,
-        versions: impl Iterator<Item = &'a Arc<str>>,
+        versions: impl Iterator<Item = (Arc<str>, Timestamp)>,
     ) {
-        self.named_versions.insert(service.clone(), versions.cloned().collect());
+        let known = self.named_versions.remove(service).unwrap_or_default();
+        let earliest = |(version, at): (Arc<str>, Timestamp)| {
+            let at = known.get(&version).map_or(at, |known| at.min(*known));
+            (version, at)
+        };
+        self.named_versions.insert(service.clone(), versions.map(earliest).collect());
+    }
+
+    /// Returns whether the store has named a version of a service for long enough that streams which
+    /// callers may take up may begin there.
+    pub fn may_begin_streams(&self, service: &str, version: &str, now: Timestamp) -> bool {
+        let named = self.named_versions.get(service).and_then(|it| it.get(version));
+        named.is_some_and(|at| *at <= now)
+    }
+
+    /// Returns those of `endpoints` where streams that callers may take up may begin. A version that was
+    /// named a moment ago is used only if there is no other one.
+    pub(super) fn where_streams_may_begin<'a>(
+        &self,
+        service: &str,
+        mut endpoints: Vec<&'a Endpoint>,
+        now: Timestamp,
+    ) -> Vec<&'a Endpoint> {
+        endpoints.retain(|it| self.is_named(service, &it.entry.version));
+        let may_begin = |it: &&Endpoint| self.may_begin_streams(service, &it.entry.version, now);
+        if endpoints.iter().any(may_begin) {
+            endpoints.retain(may_begin);
+        }
+        endpoints
     }
 
     /// Returns whether the store names a version of a service.
-    pub fn is_named(&self, service: &str, version: &str) -> bool {
-        self.named_versions.get(service).is_some_and(|it| it.contains(version))
+    fn is_named(&self, service: &str, version: &str) -> bool {
+        self.named_versions.get(service).is_some_and(|it| it.contains_key(version))
     }
 
     /// Returns whether an endpoint has a version that the store does not name.
--- a/components/relay/src/origins/decision.rs
+++ b/components/relay/src/origins/decision.rs
@@ -26,14 +26,27 @@
 
 /// Decides at which version a stream of `service` goes on. Without a record of its origin, it goes
 /// on only if the service has had a single version, as far as this router and all that answered know.
-pub fn decide_take_up(service: &Arc<str>, view: &VersionView, answers: &QueryResult) -> TakeUp {
+///
+/// A version may have joined, and its streams begun at other routers, since this router read its list.
+/// So its view counts only if `is_current`, that is if it was read after the caller came back, or if all
+/// routers that were asked have answered.
+pub fn decide_take_up(
+    service: &Arc<str>,
+    view: &VersionView,
+    is_current: bool,
+    answers: &QueryResult,
+) -> TakeUp {
     if let Some(origin) = &answers.origin {
         return TakeUp::At(origin.clone());
     }
     let mut seen = QueryResult::default();
     seen.add_versions(&view.versions);
     seen.add_versions(&answers.versions);
-    let is_known = view.is_complete || answers.complete > 0;
+    let is_known = if answers.have_all_answered() {
+        view.is_complete || answers.complete > 0
+    } else {
+        view.is_complete && is_current
+    };
     match seen.versions.as_slice() {
         [only] if is_known => {
             TakeUp::At(Origin { service: service.clone(), version: only.clone() })
--- a/components/relay/src/origins/named_versions.rs
+++ b/components/relay/src/origins/named_versions.rs
@@ -14,12 +14,21 @@
 /// back, and than the row may be outdated.
 const GONE_TIME: Duration = Duration::from_secs(70);
 
+/// Time from naming a further version of a service until streams begin there. It is longer than the age
+/// up to which a router trusts its list of endpoints, so that each router which does knows the version
+/// before a caller can take up one of its streams.
+pub const NAMING_LEAD: Duration = Duration::from_millis(2_500);
+
 /// Row that names the versions at which streams of a service may begin.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NamedVersionsRow {
     /// Versions, each with the time of the store, in milliseconds, at which a router last knew
     /// endpoints of it. The time is outdated if the row names a single version.
     pub versions: BTreeMap<Arc<str>, u64>,
+    /// When versions that joined others were named, by the time of the store in milliseconds. Rows of
+    /// earlier builds lack it.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub joined: BTreeMap<Arc<str>, u64>,
 }
 
 impl NamedVersionsRow {
@@ -33,8 +42,21 @@
             // It was in use until now: no other version has been.
             versions.values_mut().for_each(|seen_ms| *seen_ms = now_ms);
         }
+        let mut joined = self.joined.clone();
+        if !self.versions.is_empty() {
+            let new = present.iter().filter(|it| !versions.contains_key(*it));
+            joined.extend(new.map(|it| (it.clone(), now_ms)));
+        }
         versions.extend(present.iter().map(|it| (it.clone(), now_ms)));
-        NamedVersionsRow { versions }
+        joined.retain(|version, _| versions.contains_key(version));
+        NamedVersionsRow { versions, joined }
+    }
+
+    /// Returns the time until streams may begin at a version.
+    pub fn time_until_use(&self, version: &str, now_ms: u64) -> Duration {
+        let named_ms = self.joined.get(version).filter(|_| self.versions.len() > 1);
+        let age = named_ms.map(|it| Duration::from_millis(now_ms.saturating_sub(*it)));
+        age.map_or(Duration::ZERO, |it| NAMING_LEAD.saturating_sub(it))
     }
 
     /// Returns the versions at which a stream may have begun that a caller takes up now.
--- a/components/relay/src/origins/queries.rs
+++ b/components/relay/src/origins/queries.rs
@@ -36,6 +36,11 @@
         self.origin.is_some() || self.answered >= self.asked
     }
 
+    /// Reports whether routers were asked and all of them have answered.
+    pub fn have_all_answered(&self) -> bool {
+        self.asked > 0 && self.answered >= self.asked
+    }
+
     /// Adds versions, each once.
     pub fn add_versions(&mut self, versions: &[Arc<str>]) {
         for version in versions {
--- a/components/relay/src/peers/origins.rs
+++ b/components/relay/src/peers/origins.rs
@@ -93,7 +93,7 @@
 }
 
 /// Returns what is known about where a stream began. `key` is `None` if the caller does not say which
-/// stream it takes up. Other routers are asked unless this one can answer alone.
+/// stream it takes up. Other routers are asked unless this one has a record.
 pub(crate) async fn find_origin(
     cx: &RelayContext,
     key: Option<StreamKey>,
@@ -104,9 +104,6 @@
     if own.is_some() {
         return QueryResult { origin: own, ..QueryResult::default() };
     }
-    if key.is_none() && own_view(cx, service).is_complete {
-        return QueryResult::default();
-    }
     ask_routers(cx, key.unwrap_or(StreamKey(0)), service).await
 }
 
@@ -141,9 +138,8 @@
 
 /// Returns what this router knows about the versions of a service.
 pub(crate) fn own_view(cx: &RelayContext, service: &str) -> VersionView {
-    let has_history = cx.has_version_history.load(Ordering::Relaxed)
-        && cx.has_named_versions.load(Ordering::Relaxed);
-    cx.lock_endpoints().version_view(service, has_history, cx.now())
+    let has_history = cx.has_version_history.load(Ordering::Relaxed);
+    cx.lock_endpoints().version_view(service, has_history, cx.now(), cx.boot_now())
 }
 
 /// Keeps the record of another router's stream.
--- a/components/relay/src/serve/continuation.rs
+++ b/components/relay/src/serve/continuation.rs
@@ -7,9 +7,12 @@
 };
 
 use errors::{Error, ErrorKind};
+use tokio::time::Instant;
+use types::Timestamp;
 
 use super::{placing::retryable_error, run::ActiveRequest};
 use crate::{
+    context::RelayContext,
     endpoints::Placement,
     model::RetryPolicy,
     origins::{Origin, OriginRecord, StreamKey, TakeUp, decide_take_up},
@@ -19,6 +22,9 @@
 /// Mean retry delay returned to callers if routers that may know where a stream began did not answer.
 const UNKNOWN_RETRY_DELAY: Duration = Duration::from_millis(600);
 
+/// Time for which a caller that takes up a stream waits for a read of the list of endpoints.
+const VERSIONS_TIMEOUT: Duration = Duration::from_millis(600);
+
 fn stream_key(request: &ActiveRequest, id: &str) -> StreamKey {
     StreamKey::new(request.account.as_ref().map_or("", |it| &it.name), id)
 }
@@ -35,14 +41,21 @@
     metrics::counter!(telemetry::STREAMS_TAKEN_UP_TOTAL).increment(1);
     let (cx, service) = (request.cx.clone(), request.service.clone());
     let key = request.head.resumes.as_deref().map(|id| stream_key(request, id));
+    let arrived_at = cx.boot_now();
     let answers = find_origin(&cx, key, &service).await;
-    let view = own_view(&cx, &service);
+    let mut view = own_view(&cx, &service);
     // The service was picked at random; the stream may have begun at another one of the route.
     let is_service_known = request.route.targets.len() == 1 || key.is_none();
-    let take_up = match decide_take_up(&service, &view, &answers) {
-        TakeUp::At(_) if answers.origin.is_none() && !is_service_known => TakeUp::Unknown,
-        take_up => take_up,
-    };
+    let mut take_up = decide_take_up(&service, &view, false, &answers);
+    let would_help = || decide_take_up(&service, &view, true, &answers) != TakeUp::Unknown;
+    if take_up == TakeUp::Unknown && is_service_known && would_help() {
+        let is_current = wait_for_versions(&cx, arrived_at).await;
+        view = own_view(&cx, &service);
+        take_up = decide_take_up(&service, &view, is_current, &answers);
+    }
+    if answers.origin.is_none() && !is_service_known {
+        take_up = TakeUp::Unknown;
+    }
     let resumes = request.head.resumes.as_deref().unwrap_or("");
     log::info!(request:% = request.head.id, resumes, last_event, asked = answers.asked, answered = answers.answered, versions:? = view.versions, decision:? = take_up; "caller takes up a stream");
     match take_up {
@@ -72,6 +85,22 @@
     }
 }
 
+/// Waits until the versions of services have been read by a read that began at `since` or later, by a
+/// clock that counts suspension. Returns `false` if that takes too long.
+async fn wait_for_versions(cx: &RelayContext, since: Timestamp) -> bool {
+    let until = Instant::now() + VERSIONS_TIMEOUT;
+    loop {
+        let read = cx.versions_read.notified();
+        if cx.lock_endpoints().has_versions_since(since) {
+            return true;
+        }
+        cx.list_wanted.notify_one();
+        if tokio::time::timeout_at(until, read).await.is_err() {
+            return false;
+        }
+    }
+}
+
 /// Returns the version at which the request has to run: that of the stream that it goes on with.
 /// A stream without an event has not begun and may run at any version.
 pub(super) fn required_version(request: &ActiveRequest) -> Option<&Arc<str>> {
--- a/components/relay/src/sync/named_versions.rs
+++ b/components/relay/src/sync/named_versions.rs
@@ -1,10 +1,7 @@
 //! Background task that names the versions of the endpoints' software in the store before streams
 //! begin at them.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use platform::{Commit, CommitOutcome, Era, Key, PlatformError, Precondition, Revision, Write};
 use types::Timestamp;
@@ -70,9 +67,13 @@
 }
 
 /// Reads the rows if needed, and writes those that are due. Returns when to do so again.
-async fn synchronize(cx: &RelayContext, known: &mut KnownRows) -> Result<Duration, PlatformError> {
+async fn synchronize(
+    cx: &Arc<RelayContext>,
+    known: &mut KnownRows,
+) -> Result<Duration, PlatformError> {
     // A store that has come back from an older copy may lack some of the names.
-    if !known.is_read || known.era != cx.table.era() {
+    let needs_names = cx.lock_endpoints().needs_names();
+    if !known.is_read || needs_names || known.era != cx.table.era() {
         read_rows(cx, known).await?;
     }
     let services = services_in_force(cx);
@@ -108,8 +109,8 @@
     services
 }
 
-async fn read_rows(cx: &RelayContext, known: &mut KnownRows) -> Result<(), PlatformError> {
-    let era = cx.table.era();
+async fn read_rows(cx: &Arc<RelayContext>, known: &mut KnownRows) -> Result<(), PlatformError> {
+    let (era, began_at) = (cx.table.era(), cx.boot_now());
     let found = cx.table.scan(KEY_PREFIX, None).await?;
     let now_ms = store_millis(cx);
     known.rows.clear();
@@ -125,13 +126,14 @@
         }
     }
     (known.era, known.is_read) = (era, true);
-    cx.has_named_versions.store(true, Ordering::Relaxed);
+    cx.lock_endpoints().record_names_read(began_at);
+    cx.versions_read.notify_waiters();
     Ok(())
 }
 
 /// Writes the rows that name several versions again, if this router is the first in rank for them.
 async fn refresh_rows(
-    cx: &RelayContext,
+    cx: &Arc<RelayContext>,
     known: &mut KnownRows,
     services: &[(Arc<str>, Vec<Arc<str>>)],
 ) -> Result<(), PlatformError> {
@@ -148,7 +150,7 @@
 
 /// Adds the versions that endpoints have to the row of a service.
 async fn write_row(
-    cx: &RelayContext,
+    cx: &Arc<RelayContext>,
     known: &mut KnownRows,
     service: &Arc<str>,
     present: &[Arc<str>],
@@ -179,13 +181,28 @@
     }
 }
 
-/// Lets streams begin at the versions that a row names.
-fn apply_row(cx: &RelayContext, service: &Arc<str>, row: &NamedVersionsRow, now_ms: u64) {
+/// Lets streams begin at the versions that a row names, as soon as each may be used.
+fn apply_row(cx: &Arc<RelayContext>, service: &Arc<str>, row: &NamedVersionsRow, now_ms: u64) {
     let now = cx.now();
+    let versions = row.versions.keys();
+    let waits: Vec<(Arc<str>, Duration)> =
+        versions.map(|it| (it.clone(), row.time_until_use(it, now_ms))).collect();
+    let longest = waits.iter().map(|it| it.1).max().unwrap_or_default();
     let mut endpoints = cx.lock_endpoints();
     endpoints.add_stored_versions(service, &row.in_memory(now_ms), Duration::ZERO, now);
-    endpoints.set_named_versions(service, row.versions.keys());
+    endpoints.set_named_versions(service, waits.into_iter().map(|(it, wait)| (it, now + wait)));
     drop(endpoints);
+    wake_waiting(cx);
+    if !longest.is_zero() {
+        let cx = cx.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(longest).await;
+            wake_waiting(&cx);
+        });
+    }
+}
+
+fn wake_waiting(cx: &RelayContext) {
     cx.capacity_freed.notify_waiters();
     cx.wake_all_waiting();
 }
