Count requests that ran while their router stood still

Callers saw: an account with 120,000 prepaid tokens got 155,340 (BUDGET) after a router had been stopped for four seconds: requests without an event whose callers had left counted with no tokens, though endpoints had run them.

Cause: a stream whose caller leaves before its first event counts as not run. A router that stands still reads no events, so that shows nothing.

Change: the router notices by a late check that it stood still, or that its host was suspended, and counts such requests with their maximum.

--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -32,6 +32,7 @@
     room::{RoomBook, RouterRoom},
     serve::{EndpointConnections, WaitingRequests},
     settings::RelaySettings,
+    stalls::Stalls,
     tunnel::TunnelServer,
 };
 
@@ -130,6 +131,7 @@
     witness_records: Mutex<WitnessRecords>,
     waiting: Mutex<WaitingRequests>,
     room: Mutex<RoomBook>,
+    stalls: Mutex<Stalls>,
     rng: Mutex<Rng>,
 }
 
@@ -201,6 +203,7 @@
                 processor_millis: f64::from(settings.processor_millis),
                 ..RouterRoom::default()
             })),
+            stalls: Mutex::default(),
             rng: Mutex::new(rng),
             settings,
         }
@@ -376,6 +379,22 @@
         self.room.lock().expect("the lock is not poisoned")
     }
 
+    /// Checks whether the process has stood still.
+    pub(crate) fn check_for_stall(&self) {
+        let (now, boot_now) = (self.now(), self.boot_now());
+        self.lock_stalls().check(now, boot_now);
+    }
+
+    /// Reports whether the process has stood still since a point in time.
+    pub(crate) fn has_stalled_since(&self, at: Timestamp) -> bool {
+        self.check_for_stall();
+        self.lock_stalls().has_stalled_since(at)
+    }
+
+    fn lock_stalls(&self) -> MutexGuard<'_, Stalls> {
+        self.stalls.lock().expect("the lock is not poisoned")
+    }
+
     /// Locks the random number generator.
     pub(crate) fn lock_rng(&self) -> MutexGuard<'_, Rng> {
         self.rng.lock().expect("the lock is not poisoned")
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod serve;
 mod settings;
 mod sockets;
+mod stalls;
 pub mod stream;
 mod sync;
 mod transfer;
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -29,11 +29,12 @@
 use crate::{
     context::RelayContext,
     room::{RoomSample, is_crowded, is_drawn_by_room},
+    stalls::CHECK_INTERVAL,
     units::millis,
 };
 
 /// Time between two rounds of status messages.
-const SEND_INTERVAL: Duration = Duration::from_millis(300);
+const SEND_INTERVAL: Duration = CHECK_INTERVAL;
 
 /// Maximum number of routers in this router's failure domain to which each round is sent. The
 /// limit keeps the cost per router independent of the size of the fleet.
@@ -229,6 +230,7 @@
     loop {
         let due = cx.now() + SEND_INTERVAL;
         tokio::time::sleep(SEND_INTERVAL).await;
+        cx.check_for_stall();
         update_room(cx, due);
         cx.gossip.send_status(cx, false).await;
         update_holders(cx);
--- a/components/relay/src/serve/run.rs
+++ b/components/relay/src/serve/run.rs
@@ -158,9 +158,14 @@
         let Some(tokens) = self.head.tokens.filter(|_| self.delivered_attempts > 0) else {
             return 0;
         };
-        if !self.may_have_run || self.caller_left_before_run() {
+        if !self.may_have_run {
             return 0;
         }
+        if self.caller_left_before_run() {
+            // While the process stood still, the endpoint may have sent events that were not read.
+            let has_stalled = self.cx.has_stalled_since(self.received_at);
+            return if has_stalled { tokens.total() } else { 0 };
+        }
         let spec = self.in_force.state.services.get(&self.service);
         let per_event = spec.and_then(|it| it.tokens_per_event);
         let Some(per_event) = per_event.filter(|_| !self.has_uncounted_output) else {
--- /dev/null
+++ b/components/relay/src/stalls.rs
@@ -0,0 +1,41 @@
+//! Finds out when the process stood still: it was stopped, or its host was suspended.
+
+use std::time::Duration;
+
+use types::Timestamp;
+
+/// Maximum time between two checks while the process runs.
+pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time by which a check must be late to show that the process stood still.
+const LATENESS_MIN: Duration = Duration::from_millis(500);
+
+/// When the process last stood still.
+#[derive(Debug, Default)]
+pub(crate) struct Stalls {
+    /// When the last check was made, by a clock that counts suspension.
+    checked_at: Timestamp,
+    /// When the last stall was noticed, by the clock of the process.
+    noticed_at: Option<Timestamp>,
+}
+
+impl Stalls {
+    /// Checks whether the process has stood still since the last check. `boot_now` is the time by a clock
+    /// that counts suspension.
+    pub(crate) fn check(&mut self, now: Timestamp, boot_now: Timestamp) {
+        if boot_now.since(self.checked_at) >= CHECK_INTERVAL + LATENESS_MIN {
+            log::info!(stall_ms = boot_now.since(self.checked_at).as_millis(); "the process stood still");
+            self.noticed_at = Some(now);
+        }
+        self.checked_at = boot_now;
+    }
+
+    /// Reports whether a stall was noticed at `at` or later.
+    pub(crate) fn has_stalled_since(&self, at: Timestamp) -> bool {
+        self.noticed_at.is_some_and(|it| it >= at)
+    }
+}
+
+#[cfg(test)]
+#[path = "stalls_tests.rs"]
+mod tests;
