--- a/components/relay/src/endpoints/versions.rs
+++ b/components/relay/src/endpoints/versions.rs
@@ -173,15 +173,16 @@
         named.is_some_and(|at| *at <= now)
     }
 
-    /// Returns those of `endpoints` where streams that callers may take up may begin. A version that was
-    /// named a moment ago is used only if there is no other one.
+    /// Returns those of `endpoints` where streams that callers may take up may begin. The version of a process
+    /// that has started since the entry was written is not known. A version that was named a moment ago is used
+    /// only if there is no other one.
     pub(super) fn where_streams_may_begin<'a>(
         &self,
         service: &str,
         mut endpoints: Vec<&'a Endpoint>,
         now: Timestamp,
     ) -> Vec<&'a Endpoint> {
-        endpoints.retain(|it| self.is_named(service, &it.entry.version));
+        endpoints.retain(|it| it.ended == 0 && self.is_named(service, &it.entry.version));
         let may_begin = |it: &&Endpoint| self.may_begin_streams(service, &it.entry.version, now);
         if endpoints.iter().any(may_begin) {
             endpoints.retain(may_begin);
--- a/components/relay/tests/origins.rs
+++ b/components/relay/tests/origins.rs
@@ -201,15 +201,16 @@
     assert_eq!(place(Some("v0")), Choice::NoVersion);
 }
 
-/// Guards against going on at an endpoint that has started again, perhaps with another version, before
-/// its new entry has arrived.
+/// Guards against going on, or beginning a stream, at an endpoint that has started again, perhaps with another
+/// version, before its new entry has arrived.
 #[test]
 fn endpoint_whose_entry_is_outdated_gets_no_stream_of_its_former_version() {
     let mut endpoints = EndpointRegistry::default();
     let now = Timestamp::ZERO + Duration::from_secs(1);
     let version: Arc<str> = "v1".into();
     endpoints.apply_change(EndpointChange::Written(entry("i-1", "v1", 1)), now);
-    let place = |endpoints: &mut EndpointRegistry| {
+    endpoints.set_named_versions(&"svc".into(), [(version.clone(), now)].into_iter());
+    let place = |endpoints: &mut EndpointRegistry, begins_stream: bool| {
         let request = PlacementRequest {
             service: &"svc".into(),
             spec: None,
@@ -218,22 +219,25 @@
             failed_endpoints: &[],
             failure_domain: "zlin",
             routers: 3,
-            begins_stream: false,
-            version: Some(&version),
+            begins_stream,
+            version: (!begins_stream).then_some(&version),
             is_stream: true,
             suspect: None,
             fill_share: 1.0,
         };
         endpoints.place(&request, now, &mut seeded_rng(1))
     };
-    let Choice::Placed(placement) = place(&mut endpoints) else { panic!("not placed") };
+    let Choice::Placed(placement) = place(&mut endpoints, false) else { panic!("not placed") };
     endpoints.record_end("i-1", placement.process, now);
-    assert_eq!(place(&mut endpoints), Choice::NoVersion);
+    assert_eq!(place(&mut endpoints, false), Choice::NoVersion);
+    assert_eq!(place(&mut endpoints, true), Choice::Unnamed);
     // An entry that the ended process wrote may arrive late.
     endpoints.apply_change(EndpointChange::Written(entry("i-1", "v1", 1)), now);
-    assert_eq!(place(&mut endpoints), Choice::NoVersion);
+    assert_eq!(place(&mut endpoints, false), Choice::NoVersion);
+    assert_eq!(place(&mut endpoints, true), Choice::Unnamed);
     endpoints.apply_change(EndpointChange::Written(entry("i-1", "v1", 2)), now);
-    assert!(matches!(place(&mut endpoints), Choice::Placed(_)));
+    assert!(matches!(place(&mut endpoints, false), Choice::Placed(_)));
+    assert!(matches!(place(&mut endpoints, true), Choice::Placed(_)));
 }
 
 /// Guards against a query that ends early because routers that answered twice count for others.
