Find out which process of an endpoint has begun a stream

Callers saw: streams joined from two software versions (ORDER), after an endpoint had started again under its id with another version.

Cause: a stream is recorded with the version in the endpoint's entry as last read, up to half a second ago. If the endpoint has started again since, its new process begins the stream, and the stream later goes on at the former version.

Change: once the list has been read after the first event, the router compares the process. If another one is listed and the stream still runs, it began there, and the record is corrected at all its holders. A stream that broke in between waits for that read, and goes on nowhere if its process cannot be told.

--- a/components/relay/src/endpoints/mod.rs
+++ b/components/relay/src/endpoints/mod.rs
@@ -32,4 +32,5 @@
     rate_limit::{RateReport, RateStatement},
     speeds::SpeedReport,
     statements::{BrittleReport, StatementReport, Statements},
+    versions::ProcessCheck,
 };
--- a/components/relay/src/endpoints/versions.rs
+++ b/components/relay/src/endpoints/versions.rs
@@ -19,6 +19,17 @@
 /// Age of the last complete read of the list above which changes may be missing.
 const LIST_MAX_AGE: Duration = Duration::from_secs(2);
 
+/// Which process of an endpoint served at some time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ProcessCheck {
+    /// The list of endpoints has not been read since.
+    Pending,
+    /// The process that was listed before, as far as the list tells.
+    Same,
+    /// Another process, with this version, is listed now.
+    Replaced(Arc<str>),
+}
+
 /// Reads from which this router knows the versions of services. Times are by a clock that counts the time
 /// for which the host was suspended, and are those at which reads began: what an answer lacks may have
 /// been written while it was under way.
@@ -113,6 +124,19 @@
         !self.needs_names() && self.version_reads.list_at.is_some_and(|at| at >= since)
     }
 
+    /// Finds out whether the process of an endpoint that started at `started_at_ms` is still listed by a read
+    /// that began at `since` or later, by a clock that counts suspension.
+    pub fn check_process(&self, id: &str, started_at_ms: u64, since: Timestamp) -> ProcessCheck {
+        if self.version_reads.list_at.is_none_or(|at| at < since) {
+            return ProcessCheck::Pending;
+        }
+        let entry = self.endpoints.get(id).map(|it| &it.entry);
+        match entry.filter(|it| it.started_at_ms != started_at_ms) {
+            Some(successor) => ProcessCheck::Replaced(successor.version.clone()),
+            None => ProcessCheck::Same,
+        }
+    }
+
     /// Returns what this router knows about the versions of a service. `has_history` tells whether
     /// it has read the history that earlier routers stored, `boot_now` is the time by a clock that counts
     /// suspension.
--- a/components/relay/src/origins/begun_streams.rs
+++ b/components/relay/src/origins/begun_streams.rs
@@ -28,8 +28,9 @@
 }
 
 impl BegunStreams {
-    /// Adds a stream that has begun.
+    /// Adds a stream that has begun, or replaces where it has.
     pub fn add(&mut self, key: StreamKey, origin: Origin, now: Timestamp) {
+        self.streams.retain(|(_, known, _)| *known != key);
         self.streams.push_back((now, key, origin));
         self.has_new = true;
         if self.streams.len() > STREAMS_MAX {
--- a/components/relay/src/serve/continuation.rs
+++ b/components/relay/src/serve/continuation.rs
@@ -22,6 +22,10 @@
 /// Mean retry delay returned to callers if routers that may know where a stream began did not answer.
 const UNKNOWN_RETRY_DELAY: Duration = Duration::from_millis(600);
 
+/// Stands for the version of a stream if that cannot be told. No endpoint has it: names of versions have no
+/// control characters.
+const UNKNOWN_VERSION: &str = "\0";
+
 /// Time for which a caller that takes up a stream waits for a read of the list of endpoints.
 const VERSIONS_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -87,7 +91,7 @@
 
 /// Waits until the versions of services have been read by a read that began at `since` or later, by a
 /// clock that counts suspension. Returns `false` if that takes too long.
-async fn wait_for_versions(cx: &RelayContext, since: Timestamp) -> bool {
+pub(super) async fn wait_for_versions(cx: &RelayContext, since: Timestamp) -> bool {
     let until = Instant::now() + VERSIONS_TIMEOUT;
     loop {
         let read = cx.versions_read.notified();
@@ -132,6 +136,23 @@
     announce_origin(&request.cx, &record).await;
 }
 
+/// Replaces the version at which the stream is known to have begun, also at other routers. With `None` the
+/// version is unknown, and the stream goes on nowhere.
+pub(super) async fn correct_origin(request: &mut ActiveRequest, version: Option<Arc<str>>) {
+    let service = request.service.clone();
+    let origin = Origin { service, version: version.unwrap_or_else(|| UNKNOWN_VERSION.into()) };
+    if request.origin.as_ref() == Some(&origin) {
+        return;
+    }
+    log::info!(request:% = request.head.id, from:? = request.origin.as_ref().map(|it| &it.version), to:? = origin.version; "stream has begun at another version than its endpoint was listed with");
+    request.origin = Some(origin.clone());
+    let key = stream_key(request, &request.head.id);
+    let record = OriginRecord { key, attempt: request.origin_records, origin };
+    request.origin_records += 1;
+    announce_origin(&request.cx, &record).await;
+    record_begun(request);
+}
+
 /// Stores where the stream has begun, now that its first event has come.
 pub(super) fn record_begun(request: &ActiveRequest) {
     let is_resumable = request.route.retry_policy == RetryPolicy::ResumableStream;
--- a/components/relay/src/serve/mod.rs
+++ b/components/relay/src/serve/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP serving: accepts callers' requests, forwards them to endpoints and returns the answers.
 
+mod beginning;
 mod body;
 mod connection;
 mod connections;
--- a/components/relay/src/serve/stream_run.rs
+++ b/components/relay/src/serve/stream_run.rs
@@ -10,6 +10,7 @@
 use types::Timestamp;
 
 use super::{
+    beginning::Beginning,
     body::ResponseBody,
     continuation::{record_begun, record_no_version},
     exchange::{EndpointResponse, PlacementGuard},
@@ -41,6 +42,9 @@
     splitter: EventSplitter,
     /// Measures the gaps between events.
     gaps: GapMeter,
+    /// Endpoint that has begun the stream, until it is known which of its processes did; `None` if the
+    /// stream has not begun, or its caller cannot take it up.
+    beginning: Option<Beginning>,
 }
 
 /// Result of waiting for an endpoint's stream.
@@ -91,7 +95,8 @@
     }
     request.outcome = CALLER_LEFT;
     let splitter = EventSplitter::after(last_event);
-    let state = StreamRelay { request, source: Some(source), splitter, gaps: GapMeter::default() };
+    let gaps = GapMeter::default();
+    let state = StreamRelay { request, source: Some(source), splitter, gaps, beginning: None };
     let chunks = stream::unfold(state, |mut state| async move {
         let chunk = state.next_chunk().await?;
         Some((chunk, state))
@@ -110,7 +115,14 @@
     async fn next_chunk(&mut self) -> Option<io::Result<Bytes>> {
         loop {
             match self.next_input().await {
-                StreamInput::Events(bytes) => return Some(Ok(bytes)),
+                StreamInput::Events(bytes) => {
+                    if let Some(beginning) = &self.beginning
+                        && beginning.confirm(&mut self.request).await
+                    {
+                        self.beginning = None;
+                    }
+                    return Some(Ok(bytes));
+                }
                 StreamInput::End => {
                     self.finish_stream();
                     return None;
@@ -118,13 +130,18 @@
                 StreamInput::Late => return Some(Err(self.cut_off(CutReason::Deadline))),
                 StreamInput::Broken(reason) => {
                     self.leave_broken_endpoint(&reason).await;
+                    self.confirm_beginning().await;
                     if let Err(reason) = self.resume(None).await {
                         return Some(Err(self.cut_off(reason)));
                     }
                 }
                 StreamInput::Replaced(guard) => {
                     self.leave_silent_endpoint();
-                    if let Err(reason) = self.resume(Some(*guard)).await {
+                    let origin = self.request.origin.clone();
+                    self.confirm_beginning().await;
+                    // The run was granted for the version that was known before.
+                    let guard = (self.request.origin == origin).then_some(*guard);
+                    if let Err(reason) = self.resume(guard).await {
                         return Some(Err(self.cut_off(reason)));
                     }
                 }
@@ -132,6 +149,13 @@
         }
     }
 
+    /// Finds out which process began the stream, now that it has left its endpoint.
+    async fn confirm_beginning(&mut self) {
+        if let Some(beginning) = self.beginning.take() {
+            beginning.confirm_after_break(&mut self.request).await;
+        }
+    }
+
     async fn next_input(&mut self) -> StreamInput {
         let deadline = self.request.cx.instant(self.request.deadline);
         // Bytes of an event that does not end are no sign that the endpoint goes on.
@@ -206,6 +230,11 @@
         let now = self.request.cx.now();
         self.request.first_event_at = Some(now);
         record_begun(&self.request);
+        let is_begun_here = self.request.origin.is_some() && self.request.head.last_event.is_none();
+        if let Some(source) = self.source.as_ref().filter(|_| is_begun_here) {
+            let boot_now = self.request.cx.boot_now();
+            self.beginning = Some(Beginning::new(&source.guard.placement, boot_now));
+        }
         let latency = now.since(self.request.received_at);
         metrics::histogram!(telemetry::FIRST_TOKEN_SECONDS).record(latency.as_secs_f64());
         if let Some(source) = &mut self.source {
