Tell where a stream began also after a stop of the router

Cause: a router that has stood still takes all others for unreachable for a moment. The second attempt of a stream, at another version, was recorded at no other router, and those that had the record of the first attempt answered with its version.

--- a/components/relay/src/origins/mod.rs
+++ b/components/relay/src/origins/mod.rs
@@ -10,7 +10,7 @@
 pub use self::{
     begun_streams::{BegunStreams, BegunStreamsRow},
     decision::{TakeUp, VersionView, decide_take_up},
-    named_versions::{NAMING_LEAD, NamedVersionsRow, REFRESH_INTERVAL},
+    named_versions::{NamedVersionsRow, REFRESH_INTERVAL},
     origin_book::{Origin, OriginBook, OriginRecord, StreamKey},
     queries::{OriginAnswer, OriginQueries, QueryResult},
 };
--- a/components/relay/src/origins/named_versions.rs
+++ b/components/relay/src/origins/named_versions.rs
@@ -17,7 +17,7 @@
 /// Time from naming a further version of a service until streams begin there. It is longer than the age
 /// up to which a router trusts its list of endpoints, so that each router which does knows the version
 /// before a caller can take up one of its streams.
-pub const NAMING_LEAD: Duration = Duration::from_millis(2_500);
+const NAMING_LEAD: Duration = Duration::from_millis(2_500);
 
 /// Row that names the versions at which streams of a service may begin.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/components/relay/src/peers/mod.rs
+++ b/components/relay/src/peers/mod.rs
@@ -35,7 +35,7 @@
         RoomMessage, StatusMessage,
     },
     origin_message::{OriginMessage, OriginQueryMessage, OriginReplyMessage},
-    origins::holders_of,
+    origins::{holders_of, record_targets},
     roster::{LivenessReport, Member, Roster, SelfStatus, process_key},
     speed_message::SpeedMessage,
     statement_message::{BrittleMessage, RateMessage, StatementMessage},
--- a/components/relay/src/peers/origins.rs
+++ b/components/relay/src/peers/origins.rs
@@ -48,19 +48,45 @@
     first.into_iter().chain(rest).take(HOLDERS).map(|it| it.peer_address).collect()
 }
 
-/// Records where a stream is about to begin, here and at other routers.
-pub(crate) async fn announce_origin(cx: &RelayContext, record: &OriginRecord) {
+/// Returns the routers to which the record of a stream is sent: those that are to keep it among the live ones,
+/// given with whether each is live, and those that have got an earlier record. A router that has stood still takes
+/// all others for unreachable, so without enough live ones the record goes to others as well.
+pub fn record_targets(
+    key: StreamKey,
+    members: &[(&Member, bool)],
+    earlier: &[SocketAddr],
+) -> Vec<SocketAddr> {
+    let live: Vec<&Member> = members.iter().filter(|it| it.1).map(|it| it.0).collect();
+    let mut targets = holders_of(key, &live);
+    let all: Vec<&Member> = members.iter().map(|it| it.0).collect();
+    let others = if live.len() < HOLDERS { holders_of(key, &all) } else { Vec::new() };
+    for target in others.into_iter().chain(earlier.iter().copied()) {
+        if !targets.contains(&target) {
+            targets.push(target);
+        }
+    }
+    targets
+}
+
+/// Records where a stream is about to begin, here and at other routers. Returns these; `earlier` are those
+/// that have got an earlier record of the stream.
+pub(crate) async fn announce_origin(
+    cx: &RelayContext,
+    record: &OriginRecord,
+    earlier: &[SocketAddr],
+) -> Vec<SocketAddr> {
     let now = cx.now();
     cx.lock_origins().record(record, now);
-    let holders = {
+    let targets = {
         let roster = cx.lock_roster();
-        let live: Vec<&Member> = roster.members(now).filter(|it| it.1).map(|it| it.0).collect();
-        holders_of(record.key, &live)
+        let members: Vec<(&Member, bool)> = roster.members(now).collect();
+        record_targets(record.key, &members, earlier)
     };
     let datagram = encode(PeerContent::Origin(OriginMessage::from_record(record)));
-    for holder in holders {
-        cx.gossip.send(&datagram, holder).await;
+    for target in &targets {
+        cx.gossip.send(&datagram, *target).await;
     }
+    targets
 }
 
 /// Stores where a stream has begun that its caller can take up, if its service has several versions. In a
--- a/components/relay/src/serve/continuation.rs
+++ b/components/relay/src/serve/continuation.rs
@@ -129,11 +129,7 @@
     if request.origin.as_ref() == Some(&origin) {
         return;
     }
-    request.origin = Some(origin.clone());
-    let key = stream_key(request, &request.head.id);
-    let record = OriginRecord { key, attempt: request.origin_records, origin };
-    request.origin_records += 1;
-    announce_origin(&request.cx, &record).await;
+    announce(request, origin).await;
 }
 
 /// Replaces the version at which the stream is known to have begun, also at other routers. With `None` the
@@ -145,12 +141,16 @@
         return;
     }
     log::info!(request:% = request.head.id, from:? = request.origin.as_ref().map(|it| &it.version), to:? = origin.version; "stream has begun at another version than its endpoint was listed with");
+    announce(request, origin).await;
+    record_begun(request);
+}
+
+async fn announce(request: &mut ActiveRequest, origin: Origin) {
     request.origin = Some(origin.clone());
     let key = stream_key(request, &request.head.id);
     let record = OriginRecord { key, attempt: request.origin_records, origin };
     request.origin_records += 1;
-    announce_origin(&request.cx, &record).await;
-    record_begun(request);
+    request.record_holders = announce_origin(&request.cx, &record, &request.record_holders).await;
 }
 
 /// Stores where the stream has begun, now that its first event has come.
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -219,6 +219,7 @@
         attempt_events: 0,
         origin: None,
         origin_records: 0,
+        record_holders: Vec::new(),
         is_trial: false,
         fingerprint: OnceLock::new(),
         sent_at: None,
--- a/components/relay/src/serve/run.rs
+++ b/components/relay/src/serve/run.rs
@@ -1,6 +1,7 @@
 //! State of a request in progress; its tokens are settled and its end is logged on drop.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, OnceLock, atomic::Ordering},
     time::Duration,
 };
@@ -83,6 +84,8 @@
     pub(super) origin: Option<Origin>,
     /// Number of times that an origin was recorded.
     pub(super) origin_records: u32,
+    /// Routers that have got the latest record.
+    pub(super) record_holders: Vec<SocketAddr>,
     /// Whether the request may be sent once although it contains something condemned, to test the
     /// verdict.
     pub(super) is_trial: bool,
--- a/components/relay/tests/origins.rs
+++ b/components/relay/tests/origins.rs
@@ -11,7 +11,7 @@
         NamedVersionsRow, Origin, OriginAnswer, OriginBook, OriginQueries, OriginRecord,
         QueryResult, StreamKey, TakeUp, VersionView, decide_take_up,
     },
-    peers::{Member, holders_of},
+    peers::{Member, holders_of, record_targets},
     room::RouterRoom,
 };
 use types::Timestamp;
@@ -127,6 +127,28 @@
     }
 }
 
+/// Guards against a record that stays at other routers although a later attempt began the stream, at a router
+/// that has stood still and takes all others for unreachable.
+#[test]
+fn record_reaches_those_that_have_an_earlier_one_and_others_if_none_is_live() {
+    let members: Vec<Member> = (0..8).map(|it| member(it, it % 4)).collect();
+    let targets = |live: &[usize], earlier: &[std::net::SocketAddr]| {
+        let known: Vec<(&Member, bool)> =
+            members.iter().enumerate().map(|(number, it)| (it, live.contains(&number))).collect();
+        record_targets(StreamKey::new("school", "r1"), &known, earlier)
+    };
+    let all: Vec<usize> = (0..8).collect();
+    let first = targets(&all, &[]);
+    assert_eq!(first.len(), 3);
+    assert_eq!(targets(&[], &[]), first);
+    let earlier = [member(6, 2).peer_address, member(7, 3).peer_address];
+    for live in [&all[..], &[], &[1]] {
+        let targets = targets(live, &earlier);
+        assert!(earlier.iter().all(|it| targets.contains(it)), "{live:?}: {targets:?}");
+        assert!(targets.len() <= 3 + 3 + earlier.len());
+    }
+}
+
 fn entry(id: &str, version: &str, started_at_ms: u64) -> EndpointEntry {
     EndpointEntry {
         id: id.into(),
--- a/programs/auburncrank-relay/tests/soak/main.rs
+++ b/programs/auburncrank-relay/tests/soak/main.rs
@@ -53,7 +53,9 @@
 /// - 608: a link lost an endpoint's refusals, and the check counted requests during pauses that the
 ///   router had not heard of.
 /// - 707: the store was out of reach, so several crashes of an engine counted as one.
-const SEEDS: [u64; 8] = [1, 2, 234, 18, 38, 55, 608, 707];
+/// - 3005: a router that had been paused told no other one that its streams began at another version than
+///   their first attempts, so that callers took them up at that of the first attempts.
+const SEEDS: [u64; 9] = [1, 2, 234, 18, 38, 55, 608, 707, 3005];
 
 /// Seeds that repeat failures while routers are cut off, endpoints are silent or brittle, and the
 /// desired state changes:
