--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -11,7 +11,6 @@
 use arc_swap::ArcSwapOption;
 use platform::Table;
 use routing::{ContentKey, CrashEvidence};
-use rustix::time::{ClockId, Timespec, clock_gettime};
 use tokio::{
     sync::{Notify, oneshot},
     time::Instant,
@@ -32,7 +31,7 @@
     room::{RoomBook, RouterRoom},
     serve::{EndpointConnections, WaitingRequests},
     settings::RelaySettings,
-    stalls::Stalls,
+    stalls::{Stalls, time_suspended},
     tunnel::TunnelServer,
 };
 
@@ -400,12 +399,3 @@
         self.rng.lock().expect("the lock is not poisoned")
     }
 }
-
-/// Returns the time for which the host has been suspended since it booted.
-fn time_suspended() -> Duration {
-    let steady = clock_gettime(ClockId::Monotonic);
-    let with_suspension = clock_gettime(ClockId::Boottime);
-    let micros = |it: Timespec| it.tv_sec * 1_000_000 + it.tv_nsec / 1_000;
-    let difference = micros(with_suspension) - micros(steady);
-    Duration::from_micros(u64::try_from(difference).unwrap_or(0))
-}
--- a/components/relay/src/endpoints/book.rs
+++ b/components/relay/src/endpoints/book.rs
@@ -13,7 +13,8 @@
     placement::{ConnectTarget, ProcessId},
     prompt_split::PromptSplit,
     store_contact::StoreContact,
-    versions::{GoneVersions, VersionReads},
+    version_reads::VersionReads,
+    versions::GoneVersions,
 };
 use crate::{
     domains::EmptiedDomains,
--- a/components/relay/src/endpoints/mod.rs
+++ b/components/relay/src/endpoints/mod.rs
@@ -18,6 +18,7 @@
 mod statements;
 mod store_contact;
 mod unreached;
+mod version_reads;
 mod versions;
 
 pub use self::{
--- a/components/relay/src/endpoints/versions.rs
+++ b/components/relay/src/endpoints/versions.rs
@@ -10,15 +10,12 @@
 use utils::HashMap;
 
 use super::{book::EndpointRegistry, endpoint::Endpoint};
-use crate::{origins::VersionView, units::millis};
+use crate::origins::VersionView;
 
 /// Time for which a version is remembered after its last endpoint: a caller may come back with a
 /// stream that it began.
 const VERSION_MEMORY: Duration = Duration::from_secs(60);
 
-/// Age of the last complete read of the list above which changes may be missing.
-const LIST_MAX_AGE: Duration = Duration::from_secs(2);
-
 /// Which process of an endpoint served at some time.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ProcessCheck {
@@ -30,40 +27,6 @@
     Replaced(Arc<str>),
 }
 
-/// Reads from which this router knows the versions of services. Times are by a clock that counts the time
-/// for which the host was suspended, and are those at which reads began: what an answer lacks may have
-/// been written while it was under way.
-#[derive(Debug, Default)]
-pub(super) struct VersionReads {
-    /// When the last read of the list of endpoints, or of its changes, began.
-    list_at: Option<Timestamp>,
-    /// When the first read of the list after a gap began, or after the start. Versions may have come
-    /// and gone in the gap.
-    gap_ended_at: Timestamp,
-    /// When the last read of the versions that the store names began.
-    names_at: Option<Timestamp>,
-}
-
-impl VersionReads {
-    fn record_list(&mut self, began_at: Timestamp) {
-        if !self.has_recent_list(began_at) {
-            self.gap_ended_at = began_at;
-            if let Some(before) = self.list_at {
-                log::info!(gap_ms = millis(began_at.since(before)); "list of endpoints read after a gap; the named versions are read again");
-            }
-        }
-        self.list_at = Some(began_at);
-    }
-
-    fn has_recent_list(&self, now: Timestamp) -> bool {
-        self.list_at.is_some_and(|at| now.since(at) <= LIST_MAX_AGE)
-    }
-
-    fn has_names(&self) -> bool {
-        self.names_at.is_some_and(|at| at >= self.gap_ended_at)
-    }
-}
-
 /// Versions that no endpoint of their service has any more.
 #[derive(Debug, Default)]
 pub(super) struct GoneVersions {
@@ -109,7 +72,7 @@
     /// Records that the versions that the store names have been read. `began_at` is the time at which the
     /// read began, by a clock that counts suspension.
     pub fn record_names_read(&mut self, began_at: Timestamp) {
-        self.version_reads.names_at = Some(began_at);
+        self.version_reads.record_names(began_at);
     }
 
     /// Reports whether the versions that the store names have to be read, since the list of endpoints may
@@ -121,13 +84,13 @@
     /// Reports whether the list of endpoints was read, and the versions that the store names if needed,
     /// by a read that began at `since` or later, by a clock that counts suspension.
     pub fn has_versions_since(&self, since: Timestamp) -> bool {
-        !self.needs_names() && self.version_reads.list_at.is_some_and(|at| at >= since)
+        !self.needs_names() && self.version_reads.has_list_since(since)
     }
 
     /// Finds out whether the process of an endpoint that started at `started_at_ms` is still listed by a read
     /// that began at `since` or later, by a clock that counts suspension.
     pub fn check_process(&self, id: &str, started_at_ms: u64, since: Timestamp) -> ProcessCheck {
-        if self.version_reads.list_at.is_none_or(|at| at < since) {
+        if !self.version_reads.has_list_since(since) {
             return ProcessCheck::Pending;
         }
         let entry = self.endpoints.get(id).map(|it| &it.entry);
--- a/components/relay/src/stalls.rs
+++ b/components/relay/src/stalls.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rustix::time::{ClockId, Timespec, clock_gettime};
 use types::Timestamp;
 
 /// Maximum time between two checks while the process runs.
@@ -36,6 +37,15 @@
     }
 }
 
+/// Returns the time for which the host has been suspended since it booted.
+pub(crate) fn time_suspended() -> Duration {
+    let steady = clock_gettime(ClockId::Monotonic);
+    let with_suspension = clock_gettime(ClockId::Boottime);
+    let micros = |it: Timespec| it.tv_sec * 1_000_000 + it.tv_nsec / 1_000;
+    let difference = micros(with_suspension) - micros(steady);
+    Duration::from_micros(u64::try_from(difference).unwrap_or(0))
+}
+
 #[cfg(test)]
 #[path = "stalls_tests.rs"]
 mod tests;
