--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -213,7 +213,7 @@
         Timestamp::ZERO + self.start.elapsed()
     }
 
-    /// Returns the time since the start of the process, with the time for which the host was suspended.
+    /// Returns the time since the start of the process, including time for which the host was suspended.
     /// Must not be compared with [`now`](Self::now).
     pub(crate) fn boot_now(&self) -> Timestamp {
         self.now() + time_suspended().saturating_sub(self.suspended_before)
@@ -378,20 +378,12 @@
         self.room.lock().expect("the lock is not poisoned")
     }
 
-    /// Checks whether the process has stood still.
-    pub(crate) fn check_for_stall(&self) {
+    /// Checks whether the process has stalled, and returns the stalls noticed so far.
+    pub(crate) fn check_for_stall(&self) -> MutexGuard<'_, Stalls> {
         let (now, boot_now) = (self.now(), self.boot_now());
-        self.lock_stalls().check(now, boot_now);
-    }
-
-    /// Reports whether the process has stood still since a point in time.
-    pub(crate) fn has_stalled_since(&self, at: Timestamp) -> bool {
-        self.check_for_stall();
-        self.lock_stalls().has_stalled_since(at)
-    }
-
-    fn lock_stalls(&self) -> MutexGuard<'_, Stalls> {
-        self.stalls.lock().expect("the lock is not poisoned")
+        let mut stalls = self.stalls.lock().expect("the lock is not poisoned");
+        stalls.check(now, boot_now);
+        stalls
     }
 
     /// Locks the random number generator.
--- a/components/relay/src/endpoints/versions.rs
+++ b/components/relay/src/endpoints/versions.rs
@@ -16,12 +16,12 @@
 /// stream that it began.
 const VERSION_MEMORY: Duration = Duration::from_secs(60);
 
-/// Which process of an endpoint served at some time.
+/// Whether the process that an endpoint was chosen for is still the listed one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ProcessCheck {
     /// The list of endpoints has not been read since.
     Pending,
-    /// The process that was listed before, as far as the list tells.
+    /// The same process is listed, or the endpoint is no longer listed.
     Same,
     /// Another process, with this version, is listed now.
     Replaced(Arc<str>),
--- a/components/relay/src/origins/decision.rs
+++ b/components/relay/src/origins/decision.rs
@@ -27,9 +27,8 @@
 /// Decides at which version a stream of `service` goes on. Without a record of its origin, it goes
 /// on only if the service has had a single version, as far as this router and all that answered know.
 ///
-/// A version may have joined, and its streams begun at other routers, since this router read its list.
-/// So its view counts only if `is_current`, that is if it was read after the caller came back, or if all
-/// routers that were asked have answered.
+/// This router's view may lack a version that joined after it was read. It counts only if `is_current`
+/// (read after the caller's request arrived) or if all routers that were asked have answered.
 pub fn decide_take_up(
     service: &Arc<str>,
     view: &VersionView,
--- a/components/relay/src/origins/named_versions.rs
+++ b/components/relay/src/origins/named_versions.rs
@@ -14,9 +14,8 @@
 /// back, and than the row may be outdated.
 const GONE_TIME: Duration = Duration::from_secs(70);
 
-/// Time from naming a further version of a service until streams begin there. It is longer than the age
-/// up to which a router trusts its list of endpoints, so that each router which does knows the version
-/// before a caller can take up one of its streams.
+/// Time from naming a further version of a service until streams begin there. Longer than the maximum age of
+/// a trusted list of endpoints, so that every trusted list contains the version by then.
 const NAMING_LEAD: Duration = Duration::from_millis(2_500);
 
 /// Row that names the versions at which streams of a service may begin.
--- a/components/relay/src/peers/gossip.rs
+++ b/components/relay/src/peers/gossip.rs
@@ -230,7 +230,7 @@
     loop {
         let due = cx.now() + SEND_INTERVAL;
         tokio::time::sleep(SEND_INTERVAL).await;
-        cx.check_for_stall();
+        drop(cx.check_for_stall());
         update_room(cx, due);
         cx.gossip.send_status(cx, false).await;
         update_holders(cx);
--- a/components/relay/src/peers/origins.rs
+++ b/components/relay/src/peers/origins.rs
@@ -48,9 +48,9 @@
     first.into_iter().chain(rest).take(HOLDERS).map(|it| it.peer_address).collect()
 }
 
-/// Returns the routers to which the record of a stream is sent: those that are to keep it among the live ones,
-/// given with whether each is live, and those that have got an earlier record. A router that has stood still takes
-/// all others for unreachable, so without enough live ones the record goes to others as well.
+/// Returns the routers to which the record of a stream is sent: its holders among the live `members` (each
+/// with whether it is live), and the routers in `earlier`, which have an earlier record. After a stall no
+/// member counts as live, so with too few live ones others are included.
 pub fn record_targets(
     key: StreamKey,
     members: &[(&Member, bool)],
--- a/components/relay/src/serve/exchange.rs
+++ b/components/relay/src/serve/exchange.rs
@@ -40,16 +40,16 @@
     pub(super) connections_max: usize,
 }
 
-/// How a single attempt is sent.
+/// Parameters of a single attempt.
 pub(super) struct AttemptOptions<'a> {
     /// Id of the caller's request, which the endpoint's answer repeats.
     pub(super) request_id: &'a str,
-    /// Headers for the endpoint.
+    /// Headers of the request as sent to the endpoint.
     pub(super) headers: HeaderMap,
     /// Time after which nothing is sent, and no answer is waited for.
     pub(super) deadline: Timestamp,
-    /// Whether an earlier attempt of the request may have reached the endpoint. A faulty endpoint may
-    /// write its answer to that once more on a kept connection, where the id cannot tell them apart.
+    /// Whether kept connections must not be used, because the endpoint has failed an earlier attempt. A
+    /// faulty endpoint may repeat its answer there, and all attempts of a request have the same id.
     pub(super) needs_new_connection: bool,
     /// Notified once a connection is open.
     pub(super) sending: &'a Notify,
--- a/components/relay/src/serve/run.rs
+++ b/components/relay/src/serve/run.rs
@@ -165,8 +165,8 @@
             return 0;
         }
         if self.caller_left_before_run() {
-            // While the process stood still, the endpoint may have sent events that were not read.
-            let has_stalled = self.cx.has_stalled_since(self.received_at);
+            // During a stall the endpoint may have sent events that this router has not read.
+            let has_stalled = self.cx.check_for_stall().has_stalled_since(self.received_at);
             return if has_stalled { tokens.total() } else { 0 };
         }
         let spec = self.in_force.state.services.get(&self.service);
--- a/components/relay/src/serve/stream_run.rs
+++ b/components/relay/src/serve/stream_run.rs
@@ -139,7 +139,7 @@
                     self.leave_silent_endpoint();
                     let origin = self.request.origin.clone();
                     self.confirm_beginning().await;
-                    // The run was granted for the version that was known before.
+                    // A corrected version makes the granted run unusable.
                     let guard = (self.request.origin == origin).then_some(*guard);
                     if let Err(reason) = self.resume(guard).await {
                         return Some(Err(self.cut_off(reason)));
--- a/components/relay/src/stalls.rs
+++ b/components/relay/src/stalls.rs
@@ -1,4 +1,4 @@
-//! Finds out when the process stood still: it was stopped, or its host was suspended.
+//! Detects stalls of the process: it was stopped, got no processor time, or its host was suspended.
 
 use std::time::Duration;
 
@@ -8,10 +8,10 @@
 /// Maximum time between two checks while the process runs.
 pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time by which a check must be late to show that the process stood still.
+/// Time by which a check must be late to count as a stall.
 const LATENESS_MIN: Duration = Duration::from_millis(500);
 
-/// When the process last stood still.
+/// Stalls of the process, detected by late checks.
 #[derive(Debug, Default)]
 pub(crate) struct Stalls {
     /// When the last check was made, by a clock that counts suspension.
@@ -21,11 +21,11 @@
 }
 
 impl Stalls {
-    /// Checks whether the process has stood still since the last check. `boot_now` is the time by a clock
+    /// Checks whether the process has stalled since the last check. `boot_now` is the time by a clock
     /// that counts suspension.
     pub(crate) fn check(&mut self, now: Timestamp, boot_now: Timestamp) {
         if boot_now.since(self.checked_at) >= CHECK_INTERVAL + LATENESS_MIN {
-            log::info!(stall_ms = boot_now.since(self.checked_at).as_millis(); "the process stood still");
+            log::info!(stall_ms = boot_now.since(self.checked_at).as_millis(); "process stalled");
             self.noticed_at = Some(now);
         }
         self.checked_at = boot_now;
--- a/components/relay/src/sync/named_versions.rs
+++ b/components/relay/src/sync/named_versions.rs
@@ -100,8 +100,8 @@
     result.map(|()| jitter(TURN_TIME, &mut cx.lock_rng()))
 }
 
-/// Returns the versions that endpoints have now, of the services that the desired state names. Entries of
-/// other services may come from other writers.
+/// Returns the versions of the endpoints of each service in the desired state. Entries of other services are
+/// ignored, as other writers may have left them.
 fn services_in_force(cx: &RelayContext) -> Vec<(Arc<str>, Vec<Arc<str>>)> {
     let Some(in_force) = cx.in_force.load_full() else { return Vec::new() };
     let mut services = cx.lock_endpoints().present_versions();
