--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -9,6 +9,7 @@
 };
 
 use arc_swap::ArcSwapOption;
+use inbound::{BodyBook, BodyLimits};
 use platform::Table;
 use routing::{ContentKey, CrashEvidence};
 use tokio::{
@@ -70,6 +71,8 @@
     pub(crate) connections: EndpointConnections,
     /// Connections to endpoints that other routers use through this one.
     pub(crate) tunnels: TunnelServer,
+    /// Bodies of callers' requests.
+    pub(crate) bodies: BodyBook,
     /// Exchange of messages with other routers.
     pub(crate) gossip: GossipSocket,
     /// Random process number, chosen at each start of the router.
@@ -161,6 +164,7 @@
             table: dependencies.table,
             connections: EndpointConnections::default(),
             tunnels: TunnelServer::default(),
+            bodies: BodyBook::new(BodyLimits::for_memory(settings.host_limits.memory_bytes)),
             gossip,
             process,
             in_force: ArcSwapOption::empty(),
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -7,10 +7,10 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use errors::{Error, ErrorKind};
 use http::{HeaderValue, Request, Response, header::CONNECTION};
 use hyper::body::Incoming;
+use inbound::HeldBody;
 use types::Timestamp;
 use utils::jitter;
 
@@ -87,8 +87,8 @@
         return Err(Error::new(ErrorKind::HeadersTooLarge, "the request headers exceed the limit"));
     }
     // The body is read even if the request is refused below, so that the connection stays usable.
-    let body = read_body(body, limits.body_max_bytes).await?;
-    if !body.is_empty() {
+    let body = read_body(cx, body, limits.body_max_bytes).await?;
+    if !body.bytes().is_empty() {
         cx.lock_room().bodies.record(cx.now().since(received_at));
     }
     // The desired state may have changed while the body arrived.
@@ -177,7 +177,7 @@
     admission: Admission,
     request_head: RequestHead,
     received_at: Timestamp,
-    (head, body): (http::request::Parts, Bytes),
+    (head, body): (http::request::Parts, HeldBody),
 ) -> Result<ActiveRequest, Error> {
     let Admission { in_force, route, account } = admission;
     let service = route.pick_service(&mut cx.lock_rng()).cloned();
@@ -205,9 +205,10 @@
             method: head.method,
             uri: head.uri,
             headers: head.headers,
-            body,
+            body: body.bytes().clone(),
             connections_max,
         },
+        _body: body,
         received_at,
         deadline: received_at + timeout,
         reservation: None,
--- a/components/relay/src/serve/request_body.rs
+++ b/components/relay/src/serve/request_body.rs
@@ -2,58 +2,51 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use errors::{Error, ErrorKind};
-use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use inbound::{BodyError, HeldBody};
+use utils::jitter;
+
+use crate::context::RelayContext;
 
 /// Time within which a body has to arrive, so that a disconnected caller does not hold memory
 /// for longer.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Mean retry delay returned to callers whose body was given up.
+const LOST_BODY_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// Reads a body of at most `max_bytes`.
 ///
 /// # Errors
-/// Returns an error if the body is longer, malformed, or does not arrive in time.
-pub(super) async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Error> {
+/// Returns an error if the body is longer, malformed, does not arrive in time, or there is no memory for it.
+pub(super) async fn read_body(
+    cx: &RelayContext,
+    body: Incoming,
+    max_bytes: usize,
+) -> Result<HeldBody, Error> {
     if body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok(HeldBody::empty());
     }
-    let collected = tokio::time::timeout(BODY_TIMEOUT, collect(body, max_bytes)).await;
-    collected.unwrap_or_else(|_| {
-        Err(Error::new(ErrorKind::SlowSender, "the request body did not arrive in time"))
-    })
+    within_timeout(cx, inbound::read_body(body, max_bytes, &cx.bodies)).await
 }
 
-async fn collect(mut body: Incoming, max_bytes: usize) -> Result<Bytes, Error> {
-    let declared = body.size_hint().exact().unwrap_or_default();
-    if declared > max_bytes as u64 {
-        return Err(too_large());
+async fn within_timeout<T>(
+    cx: &RelayContext,
+    read: impl Future<Output = Result<T, BodyError>>,
+) -> Result<T, Error> {
+    match tokio::time::timeout(BODY_TIMEOUT, read).await {
+        Ok(read) => read.map_err(|error| to_answer(cx, &error)),
+        Err(_) => Err(Error::new(ErrorKind::SlowSender, "the request body did not arrive in time")),
     }
-    let mut first: Option<Bytes> = None;
-    let mut buf = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| {
-            Error::new(ErrorKind::BadRequest, format!("failed to read the request body: {error}"))
-        })?;
-        let Ok(data) = frame.into_data() else { continue };
-        if first.is_none() && buf.is_empty() {
-            first = Some(data);
-            continue;
-        }
-        if let Some(first) = first.take() {
-            buf.reserve(usize::try_from(declared).unwrap_or_default());
-            buf.extend_from_slice(&first);
-        }
-        buf.extend_from_slice(&data);
-        if buf.len() > max_bytes {
-            return Err(too_large());
-        }
-    }
-    let whole = first.unwrap_or_else(|| buf.freeze());
-    if whole.len() > max_bytes { Err(too_large()) } else { Ok(whole) }
 }
 
-fn too_large() -> Error {
-    Error::new(ErrorKind::BodyTooLarge, "the request body exceeds the limit")
+/// Returns the error that the caller gets. A request without its whole body has not run.
+fn to_answer(cx: &RelayContext, error: &BodyError) -> Error {
+    match error {
+        BodyError::TooLarge => Error::new(ErrorKind::BodyTooLarge, error.to_string()),
+        BodyError::Malformed(_) => Error::new(ErrorKind::BadRequest, error.to_string()),
+        BodyError::Lost(_) => Error::new(ErrorKind::Overloaded, error.to_string())
+            .with_retry_delay(jitter(LOST_BODY_RETRY_DELAY, &mut cx.lock_rng())),
+    }
 }
--- a/components/relay/src/serve/run.rs
+++ b/components/relay/src/serve/run.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use inbound::HeldBody;
 use types::Timestamp;
 use utils::Digest;
 
@@ -62,6 +63,8 @@
     pub(super) service: Arc<str>,
     /// Request as sent to endpoints.
     pub(super) outgoing: OutgoingRequest,
+    /// Counts the memory of the body until the request ends.
+    pub(super) _body: HeldBody,
     /// When the request arrived.
     pub(super) received_at: Timestamp,
     /// End of the caller's or the route's timeout, whichever is earlier.
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -242,6 +242,13 @@
 /// `broken`.
 pub const ANSWERS_CUT_TOTAL: &str = "auburncrank_answers_cut_total";
 
+/// Counter of request bodies that were not held until their end for want of memory, by `reason`: `given_up`
+/// for those of later requests, or `no_memory` if no other body could be given up.
+pub const BODIES_LOST_TOTAL: &str = "auburncrank_bodies_lost_total";
+
+/// Gauge of the memory that the bodies of requests take, in bytes.
+pub const BODY_BYTES: &str = "auburncrank_body_bytes";
+
 /// Counter of callers' connections that did not end between two requests by the caller, by
 /// `reason`: `idle`, `unacknowledged` or `error`.
 pub const CALLER_CONNECTIONS_ENDED_TOTAL: &str = "auburncrank_caller_connections_ended_total";
