--- a/components/inbound/src/lib.rs
+++ b/components/inbound/src/lib.rs
@@ -7,5 +7,5 @@
 pub use self::{
     body_book::{ArrivingBody, BodyBook, BodyLoss, HeldBody},
     body_limits::BodyLimits,
-    read_body::{BodyError, read_body},
+    read_body::{BodyError, discard_body, read_body},
 };
--- a/components/inbound/src/read_body.rs
+++ b/components/inbound/src/read_body.rs
@@ -69,6 +69,25 @@
     }
 }
 
+/// Reads a body of at most `max_bytes` without holding it.
+///
+/// # Errors
+/// Returns an error if the body is longer or malformed.
+pub async fn discard_body<B>(mut body: B, max_bytes: usize) -> Result<(), BodyError>
+where
+    B: Body<Data = Bytes, Error: Display> + Unpin,
+{
+    announced_length(&body, max_bytes)?;
+    let mut length = 0;
+    while let Some(part) = next_part(&mut body).await? {
+        length += part.len();
+        if length > max_bytes {
+            return Err(BodyError::TooLarge);
+        }
+    }
+    Ok(())
+}
+
 /// Returns the length that is announced for a body, if one is.
 fn announced_length<B: Body>(body: &B, max_bytes: usize) -> Result<Option<usize>, BodyError> {
     let Some(announced) = body.size_hint().exact() else { return Ok(None) };
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -20,7 +20,7 @@
     exchange::OutgoingRequest,
     framing::{check_framing, head_bytes},
     plain::relay_plain,
-    request_body::read_body,
+    request_body::{discard_body, read_body},
     run::{ActiveRequest, CALLER_LEFT},
     stream_run::relay_stream,
     suspicion::admit_content,
@@ -74,7 +74,6 @@
     body: Incoming,
 ) -> Result<Response<ResponseBody>, Error> {
     let received_at = cx.now();
-    cx.record_arrival();
     metrics::counter!(telemetry::REQUESTS_TOTAL, "interface" => "relay").increment(1);
     check_framing(&head.headers)?;
     let Some(in_force) = wait_for_desired_state(cx).await else {
@@ -86,7 +85,12 @@
     if head_bytes(&head) > limits.head_max_bytes {
         return Err(Error::new(ErrorKind::HeadersTooLarge, "the request headers exceed the limit"));
     }
-    // The body is read even if the request is refused below, so that the connection stays usable.
+    if let Err(refusal) = authorize(in_force.clone(), &request_head, head.uri.path()) {
+        discard_body(cx, body, limits.body_max_bytes).await?;
+        return Err(refusal_in_force(cx, refusal, &request_head, head.uri.path()));
+    }
+    // Only callers that are known count for the load that this router reports.
+    cx.record_arrival();
     let body = read_body(cx, body, limits.body_max_bytes).await?;
     if !body.bytes().is_empty() {
         cx.lock_room().bodies.record(cx.now().since(received_at));
@@ -156,6 +160,23 @@
     Ok(Admission { in_force, route, account })
 }
 
+/// Returns the answer to a request that was refused when it began to arrive. The desired state may accept
+/// it by now, but its body was not kept.
+fn refusal_in_force(
+    cx: &RelayContext,
+    refusal: Error,
+    request_head: &RequestHead,
+    path: &str,
+) -> Error {
+    let in_force = cx.in_force.load_full();
+    if in_force.is_none_or(|it| authorize(it, request_head, path).is_err()) {
+        return refusal;
+    }
+    let delay = jitter(FULL_RETRY_DELAY, &mut cx.lock_rng());
+    let message = "the desired state has changed while the request arrived";
+    Error::new(ErrorKind::Overloaded, message).with_retry_delay(delay)
+}
+
 /// Refuses a request at once if this router carries as much as its host takes, so that the caller goes to
 /// another one and what is carried already ends in time.
 ///
--- a/components/relay/src/serve/request_body.rs
+++ b/components/relay/src/serve/request_body.rs
@@ -31,6 +31,21 @@
     within_timeout(cx, inbound::read_body(body, max_bytes, &cx.bodies)).await
 }
 
+/// Reads a body of a request that is refused, so that the connection stays usable. Nothing of it is held.
+///
+/// # Errors
+/// Returns an error if the body is longer than `max_bytes`, malformed, or does not arrive in time.
+pub(super) async fn discard_body(
+    cx: &RelayContext,
+    body: Incoming,
+    max_bytes: usize,
+) -> Result<(), Error> {
+    if body.is_end_stream() {
+        return Ok(());
+    }
+    within_timeout(cx, inbound::discard_body(body, max_bytes)).await
+}
+
 async fn within_timeout<T>(
     cx: &RelayContext,
     read: impl Future<Output = Result<T, BodyError>>,
--- a/programs/auburncrank-relay/tests/crowd/clients.rs
+++ b/programs/auburncrank-relay/tests/crowd/clients.rs
@@ -138,3 +138,13 @@
     let text = String::from_utf8_lossy(&answer);
     text.split(' ').nth(1)?.parse().ok()
 }
+
+/// Sends a GET request; returns the answer.
+pub(crate) async fn get(address: SocketAddr, path: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = format!("GET {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    answer
+}
--- a/programs/auburncrank-relay/tests/crowd/main.rs
+++ b/programs/auburncrank-relay/tests/crowd/main.rs
@@ -22,7 +22,9 @@
 use tokio::sync::Mutex;
 
 use self::{
-    clients::{Crowd, head, is_served, request_in_chunks, request_with_length, unfinished_head},
+    clients::{
+        Crowd, get, head, is_served, request_in_chunks, request_with_length, unfinished_head,
+    },
     router::{Host, Router},
     support::{
         Behaviour, CALLER_KEY, StandInEndpoint, StandInStore, desired_state, endpoint_entry,
@@ -141,6 +143,18 @@
     check_crowd(4, SMALL_MEMORY, BODY_CROWD, payload).await;
 }
 
+/// Guards against callers with unknown keys whose bodies take the memory of others.
+#[tokio::test]
+async fn bodies_with_an_unknown_key_displace_no_others() {
+    let _turn = TURN.lock().await;
+    let mut scene = Scene::start(19, SMALL_MEMORY).await;
+    let payload = request_in_chunks(UNKNOWN_KEY, BODY_MAX_BYTES - 1, 64 * 1_024);
+    let _crowd = Crowd::send(scene.router.caller_address, BODY_CROWD, payload).await;
+    scene.check().await;
+    let metrics = get(scene.router.metrics_address, "/metrics").await;
+    assert!(!metrics.contains("auburncrank_bodies_lost_total"), "bodies were given up");
+}
+
 /// Guards against a router that takes more than the limit of a chunked body.
 #[tokio::test]
 async fn chunked_bodies_over_the_limit() {
