--- a/components/inbound/src/lib.rs
+++ b/components/inbound/src/lib.rs
@@ -1,11 +1,19 @@
-//! Bounds on what clients make a process hold: the bodies of their requests.
+//! Limits on what clients make a process hold: the bodies of their requests, their connections, and what
+//! these have received.
 
 mod body_book;
 mod body_limits;
+mod connection;
+mod connection_book;
+mod connection_limits;
+mod inbound_io;
 mod read_body;
 
 pub use self::{
     body_book::{ArrivingBody, BodyBook, BodyLoss, HeldBody},
     body_limits::BodyLimits,
+    connection_book::{ConnectionBook, OpenConnection, RequestInProgress, Requests},
+    connection_limits::{ConnectionLimits, HostShare},
+    inbound_io::InboundIo,
     read_body::{BodyError, discard_body, read_body},
 };
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use inbound::ConnectionBook;
 use telemetry::MetricsHandle;
 use tokio::{sync::watch, task::JoinHandle, time::Instant};
 use utils::{HashMap, HashSet};
@@ -151,6 +152,7 @@
 fn report_gauges(cx: &RelayContext) {
     metrics::gauge!(telemetry::REQUESTS_IN_PROGRESS).set(cx.running.load(Ordering::Relaxed) as f64);
     metrics::gauge!(telemetry::LOG_LINES_DROPPED).set(telemetry::dropped_log_lines() as f64);
+    report_connections(&cx.callers);
     metrics::gauge!(telemetry::BODY_BYTES).set(cx.bodies.held_bytes() as f64);
     let cut_off = cx.lock_paths().cut_off_services().len();
     metrics::gauge!(telemetry::CUT_OFF_SERVICES).set(cut_off as f64);
@@ -183,6 +185,13 @@
     report_tokens(cx);
 }
 
+/// Updates the gauges of a listener's connections.
+fn report_connections(book: &ConnectionBook) {
+    let (open, bytes) = book.usage();
+    metrics::gauge!(telemetry::CONNECTIONS_OPEN, "listener" => book.listener()).set(open as f64);
+    metrics::gauge!(telemetry::CONNECTION_BYTES, "listener" => book.listener()).set(bytes as f64);
+}
+
 /// Updates the gauges and counters of the tokens of each account.
 fn report_tokens(cx: &RelayContext) {
     let allowances = cx.lock_allowances();
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -10,12 +10,12 @@
 use errors::{Error, ErrorKind};
 use http::{HeaderValue, Request, Response, header::CONNECTION};
 use hyper::body::Incoming;
-use inbound::HeldBody;
+use inbound::{HeldBody, RequestInProgress, Requests};
 use types::Timestamp;
 use utils::jitter;
 
 use super::{
-    body::ResponseBody,
+    body::{AnswerBody, ResponseBody},
     continuation::prepare_take_up,
     exchange::OutgoingRequest,
     framing::{check_framing, head_bytes},
@@ -45,13 +45,15 @@
 /// Handles one request. Errors are turned into answers here.
 pub(super) async fn handle(
     cx: Arc<RelayContext>,
+    requests: Requests,
     req: Request<Incoming>,
-) -> Result<Response<ResponseBody>, Infallible> {
+) -> Result<Response<AnswerBody>, Infallible> {
+    let progress = requests.begin();
     let (head, body) = req.into_parts();
     let read = cx.dialect.read_request(&head);
     let id = read.as_ref().ok().map(|it| it.id.clone());
     let result = match read {
-        Ok(request_head) => serve(&cx, head, request_head, body).await,
+        Ok(request_head) => serve(&cx, head, request_head, body, &progress).await,
         Err(error) => Err(error),
     };
     let mut res = result.unwrap_or_else(|error| {
@@ -64,7 +66,7 @@
     if is_closing || cx.lock_room().refuses(u32::MAX).is_some() {
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(res)
+    Ok(res.map(|it| AnswerBody::new(it, progress)))
 }
 
 async fn serve(
@@ -72,6 +74,7 @@
     head: http::request::Parts,
     request_head: RequestHead,
     body: Incoming,
+    progress: &RequestInProgress,
 ) -> Result<Response<ResponseBody>, Error> {
     let received_at = cx.now();
     metrics::counter!(telemetry::REQUESTS_TOTAL, "interface" => "relay").increment(1);
@@ -91,7 +94,9 @@
     }
     // Only callers that are known count for the load that this router reports.
     cx.record_arrival();
+    progress.accept();
     let body = read_body(cx, body, limits.body_max_bytes).await?;
+    progress.serve();
     if !body.bytes().is_empty() {
         cx.lock_room().bodies.record(cx.now().since(received_at));
     }
--- a/components/relay/src/serve/server.rs
+++ b/components/relay/src/serve/server.rs
@@ -7,6 +7,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
+use inbound::{ConnectionBook, InboundIo};
 use socket2::{Domain, Socket, Type};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -43,20 +44,32 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Accepts the next connection of a caller; retries after failures.
-async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
-    let (stream, address) = accept_stream(listener).await;
+/// Accepts the next connection of a client; closes others from `open` if no descriptors are left.
+async fn accept(listener: &TcpListener, open: &ConnectionBook) -> (TcpStream, SocketAddr) {
+    let (stream, address) = accept_stream(listener, || {
+        open.close_for_descriptors();
+    })
+    .await;
     set_caller_socket_options(&stream);
     (stream, address)
 }
 
-/// Accepts the next connection; retries after failures.
-pub(crate) async fn accept_stream(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+/// Accepts the next connection. After a failure it calls `make_room` and tries again.
+pub(crate) async fn accept_stream(
+    listener: &TcpListener,
+    make_room: impl Fn(),
+) -> (TcpStream, SocketAddr) {
+    let mut failures = 0_u32;
     loop {
         match listener.accept().await {
             Ok(accepted) => return accepted,
             Err(error) => {
-                log::warn!("failed to accept a connection: {error}");
+                metrics::counter!(telemetry::ACCEPT_FAILURES_TOTAL).increment(1);
+                if failures == 0 {
+                    log::warn!("failed to accept a connection: {error}");
+                }
+                failures += 1;
+                make_room();
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -72,25 +85,33 @@
     let graceful = GracefulShutdown::new();
     loop {
         let (stream, address) = tokio::select! {
-            accepted = accept(&listener) => accepted,
+            accepted = accept(&listener, &cx.callers) => accepted,
             _ = stopped.wait_for(|stopped| *stopped) => break,
         };
+        let Some(opened) = cx.callers.open() else { continue };
+        let (number, requests) = (opened.number(), opened.requests());
         let context = cx.clone();
-        let service = service_fn(move |req| handle(context.clone(), req));
+        let service = service_fn(move |req| handle(context.clone(), requests.clone(), req));
         let connection = http1::Builder::new()
             .timer(IdleTimer::new(cx.clone()))
             .header_read_timeout(IDLE_TIMEOUT)
             .max_buf_size(HEAD_BUFFER_BYTES)
             .serve_connection(
-                TokioIo::new(CountedIo::new(stream, cx.connections.bytes.clone())),
+                TokioIo::new(InboundIo::new(
+                    CountedIo::new(stream, cx.connections.bytes.clone()),
+                    opened,
+                )),
                 service,
             );
         let connection = graceful.watch(connection);
-        tokio::spawn(async move {
+        let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 record_end(&error, address);
             }
         });
+        cx.callers.set_task(number, task.abort_handle());
+        // Lets the connections go that were closed for this one.
+        tokio::task::yield_now().await;
     }
     drop(listener);
     graceful.shutdown().await;
@@ -111,7 +132,7 @@
 /// Serves the auxiliary API until the process ends.
 pub(crate) async fn serve_auxiliary_api(api: AuxiliaryApi, listener: TcpListener) {
     loop {
-        let (stream, _) = accept(&listener).await;
+        let (stream, _) = accept(&listener, &api.cx.callers).await;
         let api = api.clone();
         let service = service_fn(move |req| {
             let api = api.clone();
--- a/components/relay/src/tunnel/server.rs
+++ b/components/relay/src/tunnel/server.rs
@@ -60,7 +60,10 @@
 /// Serves tunnels until the process ends.
 pub(crate) async fn serve_tunnels(cx: Arc<RelayContext>, listener: TcpListener) {
     loop {
-        let (stream, _) = accept_stream(&listener).await;
+        let (stream, _) = accept_stream(&listener, || {
+            cx.callers.close_for_descriptors();
+        })
+        .await;
         set_tunnel_socket_options(&stream);
         let cx = cx.clone();
         tokio::spawn(async move { serve_tunnel(&cx, stream).await });
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -246,6 +246,21 @@
 /// for those of later requests, or `no_memory` if no other body could be given up.
 pub const BODIES_LOST_TOTAL: &str = "auburncrank_bodies_lost_total";
 
+/// Counter of clients' connections that a limit closed, by `listener` and `reason`: `connections` or `memory`
+/// if there were too many, `descriptors` if none were left, or `head_timeout` if the head of a request did not
+/// arrive in time.
+pub const CONNECTIONS_CLOSED_TOTAL: &str = "auburncrank_connections_closed_total";
+
+/// Counter of failures to accept a connection, for instance for want of descriptors.
+pub const ACCEPT_FAILURES_TOTAL: &str = "auburncrank_accept_failures_total";
+
+/// Gauge of clients' open connections, by `listener`.
+pub const CONNECTIONS_OPEN: &str = "auburncrank_connections_open";
+
+/// Gauge of the memory of clients' connections, without bodies, as it counts for the limit, in bytes, by
+/// `listener`.
+pub const CONNECTION_BYTES: &str = "auburncrank_connection_bytes";
+
 /// Gauge of the memory that the bodies of requests take, in bytes.
 pub const BODY_BYTES: &str = "auburncrank_body_bytes";
 
