--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -165,7 +165,7 @@
         let mut allowances = RouterAllowances::new(settings.name.clone(), process);
         allowances.set_role_undecided();
         let host = settings.host_limits;
-        let callers = ConnectionLimits::for_host(None, host.descriptors, CALLER_SHARE);
+        let callers = ConnectionLimits::for_host(host.memory_bytes, host.descriptors, CALLER_SHARE);
         RelayContext {
             dialect: dependencies.dialect,
             source: dependencies.source,
--- a/components/relay/src/serve/server.rs
+++ b/components/relay/src/serve/server.rs
@@ -25,8 +25,8 @@
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: i32 = 1_024;
 
-/// Size limit of the read buffer, in bytes; the desired state sets the limit on request heads.
-const HEAD_BUFFER_BYTES: usize = 64 * 1_024;
+/// Minimum size limit of the read buffer, in bytes.
+const HEAD_BUFFER_MIN_BYTES: usize = 32 * 1_024;
 
 /// Pause after a failure to accept a connection, for instance when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -91,11 +91,13 @@
         let Some(opened) = cx.callers.open() else { continue };
         let (number, requests) = (opened.number(), opened.requests());
         let context = cx.clone();
-        let service = service_fn(move |req| handle(context.clone(), requests.clone(), req));
+        // Boxed, so that idle connections do not hold the memory that a request needs.
+        let service =
+            service_fn(move |req| Box::pin(handle(context.clone(), requests.clone(), req)));
         let connection = http1::Builder::new()
             .timer(IdleTimer::new(cx.clone()))
             .header_read_timeout(IDLE_TIMEOUT)
-            .max_buf_size(HEAD_BUFFER_BYTES)
+            .max_buf_size(head_buffer_bytes(&cx))
             .serve_connection(
                 TokioIo::new(InboundIo::new(
                     CountedIo::new(stream, cx.connections.bytes.clone()),
@@ -117,6 +119,14 @@
     graceful.shutdown().await;
 }
 
+/// Returns the size limit of the read buffer of a new connection, in bytes. The limit on request heads may rise
+/// while the connection is open.
+fn head_buffer_bytes(cx: &RelayContext) -> usize {
+    let in_force = cx.in_force.load();
+    let head_max = in_force.as_ref().map_or(0, |it| it.state.limits.head_max_bytes);
+    (2 * head_max).max(HEAD_BUFFER_MIN_BYTES)
+}
+
 /// Records that a caller's connection ended with an error.
 fn record_end(error: &hyper::Error, address: SocketAddr) {
     let source = error.source().and_then(|it| it.downcast_ref::<io::Error>());
