--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -9,7 +9,7 @@
 };
 
 use arc_swap::ArcSwapOption;
-use inbound::{BodyBook, BodyLimits, ConnectionBook, ConnectionLimits, HostShare};
+use inbound::{BodyBook, BodyLimits};
 use platform::Table;
 use routing::{ContentKey, CrashEvidence};
 use tokio::{
@@ -21,6 +21,7 @@
 
 use crate::{
     allowance::{RouterAllowances, WitnessRecords},
+    client_connections::ClientConnections,
     endpoints::{Admission, AdmissionBook, EndpointRegistry},
     limits::RetryWindow,
     model::{DesiredState, ServiceSpec},
@@ -39,10 +40,6 @@
 /// Time over which the rate of callers' requests is averaged.
 const ARRIVAL_RATE_WINDOW: Duration = Duration::from_secs(1);
 
-/// What connections of callers may use of the host. The rest is for connections to endpoints, the store and
-/// other routers, and for the other listeners.
-const CALLER_SHARE: HostShare = HostShare { descriptor_percent: 50, memory_percent: 80 };
-
 /// Number of equal shares of an endpoint's connections that one router may use. It is more than
 /// one since some routers have more callers than others, and few use up their share.
 const CONNECTION_SHARES_PER_ROUTER: usize = 2;
@@ -75,8 +72,8 @@
     pub(crate) connections: EndpointConnections,
     /// Connections to endpoints that other routers use through this one.
     pub(crate) tunnels: TunnelServer,
-    /// Connections of callers.
-    pub(crate) callers: ConnectionBook,
+    /// Connections of clients.
+    pub(crate) clients: ClientConnections,
     /// Bodies of callers' requests.
     pub(crate) bodies: BodyBook,
     /// Exchange of messages with other routers.
@@ -165,14 +162,13 @@
         let mut allowances = RouterAllowances::new(settings.name.clone(), process);
         allowances.set_role_undecided();
         let host = settings.host_limits;
-        let callers = ConnectionLimits::for_host(host.memory_bytes, host.descriptors, CALLER_SHARE);
         RelayContext {
             dialect: dependencies.dialect,
             source: dependencies.source,
             table: dependencies.table,
             connections: EndpointConnections::default(),
             tunnels: TunnelServer::default(),
-            callers: ConnectionBook::new("callers", callers),
+            clients: ClientConnections::new(host),
             bodies: BodyBook::new(BodyLimits::for_memory(host.memory_bytes)),
             gossip,
             process,
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -7,6 +7,7 @@
 //! random numbers are passed in.
 
 pub mod allowance;
+mod client_connections;
 mod context;
 pub mod domains;
 pub mod endpoints;
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -61,13 +61,19 @@
         dependencies: RelayDependencies,
         metrics: MetricsHandle,
     ) -> RelayProcess {
-        let RelaySockets { callers, auxiliary, gossip, tunnels } = sockets;
+        let RelaySockets { callers, ready, directory, metrics: metrics_listener, gossip, tunnels } =
+            sockets;
         log::info!(router:% = settings.name, failure_domain:% = settings.failure_domain, callers:% = settings.caller_address; "router starts");
         let cx = Arc::new(RelayContext::new(settings, dependencies, gossip));
         let (stop, stopped) = watch::channel(false);
-        for listener in auxiliary {
+        let clients = &cx.clients;
+        for (listener, book) in [
+            (ready, &clients.ready),
+            (directory, &clients.directory),
+            (metrics_listener, &clients.metrics),
+        ] {
             let api = AuxiliaryApi { cx: cx.clone(), metrics: metrics.clone() };
-            tokio::spawn(serve_auxiliary_api(api, listener));
+            tokio::spawn(serve_auxiliary_api(api, listener, book.clone()));
         }
         tokio::spawn(watch_config(cx.clone()));
         tokio::spawn(watch_endpoints(cx.clone()));
@@ -152,7 +158,7 @@
 fn report_gauges(cx: &RelayContext) {
     metrics::gauge!(telemetry::REQUESTS_IN_PROGRESS).set(cx.running.load(Ordering::Relaxed) as f64);
     metrics::gauge!(telemetry::LOG_LINES_DROPPED).set(telemetry::dropped_log_lines() as f64);
-    report_connections(&cx.callers);
+    cx.clients.all().into_iter().for_each(report_connections);
     metrics::gauge!(telemetry::BODY_BYTES).set(cx.bodies.held_bytes() as f64);
     let cut_off = cx.lock_paths().cut_off_services().len();
     metrics::gauge!(telemetry::CUT_OFF_SERVICES).set(cut_off as f64);
--- a/components/relay/src/serve/server.rs
+++ b/components/relay/src/serve/server.rs
@@ -15,6 +15,7 @@
 };
 
 use super::{
+    body::AnswerBody,
     handler::handle,
     idle_timer::{IDLE_TIMEOUT, IdleTimer},
     side_calls::AuxiliaryApi,
@@ -28,6 +29,9 @@
 /// Minimum size limit of the read buffer, in bytes.
 const HEAD_BUFFER_MIN_BYTES: usize = 32 * 1_024;
 
+/// Size limit of the read buffer of a connection to the auxiliary API, in bytes.
+const AUXILIARY_BUFFER_BYTES: usize = 16 * 1_024;
+
 /// Pause after a failure to accept a connection, for instance when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -85,10 +89,10 @@
     let graceful = GracefulShutdown::new();
     loop {
         let (stream, address) = tokio::select! {
-            accepted = accept(&listener, &cx.callers) => accepted,
+            accepted = accept(&listener, &cx.clients.callers) => accepted,
             _ = stopped.wait_for(|stopped| *stopped) => break,
         };
-        let Some(opened) = cx.callers.open() else { continue };
+        let Some(opened) = cx.clients.callers.open() else { continue };
         let (number, requests) = (opened.number(), opened.requests());
         let context = cx.clone();
         // Boxed, so that idle connections do not hold the memory that a request needs.
@@ -111,7 +115,7 @@
                 record_end(&error, address);
             }
         });
-        cx.callers.set_task(number, task.abort_handle());
+        cx.clients.callers.set_task(number, task.abort_handle());
         // Lets the connections go that were closed for this one.
         tokio::task::yield_now().await;
     }
@@ -139,23 +143,36 @@
     log::debug!(reason, address:%; "connection of a caller ended with an error: {error}");
 }
 
-/// Serves the auxiliary API until the process ends.
-pub(crate) async fn serve_auxiliary_api(api: AuxiliaryApi, listener: TcpListener) {
+/// Serves the auxiliary API to the clients of one listener until the process ends.
+pub(crate) async fn serve_auxiliary_api(
+    api: AuxiliaryApi,
+    listener: TcpListener,
+    clients: ConnectionBook,
+) {
     loop {
-        let (stream, _) = accept(&listener, &api.cx.callers).await;
+        let (stream, _) = accept(&listener, &clients).await;
+        let Some(opened) = clients.open() else { continue };
+        let (number, requests) = (opened.number(), opened.requests());
         let api = api.clone();
         let service = service_fn(move |req| {
-            let api = api.clone();
-            async move { api.serve(req) }
+            let request = requests.begin();
+            request.accept();
+            request.serve();
+            let answer = api.serve(req).map(|res| res.map(|it| AnswerBody::new(it, request)));
+            async move { answer }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE_TIMEOUT)
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(async move {
+            .max_buf_size(AUXILIARY_BUFFER_BYTES)
+            .serve_connection(TokioIo::new(InboundIo::new(stream, opened)), service);
+        let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to the auxiliary API ended with an error: {error}");
             }
         });
+        clients.set_task(number, task.abort_handle());
+        // Lets the connections go that were closed for this one.
+        tokio::task::yield_now().await;
     }
 }
--- a/components/relay/src/sockets.rs
+++ b/components/relay/src/sockets.rs
@@ -22,8 +22,12 @@
 pub struct RelaySockets {
     /// Listens for callers.
     pub(crate) callers: TcpListener,
-    /// Listen for readiness checks, requests for router addresses, and metrics.
-    pub(crate) auxiliary: [TcpListener; 3],
+    /// Listens for readiness checks.
+    pub(crate) ready: TcpListener,
+    /// Listens for requests for router addresses.
+    pub(crate) directory: TcpListener,
+    /// Serves the metrics.
+    pub(crate) metrics: TcpListener,
     /// Exchanges messages with other routers.
     pub(crate) gossip: GossipSocket,
     /// Accepts connections of other routers at the same port.
@@ -41,13 +45,11 @@
     /// If an address cannot be bound.
     pub async fn bind(settings: &mut RelaySettings) -> Result<RelaySockets, RelayBindError> {
         let callers = listen(&mut settings.caller_address)?;
-        let auxiliary = [
-            listen(&mut settings.ready_address)?,
-            listen(&mut settings.directory_address)?,
-            listen(&mut settings.metrics_address)?,
-        ];
+        let ready = listen(&mut settings.ready_address)?;
+        let directory = listen(&mut settings.directory_address)?;
+        let metrics = listen(&mut settings.metrics_address)?;
         let (gossip, tunnels) = bind_peer_address(&mut settings.peer_address).await?;
-        Ok(RelaySockets { callers, auxiliary, gossip, tunnels })
+        Ok(RelaySockets { callers, ready, directory, metrics, gossip, tunnels })
     }
 }
 
--- a/components/relay/src/tunnel/server.rs
+++ b/components/relay/src/tunnel/server.rs
@@ -61,7 +61,7 @@
 pub(crate) async fn serve_tunnels(cx: Arc<RelayContext>, listener: TcpListener) {
     loop {
         let (stream, _) = accept_stream(&listener, || {
-            cx.callers.close_for_descriptors();
+            cx.clients.callers.close_for_descriptors();
         })
         .await;
         set_tunnel_socket_options(&stream);
