--- a/components/relay/src/model/desired_state.rs
+++ b/components/relay/src/model/desired_state.rs
@@ -15,6 +15,8 @@
     pub body_max_bytes: usize,
     /// Time after which an idle connection of a caller is closed.
     pub idle_timeout: Duration,
+    /// Time within which the head of a request has to arrive; `None` if it is not limited.
+    pub head_timeout: Option<Duration>,
 }
 
 /// What an endpoint takes shortly after its start.
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -137,6 +137,7 @@
             ledgers_logged_at = cx.now();
             log_ledgers(&cx, &mut logged);
         }
+        close_overdue_connections(&cx);
         let connected = cx.connections.endpoints();
         let endpoints = cx.lock_endpoints();
         let in_service: HashSet<_> =
@@ -154,6 +155,15 @@
     }
 }
 
+/// Closes the connections of clients that take too long to send the head of a request.
+fn close_overdue_connections(cx: &RelayContext) {
+    let in_force = cx.in_force.load();
+    let timeout = in_force.as_ref().and_then(|it| it.state.limits.head_timeout);
+    if let Some(timeout) = timeout {
+        cx.clients.all().into_iter().for_each(|it| it.close_overdue(timeout));
+    }
+}
+
 /// Updates the gauges of requests, endpoints, routers and tokens.
 fn report_gauges(cx: &RelayContext) {
     metrics::gauge!(telemetry::REQUESTS_IN_PROGRESS).set(cx.running.load(Ordering::Relaxed) as f64);
