--- a/components/relay/src/context.rs
+++ b/components/relay/src/context.rs
@@ -167,7 +167,7 @@
             source: dependencies.source,
             table: dependencies.table,
             connections: EndpointConnections::default(),
-            tunnels: TunnelServer::default(),
+            tunnels: TunnelServer::new(host),
             clients: ClientConnections::new(host),
             bodies: BodyBook::new(BodyLimits::for_memory(host.memory_bytes)),
             gossip,
--- a/components/relay/src/tunnel/server.rs
+++ b/components/relay/src/tunnel/server.rs
@@ -10,6 +10,7 @@
 };
 
 use futures::{SinkExt, StreamExt};
+use inbound::{ConnectionLimits, HostShare};
 use prost::Message;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -19,6 +20,7 @@
     serve::{
         ConnectError, ConnectionNeed, CountedStream, accept_stream, set_tunnel_socket_options,
     },
+    settings::HostLimits,
 };
 
 /// Time within which a router has to send its request after it has connected.
@@ -31,17 +33,34 @@
 /// Maximum number of tunnels through this router. Each takes two file descriptors.
 const TUNNELS_MAX: usize = 800;
 
+/// Share of the descriptors that are not for files, in percent, which bounds the number of tunnels.
+const TUNNELS_PERCENT: u32 = 8;
+
 /// Size of the buffer for each direction of a tunnel, in bytes.
 const COPY_BUFFER_BYTES: usize = 8 * 1_024;
 
 /// Counts the tunnels through this router.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct TunnelServer {
+    /// Maximum number of tunnels.
+    max: usize,
     /// Number of connections from other routers that are open for tunnels.
     open: AtomicUsize,
 }
 
 impl TunnelServer {
+    /// Creates the counter of a process on a host with these limits.
+    pub(crate) fn new(host: HostLimits) -> TunnelServer {
+        let share = HostShare { descriptor_percent: TUNNELS_PERCENT, memory_percent: 0 };
+        let limits = ConnectionLimits::for_host(None, host.descriptors, share);
+        TunnelServer { max: limits.connections.min(TUNNELS_MAX), open: AtomicUsize::new(0) }
+    }
+
+    /// Returns whether even a connection whose request is answered with a refusal is one too many.
+    fn is_overrun(&self) -> bool {
+        self.open_count() >= self.max + self.max / 4
+    }
+
     /// Returns the number of tunnels through this router.
     pub(crate) fn open_count(&self) -> usize {
         self.open.load(Ordering::Relaxed)
@@ -49,11 +68,22 @@
 }
 
 /// Counts a tunnel until dropped.
-struct OpenTunnel<'a>(&'a TunnelServer);
+struct OpenTunnel {
+    cx: Arc<RelayContext>,
+    /// Whether there were as many as allowed before.
+    is_one_too_many: bool,
+}
 
-impl Drop for OpenTunnel<'_> {
+impl OpenTunnel {
+    fn new(cx: Arc<RelayContext>) -> OpenTunnel {
+        let before = cx.tunnels.open.fetch_add(1, Ordering::Relaxed);
+        OpenTunnel { is_one_too_many: before >= cx.tunnels.max, cx }
+    }
+}
+
+impl Drop for OpenTunnel {
     fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::Relaxed);
+        self.cx.tunnels.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -64,15 +94,18 @@
             cx.clients.callers.close_for_descriptors();
         })
         .await;
+        if cx.tunnels.is_overrun() {
+            metrics::counter!(telemetry::TUNNELS_SERVED_TOTAL, "outcome" => "overrun").increment(1);
+            continue;
+        }
         set_tunnel_socket_options(&stream);
-        let cx = cx.clone();
-        tokio::spawn(async move { serve_tunnel(&cx, stream).await });
+        let open = OpenTunnel::new(cx.clone());
+        tokio::spawn(async move { serve_tunnel(open, stream).await });
     }
 }
 
-async fn serve_tunnel(cx: &RelayContext, stream: TcpStream) {
-    let before = cx.tunnels.open.fetch_add(1, Ordering::Relaxed);
-    let _open = OpenTunnel(&cx.tunnels);
+async fn serve_tunnel(open: OpenTunnel, stream: TcpStream) {
+    let cx = &open.cx;
     let mut frames = frames(stream);
     let received = tokio::time::timeout(REQUEST_TIMEOUT, frames.next()).await;
     let Ok(Some(Ok(frame))) = received else { return };
@@ -80,7 +113,7 @@
         log::warn!("malformed request for a tunnel");
         return;
     };
-    let opened = if before >= TUNNELS_MAX || cx.is_leaving.load(Ordering::Relaxed) {
+    let opened = if open.is_one_too_many || cx.is_leaving.load(Ordering::Relaxed) {
         Err(TunnelOutcome::Busy)
     } else {
         connect(cx, &request).await
--- a/programs/auburncrank-relay/tests/crowd/main.rs
+++ b/programs/auburncrank-relay/tests/crowd/main.rs
@@ -263,6 +263,20 @@
     scene.check().await;
 }
 
+/// Guards against a crowd at the tunnel listener that is large enough to take all descriptors although each
+/// connection is closed after a second.
+#[tokio::test]
+async fn many_connections_to_the_tunnel_listener() {
+    let _turn = TURN.lock().await;
+    let mut scene = Scene::start(20, FEW_DESCRIPTORS).await;
+    let address = scene.router.tunnel_address;
+    // The length of a frame that does not follow.
+    let _crowd = Crowd::send(address, HEAD_CROWD, "\0\u{10}".into()).await;
+    scene.check().await;
+    let metrics = get(scene.router.metrics_address, "/metrics").await;
+    assert!(!metrics.contains("auburncrank_accept_failures_total"), "descriptors ran out");
+}
+
 /// Guards against bounds that refuse what the users' pages allow.
 #[tokio::test]
 async fn single_requests_within_the_limits_are_served_in_calm() {
