--- a/programs/auburncrank-relay/tests/crowd/clients.rs
+++ b/programs/auburncrank-relay/tests/crowd/clients.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     sync::mpsc,
     task::JoinSet,
 };
@@ -19,6 +19,12 @@
 /// Pause before a client connects again.
 const RECONNECTION_PAUSE: Duration = Duration::from_secs(1);
 
+/// Size of a client's own buffer where the router's buffers are measured.
+const SEND_BUFFER_BYTES: u32 = 16 * 1_024;
+
+/// Time after which a router that has taken nothing takes no more.
+const STALL: Duration = Duration::from_millis(500);
+
 /// Number of tries of an ordinary request, each on a new connection.
 const TRIES: usize = 10;
 
@@ -75,6 +81,30 @@
     Ok(stream)
 }
 
+/// Opens `count` connections, sends `first` on each of them, and then bytes until the router takes no more.
+/// Returns how many bytes after the first request it took on all of them.
+pub(crate) async fn bytes_taken_after(address: SocketAddr, count: usize, first: Bytes) -> usize {
+    let mut clients = JoinSet::new();
+    for _ in 0..count {
+        let first = first.clone();
+        clients.spawn(async move {
+            let socket = TcpSocket::new_v4().unwrap();
+            socket.set_send_buffer_size(SEND_BUFFER_BYTES).unwrap();
+            let mut stream = socket.connect(address).await.unwrap();
+            stream.write_all(&first).await.unwrap();
+            let mut taken = 0;
+            loop {
+                let written = stream.write(&[b'x'; 8 * 1_024]);
+                match tokio::time::timeout(STALL, written).await {
+                    Ok(Ok(written)) => taken += written,
+                    Ok(Err(_)) | Err(_) => return taken,
+                }
+            }
+        });
+    }
+    clients.join_all().await.into_iter().sum()
+}
+
 /// Formats the head of a request for a stream or an action, which ends with `framing`.
 pub(crate) fn head(path: &str, key: &str, framing: &str) -> String {
     format!(
--- a/programs/auburncrank-relay/tests/crowd/main.rs
+++ b/programs/auburncrank-relay/tests/crowd/main.rs
@@ -23,7 +23,8 @@
 
 use self::{
     clients::{
-        Crowd, get, head, is_served, request_in_chunks, request_with_length, unfinished_head,
+        Crowd, bytes_taken_after, get, head, is_served, request_in_chunks, request_with_length,
+        unfinished_head,
     },
     router::{Host, Router},
     support::{
@@ -277,6 +278,21 @@
     assert!(!metrics.contains("auburncrank_accept_failures_total"), "descriptors ran out");
 }
 
+/// Guards against bytes that the router does not read and that take the host's memory in its sockets: they count
+/// for the process, but not as resident memory.
+#[tokio::test]
+async fn bytes_that_are_not_read_while_a_request_runs() {
+    let _turn = TURN.lock().await;
+    let mut scene = Scene::start(22, SMALL_MEMORY).await;
+    scene.endpoint.set_behaviour(Behaviour::AnswerAfter(2_000));
+    let first = request_with_length(CALLER_KEY, 60_000, 60_000);
+    let taken = bytes_taken_after(scene.router.caller_address, BODY_CROWD, first).await;
+    println!("{taken} bytes taken");
+    assert!(taken <= SMALL_MEMORY.memory_mb as usize * 1_000_000, "{taken} bytes taken");
+    scene.endpoint.set_behaviour(Behaviour::Answer);
+    scene.check().await;
+}
+
 /// Guards against bounds that refuse what the users' pages allow.
 #[tokio::test]
 async fn single_requests_within_the_limits_are_served_in_calm() {
