--- a/components/router/src/admin/context.rs
+++ b/components/router/src/admin/context.rs
@@ -7,7 +7,8 @@
 
 use super::{Resolver, access::AuthenticatedOperator};
 use crate::{
-    RouterContext, configuration::read_config, control_jobs::ControllerHandle, traffic::Runs,
+    RouterContext, configuration::read_config, control_jobs::ControllerHandle, http::BodyReader,
+    traffic::Runs,
 };
 
 /// State of the handlers of the administration API.
@@ -15,6 +16,8 @@
 pub(crate) struct AdminContext {
     /// Services that all request handlers share.
     pub(crate) router: RouterContext,
+    /// Reads the bodies of requests.
+    pub(crate) bodies: BodyReader,
     /// Requests in progress.
     pub(crate) runs: Runs,
     /// Hash of the key that has the admin role while no operator is configured.
--- a/components/router/src/admin/handlers/plans.rs
+++ b/components/router/src/admin/handlers/plans.rs
@@ -15,7 +15,6 @@
         make_plan, make_undo_plan,
         plan_rows::read_plan,
     },
-    http::read_body,
 };
 
 /// Serves `POST /admin/v1/plans`.
@@ -24,13 +23,13 @@
     call: AdminCall,
     mut req: Request,
 ) -> Result<PlanView, AdminError> {
-    let body = read_body(&mut req, &HttpLimits::default()).await?;
-    if body.len() > INTENT_MAX_BYTES {
+    let body = cx.bodies.read_up_to(&mut req, HttpLimits::default().body_max_bytes).await?;
+    if body.bytes().len() > INTENT_MAX_BYTES {
         let message =
             format!("the intent is larger than {INTENT_MAX_BYTES} bytes; split it into several");
         return Err(AdminError::new(ErrorKind::BodyTooLarge, message));
     }
-    let intent = Intent::from_json(&body)?;
+    let intent = Intent::from_json(body.bytes())?;
     call.operator.check_intent(&intent)?;
     call.store?;
     let router = &cx.router;
--- a/components/router/src/daemon/assembly.rs
+++ b/components/router/src/daemon/assembly.rs
@@ -21,7 +21,7 @@
     configuration::{ConfigHandle, run_config_poller, start_config_spread},
     control_jobs::{ControllerContext, start_controller},
     dispatch::PolicyDispatcher,
-    http::HttpContext,
+    http::{BodyReader, HttpContext},
     peers::{PeerNetwork, PeerNetworkSettings, Peers, run_host_hints},
     registry::{FleetRegistry, RegistryParts},
     traffic::Runs,
@@ -100,8 +100,10 @@
         peers: peers.clone(),
         http: router.pooled.clone(),
     };
+    let bodies = BodyReader::new(settings.http_limits);
     let admin = AdminContext {
         router: router.clone(),
+        bodies: bodies.clone(),
         runs: runs.clone(),
         bootstrap: settings.bootstrap_operator_key,
         resolver: Arc::new(TableResolver::new(router.table.clone(), peers)),
@@ -111,7 +113,7 @@
         admin,
         runs,
         router,
-        limits: settings.http_limits,
+        bodies,
         metrics: set_up_metrics(),
         is_draining: Arc::new(AtomicBool::new(false)),
     })
--- a/components/router/src/daemon/http_limits.rs
+++ b/components/router/src/daemon/http_limits.rs
@@ -11,6 +11,8 @@
     pub body_timeout: Duration,
     /// Timeout for receiving a request head.
     pub head_timeout: Duration,
+    /// Memory that the process may use, in bytes. Limits on what clients make it hold are shares of it.
+    pub memory_max_bytes: u64,
 }
 
 impl Default for HttpLimits {
@@ -19,6 +21,7 @@
             body_max_bytes: 16 * 1024 * 1024,
             body_timeout: Duration::from_secs(30),
             head_timeout: Duration::from_secs(10),
+            memory_max_bytes: 2 * 1024 * 1024 * 1024,
         }
     }
 }
--- a/components/router/src/http/action.rs
+++ b/components/router/src/http/action.rs
@@ -11,7 +11,6 @@
 use super::{
     HttpContext,
     auth::admit_caller,
-    body::read_body,
     request_head::{deadline, request_id},
     respond::{respond_error, respond_with_id},
 };
@@ -51,8 +50,8 @@
             "unknown action, or the client account has no access to it",
         ));
     };
-    let body = read_body(req, &cx.limits).await?;
-    let content = [name.as_str().as_bytes(), b"\n", &body].concat();
+    let body = cx.bodies.read(req).await?;
+    let content = [name.as_str().as_bytes(), b"\n", body.bytes()].concat();
     let content_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
     let job = ActionJob {
         key: RequestKey::new(account_name.clone(), id.clone()),
@@ -60,7 +59,7 @@
         action: action.clone(),
         account: account.clone(),
         content_type: content_type.unwrap_or("application/octet-stream").to_owned(),
-        body,
+        body: body.bytes().clone(),
         deadline,
     };
     let log = begin_action(cx, job).await?;
--- a/components/router/src/http/body.rs
+++ b/components/router/src/http/body.rs
@@ -1,34 +1,61 @@
 //! Reads request bodies.
 
-use bytes::Bytes;
 use errors::{Error, ErrorKind, Result};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use inbound::{BodyBook, BodyError, BodyLimits, HeldBody};
 use viz::Request;
 
 use crate::HttpLimits;
 
-/// Reads the complete body of a request.
-///
-/// # Errors
-/// `BodyTooLarge`, `SlowSender`, or `BadRequest` if the connection failed.
-pub(crate) async fn read_body(req: &mut Request, limits: &HttpLimits) -> Result<Bytes> {
-    let body = Limited::new(std::mem::take(req.body_mut()), limits.body_max_bytes);
-    let collected =
-        tokio::time::timeout(limits.body_timeout, body.collect()).await.map_err(|_| {
-            let message =
-                format!("the request body was not received within {:?}", limits.body_timeout);
+/// Reads the bodies of all requests within the limits. Clones share their state.
+#[derive(Clone)]
+pub(crate) struct BodyReader {
+    limits: HttpLimits,
+    /// Memory of all bodies.
+    book: BodyBook,
+}
+
+impl BodyReader {
+    /// Creates the reader of a process.
+    pub(crate) fn new(limits: HttpLimits) -> BodyReader {
+        let book = BodyBook::new(BodyLimits::for_memory(Some(limits.memory_max_bytes)));
+        BodyReader { limits, book }
+    }
+
+    /// Reads the complete body of a request.
+    ///
+    /// # Errors
+    /// `BodyTooLarge`, `SlowSender`, `Overloaded` if there is no memory for it, or `BadRequest` if the
+    /// connection failed.
+    pub(crate) async fn read(&self, req: &mut Request) -> Result<HeldBody> {
+        self.read_up_to(req, self.limits.body_max_bytes).await
+    }
+
+    /// Reads the complete body of a request that has a limit of its own.
+    ///
+    /// # Errors
+    /// Like [`read`](Self::read).
+    pub(crate) async fn read_up_to(
+        &self,
+        req: &mut Request,
+        body_max_bytes: usize,
+    ) -> Result<HeldBody> {
+        let body_timeout = self.limits.body_timeout;
+        let body = std::mem::take(req.body_mut());
+        let read = inbound::read_body(body, body_max_bytes, &self.book);
+        let read = tokio::time::timeout(body_timeout, read).await.map_err(|_| {
+            let message = format!("the request body was not received within {body_timeout:?}");
             Error::new(ErrorKind::SlowSender, message)
         })?;
-    collected.map(|body| body.to_bytes()).map_err(|error| {
-        if error.is::<LengthLimitError>() {
-            let message =
-                format!("the request body is larger than {} bytes", limits.body_max_bytes);
-            Error::new(ErrorKind::BodyTooLarge, message)
-        } else {
-            Error::new(
+        read.map_err(|error| match error {
+            BodyError::TooLarge => {
+                let message = format!("the request body is larger than {body_max_bytes} bytes");
+                Error::new(ErrorKind::BodyTooLarge, message)
+            }
+            BodyError::Malformed(_) => Error::new(
                 ErrorKind::BadRequest,
                 "the connection failed before the request body was complete",
-            )
-        }
-    })
+            ),
+            BodyError::Lost(_) => Error::new(ErrorKind::Overloaded, error.to_string()),
+        })
+    }
 }
--- a/components/router/src/http/chat.rs
+++ b/components/router/src/http/chat.rs
@@ -14,7 +14,6 @@
 use super::{
     HttpContext,
     auth::admit_caller,
-    body::read_body,
     request_head::{check_content_type, deadline, request_id},
     respond::{respond_error, respond_with_id},
 };
@@ -52,8 +51,8 @@
     let (account_name, account) = admit_caller(cx, &cfg, headers)?;
     check_content_type(headers)?;
     let deadline = deadline(headers, &cx.router.clock)?;
-    let body = read_body(req, &cx.limits).await?;
-    let chat: ChatRequest = serde_json::from_slice(&body).map_err(|error| {
+    let body = cx.bodies.read(req).await?;
+    let chat: ChatRequest = serde_json::from_slice(body.bytes()).map_err(|error| {
         Error::new(ErrorKind::BadRequest, format!("invalid request body: {error}"))
     })?;
     let access = ModelName::new(&chat.model).ok().and_then(|name| account.models.get(&name));
--- a/components/router/src/http/mod.rs
+++ b/components/router/src/http/mod.rs
@@ -14,7 +14,7 @@
 pub(crate) use self::{
     addresses::{ADDRESS_LIST_MAX_AGE, LEAVE_PROPAGATION_TIME},
     auth::bearer_key,
-    body::read_body,
+    body::BodyReader,
     routes::HttpContext,
     server::HttpServer,
 };
--- a/components/router/src/http/routes.rs
+++ b/components/router/src/http/routes.rs
@@ -11,12 +11,13 @@
 use super::{
     action::serve_action,
     addresses::serve_addresses,
+    body::BodyReader,
     chat::serve_chat,
     health::{serve_health, serve_metrics, serve_readiness},
     respond::serve_unmatched,
 };
 use crate::{
-    HttpLimits, RouterContext,
+    RouterContext,
     admin::{AdminContext, admin_routes},
     traffic::Runs,
 };
@@ -28,8 +29,8 @@
     pub(crate) router: RouterContext,
     /// Requests in progress.
     pub(crate) runs: Runs,
-    /// Size and time limits of requests.
-    pub(crate) limits: HttpLimits,
+    /// Reads the bodies of requests.
+    pub(crate) bodies: BodyReader,
     /// Renders the metrics of the process.
     pub(crate) metrics: MetricsHandle,
     /// Whether new requests are rejected because the router is leaving.
--- a/programs/auburncrankd/src/cli.rs
+++ b/programs/auburncrankd/src/cli.rs
@@ -101,6 +101,13 @@
             default: Some("10s"),
             help: "Maximum time for the head of a request to arrive.",
         },
+        SettingSpec {
+            flag: "memory-max-bytes",
+            env: "AUBURNCRANK_MEMORY_MAX_BYTES",
+            value: "BYTES",
+            default: Some("2147483648"),
+            help: "Memory that the process may use; what clients make it hold is limited to shares of it.",
+        },
         SettingSpec {
             flag: "traffic-threads",
             env: "AUBURNCRANK_TRAFFIC_THREADS",
@@ -182,5 +189,6 @@
         body_max_bytes: values.parse("body-max-bytes", faults).unwrap_or_default(),
         body_timeout: values.duration("body-timeout", faults),
         head_timeout: values.duration("head-timeout", faults),
+        memory_max_bytes: values.parse("memory-max-bytes", faults).unwrap_or_default(),
     }
 }
