--- a/components/inbound/src/connection_book.rs
+++ b/components/inbound/src/connection_book.rs
@@ -81,9 +81,11 @@
         ConnectionBook { listener, limits, state: Arc::default() }
     }
 
-    /// Returns the name of the listener.
-    pub fn listener(&self) -> &'static str {
-        self.listener
+    /// Updates the gauges of the connections.
+    pub fn report(&self) {
+        let (open, bytes) = self.usage();
+        metrics::gauge!(telemetry::CONNECTIONS_OPEN, "listener" => self.listener).set(open as f64);
+        metrics::gauge!(telemetry::CONNECTION_BYTES, "listener" => self.listener).set(bytes as f64);
     }
 
     /// Adds a connection that was accepted; closes others if there are too many. Returns `None` if the new
--- a/components/inbound/src/lib.rs
+++ b/components/inbound/src/lib.rs
@@ -1,6 +1,7 @@
 //! Limits on what clients make a process hold: the bodies of their requests, their connections, and what
 //! these have received.
 
+mod answer_body;
 mod body_book;
 mod body_limits;
 mod connection;
@@ -10,6 +11,7 @@
 mod read_body;
 
 pub use self::{
+    answer_body::AnswerBody,
     body_book::{ArrivingBody, BodyBook, BodyLoss, HeldBody},
     body_limits::BodyLimits,
     connection_book::{ConnectionBook, OpenConnection, RequestInProgress, Requests},
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -168,7 +168,7 @@
 fn report_gauges(cx: &RelayContext) {
     metrics::gauge!(telemetry::REQUESTS_IN_PROGRESS).set(cx.running.load(Ordering::Relaxed) as f64);
     metrics::gauge!(telemetry::LOG_LINES_DROPPED).set(telemetry::dropped_log_lines() as f64);
-    cx.clients.all().into_iter().for_each(report_connections);
+    cx.clients.all().into_iter().for_each(ConnectionBook::report);
     metrics::gauge!(telemetry::BODY_BYTES).set(cx.bodies.held_bytes() as f64);
     let cut_off = cx.lock_paths().cut_off_services().len();
     metrics::gauge!(telemetry::CUT_OFF_SERVICES).set(cut_off as f64);
@@ -201,13 +201,6 @@
     report_tokens(cx);
 }
 
-/// Updates the gauges of a listener's connections.
-fn report_connections(book: &ConnectionBook) {
-    let (open, bytes) = book.usage();
-    metrics::gauge!(telemetry::CONNECTIONS_OPEN, "listener" => book.listener()).set(open as f64);
-    metrics::gauge!(telemetry::CONNECTION_BYTES, "listener" => book.listener()).set(bytes as f64);
-}
-
 /// Updates the gauges and counters of the tokens of each account.
 fn report_tokens(cx: &RelayContext) {
     let allowances = cx.lock_allowances();
--- a/components/relay/src/serve/body.rs
+++ b/components/relay/src/serve/body.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use futures::{Stream, stream::BoxStream};
 use hyper::body::{Body, Frame, SizeHint};
-use inbound::RequestInProgress;
 
 /// Body of an answer to a caller.
 pub(crate) enum ResponseBody {
@@ -49,36 +48,3 @@
         }
     }
 }
-
-/// Body of an answer, with the request that it answers: the request ends once the body has been passed on.
-pub(super) struct AnswerBody {
-    body: ResponseBody,
-    _request: RequestInProgress,
-}
-
-impl AnswerBody {
-    /// Creates the body of the answer to `request`.
-    pub(super) fn new(body: ResponseBody, request: RequestInProgress) -> AnswerBody {
-        AnswerBody { body, _request: request }
-    }
-}
-
-impl Body for AnswerBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/components/relay/src/serve/handler.rs
+++ b/components/relay/src/serve/handler.rs
@@ -10,12 +10,12 @@
 use errors::{Error, ErrorKind};
 use http::{HeaderValue, Request, Response, header::CONNECTION};
 use hyper::body::Incoming;
-use inbound::{HeldBody, RequestInProgress, Requests};
+use inbound::{AnswerBody, HeldBody, RequestInProgress, Requests};
 use types::Timestamp;
 use utils::jitter;
 
 use super::{
-    body::{AnswerBody, ResponseBody},
+    body::ResponseBody,
     continuation::prepare_take_up,
     exchange::OutgoingRequest,
     framing::{check_framing, head_bytes},
@@ -47,7 +47,7 @@
     cx: Arc<RelayContext>,
     requests: Requests,
     req: Request<Incoming>,
-) -> Result<Response<AnswerBody>, Infallible> {
+) -> Result<Response<AnswerBody<ResponseBody, RequestInProgress>>, Infallible> {
     let progress = requests.begin();
     let (head, body) = req.into_parts();
     let read = cx.dialect.read_request(&head);
--- a/components/relay/src/serve/server.rs
+++ b/components/relay/src/serve/server.rs
@@ -7,7 +7,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
-use inbound::{ConnectionBook, InboundIo};
+use inbound::{AnswerBody, ConnectionBook, InboundIo};
 use socket2::{Domain, Socket, Type};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -15,7 +15,6 @@
 };
 
 use super::{
-    body::AnswerBody,
     handler::handle,
     idle_timer::{IDLE_TIMEOUT, IdleTimer},
     side_calls::AuxiliaryApi,
--- a/components/router/src/daemon/http_limits.rs
+++ b/components/router/src/daemon/http_limits.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use inbound::{ConnectionLimits, HostShare};
+
 /// Limits on the requests of callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HttpLimits {
@@ -13,6 +15,15 @@
     pub head_timeout: Duration,
     /// Memory that the process may use, in bytes. Limits on what clients make it hold are shares of it.
     pub memory_max_bytes: u64,
+    /// Number of descriptors that the process may use; `None` if it is not limited.
+    pub descriptors_max: Option<u32>,
+}
+
+impl HttpLimits {
+    /// Returns the limits on the connections of a listener.
+    pub(crate) fn connections(&self, share: HostShare) -> ConnectionLimits {
+        ConnectionLimits::for_host(Some(self.memory_max_bytes), self.descriptors_max, share)
+    }
 }
 
 impl Default for HttpLimits {
@@ -22,6 +33,7 @@
             body_timeout: Duration::from_secs(30),
             head_timeout: Duration::from_secs(10),
             memory_max_bytes: 2 * 1024 * 1024 * 1024,
+            descriptors_max: None,
         }
     }
 }
--- a/components/router/src/http/body.rs
+++ b/components/router/src/http/body.rs
@@ -1,7 +1,9 @@
 //! Reads request bodies.
 
+use std::sync::Arc;
+
 use errors::{Error, ErrorKind, Result};
-use inbound::{BodyBook, BodyError, BodyLimits, HeldBody};
+use inbound::{BodyBook, BodyError, BodyLimits, HeldBody, RequestInProgress};
 use viz::Request;
 
 use crate::HttpLimits;
@@ -21,7 +23,7 @@
         BodyReader { limits, book }
     }
 
-    /// Reads the complete body of a request.
+    /// Reads the complete body of a request whose caller is known.
     ///
     /// # Errors
     /// `BodyTooLarge`, `SlowSender`, `Overloaded` if there is no memory for it, or `BadRequest` if the
@@ -40,12 +42,19 @@
         body_max_bytes: usize,
     ) -> Result<HeldBody> {
         let body_timeout = self.limits.body_timeout;
+        let progress = req.extensions().get::<Arc<RequestInProgress>>().cloned();
+        if let Some(progress) = &progress {
+            progress.accept();
+        }
         let body = std::mem::take(req.body_mut());
         let read = inbound::read_body(body, body_max_bytes, &self.book);
         let read = tokio::time::timeout(body_timeout, read).await.map_err(|_| {
             let message = format!("the request body was not received within {body_timeout:?}");
             Error::new(ErrorKind::SlowSender, message)
         })?;
+        if let Some(progress) = &progress {
+            progress.serve();
+        }
         read.map_err(|error| match error {
             BodyError::TooLarge => {
                 let message = format!("the request body is larger than {body_max_bytes} bytes");
--- a/components/router/src/http/server.rs
+++ b/components/router/src/http/server.rs
@@ -1,16 +1,30 @@
 //! The HTTP server: accepts connections and shuts them down gracefully.
 
-use std::{sync::Arc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
-use hyper::server::conn::http1;
+use futures::future::BoxFuture;
+use http::{Request, Response};
+use hyper::{
+    body::{Body as _, Incoming},
+    server::conn::http1,
+    service::Service,
+};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
+use inbound::{AnswerBody, ConnectionBook, HostShare, InboundIo, RequestInProgress, Requests};
 use tokio::{net::TcpListener, sync::watch};
 use viz::{Responder, Router, Tree};
 
 use super::request_head::HEAD_MAX_BYTES;
+use crate::HttpLimits;
+
+/// What connections of callers may use of the limits of the process.
+const CALLER_SHARE: HostShare = HostShare { descriptor_percent: 50, memory_percent: 60 };
+
+/// Interval at which the gauges of the connections are updated.
+const REPORT_INTERVAL: Duration = Duration::from_secs(2);
 
 /// The HTTP server.
 pub(crate) struct HttpServer {
@@ -22,13 +36,13 @@
 
 impl HttpServer {
     /// Starts serving `router` on `listener`.
-    pub(crate) fn start(
-        listener: TcpListener,
-        router: Router,
-        head_timeout: Duration,
-    ) -> HttpServer {
+    pub(crate) fn start(listener: TcpListener, router: Router, limits: &HttpLimits) -> HttpServer {
         let (stop, stopped) = watch::channel(false);
-        let task = tokio::spawn(accept_connections(listener, router, head_timeout, stopped));
+        let callers = ConnectionBook::new("callers", limits.connections(CALLER_SHARE));
+        let head_timeout = limits.head_timeout;
+        tokio::spawn(report_connections(callers.clone()));
+        let task =
+            tokio::spawn(accept_connections(listener, router, callers, head_timeout, stopped));
         HttpServer { stop, task }
     }
 
@@ -42,6 +56,7 @@
 async fn accept_connections(
     listener: TcpListener,
     router: Router,
+    callers: ConnectionBook,
     head_timeout: Duration,
     mut stopped: watch::Receiver<bool>,
 ) {
@@ -55,25 +70,66 @@
         let (stream, peer) = match accepted {
             Ok(accepted) => accepted,
             Err(error) => {
-                log::warn!("failed to accept a caller's connection: {error}");
+                metrics::counter!(telemetry::ACCEPT_FAILURES_TOTAL).increment(1);
+                log::debug!("failed to accept a caller's connection: {error}");
+                callers.close_for_descriptors();
                 tokio::time::sleep(Duration::from_millis(10)).await;
                 continue;
             }
         };
+        let Some(opened) = callers.open() else { continue };
         let _ = stream.set_nodelay(true);
-        let service = Responder::new(tree.clone(), Some(peer));
+        let number = opened.number();
+        let service = CountedService {
+            inner: Responder::new(tree.clone(), Some(peer)),
+            requests: opened.requests(),
+        };
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(head_timeout)
             .max_buf_size(2 * HEAD_MAX_BYTES)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(InboundIo::new(stream, opened)), service);
         let connection = graceful.watch(connection);
-        tokio::spawn(async move {
+        let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("caller's connection failed: {error}");
             }
         });
+        callers.set_task(number, task.abort_handle());
+        // Lets the connections go that were closed for this one.
+        tokio::task::yield_now().await;
     }
     drop(listener);
     graceful.shutdown().await;
 }
+
+/// Updates the gauges of the callers' connections.
+async fn report_connections(callers: ConnectionBook) {
+    loop {
+        tokio::time::sleep(REPORT_INTERVAL).await;
+        callers.report();
+    }
+}
+
+/// Handles the requests of one connection and records how far they are.
+struct CountedService {
+    inner: Responder<SocketAddr>,
+    requests: Requests,
+}
+
+impl Service<Request<Incoming>> for CountedService {
+    type Response = Response<AnswerBody<viz::Body, Arc<RequestInProgress>>>;
+    type Error = Infallible;
+    type Future = BoxFuture<'static, Result<Self::Response, Infallible>>;
+
+    fn call(&self, mut req: Request<Incoming>) -> Self::Future {
+        let request = Arc::new(self.requests.begin());
+        if req.body().is_end_stream() {
+            request.serve();
+        }
+        // The reader of the body records when it has arrived.
+        req.extensions_mut().insert(request.clone());
+        let answer = self.inner.call(req);
+        Box::pin(async move { Ok(answer.await?.map(|it| AnswerBody::new(it, request))) })
+    }
+}
--- a/programs/auburncrankd/src/cli.rs
+++ b/programs/auburncrankd/src/cli.rs
@@ -5,6 +5,7 @@
 use config::KeyHash;
 use log::LevelFilter;
 use router::{HttpLimits, RouterSettings};
+use rustix::process::{Resource, getrlimit};
 use settings::{
     LOG_FORMAT_SETTING, LOG_LEVEL_SETTING, ProgramSpec, ProgramStart, SettingFaults, SettingSpec,
     SettingValues,
@@ -108,6 +109,13 @@
             default: Some("2147483648"),
             help: "Memory that the process may use; what clients make it hold is limited to shares of it.",
         },
+        SettingSpec {
+            flag: "descriptors-max",
+            env: "AUBURNCRANK_DESCRIPTORS_MAX",
+            value: "COUNT",
+            default: Some(""),
+            help: "Number of descriptors that the process may use; by default the limit that the system sets.",
+        },
         SettingSpec {
             flag: "traffic-threads",
             env: "AUBURNCRANK_TRAFFIC_THREADS",
@@ -185,10 +193,20 @@
 }
 
 fn read_http_limits(values: &SettingValues, faults: &mut SettingFaults) -> HttpLimits {
+    let is_set = values.optional("descriptors-max").is_some_and(|it| !it.is_empty());
+    let descriptors_max =
+        if is_set { values.parse("descriptors-max", faults) } else { descriptor_limit() };
     HttpLimits {
         body_max_bytes: values.parse("body-max-bytes", faults).unwrap_or_default(),
         body_timeout: values.duration("body-timeout", faults),
         head_timeout: values.duration("head-timeout", faults),
         memory_max_bytes: values.parse("memory-max-bytes", faults).unwrap_or_default(),
+        descriptors_max,
     }
 }
+
+/// Returns the number of descriptors that the system allows the process; `None` if it is not limited.
+fn descriptor_limit() -> Option<u32> {
+    let limit = getrlimit(Resource::Nofile).current?;
+    Some(u32::try_from(limit).unwrap_or(u32::MAX))
+}
