--- a/components/router/src/daemon/assembly.rs
+++ b/components/router/src/daemon/assembly.rs
@@ -8,6 +8,7 @@
 };
 
 use client::{Connections, HttpClient, PlatformClient};
+use inbound::ConnectionBook;
 use membership::{DetectorSettings, Member, MemberState};
 use platform::{HostList, ObjectStore, Table, WeightStore};
 use telemetry::set_up_metrics;
@@ -22,7 +23,10 @@
     control_jobs::{ControllerContext, start_controller},
     dispatch::PolicyDispatcher,
     http::{BodyReader, HttpContext},
-    peers::{PeerNetwork, PeerNetworkSettings, Peers, run_host_hints},
+    peers::{
+        INBOUND_MAX_CONNECTIONS, INBOUND_SHARE, PeerNetwork, PeerNetworkSettings, Peers,
+        run_host_hints,
+    },
     registry::{FleetRegistry, RegistryParts},
     traffic::Runs,
 };
@@ -127,11 +131,14 @@
     cfg: &ConfigHandle,
     control: &ControlThread,
 ) -> io::Result<Arc<PeerNetwork>> {
+    let mut limits = settings.http_limits.connections(INBOUND_SHARE);
+    limits.connections = limits.connections.min(INBOUND_MAX_CONNECTIONS);
     let settings = PeerNetworkSettings {
         local,
         seeds: settings.seeds.clone(),
         detector: DetectorSettings::default(),
         listener,
+        inbound: ConnectionBook::new("routers", limits),
         clock,
         cfg: cfg.clone(),
     };
--- a/components/router/src/peers/limits.rs
+++ b/components/router/src/peers/limits.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use inbound::HostShare;
+
 /// Maximum number of messages waiting to be sent to one peer.
 pub(super) const QUEUE_MAX_MESSAGES: usize = 512;
 
@@ -11,8 +13,12 @@
 /// Maximum number of messages from subsystems waiting for the control thread.
 pub(super) const OUTBOX_MAX_MESSAGES: usize = 16_384;
 
+/// What inbound connections from other routers may use of the limits of the process.
+pub(crate) const INBOUND_SHARE: HostShare =
+    HostShare { descriptor_percent: 15, memory_percent: 40 };
+
 /// Maximum number of inbound connections from other routers.
-pub(super) const INBOUND_MAX_CONNECTIONS: usize = 4_096;
+pub(crate) const INBOUND_MAX_CONNECTIONS: usize = 4_096;
 
 /// Timeout for connecting to a peer.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
--- a/components/router/src/peers/mod.rs
+++ b/components/router/src/peers/mod.rs
@@ -20,6 +20,7 @@
 
 pub(crate) use self::{
     hints::run_host_hints,
+    limits::{INBOUND_MAX_CONNECTIONS, INBOUND_SHARE},
     network::{PeerNetwork, PeerNetworkSettings},
 };
 
--- a/components/router/src/peers/network.rs
+++ b/components/router/src/peers/network.rs
@@ -9,6 +9,7 @@
 };
 
 use arc_swap::ArcSwap;
+use inbound::ConnectionBook;
 use membership::{Detector, DetectorSettings, Member, MemberState, MembershipView};
 use protocol::PeerBody;
 use tokio::{
@@ -36,6 +37,8 @@
     pub(crate) detector: DetectorSettings,
     /// Listener on the peer address, in non-blocking mode.
     pub(crate) listener: TcpListener,
+    /// Inbound connections of other routers.
+    pub(crate) inbound: ConnectionBook,
     /// Clock of the failure detector.
     pub(crate) clock: Clock,
     /// Active configuration, whose version the heartbeats carry.
@@ -116,7 +119,7 @@
             settings.cfg,
             clock,
         );
-        control.spawn(run_listener(listener, inbox));
+        control.spawn(run_listener(listener, settings.inbound, inbox));
         control.spawn(service.run(inbox_rx, outbox_rx));
         Ok(PeerNetwork { shared, outbox })
     }
