--- a/components/inbound/src/body_book.rs
+++ b/components/inbound/src/body_book.rs
@@ -27,7 +27,7 @@
 
 impl BodyLoss {
     /// Returns the label for metrics.
-    pub(crate) fn label(self) -> &'static str {
+    fn label(self) -> &'static str {
         match self {
             BodyLoss::GivenUp => "given_up",
             BodyLoss::NoMemory => "no_memory",
@@ -51,6 +51,8 @@
     /// Bodies that are arriving, in the order in which they began.
     arriving: BTreeMap<u64, Arriving>,
     next_number: u64,
+    /// Number of bodies lost since the last report.
+    unreported_lost: u64,
 }
 
 #[derive(Debug)]
@@ -72,6 +74,7 @@
             large_bytes: 0,
             arriving: BTreeMap::new(),
             next_number: 0,
+            unreported_lost: 0,
         };
         BodyBook { state: Arc::new(Mutex::new(state)) }
     }
@@ -100,6 +103,23 @@
         Ok(HeldBody { bytes, counted, book: Some(self.clone()) })
     }
 
+    /// Updates the gauge of the bodies, and logs how many were lost since the last call.
+    pub fn report(&self) {
+        let mut state = self.lock();
+        let (lost, held_bytes) = (std::mem::take(&mut state.unreported_lost), state.all_bytes);
+        drop(state);
+        metrics::gauge!(telemetry::BODY_BYTES).set(held_bytes as f64);
+        if lost > 0 {
+            log::warn!(lost, held_bytes; "request bodies not held for want of memory");
+        }
+    }
+
+    /// Counts a body that was lost.
+    pub(crate) fn count_lost(&self, loss: BodyLoss) {
+        metrics::counter!(telemetry::BODIES_LOST_TOTAL, "reason" => loss.label()).increment(1);
+        self.lock().unreported_lost += 1;
+    }
+
     /// Returns the bytes of all bodies.
     pub fn held_bytes(&self) -> usize {
         self.lock().all_bytes
--- a/components/inbound/src/connection_book.rs
+++ b/components/inbound/src/connection_book.rs
@@ -66,6 +66,8 @@
     next_number: u64,
     /// Bytes in the buffers of all connections: unfinished request heads, and the latest bytes of bodies.
     buffered: usize,
+    /// Number of connections closed since the last report.
+    unreported_closed: u64,
 }
 
 #[derive(Debug)]
@@ -81,9 +83,13 @@
         ConnectionBook { listener, limits, state: Arc::default() }
     }
 
-    /// Updates the gauges of the connections.
+    /// Updates the gauges of the connections, and logs how many were closed since the last call.
     pub fn report(&self) {
         let (open, bytes) = self.usage();
+        let closed = std::mem::take(&mut self.lock().unreported_closed);
+        if closed > 0 {
+            log::warn!(listener = self.listener, closed, open, bytes; "connections of clients closed by limits");
+        }
         metrics::gauge!(telemetry::CONNECTIONS_OPEN, "listener" => self.listener).set(open as f64);
         metrics::gauge!(telemetry::CONNECTION_BYTES, "listener" => self.listener).set(bytes as f64);
     }
@@ -94,7 +100,7 @@
         let mut state = self.lock();
         while state.open.len() >= self.limits.connections {
             if !self.close_one(&mut state, CloseReason::Connections) {
-                self.count(CloseReason::Connections);
+                self.count(&mut state, CloseReason::Connections);
                 return None;
             }
         }
@@ -181,10 +187,11 @@
         if let Some(task) = state.remove(number) {
             task.abort();
         }
-        self.count(reason);
+        self.count(state, reason);
     }
 
-    fn count(&self, reason: CloseReason) {
+    fn count(&self, state: &mut State, reason: CloseReason) {
+        state.unreported_closed += 1;
         let (listener, reason) = (self.listener, reason.label());
         metrics::counter!(telemetry::CONNECTIONS_CLOSED_TOTAL, "listener" => listener, "reason" => reason)
             .increment(1);
--- a/components/inbound/src/read_body.rs
+++ b/components/inbound/src/read_body.rs
@@ -20,21 +20,25 @@
     Malformed(String),
     /// The body is not held any longer.
     #[error("{0}")]
-    Lost(BodyLoss),
-}
-
-impl From<BodyLoss> for BodyError {
-    fn from(loss: BodyLoss) -> BodyError {
-        metrics::counter!(telemetry::BODIES_LOST_TOTAL, "reason" => loss.label()).increment(1);
-        BodyError::Lost(loss)
-    }
+    Lost(#[from] BodyLoss),
 }
 
 /// Reads a body of at most `max_bytes` that counts in `book`.
 ///
 /// # Errors
 /// Returns an error if the body is longer, malformed, or given up.
-pub async fn read_body<B>(
+pub async fn read_body<B>(body: B, max_bytes: usize, book: &BodyBook) -> Result<HeldBody, BodyError>
+where
+    B: Body<Data = Bytes, Error: Display> + Unpin,
+{
+    let read = read_counted(body, max_bytes, book).await;
+    if let Err(BodyError::Lost(loss)) = &read {
+        book.count_lost(*loss);
+    }
+    read
+}
+
+async fn read_counted<B>(
     mut body: B,
     max_bytes: usize,
     book: &BodyBook,
--- a/components/relay/src/process.rs
+++ b/components/relay/src/process.rs
@@ -169,7 +169,7 @@
     metrics::gauge!(telemetry::REQUESTS_IN_PROGRESS).set(cx.running.load(Ordering::Relaxed) as f64);
     metrics::gauge!(telemetry::LOG_LINES_DROPPED).set(telemetry::dropped_log_lines() as f64);
     cx.clients.all().into_iter().for_each(ConnectionBook::report);
-    metrics::gauge!(telemetry::BODY_BYTES).set(cx.bodies.held_bytes() as f64);
+    cx.bodies.report();
     let cut_off = cx.lock_paths().cut_off_services().len();
     metrics::gauge!(telemetry::CUT_OFF_SERVICES).set(cut_off as f64);
     let tunnels = cx.tunnels.open_count();
--- a/components/router/src/daemon/process.rs
+++ b/components/router/src/daemon/process.rs
@@ -63,7 +63,7 @@
         let http = {
             let _guard = traffic.enter();
             let listener = tokio::net::TcpListener::from_std(listener)?;
-            HttpServer::start(listener, cx.routes(), &settings.http_limits)
+            HttpServer::start(listener, cx.routes(), &settings.http_limits, cx.bodies.clone())
         };
         log::info!(
             router:% = settings.name, address:% = caller_address, peer_address:% = peer_address;
--- a/components/router/src/http/body.rs
+++ b/components/router/src/http/body.rs
@@ -23,6 +23,11 @@
         BodyReader { limits, book }
     }
 
+    /// Updates the metrics of the bodies.
+    pub(super) fn report(&self) {
+        self.book.report();
+    }
+
     /// Reads the complete body of a request whose caller is known.
     ///
     /// # Errors
--- a/components/router/src/http/server.rs
+++ b/components/router/src/http/server.rs
@@ -17,13 +17,13 @@
 use tokio::{net::TcpListener, sync::watch};
 use viz::{Responder, Router, Tree};
 
-use super::request_head::HEAD_MAX_BYTES;
+use super::{BodyReader, request_head::HEAD_MAX_BYTES};
 use crate::HttpLimits;
 
 /// What connections of callers may use of the limits of the process.
 const CALLER_SHARE: HostShare = HostShare { descriptor_percent: 50, memory_percent: 60 };
 
-/// Interval at which the gauges of the connections are updated.
+/// Interval of the reports on connections and bodies.
 const REPORT_INTERVAL: Duration = Duration::from_secs(2);
 
 /// The HTTP server.
@@ -36,11 +36,16 @@
 
 impl HttpServer {
     /// Starts serving `router` on `listener`.
-    pub(crate) fn start(listener: TcpListener, router: Router, limits: &HttpLimits) -> HttpServer {
+    pub(crate) fn start(
+        listener: TcpListener,
+        router: Router,
+        limits: &HttpLimits,
+        bodies: BodyReader,
+    ) -> HttpServer {
         let (stop, stopped) = watch::channel(false);
         let callers = ConnectionBook::new("callers", limits.connections(CALLER_SHARE));
         let head_timeout = limits.head_timeout;
-        tokio::spawn(report_connections(callers.clone()));
+        tokio::spawn(report(callers.clone(), bodies));
         let task =
             tokio::spawn(accept_connections(listener, router, callers, head_timeout, stopped));
         HttpServer { stop, task }
@@ -103,11 +108,12 @@
     graceful.shutdown().await;
 }
 
-/// Updates the gauges of the callers' connections.
-async fn report_connections(callers: ConnectionBook) {
+/// Reports on the connections and bodies of callers.
+async fn report(callers: ConnectionBook, bodies: BodyReader) {
     loop {
         tokio::time::sleep(REPORT_INTERVAL).await;
         callers.report();
+        bodies.report();
     }
 }
 
--- a/components/router/src/peers/inbound.rs
+++ b/components/router/src/peers/inbound.rs
@@ -17,6 +17,9 @@
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Interval of the reports on connections.
+const REPORT_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Accepts connections from other routers and forwards their messages to `inbox`, until the
 /// receiver of `inbox` is dropped.
 pub(super) async fn run_listener(
@@ -45,6 +48,14 @@
     }
 }
 
+/// Reports on the connections of other routers.
+pub(super) async fn report_connections(routers: ConnectionBook) {
+    loop {
+        sleep(REPORT_INTERVAL).await;
+        routers.report();
+    }
+}
+
 async fn receive_messages(
     stream: TcpStream,
     opened: OpenConnection,
--- a/components/router/src/peers/network.rs
+++ b/components/router/src/peers/network.rs
@@ -20,7 +20,7 @@
 
 use super::{
     PeerHandler, Peers,
-    inbound::run_listener,
+    inbound::{report_connections, run_listener},
     limits::{INBOX_MAX_MESSAGES, OUTBOX_MAX_MESSAGES},
     send_queue::count_dropped,
     service::PeerService,
@@ -119,6 +119,7 @@
             settings.cfg,
             clock,
         );
+        control.spawn(report_connections(settings.inbound.clone()));
         control.spawn(run_listener(listener, settings.inbound, inbox));
         control.spawn(service.run(inbox_rx, outbox_rx));
         Ok(PeerNetwork { shared, outbox })
