--- a/programs/auburncrank-relay/tests/crowd/clients.rs
+++ b/programs/auburncrank-relay/tests/crowd/clients.rs
@@ -22,6 +22,9 @@
 /// Size of a client's own buffer where the router's buffers are measured.
 const SEND_BUFFER_BYTES: u32 = 16 * 1_024;
 
+/// Size of the buffer of a client that does not read.
+const RECEIVE_BUFFER_BYTES: u32 = 4 * 1_024;
+
 /// Time after which a router that has taken nothing takes no more.
 const STALL: Duration = Duration::from_millis(500);
 
@@ -105,6 +108,27 @@
     clients.join_all().await.into_iter().sum()
 }
 
+/// Connections of clients that do not read their answers, open until this is dropped.
+pub(crate) struct Readers {
+    _connections: Vec<TcpStream>,
+}
+
+impl Readers {
+    /// Opens `count` connections with small buffers, sends `request` on each of them and reads nothing.
+    pub(crate) async fn send(address: SocketAddr, count: usize, request: &[u8]) -> Readers {
+        let mut connections = Vec::new();
+        for _ in 0..count {
+            let socket = TcpSocket::new_v4().unwrap();
+            socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+            let Ok(mut stream) = socket.connect(address).await else { continue };
+            if stream.write_all(request).await.is_ok() {
+                connections.push(stream);
+            }
+        }
+        Readers { _connections: connections }
+    }
+}
+
 /// Formats the head of a request for a stream or an action, which ends with `framing`.
 pub(crate) fn head(path: &str, key: &str, framing: &str) -> String {
     format!(
--- a/programs/auburncrank-relay/tests/crowd/main.rs
+++ b/programs/auburncrank-relay/tests/crowd/main.rs
@@ -23,8 +23,8 @@
 
 use self::{
     clients::{
-        Crowd, bytes_taken_after, get, head, is_served, request_in_chunks, request_with_length,
-        unfinished_head,
+        Crowd, Readers, bytes_taken_after, get, head, is_served, request_in_chunks,
+        request_with_length, unfinished_head,
     },
     router::{Host, Router},
     support::{
@@ -54,6 +54,12 @@
 /// Number of clients that send large bodies.
 const BODY_CROWD: usize = 60;
 
+/// Number of clients that do not read their answers.
+const ANSWER_CROWD: usize = 200;
+
+/// Length of an answer that the router reads as a whole before it passes it on.
+const ANSWER_BYTES: usize = 1_000_000;
+
 /// Number of clients that send request heads.
 const HEAD_CROWD: usize = 1_500;
 
@@ -293,6 +299,21 @@
     scene.check().await;
 }
 
+/// Guards against answers that the router holds for clients which do not read them.
+#[tokio::test]
+async fn answers_that_are_not_read() {
+    let _turn = TURN.lock().await;
+    let mut scene = Scene::start(23, SMALL_MEMORY).await;
+    scene.endpoint.set_behaviour(Behaviour::AnswerLarge(ANSWER_BYTES));
+    let request = head("/get/x", CALLER_KEY, "content-length: 0");
+    let _readers =
+        Readers::send(scene.router.caller_address, ANSWER_CROWD, request.as_bytes()).await;
+    // The answers arrive at the router.
+    tokio::time::sleep(std::time::Duration::from_secs(3)).await;
+    scene.endpoint.set_behaviour(Behaviour::Answer);
+    scene.check().await;
+}
+
 /// Guards against bounds that refuse what the users' pages allow.
 #[tokio::test]
 async fn single_requests_within_the_limits_are_served_in_calm() {
