--- a/components/inbound/src/body_book.rs
+++ b/components/inbound/src/body_book.rs
@@ -137,10 +137,11 @@
         self.large_bytes = self.large_bytes - large(before) + large(after);
     }
 
-    /// Gives bodies up, other than `number`, until a body may grow from `before` to `after` bytes.
+    /// Gives bodies up until a body may grow from `before` to `after` bytes. `number` is that of the body if it
+    /// is arriving.
     ///
     /// # Errors
-    /// If there is not enough memory even so.
+    /// If the body itself is the next to be given up, or no other one is arriving.
     fn make_room(
         &mut self,
         number: Option<u64>,
@@ -154,11 +155,16 @@
             if !needs_large && !needs_any {
                 return Ok(());
             }
-            let candidates = self.arriving.iter().filter(|(it, _)| Some(**it) != number);
-            let mut candidates = candidates.map(|(it, body)| (*it, body.counted));
-            let oldest = candidates.find(|it| if needs_large { large(it.1) > 0 } else { it.1 > 0 });
-            let (oldest, _) = oldest.ok_or(BodyLoss::NoMemory)?;
-            self.give_up(oldest);
+            let mut candidates = self
+                .arriving
+                .iter()
+                .filter(|(_, it)| if needs_large { large(it.counted) > 0 } else { it.counted > 0 })
+                .map(|(number, _)| *number);
+            match (candidates.next(), candidates.next()) {
+                (Some(oldest), _) if Some(oldest) != number => self.give_up(oldest),
+                (Some(_), Some(_)) => return Err(BodyLoss::GivenUp),
+                _ => return Err(BodyLoss::NoMemory),
+            }
         }
     }
 
--- a/components/inbound/tests/body_book.rs
+++ b/components/inbound/tests/body_book.rs
@@ -30,6 +30,22 @@
     assert_eq!(later.finish().unwrap().bytes().len(), PART.len());
 }
 
+/// Guards against a slow body that takes the memory of those that began later, part by part.
+#[test]
+fn body_that_began_first_is_given_up_when_it_grows_itself() {
+    let book = book();
+    let slow = book.begin();
+    slow.push(&PART, 700 * KIB).unwrap();
+    let later: Vec<_> = (0..6).map(|_| book.begin()).collect();
+    for it in &later {
+        it.push(&PART, PART.len()).unwrap();
+    }
+    assert_eq!(slow.push(&PART, 700 * KIB), Err(BodyLoss::GivenUp));
+    for it in later {
+        assert!(it.finish().is_ok());
+    }
+}
+
 /// Guards against large bodies that leave no memory for the usual ones.
 #[test]
 fn small_body_is_held_beside_large_ones() {
--- a/components/relay/src/tunnel/server.rs
+++ b/components/relay/src/tunnel/server.rs
@@ -56,7 +56,7 @@
         TunnelServer { max: limits.connections.min(TUNNELS_MAX), open: AtomicUsize::new(0) }
     }
 
-    /// Returns whether even a connection whose request is answered with a refusal is one too many.
+    /// Returns whether so many connections are open that further ones are not even answered.
     fn is_overrun(&self) -> bool {
         self.open_count() >= self.max + self.max / 4
     }
