--- a/programs/auburncrank-relay/tests/crowd/main.rs
+++ b/programs/auburncrank-relay/tests/crowd/main.rs
@@ -314,6 +314,29 @@
     scene.check().await;
 }
 
+/// Guards against shares of the memory that together exceed it.
+#[tokio::test]
+async fn all_kinds_of_clients_at_once() {
+    let _turn = TURN.lock().await;
+    let mut scene = Scene::start(24, SMALL_MEMORY).await;
+    let router = &scene.router;
+    let address = router.caller_address;
+    let with_length = request_with_length(CALLER_KEY, BODY_MAX_BYTES, BODY_MAX_BYTES - 1);
+    let chunked = request_in_chunks(CALLER_KEY, BODY_MAX_BYTES - 1, 64 * 1_024);
+    let head = unfinished_head(HEAD_MAX_BYTES - 1_024);
+    let _crowds = tokio::join!(
+        Crowd::send(address, BODY_CROWD, with_length),
+        Crowd::send(address, BODY_CROWD, chunked),
+        Crowd::send(address, HEAD_CROWD, head.clone()),
+        Crowd::send(address, HEAD_CROWD, request_in_chunks(CALLER_KEY, 60_000, 1_000)),
+        Crowd::send(router.directory_address, AUXILIARY_HEAD_CROWD, head.clone()),
+        Crowd::send(router.ready_address, AUXILIARY_HEAD_CROWD, head),
+        Crowd::send(router.tunnel_address, CONNECTION_CROWD, "\0\u{10}".into()),
+    );
+    scene.check().await;
+    scene.check_directory().await;
+}
+
 /// Guards against bounds that refuse what the users' pages allow.
 #[tokio::test]
 async fn single_requests_within_the_limits_are_served_in_calm() {
