--- a/programs/auburncrank-relay/tests/soak/router.rs
+++ b/programs/auburncrank-relay/tests/soak/router.rs
@@ -18,6 +18,10 @@
 /// Time within which the system has loaded the program, even on a busy machine.
 const PROGRAM_LOAD_TIME: Duration = Duration::from_millis(100);
 
+/// Limits of the hosts, as on the users' smaller sites.
+const MEMORY_MB: u64 = 260;
+const DESCRIPTORS: u32 = 4_100;
+
 /// Ports, the same for each router; the IP addresses differ.
 const CALLER_PORT: u16 = 18_740;
 const READY_PORT: u16 = 18_741;
@@ -53,7 +57,8 @@
         let at = |port| SocketAddr::new(ip, port);
         let seeds: Vec<SocketAddr> = seeds.iter().map(|it| SocketAddr::new(*it, 1)).collect();
         let settings = json!({"name": name, "failure_domain": failure_domain, "processor_share": 1.0,
-            "processor_speed": 1, "caller_address": at(CALLER_PORT),
+            "processor_speed": 1, "memory_mb": MEMORY_MB, "descriptors_max": DESCRIPTORS,
+            "caller_address": at(CALLER_PORT),
             "ready_address": at(READY_PORT), "directory_address": at(DIRECTORY_PORT),
             "store_address": store, "internal_ports": INTERNAL_PORTS, "seeds": seeds,
             "retry_ratio": 0.2, "retry_allowance": 56, "retry_window_s": 10,
