--- a/programs/auburncrank-relay/tests/crowd/main.rs
+++ b/programs/auburncrank-relay/tests/crowd/main.rs
@@ -48,6 +48,9 @@
 /// A host with memory for a few bodies.
 const SMALL_MEMORY: Host = Host { memory_mb: 80, descriptors: 4_100 };
 
+/// The smallest host of the users.
+const SMALLEST_HOST: Host = Host { memory_mb: 120, descriptors: 3_075 };
+
 /// A host with descriptors for about a hundred connections beyond the 200 for files.
 const FEW_DESCRIPTORS: Host = Host { memory_mb: 80, descriptors: 320 };
 
@@ -314,11 +317,10 @@
     scene.check().await;
 }
 
-/// Guards against shares of the memory that together exceed it.
-#[tokio::test]
-async fn all_kinds_of_clients_at_once() {
+/// Runs all kinds of crowds at once against a host, then checks it.
+async fn check_all_kinds(number: u8, host: Host) {
     let _turn = TURN.lock().await;
-    let mut scene = Scene::start(24, SMALL_MEMORY).await;
+    let mut scene = Scene::start(number, host).await;
     let router = &scene.router;
     let address = router.caller_address;
     let with_length = request_with_length(CALLER_KEY, BODY_MAX_BYTES, BODY_MAX_BYTES - 1);
@@ -337,6 +339,18 @@
     scene.check_directory().await;
 }
 
+/// Guards against shares of the memory that together exceed it.
+#[tokio::test]
+async fn all_kinds_of_clients_at_once() {
+    check_all_kinds(24, SMALL_MEMORY).await;
+}
+
+/// Guards against shares that do not suffice on the smallest hosts of the users.
+#[tokio::test]
+async fn all_kinds_of_clients_at_once_on_the_smallest_host() {
+    check_all_kinds(25, SMALLEST_HOST).await;
+}
+
 /// Guards against bounds that refuse what the users' pages allow.
 #[tokio::test]
 async fn single_requests_within_the_limits_are_served_in_calm() {
