--- a/components/inbound/src/body_limits.rs
+++ b/components/inbound/src/body_limits.rs
@@ -5,7 +5,7 @@
 
 /// Share of the memory of the host for bodies, in percent. The rest is for the process itself, its
 /// connections, and memory that the allocator keeps.
-const MEMORY_PERCENT: u64 = 30;
+const MEMORY_PERCENT: u64 = 25;
 
 /// Share of the memory for bodies that large bodies may take, in percent. The rest is kept for small ones, so
 /// that usual requests are served beside many large ones.
--- a/components/inbound/src/connection_limits.rs
+++ b/components/inbound/src/connection_limits.rs
@@ -7,7 +7,7 @@
 pub(crate) const CONNECTION_BYTES: usize = 24 * 1_024;
 
 /// Share of the memory of the host for connections and unfinished request heads, in percent.
-const MEMORY_PERCENT: u64 = 25;
+const MEMORY_PERCENT: u64 = 20;
 
 /// Part of a host that a listener may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
