--- a/components/inbound/src/connection_limits.rs
+++ b/components/inbound/src/connection_limits.rs
@@ -1,6 +1,6 @@
 //! Limits on the connections of all clients of a listener together.
 
-/// Descriptors that are for files.
+/// Descriptors reserved for files; the rest is for sockets. Source: the users' limits on a process.
 const FILE_DESCRIPTORS: u32 = 200;
 
 /// Memory of a connection without unfinished requests, in bytes: its buffers and its task.
@@ -14,7 +14,7 @@
 pub struct HostShare {
     /// Percentage of the descriptors that are not for files.
     pub descriptor_percent: u32,
-    /// Percentage of the memory for connections.
+    /// Percentage of the memory reserved for connections, which is itself a share of that of the host.
     pub memory_percent: u64,
 }
 
--- a/components/relay/src/client_connections.rs
+++ b/components/relay/src/client_connections.rs
@@ -7,6 +7,7 @@
 
 use crate::settings::HostLimits;
 
+// Percentages of the whole; callers have most connections, metrics are read by few clients.
 const CALLERS: HostShare = HostShare { descriptor_percent: 50, memory_percent: 80 };
 const DIRECTORY: HostShare = HostShare { descriptor_percent: 12, memory_percent: 12 };
 const READY: HostShare = HostShare { descriptor_percent: 3, memory_percent: 4 };
--- a/components/relay/src/serve/server.rs
+++ b/components/relay/src/serve/server.rs
@@ -115,7 +115,7 @@
             }
         });
         cx.clients.callers.set_task(number, task.abort_handle());
-        // Lets the connections go that were closed for this one.
+        // Lets the runtime drop the connections that were closed to make room.
         tokio::task::yield_now().await;
     }
     drop(listener);
@@ -171,7 +171,7 @@
             }
         });
         clients.set_task(number, task.abort_handle());
-        // Lets the connections go that were closed for this one.
+        // Lets the runtime drop the connections that were closed to make room.
         tokio::task::yield_now().await;
     }
 }
--- a/components/router/src/http/server.rs
+++ b/components/router/src/http/server.rs
@@ -101,7 +101,7 @@
             }
         });
         callers.set_task(number, task.abort_handle());
-        // Lets the connections go that were closed for this one.
+        // Lets the runtime drop the connections that were closed to make room.
         tokio::task::yield_now().await;
     }
     drop(listener);
--- a/components/router/src/peers/inbound.rs
+++ b/components/router/src/peers/inbound.rs
@@ -35,7 +35,7 @@
                 let task =
                     tokio::spawn(async move { receive_messages(stream, opened, &inbox).await });
                 routers.set_task(number, task.abort_handle());
-                // Lets the connections go that were closed for this one.
+                // Lets the runtime drop the connections that were closed to make room.
                 tokio::task::yield_now().await;
             }
             Err(error) => {
--- a/components/telemetry/src/metric_names.rs
+++ b/components/telemetry/src/metric_names.rs
@@ -257,8 +257,8 @@
 /// Gauge of clients' open connections, by `listener`.
 pub const CONNECTIONS_OPEN: &str = "auburncrank_connections_open";
 
-/// Gauge of the memory of clients' connections, without bodies, as it counts for the limit, in bytes, by
-/// `listener`.
+/// Gauge of the estimated memory of clients' connections without bodies, which is compared with the limit, in
+/// bytes, by `listener`.
 pub const CONNECTION_BYTES: &str = "auburncrank_connection_bytes";
 
 /// Gauge of the memory that the bodies of requests take, in bytes.
